--- /dev/null
+++ b/internal/encoder/headers.go
@@ -0,0 +1,26 @@
+package encoder
+
+// Header names of the project's own.
+const (
+	// ChatHeader names the chat that a call belongs to.
+	ChatHeader = "Trefoilseam-Chat"
+	// UpstreamHeader names the replica that answered.
+	UpstreamHeader = "Trefoilseam-Upstream"
+	// CachedHeader tells how many prompt tokens were found cached.
+	CachedHeader = "Trefoilseam-Cached"
+	// RequestHeader names the call inside the fleet.
+	RequestHeader = "Trefoilseam-Request"
+	// KeyHeader carries the caller's key for a call that must not run twice.
+	KeyHeader = "Idempotency-Key"
+)
+
+// HopByHop reports whether a header belongs to one connection (RFC 9110,
+// section 7.6.1) and must not be passed on. The name is in canonical form.
+func HopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/encoder/stream.go
@@ -0,0 +1,149 @@
+package encoder
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxFrame is the longest frame in bytes. It must hold the largest request
+// body that a configuration may allow, which is MaxBody.
+const MaxFrame = 9 << 20
+
+// MaxBody is the longest request body in bytes that any service may allow.
+const MaxBody = 8 << 20
+
+const lengthBytes = 4
+
+// ErrFrameTooLong is returned for a frame over MaxFrame.
+var ErrFrameTooLong = eris.New("frame over the limit")
+
+// ErrUnexpected is returned when a frame of another type stands on the stream.
+var ErrUnexpected = eris.New("unexpected frame")
+
+// Stream reads and writes frames. One goroutine may read while another writes.
+type Stream struct {
+	in  *bufio.Reader
+	out io.Writer
+	buf []byte
+}
+
+// NewStream returns a stream over a connection.
+func NewStream(conn io.ReadWriter) *Stream {
+	return &Stream{in: bufio.NewReader(conn), out: conn}
+}
+
+// Write sends one or more frames with a single write to the connection, so
+// that an offer and its run frame travel together.
+func (stream *Stream) Write(frames ...*Frame) error {
+	buf := stream.buf[:0]
+	for _, frame := range frames {
+		var err error
+		buf, err = Append(buf, frame)
+		if err != nil {
+			return err
+		}
+	}
+	stream.buf = keepSmall(buf)
+	if _, err := stream.out.Write(buf); err != nil {
+		return eris.Wrap(err, "write frame")
+	}
+	return nil
+}
+
+// keepSmall returns buf for reuse unless one large frame has made it large.
+func keepSmall(buf []byte) []byte {
+	const keep = 64 << 10
+	if cap(buf) > keep {
+		return nil
+	}
+	return buf
+}
+
+// Append appends the wire form of the frame to buf and returns the result.
+func Append(buf []byte, frame *Frame) ([]byte, error) {
+	start := len(buf)
+	buf = append(buf, make([]byte, lengthBytes)...)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, frame)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode frame")
+	}
+	size := len(buf) - start - lengthBytes
+	if size > MaxFrame {
+		return nil, ErrFrameTooLong
+	}
+	binary.BigEndian.PutUint32(buf[start:], uint32(size))
+	return buf, nil
+}
+
+// Read returns the next frame. It returns io.EOF when the peer has closed the
+// stream between frames, and io.ErrUnexpectedEOF inside one.
+func (stream *Stream) Read() (*Frame, error) {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(stream.in, length[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if size > MaxFrame {
+		return nil, ErrFrameTooLong
+	}
+	body, err := readBody(stream.in, int(size))
+	if err != nil {
+		return nil, err
+	}
+	frame := &Frame{}
+	if err := proto.Unmarshal(body, frame); err != nil {
+		return nil, eris.Wrap(err, "decode frame")
+	}
+	if frame.GetBody() == nil {
+		return nil, ErrUnexpected
+	}
+	return frame, nil
+}
+
+// readBody reads size bytes. It grows its buffer as bytes arrive, so that a
+// length without its body can't make the process allocate MaxFrame bytes.
+func readBody(in io.Reader, size int) ([]byte, error) {
+	const trusted = 64 << 10
+	if size <= trusted {
+		body := make([]byte, size)
+		if _, err := io.ReadFull(in, body); err != nil {
+			return nil, midFrame(err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(in, int64(size)))
+	if err != nil {
+		return nil, midFrame(err)
+	}
+	if len(body) < size {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, nil
+}
+
+func midFrame(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// ReadAs reads the next frame and picks one message out of it, as in
+// ReadAs(stream, (*Frame).GetOffer). It returns ErrUnexpected when the frame
+// holds another message.
+func ReadAs[T comparable](stream *Stream, pick func(*Frame) T) (T, error) {
+	var none T
+	frame, err := stream.Read()
+	if err != nil {
+		return none, err
+	}
+	message := pick(frame)
+	if message == none {
+		return none, ErrUnexpected
+	}
+	return message, nil
+}
