--- /dev/null
+++ b/internal/resolver/config.go
@@ -0,0 +1,162 @@
+package resolver
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// ServiceKind tells how the calls of a service are treated.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	// KindModel is a pool of model engines: streamed answers, chats, tokens.
+	KindModel ServiceKind = "model"
+	// KindPlain is any other HTTP service.
+	KindPlain ServiceKind = "plain"
+)
+
+// Config is the configuration in force at one site.
+type Config struct {
+	// Revision is the revision under which the configuration was accepted.
+	Revision uint64 `toml:"-"`
+	// Teams by name.
+	Teams map[string]Team `toml:"teams"`
+	// Services by name.
+	Services map[string]Service `toml:"services"`
+	// Routes in order; the longest matching path wins.
+	Routes []Route `toml:"routes"`
+}
+
+// Team is a group of callers that share keys and a weight.
+type Team struct {
+	// KeyHashes are the SHA-256 sums, in hexadecimal, of the team's bearer keys.
+	KeyHashes []string `toml:"key-hashes"`
+	// Weight is the team's share in a queue; zero means 1.
+	Weight int `toml:"weight"`
+}
+
+// Service is a set of replicas that answer the same calls.
+type Service struct {
+	Kind ServiceKind `toml:"kind"`
+	// Models are the model names that the service answers to.
+	Models []string `toml:"models"`
+	// LoadFactor is c: no replica carries more than c times the mean load,
+	// rounded up. Zero means 1.25.
+	LoadFactor float64 `toml:"load-factor"`
+	// Slots is how many calls a replica runs at once; zero means 8.
+	Slots int `toml:"slots"`
+	// QueueLength is how many calls wait at a replica at most; zero means 64.
+	QueueLength int `toml:"queue-length"`
+	// MaxBody is the longest request body in bytes; zero means 1 MiB.
+	MaxBody int64 `toml:"max-body"`
+	// LongestCall is how long a call may run; zero means ten minutes.
+	LongestCall timekeeper.Span `toml:"longest-call"`
+	// LongestDrain is how long a stop waits for calls in flight; zero means LongestCall.
+	LongestDrain timekeeper.Span `toml:"longest-drain"`
+	// FirstByte is how long a caller waits for the first byte; zero means 30 seconds.
+	FirstByte timekeeper.Span `toml:"first-byte"`
+	// ChatField is the JSON field that names the chat when no header does.
+	ChatField string `toml:"chat-field"`
+	// CachedHeader is the upstream's header with the prompt tokens found cached.
+	CachedHeader string `toml:"cached-header"`
+	// ChecksOrders says that the engines refuse an order with an old fencing number.
+	ChecksOrders bool `toml:"checks-orders"`
+	// Adapters are the adapters that orders may load on the engines.
+	Adapters []string `toml:"adapters"`
+}
+
+// Route leads the calls under a path to a service.
+type Route struct {
+	// Path is a prefix that ends at a segment's end.
+	Path    string `toml:"path"`
+	Service string `toml:"service"`
+	// Idempotent are the methods that may run twice; empty means GET, HEAD and OPTIONS.
+	Idempotent []string `toml:"idempotent-methods"`
+	// RequireKey refuses a non-idempotent call without an Idempotency-Key.
+	RequireKey bool `toml:"require-key"`
+}
+
+// Defaults of a service's settings.
+const (
+	DefaultLoadFactor  = 1.25
+	DefaultSlots       = 8
+	DefaultQueueLength = 64
+	DefaultMaxBody     = 1 << 20
+	DefaultLongestCall = 10 * timekeeper.Minute
+	DefaultFirstByte   = 30 * timekeeper.Second
+)
+
+// WithRevision returns the configuration under a revision.
+func (config Config) WithRevision(revision uint64) Config {
+	config.Revision = revision
+	return config
+}
+
+// WithDefaults returns the service with every zero setting replaced by its default.
+func (service Service) WithDefaults() Service {
+	orDefault(&service.LoadFactor, DefaultLoadFactor)
+	orDefault(&service.Slots, DefaultSlots)
+	orDefault(&service.QueueLength, DefaultQueueLength)
+	orDefault(&service.MaxBody, DefaultMaxBody)
+	orDefault(&service.LongestCall, DefaultLongestCall)
+	orDefault(&service.LongestDrain, service.LongestCall)
+	orDefault(&service.FirstByte, DefaultFirstByte)
+	return service
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Service returns the named service with defaults filled in.
+func (config Config) Service(name string) (Service, bool) {
+	service, ok := config.Services[name]
+	return service.WithDefaults(), ok
+}
+
+// ServiceNames returns the names of all services in order.
+func (config Config) ServiceNames() []string {
+	return slices.Sorted(maps.Keys(config.Services))
+}
+
+// ServiceOfModel returns the name of the service that answers to a model.
+func (config Config) ServiceOfModel(model string) (string, bool) {
+	for _, name := range config.ServiceNames() {
+		if slices.Contains(config.Services[name].Models, model) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// RouteOf returns the route with the longest path that path lies under.
+func (config Config) RouteOf(path string) (Route, bool) {
+	var best Route
+	found := false
+	for _, route := range config.Routes {
+		if route.covers(path) && len(route.Path) >= len(best.Path) {
+			best, found = route, true
+		}
+	}
+	return best, found
+}
+
+func (route Route) covers(path string) bool {
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(route.Path, "/"))
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// Repeatable reports whether a call with the method may run twice.
+func (route Route) Repeatable(method string) bool {
+	if len(route.Idempotent) == 0 {
+		return method == "GET" || method == "HEAD" || method == "OPTIONS"
+	}
+	return slices.Contains(route.Idempotent, method)
+}
