--- /dev/null
+++ b/internal/imitator/engine_http.go
@@ -0,0 +1,204 @@
+package imitator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// CachedHeader is the engine's header with the prompt tokens found cached.
+const CachedHeader = "Engine-Cached-Tokens"
+
+// RequestHeader names the request, so that it can be cancelled.
+const RequestHeader = "X-Request-Id"
+
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	Stream    bool          `json:"stream"`
+	MaxTokens int           `json:"max_tokens"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatDelta struct {
+	Content string `json:"content"`
+}
+
+type chatChoice struct {
+	Index        int          `json:"index"`
+	Delta        *chatDelta   `json:"delta,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	FinishReason string       `json:"finish_reason,omitempty"`
+}
+
+type chatAnswer struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   *chatUsage   `json:"usage,omitempty"`
+}
+
+type chatUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+const defaultMaxTokens = 16
+
+// tokensOf returns the prompt's tokens: a role, then the words, for each message.
+func tokensOf(messages []chatMessage) []string {
+	tokens := make([]string, 0, 16*len(messages))
+	for _, message := range messages {
+		tokens = append(tokens, message.Role)
+		tokens = append(tokens, strings.Fields(message.Content)...)
+	}
+	return tokens
+}
+
+func priorityOf(header string) int {
+	const normal = 3
+	for _, item := range strings.Split(header, ",") {
+		if urgency, ok := strings.CutPrefix(strings.TrimSpace(item), "u="); ok {
+			if value, err := strconv.Atoi(urgency); err == nil {
+				return value
+			}
+		}
+	}
+	return normal
+}
+
+func (engine *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var request chatRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if request.MaxTokens <= 0 {
+		request.MaxTokens = defaultMaxTokens
+	}
+	id := r.Header.Get(RequestHeader)
+	seq := newSequence(id, priorityOf(r.Header.Get("Priority")), tokensOf(request.Messages), request.MaxTokens)
+	crashed, ok := engine.start(seq)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	whole, err := engine.answer(w, r, request, seq, crashed)
+	engine.finish(seq, whole)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+var (
+	errCrashed  = eris.New("the engine crashed")
+	errCanceled = eris.New("the sequence was canceled")
+)
+
+// answer writes the answer of one sequence and reports whether it got whole.
+func (engine *Engine) answer(
+	w http.ResponseWriter, r *http.Request, request chatRequest, seq *sequence, crashed <-chan struct{},
+) (bool, error) {
+	select {
+	case <-seq.started:
+	case <-crashed:
+		return false, errCrashed
+	case <-r.Context().Done():
+		return false, r.Context().Err()
+	}
+	w.Header().Set(CachedHeader, strconv.Itoa(seq.cached))
+	if request.Stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+		return engine.stream(w, r, request, seq, crashed)
+	}
+	words, err := engine.collect(r, seq, crashed)
+	if err != nil {
+		return false, err
+	}
+	message := &chatMessage{Role: "assistant", Content: strings.Join(words, " ")}
+	w.Header().Set("Content-Type", "application/json")
+	return true, json.NewEncoder(w).Encode(chatAnswer{
+		ID: seq.id, Object: "chat.completion", Model: request.Model,
+		Choices: []chatChoice{{Message: message, FinishReason: "stop"}},
+		Usage:   &chatUsage{PromptTokens: len(seq.prompt), CompletionTokens: len(words)},
+	})
+}
+
+func (engine *Engine) next(r *http.Request, seq *sequence, crashed <-chan struct{}) (string, bool, error) {
+	select {
+	case word, more := <-seq.out:
+		if !more && len(seq.made) < seq.most {
+			return "", false, errCanceled
+		}
+		return word, more, nil
+	case <-crashed:
+		return "", false, errCrashed
+	case <-r.Context().Done():
+		if engine.settings.LateCancel > 0 {
+			fired, release := engine.settings.Clock.After(engine.settings.LateCancel)
+			defer release()
+			<-fired
+		}
+		return "", false, r.Context().Err()
+	}
+}
+
+func (engine *Engine) collect(r *http.Request, seq *sequence, crashed <-chan struct{}) ([]string, error) {
+	var words []string
+	for {
+		word, more, err := engine.next(r, seq, crashed)
+		if err != nil || !more {
+			return words, err
+		}
+		words = append(words, word)
+	}
+}
+
+func (engine *Engine) stream(
+	w http.ResponseWriter, r *http.Request, request chatRequest, seq *sequence, crashed <-chan struct{},
+) (bool, error) {
+	control := http.NewResponseController(w)
+	for {
+		word, more, err := engine.next(r, seq, crashed)
+		if err != nil {
+			return false, err
+		}
+		if !more {
+			_, err = fmt.Fprint(w, "data: [DONE]\n\n")
+			return err == nil, err
+		}
+		part, err := json.Marshal(chatAnswer{
+			ID: seq.id, Object: "chat.completion.chunk", Model: request.Model,
+			Choices: []chatChoice{{Delta: &chatDelta{Content: word + " "}}},
+		})
+		if err != nil {
+			return false, err
+		}
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", part); err != nil {
+			return false, err
+		}
+		if err := control.Flush(); err != nil {
+			return false, err
+		}
+	}
+}
+
+func (engine *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	seq, ok := engine.live[r.PathValue("id")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	seq.canceled = true
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/imitator/platform.go
@@ -0,0 +1,270 @@
+package imitator
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// PlatformFaults is what the platform does wrong. The zero value is a healthy platform.
+type PlatformFaults struct {
+	// Down makes every call fail without effect.
+	Down bool `json:"down"`
+	// Slow delays every call.
+	Slow timekeeper.Span `json:"slow"`
+	// LoseAnswers is how many of the next writes take effect and answer nothing.
+	LoseAnswers int `json:"lose-answers"`
+	// LoseWrites is how many of the next writes are dropped and answer nothing.
+	LoseWrites int `json:"lose-writes"`
+	// WritesPerSecond and ReadsPerSecond are rate limits; zero means none.
+	WritesPerSecond int `json:"writes-per-second"`
+	ReadsPerSecond  int `json:"reads-per-second"`
+	// ListDown makes only the instance list fail.
+	ListDown bool `json:"list-down"`
+	// ListFrozen keeps the instance list as it was when the fault began.
+	ListFrozen bool `json:"list-frozen"`
+}
+
+// PlatformCounts is what the platform has done since it started.
+type PlatformCounts struct {
+	Reads     int `json:"reads"`
+	Writes    int `json:"writes"`
+	Conflicts int `json:"conflicts"`
+	Refused   int `json:"refused"`
+}
+
+// Platform imitates the platform's services in memory. One lock guards it all.
+type Platform struct {
+	clock timekeeper.Clock
+
+	mu        sync.Mutex
+	faults    PlatformFaults
+	counts    PlatformCounts
+	rows      map[string]storekeeper.Row
+	objects   map[string][]byte
+	version   uint64
+	instances []storekeeper.Instance
+	shown     []storekeeper.Instance
+	second    timekeeper.Instant
+	reads     int
+	writes    int
+}
+
+// NewPlatform returns an empty, healthy platform.
+func NewPlatform(clock timekeeper.Clock) *Platform {
+	return &Platform{clock: clock, rows: map[string]storekeeper.Row{}, objects: map[string][]byte{}}
+}
+
+// Seams returns the platform as the project's processes see it, without HTTP between.
+func (platform *Platform) Seams() storekeeper.Platform {
+	return storekeeper.Platform{
+		Table:     storekeeper.Table{Get: platform.getRow, Scan: platform.scan, Commit: platform.commit},
+		Objects:   storekeeper.Objects{Put: platform.put, Get: platform.get, List: platform.list},
+		Directory: storekeeper.Directory{List: platform.listInstances},
+	}
+}
+
+// SetFaults replaces the platform's faults.
+func (platform *Platform) SetFaults(faults PlatformFaults) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	if faults.ListFrozen && !platform.faults.ListFrozen {
+		platform.shown = slices.Clone(platform.instances)
+	}
+	platform.faults = faults
+}
+
+// Counts returns what the platform has done.
+func (platform *Platform) Counts() PlatformCounts {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	return platform.counts
+}
+
+// SetInstances replaces the instance list.
+func (platform *Platform) SetInstances(instances []storekeeper.Instance) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.instances = slices.Clone(instances)
+}
+
+// enter applies delay, outage and rate to a call; it returns with the lock
+// held when err is nil.
+func (platform *Platform) enter(ctx context.Context, write bool) error {
+	platform.mu.Lock()
+	slow := platform.faults.Slow
+	if slow > 0 {
+		platform.mu.Unlock()
+		if err := platform.clock.Sleep(ctx, slow); err != nil {
+			return storekeeper.ErrUnknown
+		}
+		platform.mu.Lock()
+	}
+	if platform.faults.Down {
+		platform.mu.Unlock()
+		return storekeeper.ErrUnknown
+	}
+	if !platform.withinRate(write) {
+		platform.counts.Refused++
+		platform.mu.Unlock()
+		return storekeeper.ErrBusy
+	}
+	return nil
+}
+
+func (platform *Platform) withinRate(write bool) bool {
+	now := platform.clock.Now()
+	if now.Since(platform.second) >= timekeeper.Second {
+		platform.second, platform.reads, platform.writes = now, 0, 0
+	}
+	if write {
+		platform.writes++
+		platform.counts.Writes++
+		return platform.faults.WritesPerSecond == 0 || platform.writes <= platform.faults.WritesPerSecond
+	}
+	platform.reads++
+	platform.counts.Reads++
+	return platform.faults.ReadsPerSecond == 0 || platform.reads <= platform.faults.ReadsPerSecond
+}
+
+func rowKey(table, key string) string {
+	return table + "\x00" + key
+}
+
+func (platform *Platform) getRow(ctx context.Context, table, key string) (storekeeper.Row, error) {
+	if err := platform.enter(ctx, false); err != nil {
+		return storekeeper.Row{}, err
+	}
+	defer platform.mu.Unlock()
+	row, ok := platform.rows[rowKey(table, key)]
+	if !ok {
+		return storekeeper.Row{}, storekeeper.ErrAbsent
+	}
+	return row, nil
+}
+
+func (platform *Platform) scan(ctx context.Context, table, prefix, after string, limit int) ([]storekeeper.Row, error) {
+	if err := platform.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	defer platform.mu.Unlock()
+	rows := []storekeeper.Row{}
+	for _, row := range platform.rows {
+		if row.Table == table && strings.HasPrefix(row.Key, prefix) && row.Key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (platform *Platform) commit(ctx context.Context, writes []storekeeper.Write) error {
+	if err := platform.enter(ctx, true); err != nil {
+		return err
+	}
+	defer platform.mu.Unlock()
+	if platform.lost(&platform.faults.LoseWrites) {
+		return storekeeper.ErrUnknown
+	}
+	for _, write := range writes {
+		if platform.rows[rowKey(write.Table, write.Key)].Version != write.Expect {
+			platform.counts.Conflicts++
+			return storekeeper.ErrConflict
+		}
+	}
+	platform.version++
+	for _, write := range writes {
+		platform.apply(write)
+	}
+	if platform.lost(&platform.faults.LoseAnswers) {
+		return storekeeper.ErrUnknown
+	}
+	return nil
+}
+
+func (platform *Platform) apply(write storekeeper.Write) {
+	at := rowKey(write.Table, write.Key)
+	if write.Delete {
+		delete(platform.rows, at)
+		return
+	}
+	platform.rows[at] = storekeeper.Row{
+		Table:   write.Table,
+		Key:     write.Key,
+		Value:   slices.Clone(write.Value),
+		Version: platform.version,
+	}
+}
+
+func (platform *Platform) lost(left *int) bool {
+	if *left <= 0 {
+		return false
+	}
+	*left--
+	return true
+}
+
+func (platform *Platform) put(ctx context.Context, name string, body []byte) error {
+	if err := platform.enter(ctx, true); err != nil {
+		return err
+	}
+	defer platform.mu.Unlock()
+	if platform.lost(&platform.faults.LoseWrites) {
+		return storekeeper.ErrUnknown
+	}
+	if _, ok := platform.objects[name]; ok {
+		platform.counts.Conflicts++
+		return storekeeper.ErrConflict
+	}
+	platform.objects[name] = slices.Clone(body)
+	if platform.lost(&platform.faults.LoseAnswers) {
+		return storekeeper.ErrUnknown
+	}
+	return nil
+}
+
+func (platform *Platform) get(ctx context.Context, name string) ([]byte, error) {
+	if err := platform.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	defer platform.mu.Unlock()
+	body, ok := platform.objects[name]
+	if !ok {
+		return nil, storekeeper.ErrAbsent
+	}
+	return slices.Clone(body), nil
+}
+
+func (platform *Platform) list(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	if err := platform.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	defer platform.mu.Unlock()
+	names := []string{}
+	for name := range platform.objects {
+		if strings.HasPrefix(name, prefix) && name > after {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names[:min(limit, len(names))], nil
+}
+
+func (platform *Platform) listInstances(ctx context.Context) ([]storekeeper.Instance, error) {
+	if err := platform.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	defer platform.mu.Unlock()
+	if platform.faults.ListDown {
+		return nil, storekeeper.ErrUnknown
+	}
+	if platform.faults.ListFrozen {
+		return slices.Clone(platform.shown), nil
+	}
+	return slices.Clone(platform.instances), nil
+}
--- /dev/null
+++ b/internal/imitator/prefix_cache.go
@@ -0,0 +1,69 @@
+package imitator
+
+import (
+	"container/list"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// blockTokens is the number of tokens in one block of the prefix cache.
+const blockTokens = 4
+
+// prefixCache holds hashes of prompt blocks with the least recently used
+// leaving first. A block's hash covers all blocks before it, so a block is of
+// use only together with its whole prefix.
+type prefixCache struct {
+	capacity int
+	order    *list.List
+	blocks   map[uint64]*list.Element
+	// evicted collects the blocks that left since the last event was taken.
+	evicted []uint64
+}
+
+func newPrefixCache(tokens int) *prefixCache {
+	return &prefixCache{capacity: tokens / blockTokens, order: list.New(), blocks: map[uint64]*list.Element{}}
+}
+
+// chain returns the hash of each whole block of the tokens.
+func chain(tokens []string) []uint64 {
+	blocks := make([]uint64, 0, len(tokens)/blockTokens)
+	digest := xxhash.New()
+	for i, token := range tokens {
+		_, _ = digest.WriteString(token)
+		_, _ = digest.Write([]byte{0})
+		if (i+1)%blockTokens == 0 {
+			blocks = append(blocks, digest.Sum64())
+		}
+	}
+	return blocks
+}
+
+// match returns how many leading blocks are cached, and touches them.
+func (cache *prefixCache) match(blocks []uint64) int {
+	for i, block := range blocks {
+		element, ok := cache.blocks[block]
+		if !ok {
+			return i
+		}
+		cache.order.MoveToFront(element)
+	}
+	return len(blocks)
+}
+
+// add caches blocks. It inserts from the last to the first, so that eviction
+// takes the tail of a prefix before its head.
+func (cache *prefixCache) add(blocks []uint64) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		if element, ok := cache.blocks[blocks[i]]; ok {
+			cache.order.MoveToFront(element)
+			continue
+		}
+		cache.blocks[blocks[i]] = cache.order.PushFront(blocks[i])
+	}
+	for cache.order.Len() > cache.capacity {
+		last := cache.order.Back()
+		block, _ := cache.order.Remove(last).(uint64)
+		delete(cache.blocks, block)
+		cache.evicted = append(cache.evicted, block)
+	}
+}
