--- /dev/null
+++ b/internal/dialer/pool.go
@@ -0,0 +1,131 @@
+package dialer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Settings of sessions. The zero value means the defaults.
+type Settings struct {
+	// DialTimeout bounds a connection attempt; zero means one second.
+	DialTimeout timekeeper.Span
+	// KeepAlive is the time between probes of an idle session; zero means 5 seconds.
+	KeepAlive timekeeper.Span
+	// WriteTimeout bounds a write to a stalled peer; zero means 10 seconds.
+	WriteTimeout timekeeper.Span
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.DialTimeout == 0 {
+		settings.DialTimeout = timekeeper.Second
+	}
+	if settings.KeepAlive == 0 {
+		settings.KeepAlive = 5 * timekeeper.Second
+	}
+	if settings.WriteTimeout == 0 {
+		settings.WriteTimeout = 10 * timekeeper.Second
+	}
+	return settings
+}
+
+// Session returns the yamux configuration that both ends of a session use.
+func (settings Settings) Session() *yamux.Config {
+	settings = settings.withDefaults()
+	config := yamux.DefaultConfig()
+	config.KeepAliveInterval = settings.KeepAlive.Duration()
+	config.ConnectionWriteTimeout = settings.WriteTimeout.Duration()
+	config.StreamCloseTimeout = settings.WriteTimeout.Duration()
+	config.LogOutput = io.Discard
+	return config
+}
+
+// Pool holds the sessions of one process to its peers.
+type Pool struct {
+	settings Settings
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// peer has a lock of its own, so that dialling one peer doesn't hold up others.
+// Lock order: Pool.mu is never held while peer.mu is taken.
+type peer struct {
+	mu      sync.Mutex
+	session *yamux.Session
+}
+
+// NewPool returns a pool and a function that closes all its sessions.
+func NewPool(settings Settings) (*Pool, func()) {
+	settings = settings.withDefaults()
+	plain := net.Dialer{Timeout: settings.DialTimeout.Duration()}
+	pool := &Pool{settings: settings, peers: map[string]*peer{}}
+	pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return plain.DialContext(ctx, "tcp", address)
+	}
+	return pool, pool.close
+}
+
+// Open returns a new stream to the peer at address. An error means that no
+// frame has reached the peer.
+func (pool *Pool) Open(ctx context.Context, address string) (net.Conn, error) {
+	session, err := pool.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, eris.Wrap(err, "open stream")
+	}
+	return stream, nil
+}
+
+func (pool *Pool) session(ctx context.Context, address string) (*yamux.Session, error) {
+	peer := pool.peer(address)
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	if peer.session != nil && !peer.session.IsClosed() {
+		return peer.session, nil
+	}
+	conn, err := pool.dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrap(err, "dial")
+	}
+	session, err := yamux.Client(conn, pool.settings.Session())
+	if err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrap(err, "start session")
+	}
+	peer.session = session
+	return session, nil
+}
+
+func (pool *Pool) peer(address string) *peer {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if pool.peers[address] == nil {
+		pool.peers[address] = &peer{}
+	}
+	return pool.peers[address]
+}
+
+func (pool *Pool) close() {
+	pool.mu.Lock()
+	peers := pool.peers
+	pool.peers = map[string]*peer{}
+	pool.mu.Unlock()
+	for _, peer := range peers {
+		peer.mu.Lock()
+		if peer.session != nil {
+			_ = peer.session.Close()
+		}
+		peer.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/forwarder/relay.go
@@ -0,0 +1,136 @@
+package forwarder
+
+import (
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
+)
+
+// relay copies the answer to the caller as it arrives. It returns false with
+// the reason when nothing was written.
+func (entry *Entry) relay(w http.ResponseWriter, call call, stream *encoder.Stream) (classifier.Failure, bool) {
+	answer := relayed{entry: entry, w: w, control: http.NewResponseController(w), call: call, digest: xxhash.New()}
+	for {
+		frame, err := stream.Read()
+		if err != nil {
+			return answer.broken(classifier.New(classifier.OutcomeUnknown, "the connection to the agent broke"))
+		}
+		switch message := frame.GetBody().(type) {
+		case *encoder.Frame_Queued, *encoder.Frame_Granted:
+		case *encoder.Frame_Refused:
+			return answer.broken(entry.refused(message.Refused))
+		case *encoder.Frame_Head:
+			err = answer.open(message.Head)
+		case *encoder.Frame_Chunk:
+			err = answer.add(message.Chunk)
+		case *encoder.Frame_End:
+			return answer.close(message.End)
+		default:
+			err = classifier.New(classifier.Protocol, "unexpected frame in an answer")
+		}
+		if err != nil {
+			return answer.broken(classifier.Of(err))
+		}
+	}
+}
+
+// relayed is an answer on its way to the caller.
+type relayed struct {
+	entry   *Entry
+	w       http.ResponseWriter
+	control *http.ResponseController
+	call    call
+	head    *encoder.Head
+	started bool
+	length  uint64
+	digest  *xxhash.Digest
+}
+
+// open notes the head. It is written with the first bytes of the body, so
+// that an answer that breaks before them can still be told as a problem.
+func (answer *relayed) open(head *encoder.Head) error {
+	// A crossed answer must reach nobody: the id is checked at each hop.
+	if head.GetRequestId() != answer.call.id {
+		return classifier.New(classifier.Protocol, "an answer to another request")
+	}
+	answer.head = head
+	return nil
+}
+
+func (answer *relayed) start() {
+	header := answer.w.Header()
+	for _, field := range answer.head.GetHeaders() {
+		if field.GetName() != "X-Request-Id" {
+			header.Add(field.GetName(), field.GetValue())
+		}
+	}
+	answer.w.WriteHeader(int(answer.head.GetStatus()))
+	answer.started = true
+}
+
+func (answer *relayed) add(chunk *encoder.Chunk) error {
+	if answer.head == nil || chunk.GetOffset() != answer.length {
+		return classifier.New(classifier.Protocol, "a chunk out of place")
+	}
+	if !answer.started {
+		answer.start()
+	}
+	settings := answer.entry.settings
+	_ = answer.control.SetWriteDeadline(settings.Clock.Now().Add(settings.WriteTimeout).Time())
+	if _, err := answer.w.Write(chunk.GetData()); err != nil {
+		return classifier.New(classifier.CallerGone, err.Error())
+	}
+	answer.length += uint64(len(chunk.GetData()))
+	_, _ = answer.digest.Write(chunk.GetData())
+	if answer.head.GetStream() {
+		if err := answer.control.Flush(); err != nil {
+			return classifier.New(classifier.CallerGone, err.Error())
+		}
+	}
+	return nil
+}
+
+// close ends the answer: whole only when the agent saw its terminal and length
+// and digest agree with what went to the caller.
+func (answer *relayed) close(end *encoder.End) (classifier.Failure, bool) {
+	if end.GetNow() != nil {
+		answer.entry.settings.Learn(end.GetNow())
+	}
+	if !end.GetComplete() {
+		return answer.broken(classifier.New(classifier.KindOf(end.GetKind()), end.GetDetail()))
+	}
+	if end.GetRequestId() != answer.call.id || end.GetLength() != answer.length || end.GetDigest() != answer.digest.Sum64() {
+		return answer.broken(classifier.New(classifier.AnswerCut, "length or digest of the answer differs"))
+	}
+	if answer.head == nil {
+		return answer.broken(classifier.New(classifier.Protocol, "an answer without a head"))
+	}
+	if !answer.started {
+		answer.start()
+	}
+	answer.entry.settings.Scope.Counter("answers").Inc(1)
+	return classifier.Failure{}, true
+}
+
+// broken ends an answer that is not whole. When part of it is with the caller,
+// the connection is cut, so that no caller takes a part for the whole.
+func (answer *relayed) broken(failure classifier.Failure) (classifier.Failure, bool) {
+	if !answer.started {
+		return failure, false
+	}
+	answer.entry.logAttempt(answer.call, answer.entry.upstreamOf(answer.head), failure)
+	panic(http.ErrAbortHandler)
+}
+
+func (entry *Entry) upstreamOf(head *encoder.Head) placer.Replica {
+	for _, field := range head.GetHeaders() {
+		if field.GetName() == encoder.UpstreamHeader {
+			return placer.Replica{Name: field.GetValue()}
+		}
+	}
+	return placer.Replica{}
+}
--- /dev/null
+++ b/internal/runner/agent.go
@@ -0,0 +1,194 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/admitter"
+	"github.com/trefoilseam/trefoilseam/internal/dialer"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Settings set up an agent. All fields without a stated default must be set.
+type Settings struct {
+	Name        string
+	Service     string
+	Site        string
+	Incarnation uint64
+	// Upstream is the base address of the upstream, such as "http://127.0.0.1:9000".
+	Upstream string
+	Clock    timekeeper.Clock
+	Log      logrus.FieldLogger
+	Scope    tally.Scope
+	// Config returns the configuration in force.
+	Config func() resolver.Config
+	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
+	RunWait timekeeper.Span
+	// KeepRun is how long an ended run stays known; zero means 2 minutes.
+	KeepRun timekeeper.Span
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.RunWait == 0 {
+		settings.RunWait = 5 * timekeeper.Second
+	}
+	if settings.KeepRun == 0 {
+		settings.KeepRun = 2 * timekeeper.Minute
+	}
+	return settings
+}
+
+// Agent owns one upstream instance.
+type Agent struct {
+	settings Settings
+	service  resolver.Service
+	upstream *upstream
+
+	mu       sync.Mutex
+	desk     *admitter.Desk
+	granted  map[string]chan struct{}
+	runs     map[string]*run
+	draining bool
+	sequence uint64
+	calls    sync.WaitGroup
+}
+
+// New returns an agent and a function that releases what it holds. It returns
+// an error when the configuration doesn't know the agent's service.
+func New(settings Settings) (*Agent, func(), error) {
+	settings = settings.withDefaults()
+	service, ok := settings.Config().Service(settings.Service)
+	if !ok {
+		return nil, nil, eris.Errorf("the configuration has no service %q", settings.Service)
+	}
+	agent := &Agent{
+		settings: settings,
+		service:  service,
+		upstream: newUpstream(settings.Upstream, service),
+		desk:     admitter.NewDesk(admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}),
+		granted:  map[string]chan struct{}{},
+		runs:     map[string]*run{},
+	}
+	return agent, agent.upstream.close, nil
+}
+
+// Serve accepts sessions until the listener closes. Sessions end with ctx.
+func (agent *Agent) Serve(ctx context.Context, listener net.Listener) error {
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return eris.Wrap(err, "accept")
+		}
+		sessions.Go(func() { agent.serveSession(ctx, conn) })
+	}
+}
+
+func (agent *Agent) serveSession(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, dialer.Settings{}.Session())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = session.Close() })
+	for {
+		stream, err := session.AcceptStreamWithContext(ctx)
+		if err != nil {
+			return
+		}
+		agent.calls.Go(func() { agent.serveStream(ctx, stream) })
+	}
+}
+
+// serveStream reads the first frame of a stream and hands it to its handler.
+func (agent *Agent) serveStream(ctx context.Context, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	stream := encoder.NewStream(conn)
+	frame, err := stream.Read()
+	if err != nil {
+		return
+	}
+	switch message := frame.GetBody().(type) {
+	case *encoder.Frame_Offer:
+		agent.serveOffer(ctx, stream, message.Offer)
+	case *encoder.Frame_Lookup:
+		agent.serveLookup(ctx, stream, message.Lookup)
+	case *encoder.Frame_DigestAsk:
+		_ = stream.Write(encoder.Of(agent.digests()))
+	default:
+		agent.settings.Log.WithField("frame", frame.String()).Warn("unexpected first frame")
+	}
+}
+
+// Digest returns what the agent says about itself.
+func (agent *Agent) Digest() *encoder.Digest {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	return agent.digest()
+}
+
+func (agent *Agent) digest() *encoder.Digest {
+	agent.sequence++
+	load := agent.desk.Load()
+	state := encoder.ReplicaState_REPLICA_STATE_LIVE
+	if agent.draining {
+		state = encoder.ReplicaState_REPLICA_STATE_DRAINING
+	}
+	return &encoder.Digest{
+		Instance:    agent.settings.Name,
+		Incarnation: agent.settings.Incarnation,
+		Service:     agent.settings.Service,
+		State:       state,
+		Load:        load.Work,
+		Running:     uint32(load.Running),
+		Waiting:     uint32(load.Waiting),
+		Revision:    agent.settings.Config().Revision,
+		Sequence:    agent.sequence,
+		Site:        agent.settings.Site,
+	}
+}
+
+func (agent *Agent) digests() *encoder.Digests {
+	return &encoder.Digests{
+		From:        agent.settings.Name,
+		Incarnation: agent.settings.Incarnation,
+		Digests:     []*encoder.Digest{agent.Digest()},
+	}
+}
+
+// Drain stops new work at once and returns when nothing is in flight, or with
+// the error of ctx when that ends first.
+func (agent *Agent) Drain(ctx context.Context) error {
+	agent.mu.Lock()
+	agent.draining = true
+	agent.mu.Unlock()
+	const look = 20 * timekeeper.Millisecond
+	for {
+		if agent.idle() {
+			return nil
+		}
+		if err := agent.settings.Clock.Sleep(ctx, look); err != nil {
+			return eris.Wrap(err, "calls were still in flight")
+		}
+	}
+}
+
+func (agent *Agent) idle() bool {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	load := agent.desk.Load()
+	return load.Running+load.Waiting == 0
+}
--- /dev/null
+++ b/internal/runner/answer.go
@@ -0,0 +1,190 @@
+package runner
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+)
+
+const (
+	// window is how many bytes of an answer may wait for their reader. It
+	// bounds memory when a caller reads slowly; past it the upstream is held
+	// back, so flow control reaches from the caller to the engine.
+	window = 256 << 10
+	// kept is how many bytes behind the reader stay for a resume.
+	kept = 1 << 20
+	// chunkSize is the most that one Chunk frame carries.
+	chunkSize = 32 << 10
+)
+
+// answer holds one upstream answer between the goroutine that reads it from
+// the upstream and the one that relays it.
+type answer struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	head    *encoder.Head
+	base    uint64
+	data    []byte
+	read    uint64
+	digest  *xxhash.Digest
+	end     *encoder.End
+}
+
+func newAnswer() *answer {
+	return &answer{changed: make(chan struct{}), digest: xxhash.New()}
+}
+
+// wake tells all waiters that something changed; the lock must be held.
+func (answer *answer) wake() {
+	close(answer.changed)
+	answer.changed = make(chan struct{})
+}
+
+// open sets the head of the answer.
+func (answer *answer) open(head *encoder.Head) {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	answer.head = head
+	answer.wake()
+}
+
+// add appends bytes of the body. It waits while more than window bytes are
+// unread, and returns the error of ctx if that ends first.
+func (answer *answer) add(ctx context.Context, part []byte) error {
+	answer.mu.Lock()
+	for answer.length()-answer.read > window {
+		changed := answer.changed
+		answer.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		answer.mu.Lock()
+	}
+	defer answer.mu.Unlock()
+	answer.data = append(answer.data, part...)
+	_, _ = answer.digest.Write(part)
+	answer.wake()
+	return nil
+}
+
+func (answer *answer) length() uint64 {
+	return answer.base + uint64(len(answer.data))
+}
+
+// close ends the answer. Only the first call counts.
+func (answer *answer) close(requestID string, complete bool, failure classifier.Failure) {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	if answer.end != nil {
+		return
+	}
+	answer.end = &encoder.End{
+		RequestId: requestID,
+		Complete:  complete,
+		Length:    answer.length(),
+		Digest:    answer.digest.Sum64(),
+	}
+	if !complete {
+		answer.end.Kind = failure.Kind.String()
+		answer.end.Detail = failure.Detail
+	}
+	answer.wake()
+}
+
+// trim forgets bytes that lie more than kept bytes behind the reader.
+func (answer *answer) trim() {
+	if answer.read <= answer.base+kept {
+		return
+	}
+	drop := answer.read - kept - answer.base
+	answer.data = append([]byte(nil), answer.data[drop:]...)
+	answer.base += drop
+}
+
+// next returns the frames that follow offset, waiting until there are some.
+// The head is among them only when headSent is false.
+func (answer *answer) next(ctx context.Context, offset uint64, headSent bool) ([]*encoder.Frame, error) {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	for {
+		frames := answer.ready(offset, headSent)
+		if len(frames) > 0 {
+			return frames, nil
+		}
+		changed := answer.changed
+		answer.mu.Unlock()
+		var err error
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		answer.mu.Lock()
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (answer *answer) ready(offset uint64, headSent bool) []*encoder.Frame {
+	var frames []*encoder.Frame
+	if answer.head != nil && !headSent {
+		frames = append(frames, encoder.Of(answer.head))
+	}
+	if offset < answer.length() && offset >= answer.base {
+		from := offset - answer.base
+		to := min(from+chunkSize, uint64(len(answer.data)))
+		part := append([]byte(nil), answer.data[from:to]...)
+		return append(frames, encoder.Of(&encoder.Chunk{Offset: offset, Data: part}))
+	}
+	if answer.end != nil {
+		frames = append(frames, encoder.Of(answer.end))
+	}
+	return frames
+}
+
+// passed notes that the reader has taken all bytes before offset.
+func (answer *answer) passed(offset uint64) {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	if offset > answer.read {
+		answer.read = offset
+		answer.trim()
+		answer.wake()
+	}
+}
+
+// resumable reports whether the bytes from offset on are still held.
+func (answer *answer) resumable(offset uint64) bool {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	return offset >= answer.base && offset <= answer.length()
+}
+
+// follow sends the answer from offset on until its end.
+func (answer *answer) follow(ctx context.Context, stream *encoder.Stream, offset uint64) error {
+	headSent := false
+	for {
+		frames, err := answer.next(ctx, offset, headSent)
+		if err != nil {
+			return err
+		}
+		if err := stream.Write(frames...); err != nil {
+			return err
+		}
+		for _, frame := range frames {
+			headSent = headSent || frame.GetHead() != nil
+			offset += uint64(len(frame.GetChunk().GetData()))
+			if frame.GetEnd() != nil {
+				return nil
+			}
+		}
+		answer.passed(offset)
+	}
+}
--- /dev/null
+++ b/internal/runner/doc.go
@@ -0,0 +1,10 @@
+// Package runner is the agent: the one process that speaks to an upstream
+// instance.
+//
+// It accepts yamux sessions from entries and other agents. A stream that opens
+// with an Offer is a call: the desk (package admitter) grants, queues or
+// refuses it; the Run frame commits it; the upstream's answer is kept while it
+// is relayed, so that a caller whose connection broke can resume.
+//
+// Lock order: Agent.mu before answer.mu; neither is held during I/O.
+package runner
--- /dev/null
+++ b/internal/runner/offer.go
@@ -0,0 +1,240 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/admitter"
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// incoming is a frame, or the error that ended the stream.
+type incoming struct {
+	frame *encoder.Frame
+	err   error
+}
+
+// inbox is what a caller sends on its stream. A Run frame that came while the
+// offer was still queued waits in early.
+type inbox struct {
+	frames <-chan incoming
+	early  *encoder.Run
+}
+
+// gone reports whether a frame means that the caller has left. It keeps an
+// early Run frame.
+func (inbox *inbox) gone(in incoming) bool {
+	if commit := in.frame.GetRun(); commit != nil && in.err == nil {
+		inbox.early = commit
+		return false
+	}
+	return in.err != nil || in.frame.GetCancel() != nil
+}
+
+// serveOffer carries one call from its offer to the end of its answer.
+func (agent *Agent) serveOffer(ctx context.Context, stream *encoder.Stream, offer *encoder.Offer) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	inbox := &inbox{frames: pump(ctx, stream)}
+	failure, ok := agent.admit(ctx, stream, offer, inbox)
+	if !ok {
+		_ = stream.Write(encoder.Of(agent.refusal(offer, failure)))
+		return
+	}
+	run, failure, ok := agent.await(ctx, offer, inbox)
+	if !ok {
+		agent.release(offer.GetRequestId())
+		_ = stream.Write(encoder.Of(agent.refusal(offer, failure)))
+		return
+	}
+	go agent.watch(ctx, run, inbox.frames)
+	_ = run.answer.follow(ctx, stream, 0)
+}
+
+// pump reads frames in the background, so that a call can wait for its caller
+// and for its slot together.
+func pump(ctx context.Context, stream *encoder.Stream) <-chan incoming {
+	out := make(chan incoming)
+	go func() {
+		for {
+			frame, err := stream.Read()
+			select {
+			case out <- incoming{frame, err}:
+			case <-ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return out
+}
+
+// admit decides about the offer and waits in the queue if need be. When it
+// returns true the caller holds a slot.
+func (agent *Agent) admit(
+	ctx context.Context, stream *encoder.Stream, offer *encoder.Offer, inbox *inbox,
+) (classifier.Failure, bool) {
+	arrived := agent.settings.Clock.Now()
+	decision, slot := agent.decide(offer, arrived)
+	agent.logDecision(offer, decision)
+	switch decision.Outcome {
+	case admitter.Refused:
+		return decision.Failure, false
+	case admitter.Queued:
+		if err := stream.Write(encoder.Of(&encoder.Queued{RequestId: offer.GetRequestId(), Estimate: int64(decision.Estimate)})); err != nil {
+			agent.release(offer.GetRequestId())
+			return classifier.New(classifier.CallerGone, ""), false
+		}
+	}
+	if failure, ok := waitForSlot(ctx, slot, inbox); !ok {
+		agent.release(offer.GetRequestId())
+		return failure, false
+	}
+	if offer.GetRunFollows() {
+		return classifier.Failure{}, true
+	}
+	waited := agent.settings.Clock.Now().Since(arrived)
+	err := stream.Write(encoder.Of(&encoder.Granted{
+		RequestId:   offer.GetRequestId(),
+		Incarnation: agent.settings.Incarnation,
+		Waited:      int64(waited),
+	}))
+	if err != nil {
+		agent.release(offer.GetRequestId())
+		return classifier.New(classifier.CallerGone, ""), false
+	}
+	return classifier.Failure{}, true
+}
+
+// waitForSlot waits until the slot is granted. It returns false when the
+// caller leaves or the agent stops before.
+func waitForSlot(ctx context.Context, slot <-chan struct{}, inbox *inbox) (classifier.Failure, bool) {
+	for {
+		select {
+		case <-slot:
+			return classifier.Failure{}, true
+		case in := <-inbox.frames:
+			if inbox.gone(in) {
+				return classifier.New(classifier.CallerGone, "the caller left the queue"), false
+			}
+		case <-ctx.Done():
+			return classifier.New(classifier.Draining, "the agent stops"), false
+		}
+	}
+}
+
+// decide asks the desk about an offer under the agent's lock.
+func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	if failure, ok := agent.unfit(offer); ok {
+		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
+	}
+	ticket := admitter.Ticket{
+		ID:      offer.GetRequestId(),
+		Team:    offer.GetTeam(),
+		Class:   uint8(min(offer.GetClass(), 7)),
+		Work:    offer.GetWork(),
+		Arrived: arrived,
+	}
+	if offer.GetDeadline() > 0 {
+		ticket.Deadline = arrived.Add(timekeeper.Span(offer.GetDeadline()))
+	}
+	decision := agent.desk.Offer(ticket)
+	slot := make(chan struct{})
+	switch decision.Outcome {
+	case admitter.Granted:
+		close(slot)
+	case admitter.Queued:
+		agent.granted[ticket.ID] = slot
+	}
+	return decision, slot
+}
+
+// unfit returns the reason why this replica can't take the offer at all.
+func (agent *Agent) unfit(offer *encoder.Offer) (classifier.Failure, bool) {
+	switch {
+	case offer.GetService() != agent.settings.Service:
+		return classifier.New(classifier.WrongService, ""), true
+	case offer.GetIncarnation() != 0 && offer.GetIncarnation() != agent.settings.Incarnation:
+		return classifier.New(classifier.WrongInstance, ""), true
+	case agent.draining:
+		return classifier.New(classifier.Draining, "").WithRetryAfter(timekeeper.Second), true
+	case agent.runs[offer.GetRequestId()] != nil:
+		return classifier.New(classifier.Tombstoned, "the request id is known already"), true
+	}
+	return classifier.Failure{}, false
+}
+
+// release gives a slot or a place in the queue back and wakes who gets it.
+func (agent *Agent) release(id string) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	delete(agent.granted, id)
+	for _, ticket := range agent.desk.Finish(id) {
+		if slot := agent.granted[ticket.ID]; slot != nil {
+			close(slot)
+			delete(agent.granted, ticket.ID)
+		}
+	}
+}
+
+// await waits for the Run frame of a granted offer and starts it.
+func (agent *Agent) await(ctx context.Context, offer *encoder.Offer, inbox *inbox) (*run, classifier.Failure, bool) {
+	if inbox.early != nil {
+		return agent.begin(offer, inbox.early)
+	}
+	late, stop := agent.settings.Clock.After(agent.settings.RunWait)
+	defer stop()
+	select {
+	case in := <-inbox.frames:
+		if in.err != nil {
+			return nil, classifier.New(classifier.CallerGone, "no run frame came"), false
+		}
+		return agent.begin(offer, in.frame.GetRun())
+	case <-late:
+		return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
+	case <-ctx.Done():
+		return nil, classifier.New(classifier.Draining, "the agent stops"), false
+	}
+}
+
+// begin starts the run when the frame belongs to the offer.
+func (agent *Agent) begin(offer *encoder.Offer, commit *encoder.Run) (*run, classifier.Failure, bool) {
+	if commit == nil || commit.GetRequestId() != offer.GetRequestId() {
+		return nil, classifier.New(classifier.Protocol, "no run frame for this offer"), false
+	}
+	return agent.start(offer, commit)
+}
+
+func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
+	return &encoder.Refused{
+		RequestId:   offer.GetRequestId(),
+		Kind:        failure.Kind.String(),
+		Detail:      failure.Detail,
+		RetryAfter:  int64(failure.RetryAfter),
+		Incarnation: agent.settings.Incarnation,
+		Digest:      agent.Digest(),
+	}
+}
+
+func (agent *Agent) logDecision(offer *encoder.Offer, decision admitter.Decision) {
+	fields := logrus.Fields{
+		"request-id": offer.GetRequestId(),
+		"service":    offer.GetService(),
+		"team":       offer.GetTeam(),
+		"chat":       offer.GetChat(),
+		"outcome":    decision.Outcome.String(),
+		"attempt":    offer.GetAttempt(),
+	}
+	if decision.Outcome == admitter.Refused {
+		fields["reason"] = decision.Failure.Kind.String()
+	}
+	agent.settings.Scope.Tagged(map[string]string{"outcome": decision.Outcome.String()}).Counter("offers").Inc(1)
+	agent.settings.Log.WithFields(fields).Info("admission")
+}
--- /dev/null
+++ b/internal/runner/run.go
@@ -0,0 +1,123 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// run is what the agent knows about one committed request, or, with tomb set,
+// about one that was declared not run.
+type run struct {
+	id     string
+	team   string
+	tomb   bool
+	answer *answer
+	cancel context.CancelFunc
+	ended  timekeeper.Instant
+}
+
+// start registers the run and calls the upstream in the background.
+func (agent *Agent) start(offer *encoder.Offer, commit *encoder.Run) (*run, classifier.Failure, bool) {
+	// The run outlives the stream it came on: a caller whose connection broke
+	// finds it by look-up. The longest call bounds it.
+	ctx, cancel := context.WithTimeout(context.Background(), agent.service.LongestCall.Duration())
+	started := &run{id: offer.GetRequestId(), team: offer.GetTeam(), answer: newAnswer(), cancel: cancel}
+	agent.mu.Lock()
+	if known := agent.runs[started.id]; known != nil {
+		agent.mu.Unlock()
+		cancel()
+		return nil, classifier.New(classifier.Tombstoned, "the request id is known already"), false
+	}
+	agent.runs[started.id] = started
+	agent.mu.Unlock()
+	go func() {
+		defer cancel()
+		agent.upstream.call(ctx, agent.settings, offer, commit, started.answer)
+		agent.finish(started)
+	}()
+	return started, classifier.Failure{}, true
+}
+
+// finish gives the slot back and forgets runs that ended long ago.
+func (agent *Agent) finish(ended *run) {
+	agent.release(ended.id)
+	now := agent.settings.Clock.Now()
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	ended.ended = now
+	for id, known := range agent.runs {
+		if known.ended != 0 && now.Since(known.ended) > agent.settings.KeepRun {
+			delete(agent.runs, id)
+		}
+	}
+}
+
+// watch ends the run when its caller cancels it.
+func (agent *Agent) watch(ctx context.Context, run *run, frames <-chan incoming) {
+	for {
+		select {
+		case in := <-frames:
+			if in.frame.GetCancel() != nil {
+				run.cancel()
+			}
+			if in.err != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// serveLookup tells what became of a request, and follows its answer if asked.
+func (agent *Agent) serveLookup(ctx context.Context, stream *encoder.Stream, lookup *encoder.Lookup) {
+	found, known := agent.find(lookup)
+	if err := stream.Write(encoder.Of(found)); err != nil {
+		return
+	}
+	if lookup.GetFollow() && known != nil {
+		_ = known.answer.follow(ctx, stream, lookup.GetOffset())
+	}
+}
+
+func (agent *Agent) find(lookup *encoder.Lookup) (*encoder.Found, *run) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	found := &encoder.Found{RequestId: lookup.GetRequestId(), Incarnation: agent.settings.Incarnation}
+	if lookup.GetIncarnation() != 0 && lookup.GetIncarnation() != agent.settings.Incarnation {
+		found.State = encoder.RunState_RUN_STATE_FORGOTTEN
+		return found, nil
+	}
+	known := agent.runs[lookup.GetRequestId()]
+	switch {
+	case known == nil || known.tomb:
+		found.State = encoder.RunState_RUN_STATE_NEVER_SEEN
+		agent.bury(lookup)
+		return found, nil
+	case known.team != lookup.GetTeam():
+		found.State = encoder.RunState_RUN_STATE_FORGOTTEN
+		return found, nil
+	case known.ended != 0:
+		found.State = encoder.RunState_RUN_STATE_DONE
+	default:
+		found.State = encoder.RunState_RUN_STATE_RUNNING
+	}
+	if !known.answer.resumable(lookup.GetOffset()) {
+		found.State = encoder.RunState_RUN_STATE_FORGOTTEN
+		return found, nil
+	}
+	return found, known
+}
+
+// bury leaves a tombstone. The failure: the connection broke after the Run
+// frame was sent, and the frame is still on its way. The symptom: the caller
+// was told "not run", and then it ran. A run frame that comes after the
+// tombstone is refused under the same lock, so one of the two always wins.
+func (agent *Agent) bury(lookup *encoder.Lookup) {
+	if lookup.GetTombstone() {
+		agent.runs[lookup.GetRequestId()] = &run{id: lookup.GetRequestId(), tomb: true, ended: agent.settings.Clock.Now()}
+	}
+}
--- /dev/null
+++ b/internal/runner/upstream.go
@@ -0,0 +1,151 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+)
+
+// upstream speaks HTTP to the one upstream instance.
+type upstream struct {
+	base    string
+	service resolver.Service
+	reused  *http.Transport
+	fresh   *http.Transport
+}
+
+// newUpstream returns the client side of an upstream.
+//
+// net/http's transport sends a request again by itself when a kept connection
+// turns out stale and the request looks replayable to it: an idempotent
+// method, or any method with an Idempotency-Key. The symptom would be an order
+// that ran twice with one run frame. Calls that may not repeat therefore use a
+// connection of their own: the transport replays only on reused connections.
+func newUpstream(base string, service resolver.Service) *upstream {
+	return &upstream{
+		base:    strings.TrimSuffix(base, "/"),
+		service: service,
+		reused:  &http.Transport{MaxIdleConnsPerHost: service.Slots, DisableCompression: true},
+		fresh:   &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+	}
+}
+
+func (up *upstream) close() {
+	up.reused.CloseIdleConnections()
+	up.fresh.CloseIdleConnections()
+}
+
+// call runs the request and fills the answer until its end.
+func (up *upstream) call(
+	ctx context.Context, settings Settings, offer *encoder.Offer, commit *encoder.Run, answer *answer,
+) {
+	id := offer.GetRequestId()
+	response, err := up.send(ctx, offer, commit)
+	if err != nil {
+		answer.close(id, false, classifier.New(classifier.UpstreamBroken, err.Error()))
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	stream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+	answer.open(&encoder.Head{
+		RequestId:   id,
+		Incarnation: settings.Incarnation,
+		Status:      uint32(response.StatusCode),
+		Headers:     up.headers(settings, response.Header),
+		Stream:      stream,
+	})
+	ending := terminal{needed: stream && up.service.Kind == resolver.KindModel}
+	if err := copyBody(ctx, response.Body, answer, &ending); err != nil {
+		answer.close(id, false, classifier.New(classifier.AnswerCut, err.Error()))
+		return
+	}
+	// HTTP 200 is not completion ("Why the Next Model Request Still Queues
+	// After HTTP 200", section 4): a
+	// stream is whole only when the protocol's own terminal was seen.
+	if !ending.seen() {
+		answer.close(id, false, classifier.New(classifier.AnswerCut, "the stream ended without its terminal"))
+		return
+	}
+	answer.close(id, true, classifier.Failure{})
+}
+
+func (up *upstream) send(ctx context.Context, offer *encoder.Offer, commit *encoder.Run) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, commit.GetMethod(), up.base+commit.GetPath(), bytes.NewReader(commit.GetBody()))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	for _, header := range commit.GetHeaders() {
+		request.Header.Add(header.GetName(), header.GetValue())
+	}
+	if offer.GetIdempotent() {
+		return up.reused.RoundTrip(request)
+	}
+	return up.fresh.RoundTrip(request)
+}
+
+// headers returns the upstream's headers without those of the connection, with
+// the project's own added.
+func (up *upstream) headers(settings Settings, header http.Header) []*encoder.Header {
+	var out []*encoder.Header
+	for name, values := range header {
+		if encoder.HopByHop(name) || name == "Content-Length" {
+			continue
+		}
+		for _, value := range values {
+			out = append(out, &encoder.Header{Name: name, Value: value})
+		}
+	}
+	out = append(out, &encoder.Header{Name: encoder.UpstreamHeader, Value: settings.Name})
+	if up.service.CachedHeader != "" {
+		if cached := header.Get(up.service.CachedHeader); cached != "" {
+			out = append(out, &encoder.Header{Name: encoder.CachedHeader, Value: cached})
+		}
+	}
+	return out
+}
+
+func copyBody(ctx context.Context, body io.Reader, answer *answer, ending *terminal) error {
+	buffer := make([]byte, chunkSize)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			ending.note(buffer[:n])
+			if err := answer.add(ctx, buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// terminal watches the tail of a stream for the event that ends it.
+type terminal struct {
+	needed bool
+	tail   []byte
+}
+
+const doneEvent = "data: [DONE]"
+
+func (ending *terminal) note(part []byte) {
+	const keep = 64
+	ending.tail = append(ending.tail, part...)
+	if len(ending.tail) > keep {
+		ending.tail = append([]byte(nil), ending.tail[len(ending.tail)-keep:]...)
+	}
+}
+
+func (ending *terminal) seen() bool {
+	return !ending.needed || strings.HasSuffix(strings.TrimSpace(string(ending.tail)), doneEvent)
+}
