--- /dev/null
+++ b/cmd/trefoilseam/main.go
@@ -0,0 +1,75 @@
+// Command trefoilseam is a router fleet for very many returning chats: entries
+// that callers reach, agents beside the upstreams, and the tools of operators.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	// exitUsage is for faults in flags, settings and configuration.
+	exitUsage = 2
+)
+
+// errUsage marks an error in how the command was called.
+var errUsage = eris.New("usage")
+
+func main() {
+	os.Exit(execute(os.Args[1:]))
+}
+
+func execute(args []string) int {
+	root := rootCommand()
+	err := root.ParseAndRun(context.Background(), args)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var faults resolver.Faults
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	case eris.As(err, &faults):
+		fmt.Fprintln(os.Stderr, faults.Error())
+		return exitUsage
+	case eris.Is(err, errUsage):
+		fmt.Fprintln(os.Stderr, "trefoilseam:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "trefoilseam:", err)
+	return exitFailed
+}
+
+func rootCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "trefoilseam",
+		ShortUsage: "trefoilseam <command> [flags]",
+		ShortHelp:  "a router fleet for very many returning chats",
+		FlagSet:    flag.NewFlagSet("trefoilseam", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{
+			entryCommand(),
+			agentCommand(),
+			devCommand(),
+			versionCommand(),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return eris.Wrapf(errUsage, "unknown command %q", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
--- /dev/null
+++ b/internal/assembler/dev_test.go
@@ -0,0 +1,95 @@
+package assembler
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+var errStop = eris.New("the test is over")
+
+// startDev runs a small site for one test and returns its first entry's base address.
+func startDev(t *testing.T) string {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var group run.Group
+	env := Environment{Clock: timekeeper.Wall(), Log: log}
+	dev, release, err := NewDev(context.Background(), DevSettings{Listen: loopback}, env, &group)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	group.Add(func() error { <-stop; return errStop }, func(error) {})
+	done := make(chan error, 1)
+	go func() { done <- group.Run() }()
+	t.Cleanup(func() {
+		close(stop)
+		if err := <-done; !eris.Is(err, errStop) {
+			t.Error(err)
+		}
+		release()
+	})
+	return "http://" + dev.Entries[0]
+}
+
+func call(t *testing.T, method, address, body string, headers ...string) (status int, header http.Header, text string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, address, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	whole, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, response.Header, string(whole)
+}
+
+func TestDevServesTheWholePath(t *testing.T) {
+	base := startDev(t)
+	bearer := "Bearer " + DevKey
+	const turn = `{"model":"planner","stream":true,"max_tokens":3,
+		"messages":[{"role":"user","content":"rebuild the route of van seven from the ledger"}]}`
+	tests := []struct {
+		name, method, path, body, key string
+		status                        int
+		contains, cached              string
+	}{
+		{"a first turn is streamed whole", "POST", "/v1/chat/completions", turn, bearer, 200, "data: [DONE]", "0"},
+		{"the second turn finds its prefix", "POST", "/v1/chat/completions", turn, bearer, 200, "data: [DONE]", "8"},
+		{"a plain read", "GET", "/orders", "", bearer, 200, `"method":"GET"`, ""},
+		{"a plain write", "POST", "/orders", `{"meals":40}`, bearer, 200, `"method":"POST"`, ""},
+		{"an unknown key", "GET", "/orders", "", "Bearer nobody", 401, `"ran":"no"`, ""},
+		{"an unknown path", "GET", "/nowhere", "", bearer, 404, `"ran":"no"`, ""},
+		{"an unknown model", "POST", "/v1/chat/completions", `{"model":"none"}`, bearer, 404, "not-found", ""},
+		{"a body that is no JSON", "POST", "/v1/chat/completions", `{"model":`, bearer, 400, "bad-request", ""},
+		{"a wrong method", "GET", "/v1/chat/completions", "", bearer, 405, "method-not-allowed", ""},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			status, header, text := call(t, test.method, base+test.path, test.body,
+				"Authorization", test.key, "Trefoilseam-Chat", "van-7")
+			So(status, ShouldEqual, test.status)
+			So(text, ShouldContainSubstring, test.contains)
+			So(header.Get("Trefoilseam-Cached"), ShouldEqual, test.cached)
+		})
+	}
+}
--- /dev/null
+++ b/internal/assembler/process.go
@@ -0,0 +1,79 @@
+package assembler
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Environment is what a process gets from outside.
+type Environment struct {
+	Clock    timekeeper.Clock
+	Log      logrus.FieldLogger
+	Platform storekeeper.Platform
+}
+
+const (
+	// headerTimeout bounds the arrival of a request's headers.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes a caller's connection that is not used.
+	idleTimeout = 2 * time.Minute
+	// headerLimit bounds the headers of a request in bytes.
+	headerLimit = 32 << 10
+	// startTimeout bounds the wait for a first configuration.
+	startTimeout = 30 * time.Second
+)
+
+// newIncarnation returns a number that sets a process apart from all others.
+func newIncarnation() uint64 {
+	var bytes [8]byte
+	_, _ = rand.Read(bytes[:])
+	return binary.BigEndian.Uint64(bytes[:])>>1 | 1
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	return listener, eris.Wrap(err, "listen")
+}
+
+// addLoop adds an actor that runs until its context ends.
+func addLoop(group *run.Group, loop func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		loop(ctx)
+		return nil
+	}, func(error) { cancel() })
+}
+
+// addServer adds an HTTP server. Its stop waits for calls in flight up to longest.
+func addServer(group *run.Group, listener net.Listener, handler http.Handler, longest time.Duration) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerLimit,
+	}
+	stopped := make(chan error, 1)
+	group.Add(func() error {
+		if err := server.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+		return <-stopped
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), longest)
+		go func() {
+			defer cancel()
+			stopped <- server.Shutdown(ctx)
+		}()
+	})
+}
