recorder: events, and the seams for mean load and record

Cause: parts that are built side by side need one contract for what is recorded and for the service's mean. Change: event kinds, Settings.Record and Settings.Mean with defaults that drop and know nothing. Conclusion: no behaviour yet.

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -32,6 +33,8 @@
 	Roster func(service string) placer.Roster
 	// Learn takes in a digest that came with an answer; nil means it is dropped.
 	Learn func(digest *encoder.Digest)
+	// Record takes events of the fleet's record; nil means they are dropped.
+	Record func(event recorder.Event)
 	// BodyTimeout bounds the arrival of a request body; zero means 10 seconds.
 	BodyTimeout timekeeper.Span
 	// WriteTimeout bounds each write to a caller; zero means 20 seconds.
@@ -48,6 +51,9 @@
 	if settings.Learn == nil {
 		settings.Learn = func(*encoder.Digest) {}
 	}
+	if settings.Record == nil {
+		settings.Record = recorder.Drop
+	}
 	return settings
 }
 
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -13,6 +13,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/admitter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -30,6 +31,10 @@
 	Scope    tally.Scope
 	// Config returns the configuration in force.
 	Config func() resolver.Config
+	// Mean returns the load of the whole service as it is known; nil means unknown.
+	Mean func() admitter.Mean
+	// Record takes events of the fleet's record; nil means they are dropped.
+	Record func(event recorder.Event)
 	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
 	RunWait timekeeper.Span
 	// KeepRun is how long an ended run stays known; zero means 2 minutes.
@@ -43,6 +48,12 @@
 	if settings.KeepRun == 0 {
 		settings.KeepRun = 2 * timekeeper.Minute
 	}
+	if settings.Mean == nil {
+		settings.Mean = func() admitter.Mean { return admitter.Mean{} }
+	}
+	if settings.Record == nil {
+		settings.Record = recorder.Drop
+	}
 	return settings
 }
 
