claimer: keys bound to one agent incarnation, and look-up after a lost connection

Cause: a keyed call could run at two agents, and an entry whose connection broke after the Run frame could only answer outcome-unknown.

--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -55,6 +55,7 @@
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Table:       env.Platform.Table,
 	})
 	if err != nil {
 		closeScope()
@@ -85,6 +86,7 @@
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
 	addLoop(group, func(ctx context.Context) { made.watcher.Run(ctx, made.env.Clock) })
+	addLoop(group, made.agent.Keep)
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
 	if made.admin == nil {
--- a/internal/classifier/kind.go
+++ b/internal/classifier/kind.go
@@ -39,6 +39,7 @@
 	Protocol
 	Tombstoned
 	ResumeLost
+	KeyDone
 )
 
 // Ran says what is known about whether a request ran.
@@ -48,6 +49,7 @@
 const (
 	RanNo      Ran = "no"
 	RanUnknown Ran = "unknown"
+	RanYes     Ran = "yes"
 )
 
 // Answer is what a caller gets for a Kind.
@@ -92,7 +94,7 @@
 	KeyReused:        {"key-reused", http.StatusUnprocessableEntity, "the idempotency key came with another body", RanNo, false, false},
 	KeyInProgress:    {"key-in-progress", http.StatusConflict, "a request with this key is running", RanUnknown, true, false},
 	KeyRequired:      {"key-required", http.StatusBadRequest, "this call needs an Idempotency-Key", RanNo, false, false},
-	KeyExpired:       {"key-expired", http.StatusUnprocessableEntity, "the key has expired or its holder is gone", RanNo, false, false},
+	KeyExpired:       {"key-expired", http.StatusUnprocessableEntity, "the key has expired", RanUnknown, false, false},
 	StoreDown:        {"store-down", http.StatusServiceUnavailable, "the platform's store is down, and the call needs it", RanNo, true, false},
 	Struck:           {"struck", http.StatusUnprocessableEntity, "the request crashed upstreams and is held back", RanNo, false, false},
 	NotReady:         {"not-ready", http.StatusServiceUnavailable, "the process is not ready", RanNo, true, true},
@@ -101,6 +103,7 @@
 	Protocol:         {"protocol", http.StatusBadGateway, "a process broke the protocol", RanUnknown, false, false},
 	Tombstoned:       {"tombstoned", http.StatusServiceUnavailable, "the request was declared not run", RanNo, true, false},
 	ResumeLost:       {"resume-lost", http.StatusGone, "the stream can't be resumed from there", RanUnknown, false, false},
+	KeyDone:          {"key-done", http.StatusConflict, "the request with this key ran to its end; its answer is not kept", RanYes, false, false},
 }
 
 // AnswerOf returns the answer for a kind; an unknown kind gets that of Internal.
--- a/internal/encoder/headers.go
+++ b/internal/encoder/headers.go
@@ -10,6 +10,8 @@
 	CachedHeader = "Trefoilseam-Cached"
 	// RequestHeader names the call inside the fleet.
 	RequestHeader = "Trefoilseam-Request"
+	// ReplayedHeader says that an answer was kept from an earlier call with the same key.
+	ReplayedHeader = "Idempotency-Replayed"
 	// KeyHeader carries the caller's key for a call that must not run twice.
 	KeyHeader = "Idempotency-Key"
 )
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/minter"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -20,32 +21,36 @@
 // carry offers the call to its candidates until one answers. It returns an
 // error only when nothing of an answer was written.
 func (entry *Entry) carry(ctx context.Context, w http.ResponseWriter, call call) error {
+	if named, ok := minter.Read(call.key); ok && !call.idempotent {
+		return entry.carryMinted(ctx, w, call, named)
+	}
 	candidates := entry.candidates(call)
 	entry.logPlacement(call, candidates)
 	if len(candidates) == 0 {
 		return classifier.New(classifier.NoUpstream, call.service).WithRetryAfter(timekeeper.Second)
 	}
-	var last classifier.Failure
+	var attempts attempts
 	for i, replica := range candidates {
 		failure, done := entry.attempt(ctx, w, call, replica, uint32(i))
 		if done {
 			return nil
 		}
 		entry.logAttempt(call, replica, failure)
-		last = failure
-		if !classifier.AnswerOf(failure.Kind).Elsewhere {
+		if call.heard.owner.agent != "" {
+			return entry.carryOwned(ctx, w, call, failure)
+		}
+		if !attempts.add(call, failure) {
 			break
 		}
 	}
-	return last
+	return attempts.failure()
 }
 
-// candidates ranks the replicas for a call. A call without a chat is ranked by
-// its own id, which spreads such calls evenly.
+// candidates ranks the replicas for a call.
 func (entry *Entry) candidates(call call) []placer.Replica {
 	chat := call.chat
 	if chat == 0 {
-		chat = xxhash.Sum64String(call.id)
+		chat = call.spread()
 	}
 	return entry.settings.Roster(call.service).Rank(chat, maxCandidates)
 }
@@ -55,47 +60,57 @@
 func (entry *Entry) attempt(
 	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32,
 ) (classifier.Failure, bool) {
+	if ctx.Err() != nil {
+		return classifier.New(classifier.CallerGone, ""), false
+	}
 	conn, err := entry.settings.Pool.Open(ctx, replica.Address)
 	if err != nil {
 		return classifier.New(classifier.Unreachable, replica.Name), false
 	}
 	defer func() { _ = conn.Close() }()
 	stream := encoder.NewStream(conn)
-	if failure, ok := entry.commit(stream, call, replica, attempt); !ok {
+	at := contact{replica: replica}
+	leave := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	failure, ok := entry.commit(stream, call, &at, attempt)
+	leave()
+	if !ok {
+		if failure.Kind == classifier.OutcomeUnknown {
+			return entry.settle(ctx, entry.newRelayed(w, call), at)
+		}
 		return failure, false
 	}
-	// The caller's leaving must reach the agent, or the engine works for
-	// nobody and its slot stays taken.
-	stop := context.AfterFunc(ctx, func() {
-		_ = stream.Write(encoder.Of(&encoder.Cancel{RequestId: call.id, Reason: "caller gone"}))
-		_ = conn.Close()
-	})
+	stop := entry.cancelWith(ctx, stream, conn, call.id)
 	defer stop()
-	return entry.relay(w, call, stream)
+	return entry.relay(ctx, w, call, at, stream)
 }
 
 // commit brings the call to the point where it is committed: offered, granted
 // and sent. It returns false with the reason when it was not.
 func (entry *Entry) commit(
-	stream *encoder.Stream, call call, replica placer.Replica, attempt uint32,
+	stream *encoder.Stream, call call, at *contact, attempt uint32,
 ) (classifier.Failure, bool) {
+	replica := at.replica
 	offer := call.offer(entry.settings.Name, replica, attempt)
+	known := entry.hints.of(offer.GetFingerprint(), entry.settings.Clock.Now())
+	offer.Strikes, offer.Lost = known.strikes, known.lost
 	run := &encoder.Run{
 		RequestId: call.id, Method: call.method, Path: call.path, Headers: call.headers, Body: call.body,
 	}
 	if call.idempotent {
 		offer.RunFollows = true
 		if err := stream.Write(encoder.Of(offer), encoder.Of(run)); err != nil {
-			return classifier.New(classifier.Unreachable, replica.Name), false
+			return classifier.New(classifier.OutcomeUnknown, replica.Name), false
 		}
 		return classifier.Failure{}, true
 	}
 	if err := stream.Write(encoder.Of(offer)); err != nil {
 		return classifier.New(classifier.Unreachable, replica.Name), false
 	}
-	if failure, ok := entry.granted(stream, call); !ok {
+	incarnation, failure, ok := entry.granted(stream, call)
+	if !ok {
 		return failure, false
 	}
+	at.incarnation = incarnation
 	if err := stream.Write(encoder.Of(run)); err != nil {
 		// Part of the frame may have reached the agent, so what happened there is not known.
 		return classifier.New(classifier.OutcomeUnknown, "the connection broke while the call was sent"), false
@@ -104,29 +119,31 @@
 }
 
 // granted waits for the answer to an offer.
-func (entry *Entry) granted(stream *encoder.Stream, call call) (classifier.Failure, bool) {
+func (entry *Entry) granted(stream *encoder.Stream, call call) (uint64, classifier.Failure, bool) {
 	for {
 		frame, err := stream.Read()
 		if err != nil {
-			return classifier.New(classifier.Unreachable, "the connection broke before the call was sent"), false
+			return 0, classifier.New(classifier.Unreachable, "the connection broke before the call was sent"), false
 		}
 		switch message := frame.GetBody().(type) {
 		case *encoder.Frame_Queued:
 		case *encoder.Frame_Granted:
 			if message.Granted.GetRequestId() != call.id {
-				return classifier.New(classifier.Protocol, "a grant for another request"), false
+				return 0, classifier.New(classifier.Protocol, "a grant for another request"), false
 			}
-			return classifier.Failure{}, true
+			return message.Granted.GetIncarnation(), classifier.Failure{}, true
 		case *encoder.Frame_Refused:
-			return entry.refused(message.Refused), false
+			return 0, entry.refused(call, message.Refused), false
 		default:
-			return classifier.New(classifier.Protocol, "unexpected frame before the grant"), false
+			return 0, classifier.New(classifier.Protocol, "unexpected frame before the grant"), false
 		}
 	}
 }
 
 // refused reads a refusal and learns from it.
-func (entry *Entry) refused(refused *encoder.Refused) classifier.Failure {
+func (entry *Entry) refused(call call, refused *encoder.Refused) classifier.Failure {
+	call.heard.note(refused)
+	entry.hints.learn(refused.GetDigest(), entry.settings.Clock.Now())
 	if refused.GetDigest() != nil {
 		entry.settings.Learn(refused.GetDigest())
 	}
@@ -150,6 +167,7 @@
 		Work:        call.work,
 		Attempt:     attempt,
 		Entry:       entry,
+		Incarnation: call.bound,
 	}
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -34,6 +34,9 @@
 	headers    []*encoder.Header
 	body       []byte
 	work       int64
+	// bound is the one incarnation that may run the call; zero means any.
+	bound uint64
+	heard *heard
 }
 
 const (
@@ -58,7 +61,7 @@
 	if !ok {
 		return call{}, classifier.New(classifier.Unauthorized, "send a team's key as Authorization: Bearer KEY")
 	}
-	made := call{id: id, team: team, method: r.Method, path: r.URL.RequestURI(), class: urgency(r.Header.Get("Priority"))}
+	made := call{id: id, heard: &heard{}, team: team, method: r.Method, path: r.URL.RequestURI(), class: urgency(r.Header.Get("Priority"))}
 	made.key = r.Header.Get(encoder.KeyHeader)
 	if len(made.key) > longestKey {
 		return call{}, classifier.New(classifier.HeadersTooLarge, "the Idempotency-Key is longer than 255 bytes")
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -31,6 +31,9 @@
 	Config func() resolver.Config
 	// Roster returns the replicas of a service that may get new work.
 	Roster func(service string) placer.Roster
+	// Locate returns the address of a replica that is on the instance list, a
+	// draining one too; nil means that none is known.
+	Locate func(name string) (string, bool)
 	// Learn takes in a digest that came with an answer; nil means it is dropped.
 	Learn func(digest *encoder.Digest)
 	// Record takes events of the fleet's record; nil means they are dropped.
@@ -51,6 +54,9 @@
 	if settings.Learn == nil {
 		settings.Learn = func(*encoder.Digest) {}
 	}
+	if settings.Locate == nil {
+		settings.Locate = func(string) (string, bool) { return "", false }
+	}
 	if settings.Record == nil {
 		settings.Record = recorder.Drop
 	}
@@ -62,6 +68,7 @@
 	settings Settings
 	serial   atomic.Uint64
 	keys     keyTable
+	hints    hints
 }
 
 // New returns an entry.
@@ -74,6 +81,10 @@
 	id := entry.nextID()
 	w.Header().Set(encoder.RequestHeader, id)
 	w.Header().Set("X-Request-Id", correlation(r, id))
+	if r.URL.Path == keysPath {
+		entry.serveKeys(w, r, id)
+		return
+	}
 	call, err := entry.classify(w, r, id)
 	if err != nil {
 		entry.refuse(w, id, err)
--- /dev/null
+++ b/internal/forwarder/recover.go
@@ -0,0 +1,151 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// contact is the agent incarnation that a call was committed to. A zero
+// incarnation means that it was not told before the connection broke.
+type contact struct {
+	replica     placer.Replica
+	incarnation uint64
+}
+
+// lookUpPauses are the waits before each look-up after a lost connection. A
+// broken connection mostly comes back at once (a switch that dropped a flow, a
+// proxy that restarted); an agent that is gone is known as gone within a
+// second and a half plus dialling, and the caller gets its answer then.
+var lookUpPauses = [...]timekeeper.Span{
+	0, 50 * timekeeper.Millisecond, 150 * timekeeper.Millisecond, 400 * timekeeper.Millisecond, 900 * timekeeper.Millisecond,
+}
+
+// lookUpTimeout bounds one look-up up to its Found frame. An agent that is
+// paused accepts connections and says nothing; without the bound its callers
+// would wait as long as the pause.
+const lookUpTimeout = timekeeper.Second
+
+// settle finds out what became of a committed call whose connection was lost,
+// and goes on with its answer where there is one.
+//
+// The failure: a connection breaks after the Run frame was sent. The symptom
+// would be a caller told "not run" for a call that runs, or one that sends an
+// order again. The agent's own record decides: done or running leads to the
+// answer, never seen leaves a tombstone first, and anything else is unknown.
+func (entry *Entry) settle(ctx context.Context, answer *relayed, at contact) (classifier.Failure, bool) {
+	unknown := classifier.New(classifier.OutcomeUnknown, "the connection to "+at.replica.Name+" was lost and it can't be asked")
+	for _, pause := range lookUpPauses {
+		if ctx.Err() != nil || entry.settings.Clock.Sleep(ctx, pause) != nil {
+			return answer.broken(classifier.New(classifier.CallerGone, ""))
+		}
+		failure, done, lost := entry.lookUp(ctx, answer, at)
+		if !lost {
+			return failure, done
+		}
+	}
+	entry.hints.lose(answer.call.fingerprint(), entry.settings.Clock.Now())
+	return answer.broken(unknown)
+}
+
+// lookUp asks once. The third result is true when no answer came.
+func (entry *Entry) lookUp(ctx context.Context, answer *relayed, at contact) (classifier.Failure, bool, bool) {
+	stream, found, hangUp, err := entry.ask(ctx, at, &encoder.Lookup{
+		RequestId:   answer.expected,
+		Incarnation: at.incarnation,
+		Offset:      answer.length,
+		Team:        answer.call.team,
+		Tombstone:   answer.expected == answer.call.id,
+		Follow:      true,
+	})
+	if err != nil {
+		return classifier.Failure{}, false, true
+	}
+	defer hangUp()
+	switch found.GetState() {
+	case encoder.RunState_RUN_STATE_DONE, encoder.RunState_RUN_STATE_RUNNING:
+		return answer.follow(stream)
+	case encoder.RunState_RUN_STATE_NEVER_SEEN:
+		failure, done := answer.broken(classifier.New(classifier.Unreachable, "the call had not arrived when its connection broke"))
+		return failure, done, false
+	}
+	failure, done := answer.broken(classifier.New(classifier.OutcomeUnknown, at.replica.Name+" no longer knows the call"))
+	return failure, done, false
+}
+
+// ask opens a stream, sends the look-up and reads what was found. The stream
+// stays open for the answer until the function that ask returns is called.
+func (entry *Entry) ask(
+	ctx context.Context, at contact, lookup *encoder.Lookup,
+) (*encoder.Stream, *encoder.Found, func(), error) {
+	conn, err := entry.settings.Pool.Open(ctx, at.replica.Address)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	stream := encoder.NewStream(conn)
+	_ = conn.SetDeadline(entry.settings.Clock.Now().Add(lookUpTimeout).Time())
+	err = stream.Write(encoder.Of(lookup))
+	var found *encoder.Found
+	if err == nil {
+		found, err = encoder.ReadAs(stream, (*encoder.Frame).GetFound)
+	}
+	if err == nil && found.GetRequestId() != lookup.GetRequestId() {
+		err = classifier.New(classifier.Protocol, "an answer to another look-up")
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, nil, err
+	}
+	_ = conn.SetDeadline(entry.settings.Clock.Now().Time().AddDate(1, 0, 0))
+	stop := entry.cancelWith(ctx, stream, conn, lookup.GetRequestId())
+	return stream, found, func() { stop(); _ = conn.Close() }, nil
+}
+
+// cancelWith tells the agent when the caller leaves, or the engine would work
+// for nobody and its slot would stay taken.
+func (entry *Entry) cancelWith(ctx context.Context, stream *encoder.Stream, conn net.Conn, id string) func() bool {
+	return context.AfterFunc(ctx, func() {
+		_ = stream.Write(encoder.Of(&encoder.Cancel{RequestId: id, Reason: "caller gone"}))
+		_ = conn.Close()
+	})
+}
+
+// newRelayed returns an answer of which nothing has come.
+func (entry *Entry) newRelayed(w http.ResponseWriter, call call) *relayed {
+	return &relayed{
+		entry: entry, w: w, control: http.NewResponseController(w), call: call, digest: xxhash.New(), expected: call.id,
+	}
+}
+
+// attempts collects what the attempts of one call came to. "Not run" may be told
+// to the caller only when it is true of every attempt.
+type attempts struct {
+	last    classifier.Failure
+	unknown bool
+}
+
+// add notes a failed attempt and reports whether another replica may be tried:
+// always when nothing ran, and for an idempotent call also when that can't be
+// known, as long as nothing was written to the caller.
+func (attempts *attempts) add(call call, failure classifier.Failure) bool {
+	attempts.last = failure
+	if failure.Kind == classifier.OutcomeUnknown {
+		attempts.unknown = true
+		return call.idempotent
+	}
+	return classifier.AnswerOf(failure.Kind).Elsewhere
+}
+
+func (attempts *attempts) failure() classifier.Failure {
+	if attempts.unknown && classifier.AnswerOf(attempts.last.Kind).Ran == classifier.RanNo {
+		return classifier.New(classifier.OutcomeUnknown, "one attempt was lost; the last one ended with "+attempts.last.Kind.String())
+	}
+	return attempts.last
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,40 +11,73 @@
 	"github.com/trefoilseam/trefoilseam/internal/placer"
 )
 
-// relay copies the answer to the caller as it arrives. It returns false with
-// the reason when nothing was written.
-func (entry *Entry) relay(w http.ResponseWriter, call call, stream *encoder.Stream) (classifier.Failure, bool) {
-	answer := relayed{entry: entry, w: w, control: http.NewResponseController(w), call: call, digest: xxhash.New()}
+// relay copies the answer to the caller as it arrives, over another connection
+// if the first is lost. It returns false with the reason when nothing was written.
+func (entry *Entry) relay(
+	ctx context.Context, w http.ResponseWriter, call call, at contact, stream *encoder.Stream,
+) (classifier.Failure, bool) {
+	answer := entry.newRelayed(w, call)
+	failure, done, lost := answer.follow(stream)
+	if !lost {
+		return failure, done
+	}
+	if answer.head != nil {
+		at.incarnation = answer.head.GetIncarnation()
+	}
+	return entry.settle(ctx, answer, at)
+}
+
+// follow reads the frames of an answer. The third result is true when the
+// connection was lost before the end.
+func (answer *relayed) follow(stream *encoder.Stream) (classifier.Failure, bool, bool) {
 	for {
 		frame, err := stream.Read()
 		if err != nil {
-			return answer.broken(classifier.New(classifier.OutcomeUnknown, "the connection to the agent broke"))
-		}
-		switch message := frame.GetBody().(type) {
-		case *encoder.Frame_Queued, *encoder.Frame_Granted:
-		case *encoder.Frame_Refused:
-			return answer.broken(entry.refused(message.Refused))
-		case *encoder.Frame_Head:
-			err = answer.open(message.Head)
-		case *encoder.Frame_Chunk:
-			err = answer.add(message.Chunk)
-		case *encoder.Frame_End:
-			return answer.close(message.End)
-		default:
-			err = classifier.New(classifier.Protocol, "unexpected frame in an answer")
+			return classifier.Failure{}, false, true
 		}
-		if err != nil {
-			return answer.broken(classifier.Of(err))
+		failure, done, ended := answer.take(frame)
+		if ended {
+			return failure, done, false
 		}
 	}
 }
 
+// take handles one frame. The third result is true when it was the last.
+func (answer *relayed) take(frame *encoder.Frame) (classifier.Failure, bool, bool) {
+	var err error
+	switch message := frame.GetBody().(type) {
+	case *encoder.Frame_Queued, *encoder.Frame_Granted:
+	case *encoder.Frame_Refused:
+		failure, done := answer.broken(answer.entry.refused(answer.call, message.Refused))
+		return failure, done, true
+	case *encoder.Frame_Head:
+		err = answer.open(message.Head)
+	case *encoder.Frame_Chunk:
+		err = answer.add(message.Chunk)
+	case *encoder.Frame_End:
+		failure, done := answer.close(message.End)
+		return failure, done, true
+	default:
+		err = classifier.New(classifier.Protocol, "unexpected frame in an answer")
+	}
+	if err != nil {
+		failure, done := answer.broken(classifier.Of(err))
+		return failure, done, true
+	}
+	return classifier.Failure{}, false, false
+}
+
 // relayed is an answer on its way to the caller.
 type relayed struct {
 	entry   *Entry
 	w       http.ResponseWriter
 	control *http.ResponseController
 	call    call
+	// expected is the id of the request whose answer this is: the call's own,
+	// or that of the request that holds its key.
+	expected string
+	// replay says that the answer was kept from an earlier request.
+	replay  bool
 	head    *encoder.Head
 	started bool
 	length  uint64
@@ -54,7 +88,7 @@
 // that an answer that breaks before them can still be told as a problem.
 func (answer *relayed) open(head *encoder.Head) error {
 	// A crossed answer must reach nobody: the id is checked at each hop.
-	if head.GetRequestId() != answer.call.id {
+	if head.GetRequestId() != answer.expected {
 		return classifier.New(classifier.Protocol, "an answer to another request")
 	}
 	answer.head = head
@@ -68,6 +102,9 @@
 			header.Add(field.GetName(), field.GetValue())
 		}
 	}
+	if answer.replay {
+		header.Set(encoder.ReplayedHeader, "true")
+	}
 	answer.w.WriteHeader(int(answer.head.GetStatus()))
 	answer.started = true
 }
@@ -97,13 +134,14 @@
 // close ends the answer: whole only when the agent saw its terminal and length
 // and digest agree with what went to the caller.
 func (answer *relayed) close(end *encoder.End) (classifier.Failure, bool) {
+	answer.entry.hints.learn(end.GetNow(), answer.entry.settings.Clock.Now())
 	if end.GetNow() != nil {
 		answer.entry.settings.Learn(end.GetNow())
 	}
 	if !end.GetComplete() {
 		return answer.broken(classifier.New(classifier.KindOf(end.GetKind()), end.GetDetail()))
 	}
-	if end.GetRequestId() != answer.call.id || end.GetLength() != answer.length || end.GetDigest() != answer.digest.Sum64() {
+	if end.GetRequestId() != answer.expected || end.GetLength() != answer.length || end.GetDigest() != answer.digest.Sum64() {
 		return answer.broken(classifier.New(classifier.AnswerCut, "length or digest of the answer differs"))
 	}
 	if answer.head == nil {
@@ -112,6 +150,7 @@
 	if !answer.started {
 		answer.start()
 	}
+	answer.entry.hints.clear(answer.call.fingerprint())
 	answer.entry.settings.Scope.Counter("answers").Inc(1)
 	return classifier.Failure{}, true
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -35,6 +36,9 @@
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
+	// Table is the platform's table, where keys are claimed; a zero Table means
+	// that only minted keys can be used.
+	Table storekeeper.Table
 	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
 	RunWait timekeeper.Span
 	// KeepRun is how long an ended run stays known; zero means 2 minutes.
@@ -62,6 +66,7 @@
 	settings Settings
 	service  resolver.Service
 	upstream *upstream
+	keys     *keys
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
@@ -85,6 +90,7 @@
 		service:  service,
 		upstream: newUpstream(settings.Upstream, service),
 		desk:     admitter.NewDesk(admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}),
+		keys:     newKeys(settings),
 		granted:  map[string]chan struct{}{},
 		runs:     map[string]*run{},
 	}
@@ -137,6 +143,8 @@
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
+	case *encoder.Frame_MintAsk:
+		agent.serveMint(stream, message.MintAsk)
 	case *encoder.Frame_DigestAsk:
 		_ = stream.Write(encoder.Of(agent.digests()))
 	default:
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -95,6 +95,10 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	if failure, ok := agent.claim(ctx, offer); !ok {
+		agent.release(offer.GetRequestId())
+		return failure, false
+	}
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
 	}
@@ -132,6 +136,9 @@
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
+	if failure, ok := agent.bound(offer); ok {
+		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
+	}
 	if failure, ok := agent.unfit(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
@@ -176,6 +183,7 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.granted, id)
+	agent.keys.book.Abandon(id)
 	for _, ticket := range agent.desk.Finish(id) {
 		if slot := agent.granted[ticket.ID]; slot != nil {
 			close(slot)
@@ -189,6 +197,7 @@
 	if inbox.early != nil {
 		return agent.begin(offer, inbox.early)
 	}
+	granted := agent.settings.Clock.Now()
 	late, stop := agent.settings.Clock.After(agent.settings.RunWait)
 	defer stop()
 	select {
@@ -196,6 +205,12 @@
 		if in.err != nil {
 			return nil, classifier.New(classifier.CallerGone, "no run frame came"), false
 		}
+		// An agent that was paused finds the frame and the fired timer together.
+		// A frame past its time is refused here, so tombstones, which are kept
+		// far longer than RunWait, outlive every frame that they must stop.
+		if agent.settings.Clock.Now().Since(granted) > agent.settings.RunWait {
+			return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
+		}
 		return agent.begin(offer, in.frame.GetRun())
 	case <-late:
 		return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
@@ -213,14 +228,14 @@
 }
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
-	return &encoder.Refused{
+	return agent.lead(&encoder.Refused{
 		RequestId:   offer.GetRequestId(),
 		Kind:        failure.Kind.String(),
 		Detail:      failure.Detail,
 		RetryAfter:  int64(failure.RetryAfter),
 		Incarnation: agent.settings.Incarnation,
 		Digest:      agent.Digest(),
-	}
+	})
 }
 
 func (agent *Agent) logDecision(offer *encoder.Offer, decision admitter.Decision) {
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -14,6 +15,7 @@
 	id     string
 	team   string
 	tomb   bool
+	keyed  bool
 	answer *answer
 	cancel context.CancelFunc
 	ended  timekeeper.Instant
@@ -24,13 +26,18 @@
 	// The run outlives the stream it came on: a caller whose connection broke
 	// finds it by look-up. The longest call bounds it.
 	ctx, cancel := context.WithTimeout(context.Background(), agent.service.LongestCall.Duration())
-	started := &run{id: offer.GetRequestId(), team: offer.GetTeam(), answer: newAnswer(), cancel: cancel}
+	started := &run{id: offer.GetRequestId(), team: offer.GetTeam(), keyed: keyed(offer), answer: newAnswer(), cancel: cancel}
 	agent.mu.Lock()
 	if known := agent.runs[started.id]; known != nil {
 		agent.mu.Unlock()
 		cancel()
 		return nil, classifier.New(classifier.Tombstoned, "the request id is known already"), false
 	}
+	if !agent.mayStart(offer) {
+		agent.mu.Unlock()
+		cancel()
+		return nil, classifier.New(classifier.Tombstoned, "the claim was given up"), false
+	}
 	agent.runs[started.id] = started
 	agent.mu.Unlock()
 	go func() {
@@ -48,6 +55,7 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	ended.ended = now
+	agent.endKey(ended)
 	for id, known := range agent.runs {
 		if known.ended != 0 && now.Since(known.ended) > agent.settings.KeepRun {
 			delete(agent.runs, id)
@@ -60,7 +68,9 @@
 	for {
 		select {
 		case in := <-frames:
-			if in.frame.GetCancel() != nil {
+			// A keyed call goes on without its caller: the resend with the same
+			// key must find an outcome, and cancelling would make it unknown.
+			if in.frame.GetCancel() != nil && !run.keyed {
 				run.cancel()
 			}
 			if in.err != nil {
@@ -79,6 +89,9 @@
 		return
 	}
 	if lookup.GetFollow() && known != nil {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go agent.watch(ctx, known, pump(ctx, stream))
 		_ = known.answer.follow(ctx, stream, lookup.GetOffset())
 	}
 }
@@ -118,6 +131,11 @@
 // tombstone is refused under the same lock, so one of the two always wins.
 func (agent *Agent) bury(lookup *encoder.Lookup) {
 	if lookup.GetTombstone() {
-		agent.runs[lookup.GetRequestId()] = &run{id: lookup.GetRequestId(), tomb: true, ended: agent.settings.Clock.Now()}
+		now := agent.settings.Clock.Now()
+		agent.runs[lookup.GetRequestId()] = &run{id: lookup.GetRequestId(), tomb: true, ended: now}
+		agent.settings.Record(recorder.Event{
+			At: now, Kind: recorder.Buried, Request: lookup.GetRequestId(), Service: agent.settings.Service,
+			Team: lookup.GetTeam(), Instance: agent.settings.Name, Incarnation: agent.settings.Incarnation,
+		})
 	}
 }
