striker: requests that crash engines cost two engines at most

Cause: a request that crashes its engine was run again by every resend. Change: the agent strikes what was in flight at a crash; one strike means alone on the engine with the second strike written beforehand, two refused. Also: connection refused by the upstream is 'not run', entries keep offering while an engine is away, a refusal is no longer taken for a lost connection.

--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -290,6 +290,16 @@
 	}
 }
 
+// NotRun takes a start back. It is only for a run that is known not to have
+// reached the upstream, such as one whose connection was refused.
+func (book *Book) NotRun(request string) {
+	known := book.pages[book.byRequest[request]]
+	if known != nil && known.stage == started && known.owner.Request == request {
+		known.stage = free
+		delete(book.byRequest, request)
+	}
+}
+
 // TakeDone returns up to limit rows that are to be marked as done.
 func (book *Book) TakeDone(limit int) []Row {
 	count := min(limit, len(book.done))
--- a/internal/disturber/proxy.go
+++ b/internal/disturber/proxy.go
@@ -32,6 +32,8 @@
 	Swallow bool
 	// CutAfter cuts a connection once it has carried this many bytes more; zero means never.
 	CutAfter int64
+	// Once clears the fault after its first cut, so that what dials again gets through.
+	Once bool
 }
 
 // Proxy stands between a dialler and one target.
@@ -209,5 +211,8 @@
 		part = part[:max(0, left)]
 	}
 	proxy.carried[direction] += int64(len(part))
+	if cut && fault.Once {
+		proxy.faults[direction] = Fault{}
+	}
 	return part, cut
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -71,12 +71,12 @@
 	stream := encoder.NewStream(conn)
 	at := contact{replica: replica}
 	leave := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	failure, ok := entry.commit(stream, call, &at, attempt)
+	failure, committed, lost := entry.commit(stream, call, &at, attempt)
 	leave()
-	if !ok {
-		if failure.Kind == classifier.OutcomeUnknown {
-			return entry.settle(ctx, entry.newRelayed(w, call), at)
-		}
+	switch {
+	case lost:
+		return entry.settle(ctx, entry.newRelayed(w, call), at)
+	case !committed:
 		return failure, false
 	}
 	stop := entry.cancelWith(ctx, stream, conn, call.id)
@@ -85,37 +85,32 @@
 }
 
 // commit brings the call to the point where it is committed: offered, granted
-// and sent. It returns false with the reason when it was not.
+// and sent. It returns false with the reason when it was not. The third result
+// is true when the connection broke while the Run frame was sent: part of it,
+// or all, may have reached the agent.
 func (entry *Entry) commit(
 	stream *encoder.Stream, call call, at *contact, attempt uint32,
-) (classifier.Failure, bool) {
-	replica := at.replica
-	offer := call.offer(entry.settings.Name, replica, attempt)
-	known := entry.hints.of(offer.GetFingerprint(), entry.settings.Clock.Now())
-	offer.Strikes, offer.Lost = known.strikes, known.lost
+) (classifier.Failure, bool, bool) {
+	offer := call.offer(entry.settings.Name, at.replica, attempt)
+	offer.Strikes = entry.hints.of(offer.GetFingerprint(), entry.settings.Clock.Now()).strikes
 	run := &encoder.Run{
 		RequestId: call.id, Method: call.method, Path: call.path, Headers: call.headers, Body: call.body,
 	}
 	if call.idempotent {
 		offer.RunFollows = true
-		if err := stream.Write(encoder.Of(offer), encoder.Of(run)); err != nil {
-			return classifier.New(classifier.OutcomeUnknown, replica.Name), false
-		}
-		return classifier.Failure{}, true
+		err := stream.Write(encoder.Of(offer), encoder.Of(run))
+		return classifier.Failure{}, err == nil, err != nil
 	}
 	if err := stream.Write(encoder.Of(offer)); err != nil {
-		return classifier.New(classifier.Unreachable, replica.Name), false
+		return classifier.New(classifier.Unreachable, at.replica.Name), false, false
 	}
 	incarnation, failure, ok := entry.granted(stream, call)
 	if !ok {
-		return failure, false
+		return failure, false, false
 	}
 	at.incarnation = incarnation
-	if err := stream.Write(encoder.Of(run)); err != nil {
-		// Part of the frame may have reached the agent, so what happened there is not known.
-		return classifier.New(classifier.OutcomeUnknown, "the connection broke while the call was sent"), false
-	}
-	return classifier.Failure{}, true
+	err := stream.Write(encoder.Of(run))
+	return classifier.Failure{}, err == nil, err != nil
 }
 
 // granted waits for the answer to an offer.
--- a/internal/forwarder/hints.go
+++ b/internal/forwarder/hints.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	// hintLife is how long an entry passes on a strike that it heard of.
-	hintLife = 10 * timekeeper.Minute
+	// hintLife is how long an entry passes on a strike that it heard of. It
+	// bridges the time until the table's row is written; a verdict that an
+	// operator lifts may be passed on that much longer.
+	hintLife = 30 * timekeeper.Second
 	// mostHints bounds what an entry remembers. A site with more than a
 	// thousand requests that crash engines within ten minutes has another problem.
 	mostHints = 1024
 )
 
-// hint is what an entry heard or saw of one request's strikes. It only makes
-// agents look closer: they decide by their own record and the table's row.
+// hint is what an entry heard or saw of one request's strikes.
 type hint struct {
 	strikes uint32
-	lost    uint32
 	expires timekeeper.Instant
 }
 
@@ -43,12 +43,12 @@
 	}
 }
 
-// lose notes that a whole instance was lost while it ran a request.
-func (hints *hints) lose(fingerprint uint64, now timekeeper.Instant) {
+// suspect notes that an engine, or a whole instance, was lost while it ran a request.
+func (hints *hints) suspect(fingerprint uint64, now timekeeper.Instant) {
 	hints.mu.Lock()
 	defer hints.mu.Unlock()
 	known := hints.byID[fingerprint]
-	known.lost++
+	known.strikes = max(known.strikes, 1)
 	hints.put(fingerprint, known, now)
 }
 
--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -28,6 +28,11 @@
 	0, 50 * timekeeper.Millisecond, 150 * timekeeper.Millisecond, 400 * timekeeper.Millisecond, 900 * timekeeper.Millisecond,
 }
 
+// quickLookUps is how many look-ups an idempotent call makes of which nothing
+// was written to the caller: another replica may run it, which is sooner done
+// than waiting for one that is most likely gone.
+const quickLookUps = 2
+
 // lookUpTimeout bounds one look-up up to its Found frame. An agent that is
 // paused accepts connections and says nothing; without the bound its callers
 // would wait as long as the pause.
@@ -42,7 +47,11 @@
 // answer, never seen leaves a tombstone first, and anything else is unknown.
 func (entry *Entry) settle(ctx context.Context, answer *relayed, at contact) (classifier.Failure, bool) {
 	unknown := classifier.New(classifier.OutcomeUnknown, "the connection to "+at.replica.Name+" was lost and it can't be asked")
-	for _, pause := range lookUpPauses {
+	pauses := lookUpPauses[:]
+	if answer.call.idempotent && !answer.started {
+		pauses = pauses[:quickLookUps]
+	}
+	for _, pause := range pauses {
 		if ctx.Err() != nil || entry.settings.Clock.Sleep(ctx, pause) != nil {
 			return answer.broken(classifier.New(classifier.CallerGone, ""))
 		}
@@ -51,7 +60,7 @@
 			return failure, done
 		}
 	}
-	entry.hints.lose(answer.call.fingerprint(), entry.settings.Clock.Now())
+	entry.hints.suspect(answer.call.fingerprint(), entry.settings.Clock.Now())
 	return answer.broken(unknown)
 }
 
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -139,6 +139,9 @@
 		answer.entry.settings.Learn(end.GetNow())
 	}
 	if !end.GetComplete() {
+		if kind := classifier.KindOf(end.GetKind()); kind == classifier.UpstreamBroken || kind == classifier.AnswerCut {
+			answer.entry.hints.suspect(answer.call.fingerprint(), answer.entry.settings.Clock.Now())
+		}
 		return answer.broken(classifier.New(classifier.KindOf(end.GetKind()), end.GetDetail()))
 	}
 	if end.GetRequestId() != answer.expected || end.GetLength() != answer.length || end.GetDigest() != answer.digest.Sum64() {
--- a/internal/imitator/service.go
+++ b/internal/imitator/service.go
@@ -67,6 +67,9 @@
 // does the work, as a service that commits first and answers later does.
 func NewService(settings ServiceSettings) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			http.Error(w, "body cut", http.StatusBadRequest)
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -67,6 +67,7 @@
 	service  resolver.Service
 	upstream *upstream
 	keys     *keys
+	strikes  *strikes
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
@@ -91,6 +92,7 @@
 		upstream: newUpstream(settings.Upstream, service),
 		desk:     admitter.NewDesk(admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}),
 		keys:     newKeys(settings),
+		strikes:  newStrikes(settings),
 		granted:  map[string]chan struct{}{},
 		runs:     map[string]*run{},
 	}
@@ -165,6 +167,8 @@
 	state := encoder.ReplicaState_REPLICA_STATE_LIVE
 	if agent.draining {
 		state = encoder.ReplicaState_REPLICA_STATE_DRAINING
+	} else if agent.strikes.ledger.Down() {
+		state = encoder.ReplicaState_REPLICA_STATE_DOWN
 	}
 	return &encoder.Digest{
 		Instance:    agent.settings.Name,
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -187,7 +187,9 @@
 
 // Keep writes claims and looks after the agent's rows until ctx ends.
 func (agent *Agent) Keep(ctx context.Context) {
+	go agent.settings.Clock.Every(ctx, func() timekeeper.Span { return probeEvery }, agent.probe)
 	if agent.settings.Table.Commit == nil {
+		<-ctx.Done()
 		return
 	}
 	go agent.settings.Clock.Every(ctx, func() timekeeper.Span { return markEvery }, agent.mark)
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -95,6 +95,10 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	if failure, ok := agent.enter(ctx, offer); !ok {
+		agent.release(offer.GetRequestId())
+		return failure, false
+	}
 	if failure, ok := agent.claim(ctx, offer); !ok {
 		agent.release(offer.GetRequestId())
 		return failure, false
@@ -172,6 +176,8 @@
 		return classifier.New(classifier.WrongInstance, ""), true
 	case agent.draining:
 		return classifier.New(classifier.Draining, "").WithRetryAfter(timekeeper.Second), true
+	case agent.strikes.ledger.Down():
+		return agent.engineAway(), true
 	case agent.runs[offer.GetRequestId()] != nil:
 		return classifier.New(classifier.Tombstoned, "the request id is known already"), true
 	}
@@ -184,6 +190,7 @@
 	defer agent.mu.Unlock()
 	delete(agent.granted, id)
 	agent.keys.book.Abandon(id)
+	agent.leaveGate(id)
 	for _, ticket := range agent.desk.Finish(id) {
 		if slot := agent.granted[ticket.ID]; slot != nil {
 			close(slot)
@@ -228,13 +235,17 @@
 }
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
+	agent.mu.Lock()
+	digest := agent.digest()
+	digest.Strikes = agent.strikesOf(offer.GetFingerprint())
+	agent.mu.Unlock()
 	return agent.lead(&encoder.Refused{
 		RequestId:   offer.GetRequestId(),
 		Kind:        failure.Kind.String(),
 		Detail:      failure.Detail,
 		RetryAfter:  int64(failure.RetryAfter),
 		Incarnation: agent.settings.Incarnation,
-		Digest:      agent.Digest(),
+		Digest:      digest,
 	})
 }
 
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -39,10 +39,12 @@
 		return nil, classifier.New(classifier.Tombstoned, "the claim was given up"), false
 	}
 	agent.runs[started.id] = started
+	agent.takeOff(offer)
 	agent.mu.Unlock()
 	go func() {
 		defer cancel()
 		agent.upstream.call(ctx, agent.settings, offer, commit, started.answer)
+		agent.landed(started, ctx.Err() != nil)
 		agent.finish(started)
 	}()
 	return started, classifier.Failure{}, true
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -48,7 +48,7 @@
 	id := offer.GetRequestId()
 	response, err := up.send(ctx, offer, commit)
 	if err != nil {
-		answer.close(id, false, classifier.New(classifier.UpstreamBroken, err.Error()))
+		answer.close(id, false, failedToSend(err))
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -69,7 +69,7 @@
 	// After HTTP 200", section 4): a
 	// stream is whole only when the protocol's own terminal was seen.
 	if !ending.seen() {
-		answer.close(id, false, classifier.New(classifier.AnswerCut, "the stream ended without its terminal"))
+		answer.close(id, false, classifier.New(classifier.AnswerCut, noTerminal))
 		return
 	}
 	answer.close(id, true, classifier.Failure{})
