runner: streams resume, and a reader's leaving is seen at once

Cause: a caller whose connection or entry broke lost its stream, and a run whose reader had gone went on until its longest call. Change: each event of a model's stream carries a short id (replica, mark of the incarnation, run, offset); any entry resumes or cancels by it; an abandoned idempotent run ends after the service's resume grace; the team is checked.

--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -70,6 +70,7 @@
 		Pool:        pool,
 		Config:      entry.watcher.Current,
 		Roster:      entry.view.Roster,
+		Locate:      entry.view.Locate,
 		Learn:       entry.view.Learn,
 	})
 	return entry, func() { closePool(); closeScope() }, nil
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -33,6 +33,9 @@
 		}
 		entry.logAttempt(call, replica, failure)
 		last = failure
+		if ctx.Err() != nil {
+			return classifier.New(classifier.CallerGone, "")
+		}
 		if !classifier.AnswerOf(failure.Kind).Elsewhere {
 			break
 		}
@@ -60,17 +63,15 @@
 		return classifier.New(classifier.Unreachable, replica.Name), false
 	}
 	defer func() { _ = conn.Close() }()
+	// The caller's leaving must reach the agent, or the engine works for
+	// nobody and its slot stays taken. The agent sees the stream close, gives a
+	// queued place back at once, and ends a run after its grace for a resume.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
 	stream := encoder.NewStream(conn)
 	if failure, ok := entry.commit(stream, call, replica, attempt); !ok {
 		return failure, false
 	}
-	// The caller's leaving must reach the agent, or the engine works for
-	// nobody and its slot stays taken.
-	stop := context.AfterFunc(ctx, func() {
-		_ = stream.Write(encoder.Of(&encoder.Cancel{RequestId: call.id, Reason: "caller gone"}))
-		_ = conn.Close()
-	})
-	defer stop()
 	return entry.relay(w, call, stream)
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -175,7 +176,7 @@
 	case err != nil:
 		return nil, classifier.New(classifier.BadRequest, "the body ended early")
 	}
-	_ = control.SetReadDeadline(entry.settings.Clock.Now().Time().AddDate(1, 0, 0))
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -31,6 +31,9 @@
 	Config func() resolver.Config
 	// Roster returns the replicas of a service that may get new work.
 	Roster func(service string) placer.Roster
+	// Locate returns the address of a replica that is listed, also of one that
+	// gets no new work.
+	Locate func(instance string) (address string, known bool)
 	// Learn takes in a digest that came with an answer; nil means it is dropped.
 	Learn func(digest *encoder.Digest)
 	// Record takes events of the fleet's record; nil means they are dropped.
@@ -74,6 +77,12 @@
 	id := entry.nextID()
 	w.Header().Set(encoder.RequestHeader, id)
 	w.Header().Set("X-Request-Id", correlation(r, id))
+	if wish, ok := resumes(r); ok {
+		if err := entry.serveStream(w, r, id, wish); err != nil {
+			entry.refuse(w, id, err)
+		}
+		return
+	}
 	call, err := entry.classify(w, r, id)
 	if err != nil {
 		entry.refuse(w, id, err)
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -14,6 +14,11 @@
 // the reason when nothing was written.
 func (entry *Entry) relay(w http.ResponseWriter, call call, stream *encoder.Stream) (classifier.Failure, bool) {
 	answer := relayed{entry: entry, w: w, control: http.NewResponseController(w), call: call, digest: xxhash.New()}
+	return answer.relay(stream)
+}
+
+// relay takes frames until the answer ends.
+func (answer *relayed) relay(stream *encoder.Stream) (classifier.Failure, bool) {
 	for {
 		frame, err := stream.Read()
 		if err != nil {
@@ -22,7 +27,7 @@
 		switch message := frame.GetBody().(type) {
 		case *encoder.Frame_Queued, *encoder.Frame_Granted:
 		case *encoder.Frame_Refused:
-			return answer.broken(entry.refused(message.Refused))
+			return answer.broken(answer.entry.refused(message.Refused))
 		case *encoder.Frame_Head:
 			err = answer.open(message.Head)
 		case *encoder.Frame_Chunk:
@@ -48,6 +53,9 @@
 	started bool
 	length  uint64
 	digest  *xxhash.Digest
+	// resumed says that the caller has the bytes before length already, so
+	// that the digest of the whole can't be made here.
+	resumed bool
 }
 
 // open notes the head. It is written with the first bytes of the body, so
@@ -103,7 +111,7 @@
 	if !end.GetComplete() {
 		return answer.broken(classifier.New(classifier.KindOf(end.GetKind()), end.GetDetail()))
 	}
-	if end.GetRequestId() != answer.call.id || end.GetLength() != answer.length || end.GetDigest() != answer.digest.Sum64() {
+	if !answer.agrees(end) {
 		return answer.broken(classifier.New(classifier.AnswerCut, "length or digest of the answer differs"))
 	}
 	if answer.head == nil {
@@ -116,6 +124,14 @@
 	return classifier.Failure{}, true
 }
 
+// agrees reports whether the end belongs to the bytes that were relayed.
+func (answer *relayed) agrees(end *encoder.End) bool {
+	if end.GetRequestId() != answer.call.id || end.GetLength() != answer.length {
+		return false
+	}
+	return answer.resumed || end.GetDigest() == answer.digest.Sum64()
+}
+
 // broken ends an answer that is not whole. When part of it is with the caller,
 // the connection is cut, so that no caller takes a part for the whole.
 func (answer *relayed) broken(failure classifier.Failure) (classifier.Failure, bool) {
--- a/internal/resolver/config.go
+++ b/internal/resolver/config.go
@@ -59,6 +59,9 @@
 	LongestDrain timekeeper.Span `toml:"longest-drain"`
 	// FirstByte is how long a caller waits for the first byte; zero means 30 seconds.
 	FirstByte timekeeper.Span `toml:"first-byte"`
+	// ResumeGrace is how long a stream whose caller is gone runs on, so that the
+	// caller can resume it; zero means 5 seconds.
+	ResumeGrace timekeeper.Span `toml:"resume-grace"`
 	// ChatField is the JSON field that names the chat when no header does.
 	ChatField string `toml:"chat-field"`
 	// CachedHeader is the upstream's header with the prompt tokens found cached.
@@ -88,6 +91,7 @@
 	DefaultMaxBody     = 1 << 20
 	DefaultLongestCall = 10 * timekeeper.Minute
 	DefaultFirstByte   = 30 * timekeeper.Second
+	DefaultResumeGrace = 5 * timekeeper.Second
 )
 
 // WithRevision returns the configuration under a revision.
@@ -105,6 +109,7 @@
 	orDefault(&service.LongestCall, DefaultLongestCall)
 	orDefault(&service.LongestDrain, service.LongestCall)
 	orDefault(&service.FirstByte, DefaultFirstByte)
+	orDefault(&service.ResumeGrace, DefaultResumeGrace)
 	return service
 }
 
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -67,6 +67,8 @@
 	desk     *admitter.Desk
 	granted  map[string]chan struct{}
 	runs     map[string]*run
+	bySerial map[uint64]*run
+	serial   uint64
 	draining bool
 	sequence uint64
 	calls    sync.WaitGroup
@@ -87,6 +89,7 @@
 		desk:     admitter.NewDesk(admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}),
 		granted:  map[string]chan struct{}{},
 		runs:     map[string]*run{},
+		bySerial: map[uint64]*run{},
 	}
 	return agent, agent.upstream.close, nil
 }
@@ -137,6 +140,8 @@
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
+	case *encoder.Frame_Cancel:
+		agent.serveCancel(stream, message.Cancel)
 	case *encoder.Frame_DigestAsk:
 		_ = stream.Write(encoder.Of(agent.digests()))
 	default:
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -50,8 +50,7 @@
 		_ = stream.Write(encoder.Of(agent.refusal(offer, failure)))
 		return
 	}
-	go agent.watch(ctx, run, inbox.frames)
-	_ = run.answer.follow(ctx, stream, 0)
+	agent.follow(ctx, stream, run, 0, inbox.frames)
 }
 
 // pump reads frames in the background, so that a call can wait for its caller
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -11,12 +11,18 @@
 // run is what the agent knows about one committed request, or, with tomb set,
 // about one that was declared not run.
 type run struct {
-	id     string
-	team   string
-	tomb   bool
-	answer *answer
-	cancel context.CancelFunc
-	ended  timekeeper.Instant
+	id         string
+	team       string
+	serial     uint64
+	idempotent bool
+	tomb       bool
+	answer     *answer
+	cancel     context.CancelFunc
+	ended      timekeeper.Instant
+	// readers is how many streams follow the answer now, and left counts how
+	// often the last of them has gone.
+	readers int
+	left    int
 }
 
 // start registers the run and calls the upstream in the background.
@@ -24,18 +30,27 @@
 	// The run outlives the stream it came on: a caller whose connection broke
 	// finds it by look-up. The longest call bounds it.
 	ctx, cancel := context.WithTimeout(context.Background(), agent.service.LongestCall.Duration())
-	started := &run{id: offer.GetRequestId(), team: offer.GetTeam(), answer: newAnswer(), cancel: cancel}
+	started := &run{
+		id:         offer.GetRequestId(),
+		team:       offer.GetTeam(),
+		idempotent: offer.GetIdempotent(),
+		answer:     newAnswer(),
+		cancel:     cancel,
+	}
 	agent.mu.Lock()
 	if known := agent.runs[started.id]; known != nil {
 		agent.mu.Unlock()
 		cancel()
 		return nil, classifier.New(classifier.Tombstoned, "the request id is known already"), false
 	}
+	agent.serial++
+	started.serial = agent.serial
 	agent.runs[started.id] = started
+	agent.bySerial[started.serial] = started
 	agent.mu.Unlock()
 	go func() {
 		defer cancel()
-		agent.upstream.call(ctx, agent.settings, offer, commit, started.answer)
+		agent.upstream.call(ctx, agent.settings, offer, commit, started)
 		agent.finish(started)
 	}()
 	return started, classifier.Failure{}, true
@@ -51,35 +66,25 @@
 	for id, known := range agent.runs {
 		if known.ended != 0 && now.Since(known.ended) > agent.settings.KeepRun {
 			delete(agent.runs, id)
-		}
-	}
-}
-
-// watch ends the run when its caller cancels it.
-func (agent *Agent) watch(ctx context.Context, run *run, frames <-chan incoming) {
-	for {
-		select {
-		case in := <-frames:
-			if in.frame.GetCancel() != nil {
-				run.cancel()
-			}
-			if in.err != nil {
-				return
-			}
-		case <-ctx.Done():
-			return
+			delete(agent.bySerial, known.serial)
 		}
 	}
 }
 
 // serveLookup tells what became of a request, and follows its answer if asked.
 func (agent *Agent) serveLookup(ctx context.Context, stream *encoder.Stream, lookup *encoder.Lookup) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if failure, ok := agent.resolveEventID(lookup); !ok {
+		_ = stream.Write(encoder.Of(&encoder.Found{State: encoder.RunState_RUN_STATE_FORGOTTEN, Kind: failure.Kind.String()}))
+		return
+	}
 	found, known := agent.find(lookup)
 	if err := stream.Write(encoder.Of(found)); err != nil {
 		return
 	}
 	if lookup.GetFollow() && known != nil {
-		_ = known.answer.follow(ctx, stream, lookup.GetOffset())
+		agent.follow(ctx, stream, known, lookup.GetOffset(), pump(ctx, stream))
 	}
 }
 
@@ -109,6 +114,7 @@
 		found.State = encoder.RunState_RUN_STATE_FORGOTTEN
 		return found, nil
 	}
+	found.Offset = lookup.GetOffset()
 	return found, known
 }
 
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -43,9 +43,9 @@
 
 // call runs the request and fills the answer until its end.
 func (up *upstream) call(
-	ctx context.Context, settings Settings, offer *encoder.Offer, commit *encoder.Run, answer *answer,
+	ctx context.Context, settings Settings, offer *encoder.Offer, commit *encoder.Run, started *run,
 ) {
-	id := offer.GetRequestId()
+	id, answer := started.id, started.answer
 	response, err := up.send(ctx, offer, commit)
 	if err != nil {
 		answer.close(id, false, classifier.New(classifier.UpstreamBroken, err.Error()))
@@ -61,7 +61,7 @@
 		Stream:      stream,
 	})
 	ending := terminal{needed: stream && up.service.Kind == resolver.KindModel}
-	if err := copyBody(ctx, response.Body, answer, &ending); err != nil {
+	if err := copyBody(ctx, up.marked(response.Body, ending.needed, settings, started), answer, &ending); err != nil {
 		answer.close(id, false, classifier.New(classifier.AnswerCut, err.Error()))
 		return
 	}
@@ -111,6 +111,51 @@
 	return out
 }
 
+// marked returns the body with an event id in each event, when it is a stream
+// that a caller may resume.
+func (up *upstream) marked(body io.Reader, stream bool, settings Settings, started *run) io.Reader {
+	if !stream {
+		return body
+	}
+	id := EventID{Instance: settings.Name, Mark: markOf(settings.Incarnation), Serial: started.serial}
+	return &markedReader{body: body, marker: eventMarker{id: id}}
+}
+
+// markedReader reads a stream through an eventMarker.
+type markedReader struct {
+	body   io.Reader
+	marker eventMarker
+	ready  []byte
+	err    error
+}
+
+// Read returns marked bytes; a part of an event comes only before the end.
+func (reader *markedReader) Read(out []byte) (int, error) {
+	for len(reader.ready) == 0 && reader.err == nil {
+		reader.fill(len(out))
+	}
+	if len(reader.ready) == 0 {
+		return 0, reader.err
+	}
+	n := copy(out, reader.ready)
+	reader.ready = reader.ready[n:]
+	return n, nil
+}
+
+func (reader *markedReader) fill(size int) {
+	part := make([]byte, size)
+	n, err := reader.body.Read(part)
+	ready, errMark := reader.marker.mark(part[:n])
+	reader.ready = ready
+	reader.err = err
+	if errMark != nil {
+		reader.err = errMark
+	}
+	if err == io.EOF {
+		reader.ready = append(reader.ready, reader.marker.rest()...)
+	}
+}
+
 func copyBody(ctx context.Context, body io.Reader, answer *answer, ending *terminal) error {
 	buffer := make([]byte, chunkSize)
 	for {
