runner: a drain waits for readers, and dev stops in order

Cause: an agent was drained when its upstream was done, though a slow reader still took the answer; dev told front and back to stop together. Change: readers count as in flight; a drained agent lingers so that the last frames are read; dev's stages stop entries, agents, upstreams in this order. Measured: streams of 100 events end whole through a stop of the agent, of the agent with a slow reader, and of the entry; 20 of 20 calls go to the other replica while one drains. Conclusion: a planned stop cuts nothing off.

--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -125,12 +125,14 @@
 	err := made.agent.Drain(ctx)
 	took := made.env.Clock.Now().Since(started)
 	made.env.Log.WithFields(logrus.Fields{"took": took.String(), "whole": err == nil}).Info("drained")
-	if err == nil {
-		// Answers that ended at the upstream may still be on their way to the entry.
-		return made.env.Clock.Sleep(context.Background(), lastFrames)
+	if err != nil {
+		return err
 	}
-	return err
+	return made.env.Clock.Sleep(context.Background(), linger)
 }
 
-// lastFrames is how long a drained agent stays for its last frames to be read.
-const lastFrames = 100 * timekeeper.Millisecond
+// linger is how long a drained agent keeps its connections. A socket that is
+// closed with unread bytes resets its peer, and the peer then loses the end of
+// an answer that it had not read yet; half a second lets the last frames be
+// read and the last window updates arrive.
+const linger = 500 * timekeeper.Millisecond
--- a/internal/assembler/dev.go
+++ b/internal/assembler/dev.go
@@ -41,7 +41,9 @@
 type Dev struct {
 	settings DevSettings
 	env      Environment
-	group    *run.Group
+	entries  *run.Group
+	agents   *run.Group
+	standIns *run.Group
 	platform *imitator.Platform
 	ledger   *imitator.Ledger
 	cleanups []func()
@@ -79,10 +81,13 @@
 // NewDev returns a small site whose actors are in group, and a function that
 // releases what it holds. The caller runs the group.
 func NewDev(ctx context.Context, settings DevSettings, env Environment, group *run.Group) (*Dev, func(), error) {
+	var order stages
 	dev := &Dev{
 		settings:  settings,
 		env:       env,
-		group:     group,
+		entries:   order.add(),
+		agents:    order.add(),
+		standIns:  order.add(),
 		platform:  imitator.NewPlatform(env.Clock),
 		ledger:    imitator.NewLedger(),
 		Upstreams: map[string]string{},
@@ -91,6 +96,7 @@
 		dev.release()
 		return nil, nil, err
 	}
+	order.addTo(group)
 	return dev, dev.release, nil
 }
 
@@ -132,7 +138,7 @@
 	if err != nil {
 		return "", err
 	}
-	addServer(dev.group, listener, handler, resolver.DefaultLongestCall.Duration())
+	addServer(dev.standIns, listener, handler, resolver.DefaultLongestCall.Duration())
 	return "http://" + listener.Addr().String(), nil
 }
 
@@ -186,7 +192,7 @@
 		return storekeeper.Instance{}, err
 	}
 	dev.cleanups = append(dev.cleanups, release)
-	agent.AddTo(dev.group)
+	agent.AddTo(dev.agents)
 	instance.Address = agent.Address()
 	return instance, nil
 }
@@ -198,7 +204,7 @@
 		return err
 	}
 	dev.cleanups = append(dev.cleanups, release)
-	entry.AddTo(dev.group)
+	entry.AddTo(dev.entries)
 	dev.Entries = append(dev.Entries, entry.Address())
 	return nil
 }
--- a/internal/assembler/dev_test.go
+++ b/internal/assembler/dev_test.go
@@ -42,23 +42,26 @@
 	return "http://" + dev.Entries[0]
 }
 
+// call makes one call. It may run in any goroutine of a test.
 func call(t *testing.T, method, address, body string, headers ...string) (status int, header http.Header, text string) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, address, strings.NewReader(body))
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return 0, nil, ""
 	}
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return 0, nil, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	whole, err := io.ReadAll(response.Body)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
 	}
 	return response.StatusCode, response.Header, string(whole)
 }
@@ -93,3 +96,38 @@
 		})
 	}
 }
+
+func TestDevStopsInOrder(t *testing.T) {
+	// A caller's order is on its way when the whole site is told to stop.
+	// Entries let go of it first, then agents stop, then the upstreams: the
+	// caller gets its whole answer.
+	var group run.Group
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	env := Environment{Clock: timekeeper.Wall(), Log: log}
+	dev, release, err := NewDev(context.Background(), DevSettings{Listen: loopback}, env, &group)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer release()
+	stop, done := make(chan struct{}), make(chan error, 1)
+	group.Add(func() error { <-stop; return errStop }, func(error) {})
+	go func() { done <- group.Run() }()
+	statuses := make(chan int, 20)
+	for range cap(statuses) {
+		go func() {
+			status, _, _ := call(t, "POST", "http://"+dev.Entries[0]+"/v1/chat/completions",
+				`{"model":"planner","stream":true,"max_tokens":60,"messages":[]}`, "Authorization", "Bearer "+DevKey)
+			statuses <- status
+		}()
+	}
+	first := <-statuses
+	close(stop)
+	Convey("every call in flight ends whole", t, func() {
+		So(first, ShouldEqual, 200)
+		for range cap(statuses) - 1 {
+			So(<-statuses, ShouldEqual, 200)
+		}
+		So(eris.Is(<-done, errStop), ShouldBeTrue)
+	})
+}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -184,27 +184,3 @@
 		Digests:     []*encoder.Digest{agent.Digest()},
 	}
 }
-
-// Drain stops new work at once and returns when nothing is in flight, or with
-// the error of ctx when that ends first.
-func (agent *Agent) Drain(ctx context.Context) error {
-	agent.mu.Lock()
-	agent.draining = true
-	agent.mu.Unlock()
-	const look = 20 * timekeeper.Millisecond
-	for {
-		if agent.idle() {
-			return nil
-		}
-		if err := agent.settings.Clock.Sleep(ctx, look); err != nil {
-			return eris.Wrap(err, "calls were still in flight")
-		}
-	}
-}
-
-func (agent *Agent) idle() bool {
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	load := agent.desk.Load()
-	return load.Running+load.Waiting == 0
-}
--- /dev/null
+++ b/internal/runner/drain.go
@@ -0,0 +1,45 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// drainLook is the time between two looks at what is still in flight.
+const drainLook = 20 * timekeeper.Millisecond
+
+// Drain refuses new work at once and returns when nothing is in flight, or
+// with an error when ctx ends first. In flight is every call that runs or
+// waits, and every answer that a reader still takes: an upstream that is done
+// is not enough, since a slow reader may have most of the answer before it.
+func (agent *Agent) Drain(ctx context.Context) error {
+	agent.mu.Lock()
+	agent.draining = true
+	agent.mu.Unlock()
+	for {
+		left := agent.inFlight()
+		if left == 0 {
+			return nil
+		}
+		if err := agent.settings.Clock.Sleep(ctx, drainLook); err != nil {
+			return eris.Errorf("the longest drain has passed with %d calls in flight", left)
+		}
+	}
+}
+
+// inFlight returns how many calls run, wait, or are still read.
+func (agent *Agent) inFlight() int {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	load := agent.desk.Load()
+	left := load.Running + load.Waiting
+	for _, run := range agent.runs {
+		if run.ended != 0 && run.readers > 0 {
+			left++
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/test/integration/stop_test.go
@@ -0,0 +1,92 @@
+package integration
+
+import (
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/internal/disturber"
+	"github.com/trefoilseam/trefoilseam/internal/imitator"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const wholeStream = "data: [DONE]\n\n"
+
+func TestAPlannedStopCutsNothingOff(t *testing.T) {
+	// The caller reads a long stream when a process on its way is told to stop.
+	// The process takes no new work from then on, relays the stream to its end,
+	// and only then exits, with code 0. The caller notices nothing.
+	tests := []struct {
+		name string
+		slow timekeeper.Span
+		pick func(rig *rig, entry *process) *process
+	}{
+		{"the agent stops", 0, func(rig *rig, _ *process) *process { return rig.agents["planner-1"] }},
+		{"the agent stops while its reader is slow", 5 * timekeeper.Millisecond,
+			func(rig *rig, _ *process) *process { return rig.agents["planner-1"] }},
+		{"the entry stops", 0, func(_ *rig, entry *process) *process { return entry }},
+	}
+	for _, test := range tests {
+		rig := newRig(t, siteConfig())
+		rig.addPlanner("planner-1", imitator.EngineSettings{Step: 5 * timekeeper.Millisecond})
+		entry := rig.addEntry("entry-1")
+		rig.proxies["planner-1"].Set(disturber.Back, disturber.Fault{Delay: test.slow})
+		stopped := test.pick(rig, entry)
+		var got reply
+		var caller sync.WaitGroup
+		caller.Go(func() { got = entry.call(t.Context(), "POST", "/v1/chat/completions", chat(100, "a long route")) })
+		rig.eventually("the engine runs", func() bool { return rig.engines["planner-1"].Counts().Runs == 1 })
+		code := stopped.stop()
+		caller.Wait()
+		Convey(test.name, t, func() {
+			So(got.err, ShouldBeNil)
+			So(strings.Count(got.body, "data: {"), ShouldEqual, 100)
+			So(got.body, ShouldEndWith, wholeStream)
+			So(code, ShouldEqual, 0)
+		})
+	}
+}
+
+func TestADrainingAgentGetsNoNewWork(t *testing.T) {
+	// One of two replicas is told to stop while it still streams an answer.
+	// The instance list goes on naming it. Callers whose chats live there are
+	// served by the other replica at once: the draining agent refuses, which
+	// says that nothing ran, and the entry goes to the next candidate.
+	rig := newRig(t, siteConfig())
+	rig.addOrders("orders-1", 300*timekeeper.Millisecond)
+	rig.addOrders("orders-2", 0)
+	entry := rig.addEntry("entry-1")
+	var held reply
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		for held.header.Get("Trefoilseam-Upstream") != "orders-1" {
+			held = entry.call(t.Context(), "POST", "/orders", "{}")
+			if held.err != nil {
+				return
+			}
+		}
+	})
+	rig.eventually("work at orders-1", func() bool { return len(rig.agents["orders-1"].logged("admission")) > 0 })
+	rig.agents["orders-1"].signal(syscall.SIGTERM)
+	caller.Wait()
+	before := len(rig.agents["orders-1"].logged("admission"))
+	Convey("every later call is answered by the other replica", t, func() {
+		So(held.status, ShouldEqual, 200)
+		for range 20 {
+			got := entry.call(t.Context(), "POST", "/orders", "{}")
+			So(got.status, ShouldEqual, 200)
+			So(got.header.Get("Trefoilseam-Upstream"), ShouldEqual, "orders-2")
+		}
+		<-rig.agents["orders-1"].done
+		granted := 0
+		for _, line := range rig.agents["orders-1"].logged("admission")[before:] {
+			if line.Outcome != "refused" {
+				granted++
+			}
+		}
+		So(granted, ShouldEqual, 0)
+	})
+}
