--- /dev/null
+++ b/pkg/caller/caller.go
@@ -0,0 +1,226 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Settings set up a caller.
+type Settings struct {
+	// Entries are the base addresses to try in turn, such as
+	// "http://127.0.0.1:8080". There must be at least one.
+	Entries []string
+	// Key is the team's key.
+	Key string
+	// Tries is how often one call is sent at most; zero means 5.
+	Tries int
+	// Pause is the wait before a resend when the answer names none; zero means
+	// 200 milliseconds. It doubles with each resend.
+	Pause timekeeper.Span
+	// Client sends the requests; nil means one without keep-alive, so that the
+	// transport never sends a request again by itself.
+	Client *http.Client
+	// Clock waits between tries; the zero value means the wall clock.
+	Clock timekeeper.Clock
+}
+
+// Errors of a caller.
+var (
+	// ErrUnknown says that the call may have run and no answer can be had.
+	ErrUnknown = eris.New("whether the call ran is not known")
+	// ErrNotRun says that the call was refused and did not run.
+	ErrNotRun = eris.New("the call did not run")
+)
+
+const noEntries = "caller: at least one entry is needed"
+
+// Caller makes calls for one team. Its methods may be used by many goroutines.
+type Caller struct {
+	settings Settings
+}
+
+// New returns a caller. It panics when the settings name no entry.
+func New(settings Settings) *Caller {
+	if len(settings.Entries) == 0 {
+		panic(noEntries)
+	}
+	if settings.Tries == 0 {
+		settings.Tries = 5
+	}
+	if settings.Pause == 0 {
+		settings.Pause = 200 * timekeeper.Millisecond
+	}
+	if settings.Client == nil {
+		settings.Client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
+	if settings.Clock.Now == nil {
+		settings.Clock = timekeeper.Wall()
+	}
+	return &Caller{settings: settings}
+}
+
+// Call is one request.
+type Call struct {
+	Method string
+	Path   string
+	Body   []byte
+	// Header is sent with every try; it may be nil.
+	Header http.Header
+	// Key is the Idempotency-Key; empty means a new one for a method that is
+	// not idempotent.
+	Key string
+}
+
+// WithKey returns the call under an Idempotency-Key.
+func (call Call) WithKey(key string) Call {
+	call.Key = key
+	return call
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Key is the Idempotency-Key that the call was sent under.
+	Key string
+}
+
+// Problem is the body of a refusal (RFC 9457).
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// Ran is "no" when the call did not run, and "unknown" otherwise.
+	Ran string `json:"ran"`
+}
+
+// Error returns the problem as text.
+func (problem Problem) Error() string {
+	return problem.Title + " (" + problem.Type + ", ran: " + problem.Ran + ") " + problem.Detail
+}
+
+// Send makes a call and returns its whole answer. It resends under the same
+// key while that can help. The error is ErrNotRun or ErrUnknown, with the last
+// problem in its text.
+func (caller *Caller) Send(ctx context.Context, call Call) (Answer, error) {
+	if call.Key == "" && !idempotent(call.Method) {
+		call = call.WithKey(newKey())
+	}
+	pause := caller.settings.Pause
+	// A call may have run as soon as one try ended without a word, whatever a
+	// later try says of itself.
+	mayHaveRun := false
+	var last error
+	for try := range caller.settings.Tries {
+		answer, outcome := caller.try(ctx, call, try)
+		if outcome.err == nil {
+			return answer, nil
+		}
+		last = outcome.err
+		mayHaveRun = mayHaveRun || outcome.ran
+		if !outcome.again || caller.wait(ctx, max(pause, outcome.wait)) != nil {
+			break
+		}
+		pause *= 2
+	}
+	if mayHaveRun {
+		return Answer{}, eris.Wrap(ErrUnknown, last.Error())
+	}
+	return Answer{}, eris.Wrap(ErrNotRun, last.Error())
+}
+
+// outcome is how one try ended.
+type outcome struct {
+	err   error
+	ran   bool
+	again bool
+	wait  timekeeper.Span
+}
+
+func (caller *Caller) try(ctx context.Context, call Call, try int) (Answer, outcome) {
+	response, err := caller.do(ctx, call, try)
+	if err != nil {
+		return Answer{}, outcome{err: err, ran: true, again: ctx.Err() == nil}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Answer{}, outcome{err: err, ran: true, again: ctx.Err() == nil}
+	}
+	if problem, ok := problemOf(response.Header, body); ok {
+		return Answer{}, outcomeOf(problem, response.Header)
+	}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Key: call.Key}, outcome{}
+}
+
+// outcomeOf reads a refusal. A call with a key may always be sent again when
+// its fate is not known: the key sees to it that it runs once.
+func outcomeOf(problem Problem, header http.Header) outcome {
+	retryAfter := header.Get("Retry-After")
+	seconds, _ := strconv.Atoi(retryAfter)
+	ran := problem.Ran != "no"
+	return outcome{
+		err:   problem,
+		ran:   ran,
+		again: retryAfter != "" || ran,
+		wait:  timekeeper.Span(seconds) * timekeeper.Second,
+	}
+}
+
+func (caller *Caller) do(ctx context.Context, call Call, try int) (*http.Response, error) {
+	base := caller.settings.Entries[try%len(caller.settings.Entries)]
+	request, err := http.NewRequestWithContext(ctx, call.Method, base+call.Path, strings.NewReader(string(call.Body)))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	if call.Header != nil {
+		request.Header = call.Header.Clone()
+	}
+	request.Header.Set("Authorization", "Bearer "+caller.settings.Key)
+	if call.Key != "" {
+		request.Header.Set("Idempotency-Key", call.Key)
+	}
+	return caller.settings.Client.Do(request)
+}
+
+func (caller *Caller) wait(ctx context.Context, span timekeeper.Span) error {
+	return caller.settings.Clock.Sleep(ctx, span)
+}
+
+func problemOf(header http.Header, body []byte) (Problem, bool) {
+	if header.Get("Content-Type") != "application/problem+json" {
+		return Problem{}, false
+	}
+	var problem Problem
+	if json.Unmarshal(body, &problem) != nil || problem.Ran == "" {
+		return Problem{}, false
+	}
+	return problem, true
+}
+
+func idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+func newKey() string {
+	var bytes [16]byte
+	_, _ = rand.Read(bytes[:])
+	return hex.EncodeToString(bytes[:])
+}
