--- a/internal/assembler/path_bench_test.go
+++ b/internal/assembler/path_bench_test.go
@@ -67,8 +67,9 @@
 	server := httptest.NewServer(upstream)
 	var order stages
 	entries, agents := order.add(), order.add()
-	var instances []storekeeper.Instance
-	for _, service := range []string{"planner", "orders"} {
+	services := []string{"planner", "orders"}
+	instances := make([]storekeeper.Instance, 0, len(services))
+	for _, service := range services {
 		settings := loader.Agent{Service: service, Upstream: server.URL}
 		settings.Process = loader.Process{Name: service + "-1", Site: "bole", Listen: loopback}
 		agent, release, err := NewAgent(b.Context(), settings, env)
@@ -193,7 +194,7 @@
 				added := through.allocs - plain.allocs
 				b.ReportMetric(float64(through.whole)/float64(plain.whole), "time-of-direct")
 				b.ReportMetric(float64(through.first)/float64(plain.first), "first-byte-of-direct")
-				b.ReportMetric(float64((through.first-plain.first).Microseconds()), "added-first-byte-us")
+				b.ReportMetric(float64((through.first - plain.first).Microseconds()), "added-first-byte-us")
 				b.ReportMetric(added, "added-allocs/call")
 				if added > test.mostAllocs {
 					b.Fatalf("the way adds %.0f allocations a call; the bound is %.0f", added, test.mostAllocs)
