runner: event ids without formatting, buffers used again

Cause: each event of a stream cost 24 allocations; the profile showed fmt.Sprintf twice an id and a new 32 KiB buffer a read. Change: ids are appended digit by digit, the marker keeps its buffers.

--- a/internal/assembler/path_bench_test.go
+++ b/internal/assembler/path_bench_test.go
@@ -179,8 +179,8 @@
 		{"get-1k", http.MethodGet, "/orders", "", 1 << 10, 0, 256, 400},
 		{"get-1m", http.MethodGet, "/orders", "", 1 << 20, 0, 1, 1500},
 		{"post-100k", http.MethodPost, "/orders", strings.Repeat("x", 100<<10), 1 << 10, 0, 1, 600},
-		{"stream-100", http.MethodPost, "/v1/chat/completions", prompt, 0, 100, 1, 5000},
-		{"stream-100", http.MethodPost, "/v1/chat/completions", prompt, 0, 100, 16, 5000},
+		{"stream-100", http.MethodPost, "/v1/chat/completions", prompt, 0, 100, 1, 1200},
+		{"stream-100", http.MethodPost, "/v1/chat/completions", prompt, 0, 100, 16, 1200},
 	}
 	for _, test := range tests {
 		b.Run(fmt.Sprintf("%s/callers-%d", test.name, test.callers), func(b *testing.B) {
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -44,10 +43,23 @@
 
 // String returns the id as it stands in an event.
 func (id EventID) String() string {
-	offset := strconv.FormatUint(id.Offset, base36)
-	padding := strings.Repeat("0", max(0, offsetDigits-len(offset)))
-	return fmt.Sprintf("%s.%s.%s.%s%s", id.Instance, strconv.FormatUint(uint64(id.Mark), base36),
-		strconv.FormatUint(id.Serial, base36), padding, offset)
+	return string(id.append(nil))
+}
+
+// append appends the id to out.
+func (id EventID) append(out []byte) []byte {
+	out = append(out, id.Instance...)
+	out = append(out, '.')
+	out = strconv.AppendUint(out, uint64(id.Mark), base36)
+	out = append(out, '.')
+	out = strconv.AppendUint(out, id.Serial, base36)
+	out = append(out, '.')
+	var digits [16]byte
+	offset := strconv.AppendUint(digits[:0], id.Offset, base36)
+	for range offsetDigits - len(offset) {
+		out = append(out, '0')
+	}
+	return append(out, offset...)
 }
 
 // ParseEventID reads a Last-Event-ID.
@@ -74,6 +86,9 @@
 type eventMarker struct {
 	id      EventID
 	pending []byte
+	// width is the length of an id of this stream, which is fixed; zero until
+	// the first event.
+	width int
 }
 
 // longestEvent bounds the bytes held back while an event is not whole.
@@ -81,23 +96,23 @@
 
 var errEventTooLong = eris.New("an event of the stream is over the limit")
 
-// mark takes in bytes of the stream and returns the whole events among them,
-// with ids. It returns an error for an event over longestEvent bytes.
-func (marker *eventMarker) mark(part []byte) ([]byte, error) {
+// mark appends to out the whole events among the bytes so far, with ids. It
+// returns an error for an event over longestEvent bytes.
+func (marker *eventMarker) mark(out, part []byte) ([]byte, error) {
 	marker.pending = append(marker.pending, part...)
-	var out []byte
+	stream := marker.pending
 	for {
-		event, rest, found := cutEvent(marker.pending)
+		event, rest, found := cutEvent(stream)
 		if !found {
 			break
 		}
-		out = append(out, marker.rewrite(event)...)
-		marker.pending = rest
+		out = marker.rewrite(out, event)
+		stream = rest
 	}
+	marker.pending = marker.pending[:copy(marker.pending, stream)]
 	if len(marker.pending) > longestEvent {
 		return nil, errEventTooLong
 	}
-	marker.pending = append([]byte(nil), marker.pending...)
 	return out, nil
 }
 
@@ -106,25 +121,38 @@
 	return marker.pending
 }
 
+var (
+	blankLine     = []byte("\n\n")
+	blankLineCRLF = []byte("\r\n\r\n")
+)
+
 // cutEvent splits the first whole event off, with the blank line that ends it.
 func cutEvent(stream []byte) (event, rest []byte, found bool) {
-	for _, blank := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if at := bytes.Index(stream, blank); at >= 0 {
-			end := at + len(blank)
-			return stream[:end], stream[end:], true
-		}
+	end := endOf(stream, blankLine)
+	if other := endOf(stream, blankLineCRLF); other > 0 && (end == 0 || other < end) {
+		end = other
 	}
-	return nil, stream, false
+	return stream[:end], stream[end:], end > 0
 }
 
-func (marker *eventMarker) rewrite(event []byte) []byte {
-	body := withoutID(event)
+// endOf returns where the first blank line ends, and zero when there is none.
+func endOf(stream, blank []byte) int {
+	at := bytes.Index(stream, blank)
+	if at < 0 {
+		return 0
+	}
+	return at + len(blank)
+}
+
+func (marker *eventMarker) rewrite(out, event []byte) []byte {
 	const field, newline = "id: ", "\n"
-	length := len(field) + len(marker.id.String()) + len(newline) + len(body)
-	marker.id.Offset += uint64(length)
-	out := make([]byte, 0, length)
+	if marker.width == 0 {
+		marker.width = len(marker.id.append(nil))
+	}
+	body := withoutID(event)
+	marker.id.Offset += uint64(len(field) + marker.width + len(newline) + len(body))
 	out = append(out, field...)
-	out = append(out, marker.id.String()...)
+	out = marker.id.append(out)
 	out = append(out, newline...)
 	return append(out, body...)
 }
--- a/internal/runner/events_test.go
+++ b/internal/runner/events_test.go
@@ -50,7 +50,7 @@
 			marker := eventMarker{id: EventID{Instance: "planner-1"}}
 			var out string
 			for i := range len(test.stream) {
-				part, err := marker.mark([]byte(test.stream[i : i+1]))
+				part, err := marker.mark(nil, []byte(test.stream[i:i+1]))
 				So(err, ShouldBeNil)
 				out += string(part)
 			}
@@ -66,7 +66,7 @@
 	}
 	Convey("an event without end is refused", t, func() {
 		marker := eventMarker{}
-		_, err := marker.mark(make([]byte, longestEvent+1))
+		_, err := marker.mark(nil, make([]byte, longestEvent+1))
 		So(err, ShouldEqual, errEventTooLong)
 	})
 }
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -121,10 +121,13 @@
 	return &markedReader{body: body, marker: eventMarker{id: id}}
 }
 
-// markedReader reads a stream through an eventMarker.
+// markedReader reads a stream through an eventMarker. Its two buffers are used
+// again for each part, since a stream has a part for every token.
 type markedReader struct {
 	body   io.Reader
 	marker eventMarker
+	part   []byte
+	marked []byte
 	ready  []byte
 	err    error
 }
@@ -143,11 +146,12 @@
 }
 
 func (reader *markedReader) fill(size int) {
-	part := make([]byte, size)
-	n, err := reader.body.Read(part)
-	ready, errMark := reader.marker.mark(part[:n])
-	reader.ready = ready
-	reader.err = err
+	if reader.part == nil {
+		reader.part = make([]byte, size)
+	}
+	n, err := reader.body.Read(reader.part)
+	marked, errMark := reader.marker.mark(reader.marked[:0], reader.part[:n])
+	reader.marked, reader.ready, reader.err = marked, marked, err
 	if errMark != nil {
 		reader.err = errMark
 	}
