resolver: base and overlays, with every fault and origin

Cause: a base alone was read, and the decoder stopped at its first fault. Conclusion: check names every fault at once, with file, line and remedy.

--- /dev/null
+++ b/internal/resolver/check.go
@@ -0,0 +1,170 @@
+package resolver
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// LongestPoll bounds limits.poll-every: with a fifth of jitter and the fetch
+// after it, a process that hears of nothing still has a change within 13 s.
+const LongestPoll = 9 * timekeeper.Second
+
+// checker collects the faults between the values of one site.
+type checker struct {
+	doc    Document
+	faults Faults
+}
+
+func (check *checker) add(path Path, remedy, reason string, parts ...any) {
+	check.faults = append(check.faults, check.doc.originOf(path).fault(fmt.Sprintf(reason, parts...), remedy))
+}
+
+// check returns what is wrong between the values of a configuration.
+func (config Config) check(doc Document) Faults {
+	check := &checker{doc: doc}
+	check.teams(config)
+	for _, name := range config.ServiceNames() {
+		check.service(name, config.Services[name])
+	}
+	check.models(config)
+	check.routes(config)
+	check.promises(config)
+	check.limits(config)
+	return check.faults
+}
+
+func (check *checker) teams(config Config) {
+	owners := map[string]string{}
+	for _, name := range check.doc.inOrder("teams", slices.Sorted(maps.Keys(config.Teams))) {
+		team := config.Teams[name]
+		path := Path{"teams", name, "key-hashes"}
+		if team.Weight < 0 {
+			check.add(Path{"teams", name, "weight"}, "write 1 or more", "team %s has the weight %d", name, team.Weight)
+		}
+		if len(team.KeyHashes) == 0 {
+			check.add(path, "add key-hashes with the SHA-256 of a key", "nobody can call for team %s", name)
+		}
+		for _, hash := range team.KeyHashes {
+			check.keyHash(path, name, strings.ToLower(hash), owners)
+		}
+	}
+}
+
+func (check *checker) keyHash(path Path, team, hash string, owners map[string]string) {
+	const remedy = `write 64 digits of hexadecimal, as "printf %s KEY | sha256sum" prints them`
+	sum, err := hex.DecodeString(hash)
+	if err != nil || len(sum) != 32 {
+		check.add(path, remedy, "team %s has the key hash %q, which is no SHA-256", team, hash)
+		return
+	}
+	if owner, taken := owners[hash]; taken {
+		check.add(path, "give each key to one team, once", "team %s has a key hash that team %s has too: %s", team, owner, hash[:12])
+	}
+	owners[hash] = team
+}
+
+func (check *checker) service(name string, service Service) {
+	path := Path{"services", name}
+	if service.Kind != KindModel && service.Kind != KindPlain {
+		check.add(path.child("kind"), `write "model" or "plain"`, "service %s is of kind %q", name, service.Kind)
+	}
+	if service.Kind == KindModel && len(service.Models) == 0 {
+		check.add(path, `add models = ["..."]`, "the model service %s answers to no model", name)
+	}
+	if service.Kind == KindPlain && len(service.Models) > 0 {
+		check.add(path.child("models"), `take models out, or make the kind "model"`, "the plain service %s has models", name)
+	}
+	if service.LoadFactor != 0 && service.LoadFactor < 1 {
+		check.add(path.child("load-factor"), "write 1 or more", "service %s has the load factor %g", name, service.LoadFactor)
+	}
+	for _, number := range service.numbers() {
+		if number.value < 0 {
+			check.add(path.child(number.key), "write a positive number, or leave it out", "%s of service %s is negative", number.key, name)
+		}
+	}
+}
+
+// setting is a key with its value as a number.
+type setting struct {
+	key   string
+	value int64
+}
+
+func (service Service) numbers() []setting {
+	return []setting{
+		{"slots", int64(service.Slots)},
+		{"queue-length", int64(service.QueueLength)},
+		{"max-body", service.MaxBody},
+		{"longest-call", int64(service.LongestCall)},
+		{"longest-drain", int64(service.LongestDrain)},
+		{"first-byte", int64(service.FirstByte)},
+		{"longest-order", int64(service.LongestOrder)},
+		{"loads-a-minute", int64(service.LoadsPerMinute)},
+	}
+}
+
+func (check *checker) models(config Config) {
+	owners := map[string]string{}
+	for _, name := range check.doc.inOrder("services", config.ServiceNames()) {
+		for _, model := range config.Services[name].Models {
+			if owner, taken := owners[model]; taken {
+				path := Path{"services", name, "models"}
+				check.add(path, "leave the model to one of them", "services %s and %s both answer to model %s", owner, name, model)
+			}
+			owners[model] = name
+		}
+	}
+}
+
+func (check *checker) routes(config Config) {
+	for _, route := range config.Routes {
+		path := Path{routesKey, route.Path}
+		if !strings.HasPrefix(route.Path, "/") {
+			check.add(path, `begin it with "/"`, "the route %q is no path", route.Path)
+		}
+		if _, ok := config.Services[route.Service]; !ok {
+			remedy := "name one of " + strings.Join(config.ServiceNames(), ", ")
+			check.add(path.child("service"), remedy, "the route %s leads to service %q, which is not there", route.Path, route.Service)
+		}
+		for _, method := range route.Idempotent {
+			if !slices.Contains(methods[:], method) {
+				remedy := "write methods such as GET in capitals"
+				check.add(path.child("idempotent-methods"), remedy, "the route %s has the unknown method %q", route.Path, method)
+			}
+		}
+	}
+}
+
+var methods = [...]string{
+	http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPost,
+	http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+func (check *checker) promises(config Config) {
+	for _, promise := range config.Promises.Apply {
+		if !slices.Contains(AllPromises(), promise) {
+			remedy := "write some of " + strings.Join(AllPromises(), ", ")
+			check.add(Path{"promises", "apply"}, remedy, "there is no promise %q", promise)
+		}
+	}
+}
+
+func (check *checker) limits(config Config) {
+	limits := config.Limits
+	if limits.PollEvery < 0 || limits.PollEvery > LongestPoll {
+		check.add(Path{"limits", "poll-every"}, "write at most "+LongestPoll.String(), "limits.poll-every is %s", limits.PollEvery)
+	}
+	for _, number := range []setting{
+		{"store-reads", int64(limits.StoreReads)}, {"store-writes", int64(limits.StoreWrites)},
+	} {
+		if number.value < 0 {
+			check.add(Path{"limits", number.key}, "write a positive number, or leave it out", "limits.%s is negative", number.key)
+		}
+	}
+}
--- a/internal/resolver/config.go
+++ b/internal/resolver/config.go
@@ -29,6 +29,12 @@
 	Services map[string]Service `toml:"services"`
 	// Routes in order; the longest matching path wins.
 	Routes []Route `toml:"routes"`
+	// Sites are the data centres of the fleet by name.
+	Sites map[string]Site `toml:"sites"`
+	// Promises say which promises apply.
+	Promises Promises `toml:"promises"`
+	// Limits bound what the fleet spends on the platform.
+	Limits Limits `toml:"limits"`
 }
 
 // Team is a group of callers that share keys and a weight.
@@ -70,6 +76,10 @@
 	ChecksOrders bool `toml:"checks-orders"`
 	// Adapters are the adapters that orders may load on the engines.
 	Adapters []string `toml:"adapters"`
+	// LongestOrder is how long an engine takes for an order; zero means 30 seconds.
+	LongestOrder timekeeper.Span `toml:"longest-order"`
+	// LoadsPerMinute is the service's share of the weight store's rate; zero means 6.
+	LoadsPerMinute int `toml:"loads-a-minute"`
 }
 
 // Route leads the calls under a path to a service.
@@ -92,6 +102,9 @@
 	DefaultLongestCall = 10 * timekeeper.Minute
 	DefaultFirstByte   = 30 * timekeeper.Second
 	DefaultResumeGrace = 5 * timekeeper.Second
+
+	DefaultLongestOrder   = 30 * timekeeper.Second
+	DefaultLoadsPerMinute = 6
 )
 
 // WithRevision returns the configuration under a revision.
@@ -110,6 +123,8 @@
 	orDefault(&service.LongestDrain, service.LongestCall)
 	orDefault(&service.FirstByte, DefaultFirstByte)
 	orDefault(&service.ResumeGrace, DefaultResumeGrace)
+	orDefault(&service.LongestOrder, DefaultLongestOrder)
+	orDefault(&service.LoadsPerMinute, DefaultLoadsPerMinute)
 	return service
 }
 
--- a/internal/resolver/doc.go
+++ b/internal/resolver/doc.go
@@ -2,7 +2,12 @@
 // with an overlay for each site, and resolves the two into what is in force at
 // a site.
 //
-// A Config is an immutable value. It is read from TOML with kebab-case keys;
-// unknown keys, bad values and clashes are faults, and all of them are
-// reported at once.
+// A file is read into a Document: a flat list of values, each with the file
+// and line it was written at. To resolve a site is to lay the overlay's values
+// over the base's; the result is rendered as TOML, with the origin of each
+// value behind it, and decoded into a Config, an immutable value.
+//
+// Values are checked one by one against the types of Config, because a decoder
+// stops at the first bad value and takes keys in any case. So all faults are
+// reported at once, each with its place and a remedy.
 package resolver
--- /dev/null
+++ b/internal/resolver/fault.go
@@ -0,0 +1,71 @@
+package resolver
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Fault is one thing wrong in a file.
+type Fault struct {
+	File   string
+	Line   int
+	Reason string
+	// Remedy says what to write instead.
+	Remedy string
+}
+
+// String returns the fault as "file:line: reason; remedy".
+func (fault Fault) String() string {
+	text := fault.Reason
+	if fault.Remedy != "" {
+		text += "; " + fault.Remedy
+	}
+	if fault.Line == 0 {
+		return fmt.Sprintf("%s: %s", fault.File, text)
+	}
+	return fmt.Sprintf("%s:%d: %s", fault.File, fault.Line, text)
+}
+
+// Faults is an error that names every fault found.
+type Faults []Fault
+
+// Error returns the faults, one a line.
+func (faults Faults) Error() string {
+	lines := make([]string, len(faults))
+	for i, fault := range faults {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// distinct returns the faults in the order of files and lines, each once: a
+// fault of the base shows at every site.
+func (faults Faults) distinct() Faults {
+	sorted := slices.Clone(faults)
+	slices.SortStableFunc(sorted, func(a, b Fault) int {
+		if order := strings.Compare(a.File, b.File); order != 0 {
+			return order
+		}
+		return a.Line - b.Line
+	})
+	var out Faults
+	for _, fault := range sorted {
+		if !slices.Contains(out, fault) {
+			out = append(out, fault)
+		}
+	}
+	return out
+}
+
+func (origin Origin) fault(reason, remedy string) Fault {
+	return Fault{File: origin.File, Line: origin.Line, Reason: reason, Remedy: remedy}
+}
+
+func withRemedy(faults Faults, remedy string) Faults {
+	out := slices.Clone(faults)
+	for i := range out {
+		out[i].Remedy = remedy
+	}
+	return out
+}
--- /dev/null
+++ b/internal/resolver/site.go
@@ -0,0 +1,68 @@
+package resolver
+
+import (
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Site is a data centre.
+type Site struct {
+	// Region is where the site lies; sites of a region are near each other.
+	Region string `toml:"region"`
+}
+
+// The promises by name.
+const (
+	PromiseBoundedLoad   = "bounded-load"
+	PromiseWholeAnswer   = "whole-answer"
+	PromiseNotRun        = "not-run"
+	PromiseAtMostOnce    = "at-most-once"
+	PromiseLeaving       = "leaving"
+	PromiseGracefulStop  = "graceful-stop"
+	PromiseConfiguration = "configuration"
+)
+
+// AllPromises returns the names of all promises.
+func AllPromises() []string {
+	return []string{
+		PromiseBoundedLoad, PromiseWholeAnswer, PromiseNotRun, PromiseAtMostOnce,
+		PromiseLeaving, PromiseGracefulStop, PromiseConfiguration,
+	}
+}
+
+// Promises say which promises apply to the fleet.
+type Promises struct {
+	// Apply names the promises that apply; empty means all.
+	Apply []string `toml:"apply"`
+}
+
+// Applies reports whether a promise applies.
+func (promises Promises) Applies(promise string) bool {
+	return len(promises.Apply) == 0 || slices.Contains(promises.Apply, promise)
+}
+
+// Limits bound what each process spends on the platform's store.
+type Limits struct {
+	// PollEvery is the mean time between two looks at the head; zero means 2 seconds.
+	PollEvery timekeeper.Span `toml:"poll-every"`
+	// StoreReads is how many reads a second a process makes at most; zero means 20.
+	StoreReads int `toml:"store-reads"`
+	// StoreWrites is how many writes a second a process makes at most; zero means 50.
+	StoreWrites int `toml:"store-writes"`
+}
+
+// Defaults of the limits.
+const (
+	DefaultPollEvery   = 2 * timekeeper.Second
+	DefaultStoreReads  = 20
+	DefaultStoreWrites = 50
+)
+
+// WithDefaults returns the limits with every zero replaced by its default.
+func (limits Limits) WithDefaults() Limits {
+	orDefault(&limits.PollEvery, DefaultPollEvery)
+	orDefault(&limits.StoreReads, DefaultStoreReads)
+	orDefault(&limits.StoreWrites, DefaultStoreWrites)
+	return limits
+}
