--- a/internal/publisher/head.go
+++ b/internal/publisher/head.go
@@ -42,51 +42,61 @@
 	return head, row.Version, nil
 }
 
-// Accept makes the bundle the configuration that follows revision edited. It
-// returns storekeeper.ErrConflict when another revision is in force.
-func Accept(ctx context.Context, platform storekeeper.Platform, bundle resolver.Bundle, edited uint64, changeID string) (Head, error) {
+// Accepted is a head with the body that it names.
+type Accepted struct {
+	Head
+	Body []byte
+}
+
+// seal returns the body of a bundle under its hash.
+func seal(bundle resolver.Bundle) (Accepted, error) {
 	body, err := json.Marshal(bundle)
 	if err != nil {
-		return Head{}, eris.Wrap(err, "encode bundle")
+		return Accepted{}, eris.Wrap(err, "encode bundle")
 	}
+	return Accepted{Head: Head{Hash: hashOf(body)}, Body: body}, nil
+}
+
+func hashOf(body []byte) string {
 	sum := sha256.Sum256(body)
-	next := Head{Revision: edited + 1, Hash: hex.EncodeToString(sum[:]), ChangeID: changeID}
-	err = platform.Objects.Put(ctx, prefix+next.Hash, body)
-	if err != nil && !eris.Is(err, storekeeper.ErrConflict) {
-		return Head{}, err
+	return hex.EncodeToString(sum[:])
+}
+
+// Bundle returns the files of the body. A body that doesn't match its hash is
+// an error: whoever it came from, it is not what was accepted.
+func (accepted Accepted) Bundle() (resolver.Bundle, error) {
+	if hashOf(accepted.Body) != accepted.Hash {
+		return resolver.Bundle{}, eris.New("the configuration's body doesn't match its hash")
 	}
-	now, version, err := ReadHead(ctx, platform)
+	var bundle resolver.Bundle
+	err := json.Unmarshal(accepted.Body, &bundle)
+	return bundle, eris.Wrap(err, "decode bundle")
+}
+
+// Resolve returns the configuration at a site under the head's revision.
+func (accepted Accepted) Resolve(site string) (resolver.Config, error) {
+	bundle, err := accepted.Bundle()
 	if err != nil {
-		return Head{}, err
-	}
-	if now.Revision != edited {
-		return now, storekeeper.ErrConflict
+		return resolver.Config{}, err
 	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return Head{}, eris.Wrap(err, "encode head")
+	config, faults := bundle.Resolve(site)
+	if len(faults) > 0 {
+		return resolver.Config{}, faults
 	}
-	write := storekeeper.Write{Table: table, Key: headKey, Value: value, Expect: version}
-	return next, platform.Table.Commit(ctx, []storekeeper.Write{write})
+	return config.WithRevision(accepted.Revision), nil
+}
+
+// FetchBody returns the body that a head names.
+func FetchBody(ctx context.Context, platform storekeeper.Platform, head Head) (Accepted, error) {
+	body, err := platform.Objects.Get(ctx, prefix+head.Hash)
+	return Accepted{Head: head, Body: body}, err
 }
 
 // Fetch returns the configuration that a head names, resolved for a site.
 func Fetch(ctx context.Context, platform storekeeper.Platform, head Head, site string) (resolver.Config, error) {
-	body, err := platform.Objects.Get(ctx, prefix+head.Hash)
+	accepted, err := FetchBody(ctx, platform, head)
 	if err != nil {
 		return resolver.Config{}, err
 	}
-	sum := sha256.Sum256(body)
-	if hex.EncodeToString(sum[:]) != head.Hash {
-		return resolver.Config{}, eris.New("the configuration's body doesn't match its hash")
-	}
-	var bundle resolver.Bundle
-	if err := json.Unmarshal(body, &bundle); err != nil {
-		return resolver.Config{}, eris.Wrap(err, "decode bundle")
-	}
-	config, faults := bundle.Resolve(site)
-	if len(faults) > 0 {
-		return resolver.Config{}, faults
-	}
-	return config.WithRevision(head.Revision), nil
+	return accepted.Resolve(site)
 }
--- a/internal/resolver/check_test.go
+++ b/internal/resolver/check_test.go
@@ -55,7 +55,7 @@
 key-hashes = ["` + hashA + `", "xyz"]
 wieght = 3
 [services.board]
-kind = "modle"
+kind = "engine"
 slots = "many"
 load-factor = 0.5
 [services.captions]
@@ -76,7 +76,7 @@
 			"base.toml:23: team vans has a key hash that team kitchen has too",
 			"base.toml:23: team vans has the key hash \"xyz\"",
 			"base.toml:24: unknown key teams.vans.wieght",
-			"base.toml:26: service board is of kind \"modle\"",
+			"base.toml:26: service board is of kind \"engine\"",
 			"base.toml:27: services.board.slots is \"many\"",
 			"base.toml:28: service board has the load factor 0.5",
 			"base.toml:29: the model service captions answers to no model",
@@ -205,7 +205,7 @@
 			t.Fatalf("checked, but doesn't resolve: %s", bad.Error())
 		}
 		again := Bundle{Base: resolved.Render()}
-		found, err := Diff(Bundle{Base: string(resolved.Document.text(false))}, again)
+		found, err := Diff(Bundle{Base: resolved.Document.text(false)}, again)
 		if err != nil || len(found) > 0 {
 			t.Fatalf("rendering changed the meaning: %v %v", found, err)
 		}
