assembler: the configuration from peers, and agents that follow a change

Cause: a process knew the store alone, and an agent kept the service of its start. Change: offers and digests carry the revision; peers answer ConfigAsk; an agent takes slots and queue length into force at its next decision, and remembers the revision of each entry that it hears from.

--- a/internal/admitter/desk.go
+++ b/internal/admitter/desk.go
@@ -97,6 +97,16 @@
 	return desk.promote()
 }
 
+// Resize changes the limits and returns the tickets that got a slot by that.
+// What runs or waits over a lower limit stays, and new offers are held to it.
+func (desk *Desk) Resize(limits Limits) []Ticket {
+	if limits.Slots <= 0 || limits.QueueLength < 0 {
+		panic(badLimits)
+	}
+	desk.limits = limits
+	return desk.promote()
+}
+
 func (desk *Desk) promote() []Ticket {
 	var granted []Ticket
 	for len(desk.waiting) > 0 && len(desk.running) < desk.limits.Slots {
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
@@ -27,6 +28,8 @@
 	watcher  *publisher.Watcher
 	agent    *runner.Agent
 	metrics  http.Handler
+
+	neighbours *neighbours
 }
 
 // NewAgent returns an agent that listens and has its first configuration, and
@@ -34,13 +37,18 @@
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
 	made := &Agent{settings: settings, env: env}
-	made.watcher = publisher.NewWatcher(env.Platform, settings.Site, env.Log)
+	incarnation := newIncarnation()
+	made.neighbours = newNeighbours(env.Platform.Directory, incarnation)
+	pool, closePool := dialer.NewPool(dialer.Settings{})
+	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := made.watcher.Await(ctx, env.Clock); err != nil {
+	if err := made.watcher.Await(ctx); err != nil {
+		closePool()
 		return nil, nil, err
 	}
 	if err := made.bind(); err != nil {
+		closePool()
 		return nil, nil, err
 	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
@@ -49,19 +57,23 @@
 		Name:        settings.Name,
 		Service:     settings.Service,
 		Site:        settings.Site,
-		Incarnation: newIncarnation(),
+		Incarnation: incarnation,
 		Upstream:    settings.Upstream,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+
+		Hear:          made.watcher.Hear,
+		Configuration: made.watcher.Answer,
 	})
 	if err != nil {
+		closePool()
 		closeScope()
 		return nil, nil, err
 	}
 	made.agent = agent
-	return made, func() { release(); closeScope() }, nil
+	return made, func() { release(); closePool(); closeScope() }, nil
 }
 
 func (made *Agent) bind() error {
@@ -84,7 +96,8 @@
 
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
-	addLoop(group, func(ctx context.Context) { made.watcher.Run(ctx, made.env.Clock) })
+	addLoop(group, made.watcher.Run)
+	addLoop(group, func(ctx context.Context) { made.neighbours.run(ctx, made.env.Clock) })
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
 	if made.admin == nil {
@@ -92,6 +105,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
+	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(func() *encoder.Digest { return made.agent.Digest() }))
 	addServer(group, made.admin, mux, headerTimeout)
 	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -44,26 +44,29 @@
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "entry", "name": settings.Name, "site": settings.Site})
 	entry := &Entry{settings: settings, env: env}
-	entry.watcher = publisher.NewWatcher(env.Platform, settings.Site, env.Log)
 	entry.view = reporter.NewView(env.Platform.Directory, env.Log)
+	pool, closePool := dialer.NewPool(dialer.Settings{})
+	incarnation := newIncarnation()
+	entry.watcher = newWatcher(env, settings.Process, incarnation, pool, entry.view.Addresses)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := entry.watcher.Await(ctx, env.Clock); err != nil {
+	if err := entry.watcher.Await(ctx); err != nil {
+		closePool()
 		return nil, nil, err
 	}
 	if err := entry.view.Look(ctx); err != nil {
 		env.Log.WithError(err).Warn("instance list not read")
 	}
 	if err := entry.bind(); err != nil {
+		closePool()
 		return nil, nil, err
 	}
-	pool, closePool := dialer.NewPool(dialer.Settings{})
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	entry.metrics = metrics
 	entry.front = forwarder.New(forwarder.Settings{
 		Name:        settings.Name,
 		Site:        settings.Site,
-		Incarnation: newIncarnation(),
+		Incarnation: incarnation,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
@@ -71,7 +74,7 @@
 		Config:      entry.watcher.Current,
 		Roster:      entry.view.Roster,
 		Locate:      entry.view.Locate,
-		Learn:       entry.view.Learn,
+		Learn:       entry.learn,
 	})
 	return entry, func() { closePool(); closeScope() }, nil
 }
@@ -111,7 +114,7 @@
 
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
-	addLoop(group, func(ctx context.Context) { entry.watcher.Run(ctx, entry.env.Clock) })
+	addLoop(group, entry.watcher.Run)
 	addLoop(group, func(ctx context.Context) { entry.view.Run(ctx, entry.env.Clock) })
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
 	entry.env.Log.WithField("address", entry.Address()).Info("listening")
@@ -120,6 +123,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", entry.metrics)
+	mux.HandleFunc("GET /config", handler.Show(entry.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(entry.Status))
 	addServer(group, entry.admin, mux, headerTimeout)
 	entry.env.Log.WithField("address", entry.admin.Addr().String()).Info("admin listening")
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -151,6 +151,7 @@
 		Work:        call.work,
 		Attempt:     attempt,
 		Entry:       entry,
+		Revision:    call.revision,
 	}
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -35,6 +35,7 @@
 	headers    []*encoder.Header
 	body       []byte
 	work       int64
+	revision   uint64
 }
 
 const (
@@ -59,7 +60,7 @@
 	if !ok {
 		return call{}, classifier.New(classifier.Unauthorized, "send a team's key as Authorization: Bearer KEY")
 	}
-	made := call{id: id, team: team, method: r.Method, path: r.URL.RequestURI(), class: urgency(r.Header.Get("Priority"))}
+	made := call{id: id, team: team, revision: config.Revision, method: r.Method, path: r.URL.RequestURI(), class: urgency(r.Header.Get("Priority"))}
 	made.key = r.Header.Get(encoder.KeyHeader)
 	if len(made.key) > longestKey {
 		return call{}, classifier.New(classifier.HeadersTooLarge, "the Idempotency-Key is longer than 255 bytes")
--- a/internal/loader/process.go
+++ b/internal/loader/process.go
@@ -21,6 +21,9 @@
 	AdminListen string `toml:"admin-listen"`
 	// Platform is the base address of the platform's services.
 	Platform string `toml:"platform"`
+	// Peers are addresses of agents that are asked for the configuration when
+	// the platform doesn't answer at the start of the process.
+	Peers []string `toml:"peers"`
 	// LogLevel is a level of logrus; empty means "info".
 	LogLevel string `toml:"log-level"`
 }
@@ -82,6 +85,9 @@
 	if process.AdminListen != "" {
 		faults = append(faults, checkAddress(file, "admin-listen", process.AdminListen)...)
 	}
+	for _, peer := range process.Peers {
+		faults = append(faults, checkAddress(file, "peers", peer)...)
+	}
 	return append(faults, checkURL(file, "platform", process.Platform)...)
 }
 
--- a/internal/resolver/check.go
+++ b/internal/resolver/check.go
@@ -51,15 +51,16 @@
 			check.add(path, "add key-hashes with the SHA-256 of a key", "nobody can call for team %s", name)
 		}
 		for _, hash := range team.KeyHashes {
-			check.keyHash(path, name, strings.ToLower(hash), owners)
+			check.keyHash(path, name, hash, owners)
 		}
 	}
 }
 
 func (check *checker) keyHash(path Path, team, hash string, owners map[string]string) {
-	const remedy = `write 64 digits of hexadecimal, as "printf %s KEY | sha256sum" prints them`
+	const remedy = `write 64 digits of hexadecimal in lower case, as "printf %s KEY | sha256sum" prints them`
 	sum, err := hex.DecodeString(hash)
-	if err != nil || len(sum) != 32 {
+	// Keys are looked up by their hash in lower case.
+	if err != nil || len(sum) != 32 || hash != strings.ToLower(hash) {
 		check.add(path, remedy, "team %s has the key hash %q, which is no SHA-256", team, hash)
 		return
 	}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -31,6 +31,10 @@
 	Scope    tally.Scope
 	// Config returns the configuration in force.
 	Config func() resolver.Config
+	// Hear takes a revision of the configuration that a peer carried; nil means it is dropped.
+	Hear func(revision uint64)
+	// Configuration answers a peer that asks for it; nil means that none is given.
+	Configuration func(ask *encoder.ConfigAsk) *encoder.ConfigBody
 	// Mean returns the load of the whole service as it is known; nil means unknown.
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
@@ -51,6 +55,12 @@
 	if settings.Mean == nil {
 		settings.Mean = func() admitter.Mean { return admitter.Mean{} }
 	}
+	if settings.Hear == nil {
+		settings.Hear = func(uint64) {}
+	}
+	if settings.Configuration == nil {
+		settings.Configuration = func(*encoder.ConfigAsk) *encoder.ConfigBody { return &encoder.ConfigBody{} }
+	}
 	if settings.Record == nil {
 		settings.Record = recorder.Drop
 	}
@@ -60,8 +70,12 @@
 // Agent owns one upstream instance.
 type Agent struct {
 	settings Settings
-	service  resolver.Service
 	upstream *upstream
+	askers   askers
+
+	// service is as in the configuration of revision; mu guards both.
+	service  resolver.Service
+	revision uint64
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
@@ -85,8 +99,9 @@
 	agent := &Agent{
 		settings: settings,
 		service:  service,
+		revision: settings.Config().Revision,
 		upstream: newUpstream(settings.Upstream, service),
-		desk:     admitter.NewDesk(admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}),
+		desk:     admitter.NewDesk(deskLimits(service)),
 		granted:  map[string]chan struct{}{},
 		runs:     map[string]*run{},
 		bySerial: map[uint64]*run{},
@@ -137,13 +152,17 @@
 	}
 	switch message := frame.GetBody().(type) {
 	case *encoder.Frame_Offer:
+		agent.heard(message.Offer.GetEntry(), message.Offer.GetRevision())
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
 	case *encoder.Frame_Cancel:
 		agent.serveCancel(stream, message.Cancel)
 	case *encoder.Frame_DigestAsk:
-		_ = stream.Write(encoder.Of(agent.digests()))
+		agent.heard(message.DigestAsk.GetAsker(), message.DigestAsk.GetRevision())
+		_ = stream.Write(encoder.Of(agent.withAskers(message.DigestAsk, agent.digests())))
+	case *encoder.Frame_ConfigAsk:
+		_ = stream.Write(encoder.Of(agent.settings.Configuration(message.ConfigAsk)))
 	default:
 		agent.settings.Log.WithField("frame", frame.String()).Warn("unexpected first frame")
 	}
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -131,6 +131,7 @@
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
+	agent.follow()
 	if failure, ok := agent.unfit(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
@@ -175,7 +176,12 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.granted, id)
-	for _, ticket := range agent.desk.Finish(id) {
+	agent.wake(agent.desk.Finish(id))
+}
+
+// wake tells the tickets that got a slot; the lock must be held.
+func (agent *Agent) wake(tickets []admitter.Ticket) {
+	for _, ticket := range tickets {
 		if slot := agent.granted[ticket.ID]; slot != nil {
 			close(slot)
 			delete(agent.granted, ticket.ID)
--- a/internal/runner/resume.go
+++ b/internal/runner/resume.go
@@ -69,7 +69,7 @@
 
 // endAbandoned ends the run after the grace unless a reader has come since.
 func (agent *Agent) endAbandoned(run *run, left int) {
-	fired, release := agent.settings.Clock.After(agent.service.ResumeGrace)
+	fired, release := agent.settings.Clock.After(agent.serviceNow().ResumeGrace)
 	defer release()
 	<-fired
 	agent.mu.Lock()
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -29,7 +29,7 @@
 func (agent *Agent) start(offer *encoder.Offer, commit *encoder.Run) (*run, classifier.Failure, bool) {
 	// The run outlives the stream it came on: a caller whose connection broke
 	// finds it by look-up. The longest call bounds it.
-	ctx, cancel := context.WithTimeout(context.Background(), agent.service.LongestCall.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), agent.serviceNow().LongestCall.Duration())
 	started := &run{
 		id:         offer.GetRequestId(),
 		team:       offer.GetTeam(),
