--- a/internal/runner/follow.go
+++ b/internal/runner/adopt.go
@@ -13,11 +13,11 @@
 	return admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}
 }
 
-// follow takes a changed service into force; the lock must be held. It is
+// adopt takes a changed service into force; the lock must be held. It is
 // called at each decision, so that the first decision after a revision is in
 // force is made under it. A service that was taken out of the configuration
 // leaves the agent as it was: the platform ends the agent, not the file.
-func (agent *Agent) follow() {
+func (agent *Agent) adopt() {
 	config := agent.settings.Config()
 	if config.Revision == agent.revision {
 		return
@@ -31,13 +31,6 @@
 	agent.wake(agent.desk.Resize(deskLimits(service)))
 }
 
-// Follow takes a changed service into force at once, also when no call comes.
-func (agent *Agent) Follow() {
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	agent.follow()
-}
-
 // serviceNow returns the service as it is in force.
 func (agent *Agent) serviceNow() resolver.Service {
 	agent.mu.Lock()
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -131,7 +131,7 @@
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	agent.follow()
+	agent.adopt()
 	if failure, ok := agent.unfit(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
