trefoilseam: one way to run a process, and exit code 2 for a bad call

Cause: entry and agent had the same command twice; a missing settings file was told as 'open : no such file', an unknown flag exited with 1; the integration tests were cached when only the command had changed, since go test notes only files that a test itself opens.

--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
@@ -31,8 +32,13 @@
 
 func execute(args []string) int {
 	root := rootCommand()
-	err := root.ParseAndRun(context.Background(), args)
-	return exitCode(err)
+	if err := root.Parse(args); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "trefoilseam:", err)
+		}
+		return exitUsage
+	}
+	return exitCode(root.Run(context.Background()))
 }
 
 func exitCode(err error) int {
@@ -46,7 +52,7 @@
 		fmt.Fprintln(os.Stderr, faults.Error())
 		return exitUsage
 	case eris.Is(err, errUsage):
-		fmt.Fprintln(os.Stderr, "trefoilseam:", err)
+		fmt.Fprintln(os.Stderr, "trefoilseam:", strings.TrimSuffix(err.Error(), ": "+errUsage.Error()))
 		return exitUsage
 	}
 	fmt.Fprintln(os.Stderr, "trefoilseam:", err)
--- a/cmd/trefoilseam/process.go
+++ b/cmd/trefoilseam/process.go
@@ -14,6 +14,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/assembler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -56,71 +57,80 @@
 	return err
 }
 
-func settingsFlag(name string) (*flag.FlagSet, *string) {
-	flags := flag.NewFlagSet("trefoilseam "+name, flag.ContinueOnError)
-	return flags, flags.String("settings", "", "file with the settings of the process (TOML)")
+// kindOfProcess is what sets the command of one kind of process apart. S is its settings.
+type kindOfProcess[S any] struct {
+	name, help string
+	read       func(file string) (S, resolver.Faults)
+	common     func(settings S) loader.Process
+	// build returns what adds the process's actors to a group, and its clean-up.
+	build func(ctx context.Context, settings S, env assembler.Environment) (func(*run.Group), func(), error)
 }
 
 func entryCommand() *ffcli.Command {
-	flags, file := settingsFlag("entry")
-	return &ffcli.Command{
-		Name:       "entry",
-		ShortUsage: "trefoilseam entry -settings FILE",
-		ShortHelp:  "run an entry: the front that callers reach",
-		FlagSet:    flags,
-		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
-		Exec:       func(ctx context.Context, _ []string) error { return runEntry(ctx, *file) },
-	}
+	return processCommand(kindOfProcess[loader.Entry]{
+		name:   "entry",
+		help:   "run an entry: the front that callers reach",
+		read:   loader.ReadEntry,
+		common: func(settings loader.Entry) loader.Process { return settings.Process },
+		build: func(ctx context.Context, settings loader.Entry, env assembler.Environment) (func(*run.Group), func(), error) {
+			entry, release, err := assembler.NewEntry(ctx, settings, env)
+			if err != nil {
+				return nil, nil, err
+			}
+			return entry.AddTo, release, nil
+		},
+	})
 }
 
-func runEntry(ctx context.Context, file string) error {
-	settings, faults := loader.ReadEntry(file)
-	if len(faults) > 0 {
-		return faults
-	}
-	env, closePlatform, err := newEnvironment(settings.Process)
-	if err != nil {
-		return err
-	}
-	defer closePlatform()
-	entry, release, err := assembler.NewEntry(ctx, settings, env)
-	if err != nil {
-		return err
-	}
-	defer release()
-	var group run.Group
-	entry.AddTo(&group)
-	return runGroup(&group)
+func agentCommand() *ffcli.Command {
+	return processCommand(kindOfProcess[loader.Agent]{
+		name:   "agent",
+		help:   "run an agent: the process beside one upstream",
+		read:   loader.ReadAgent,
+		common: func(settings loader.Agent) loader.Process { return settings.Process },
+		build: func(ctx context.Context, settings loader.Agent, env assembler.Environment) (func(*run.Group), func(), error) {
+			agent, release, err := assembler.NewAgent(ctx, settings, env)
+			if err != nil {
+				return nil, nil, err
+			}
+			return agent.AddTo, release, nil
+		},
+	})
 }
 
-func agentCommand() *ffcli.Command {
-	flags, file := settingsFlag("agent")
+func processCommand[S any](kind kindOfProcess[S]) *ffcli.Command {
+	flags := flag.NewFlagSet("trefoilseam "+kind.name, flag.ContinueOnError)
+	file := flags.String("settings", "", "file with the settings of the process (TOML)")
 	return &ffcli.Command{
-		Name:       "agent",
-		ShortUsage: "trefoilseam agent -settings FILE",
-		ShortHelp:  "run an agent: the process beside one upstream",
+		Name:       kind.name,
+		ShortUsage: "trefoilseam " + kind.name + " -settings FILE",
+		ShortHelp:  kind.help,
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
-		Exec:       func(ctx context.Context, _ []string) error { return runAgent(ctx, *file) },
+		Exec:       func(ctx context.Context, _ []string) error { return kind.run(ctx, *file) },
 	}
 }
 
-func runAgent(ctx context.Context, file string) error {
-	settings, faults := loader.ReadAgent(file)
+// run runs one process until it is told to stop.
+func (kind kindOfProcess[S]) run(ctx context.Context, file string) error {
+	if file == "" {
+		return eris.Wrapf(errUsage, "name the settings: trefoilseam %s -settings FILE", kind.name)
+	}
+	settings, faults := kind.read(file)
 	if len(faults) > 0 {
 		return faults
 	}
-	env, closePlatform, err := newEnvironment(settings.Process)
+	env, closePlatform, err := newEnvironment(kind.common(settings))
 	if err != nil {
 		return err
 	}
 	defer closePlatform()
-	agent, release, err := assembler.NewAgent(ctx, settings, env)
+	addTo, release, err := kind.build(ctx, settings, env)
 	if err != nil {
 		return err
 	}
 	defer release()
 	var group run.Group
-	agent.AddTo(&group)
+	addTo(&group)
 	return runGroup(&group)
 }
--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -19,8 +19,8 @@
 	"syscall"
 	"testing"
 
-	// The binary is built from these packages. Importing them, and reading the
-	// command's files below, makes go test run anew when they have changed.
+	// The binary is built from this package and what it imports. Importing it
+	// makes go test run anew when one of them has changed.
 	_ "github.com/trefoilseam/trefoilseam/internal/assembler"
 	"github.com/trefoilseam/trefoilseam/internal/disturber"
 	"github.com/trefoilseam/trefoilseam/internal/imitator"
@@ -38,17 +38,6 @@
 }
 
 func build(m *testing.M) int {
-	sources, err := filepath.Glob("../../cmd/trefoilseam/*.go")
-	if err != nil || len(sources) == 0 {
-		fmt.Fprintln(os.Stderr, "the command's files are not there", err)
-		return 1
-	}
-	for _, source := range sources {
-		if _, err := os.ReadFile(source); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-	}
 	dir, err := os.MkdirTemp("", "trefoilseam")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -107,9 +96,25 @@
 	instances []storekeeper.Instance
 }
 
+// noteSources reads the command's files, so that go test runs anew when they
+// have changed. Only what a test itself opens counts for that.
+func noteSources(t *testing.T) {
+	t.Helper()
+	sources, err := filepath.Glob("../../cmd/trefoilseam/*.go")
+	if err != nil || len(sources) == 0 {
+		t.Fatal("the command's files are not there", err)
+	}
+	for _, source := range sources {
+		if _, err := os.ReadFile(source); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // newRig returns a rig with a platform that holds the configuration.
 func newRig(t *testing.T, bundle resolver.Bundle) *rig {
 	t.Helper()
+	noteSources(t)
 	rig := &rig{
 		t:        t,
 		clock:    timekeeper.Wall(),
