--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -36,6 +36,9 @@
 			return nil
 		}
 		entry.logAttempt(call, replica, failure)
+		if ctx.Err() != nil {
+			return classifier.New(classifier.CallerGone, "")
+		}
 		if call.heard.owner.agent != "" {
 			return entry.carryOwned(ctx, w, call, failure)
 		}
@@ -60,27 +63,25 @@
 func (entry *Entry) attempt(
 	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32,
 ) (classifier.Failure, bool) {
-	if ctx.Err() != nil {
-		return classifier.New(classifier.CallerGone, ""), false
-	}
 	conn, err := entry.settings.Pool.Open(ctx, replica.Address)
 	if err != nil {
 		return classifier.New(classifier.Unreachable, replica.Name), false
 	}
 	defer func() { _ = conn.Close() }()
+	// The caller's leaving must reach the agent, or the engine works for
+	// nobody and its slot stays taken. The agent sees the stream close, gives a
+	// queued place back at once, and ends a run after its grace for a resume.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
 	stream := encoder.NewStream(conn)
 	at := contact{replica: replica}
-	leave := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	failure, committed, lost := entry.commit(stream, call, &at, attempt)
-	leave()
 	switch {
 	case lost:
 		return entry.settle(ctx, entry.newRelayed(w, call), at)
 	case !committed:
 		return failure, false
 	}
-	stop := entry.cancelWith(ctx, stream, conn, call.id)
-	defer stop()
 	return entry.relay(ctx, w, call, at, stream)
 }
 
@@ -163,6 +164,7 @@
 		Attempt:     attempt,
 		Entry:       entry,
 		Incarnation: call.bound,
+		Revision:    call.revision,
 	}
 }
 
--- a/internal/forwarder/mint.go
+++ b/internal/forwarder/mint.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		_ = conn.SetDeadline(entry.settings.Clock.Now().Add(lookUpTimeout).Time())
-		minted, err := exchange(conn, ask, (*encoder.Frame).GetMinted)
+		minted, err := askOnce(conn, ask, (*encoder.Frame).GetMinted)
 		switch {
 		case err != nil:
 			failure = classifier.New(classifier.Unreachable, replica.Name)
@@ -91,8 +91,8 @@
 	return KeyGrant{}, failure
 }
 
-// exchange sends one message, reads the answer and closes the connection.
-func exchange[T comparable](conn net.Conn, message any, pick func(*encoder.Frame) T) (T, error) {
+// askOnce sends one message, reads the answer and closes the connection.
+func askOnce[T comparable](conn net.Conn, message any, pick func(*encoder.Frame) T) (T, error) {
 	defer func() { _ = conn.Close() }()
 	stream := encoder.NewStream(conn)
 	if err := stream.Write(encoder.Of(message)); err != nil {
--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -113,19 +112,11 @@
 		return nil, nil, nil, err
 	}
 	_ = conn.SetDeadline(entry.settings.Clock.Now().Time().AddDate(1, 0, 0))
-	stop := entry.cancelWith(ctx, stream, conn, lookup.GetRequestId())
+	// The agent sees the stream close when the caller leaves.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return stream, found, func() { stop(); _ = conn.Close() }, nil
 }
 
-// cancelWith tells the agent when the caller leaves, or the engine would work
-// for nobody and its slot would stay taken.
-func (entry *Entry) cancelWith(ctx context.Context, stream *encoder.Stream, conn net.Conn, id string) func() bool {
-	return context.AfterFunc(ctx, func() {
-		_ = stream.Write(encoder.Of(&encoder.Cancel{RequestId: id, Reason: "caller gone"}))
-		_ = conn.Close()
-	})
-}
-
 // newRelayed returns an answer of which nothing has come.
 func (entry *Entry) newRelayed(w http.ResponseWriter, call call) *relayed {
 	return &relayed{
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -27,6 +27,15 @@
 	return entry.settle(ctx, answer, at)
 }
 
+// relay takes the frames of an answer whose connection is not made again.
+func (answer *relayed) relay(stream *encoder.Stream) (classifier.Failure, bool) {
+	failure, done, lost := answer.follow(stream)
+	if lost {
+		return answer.broken(classifier.New(classifier.OutcomeUnknown, "the connection to the agent broke"))
+	}
+	return failure, done
+}
+
 // follow reads the frames of an answer. The third result is true when the
 // connection was lost before the end.
 func (answer *relayed) follow(stream *encoder.Stream) (classifier.Failure, bool, bool) {
@@ -82,6 +91,9 @@
 	started bool
 	length  uint64
 	digest  *xxhash.Digest
+	// resumed says that the caller has the bytes before length already, so
+	// that the digest of the whole can't be made here.
+	resumed bool
 }
 
 // open notes the head. It is written with the first bytes of the body, so
@@ -144,7 +156,7 @@
 		}
 		return answer.broken(classifier.New(classifier.KindOf(end.GetKind()), end.GetDetail()))
 	}
-	if end.GetRequestId() != answer.expected || end.GetLength() != answer.length || end.GetDigest() != answer.digest.Sum64() {
+	if !answer.agrees(end) {
 		return answer.broken(classifier.New(classifier.AnswerCut, "length or digest of the answer differs"))
 	}
 	if answer.head == nil {
@@ -158,6 +170,14 @@
 	return classifier.Failure{}, true
 }
 
+// agrees reports whether the end belongs to the bytes that were relayed.
+func (answer *relayed) agrees(end *encoder.End) bool {
+	if end.GetRequestId() != answer.expected || end.GetLength() != answer.length {
+		return false
+	}
+	return answer.resumed || end.GetDigest() == answer.digest.Sum64()
+}
+
 // broken ends an answer that is not whole. When part of it is with the caller,
 // the connection is cut, so that no caller takes a part for the whole.
 func (answer *relayed) broken(failure classifier.Failure) (classifier.Failure, bool) {
--- a/internal/reporter/locate.go
+++ b/internal/reporter/locate.go
@@ -1,13 +1,13 @@
 package reporter
 
-// Locate returns the address of a listed replica, a leaving or draining one
-// too. It serves calls that only this replica may answer; new work goes by Roster.
-func (view *View) Locate(name string) (string, bool) {
+// Locate returns the address of an instance that is listed, also of one that
+// leaves: what is in flight there can still be followed.
+func (view *View) Locate(instance string) (address string, known bool) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	for _, instance := range view.listed {
-		if instance.Name == name {
-			return instance.Address, true
+	for _, listed := range view.listed {
+		if listed.Name == instance {
+			return listed.Address, true
 		}
 	}
 	return "", false
--- a/internal/resolver/config.go
+++ b/internal/resolver/config.go
@@ -29,6 +29,12 @@
 	Services map[string]Service `toml:"services"`
 	// Routes in order; the longest matching path wins.
 	Routes []Route `toml:"routes"`
+	// Sites are the data centres of the fleet by name.
+	Sites map[string]Site `toml:"sites"`
+	// Promises say which promises apply.
+	Promises Promises `toml:"promises"`
+	// Limits bound what the fleet spends on the platform.
+	Limits Limits `toml:"limits"`
 }
 
 // Team is a group of callers that share keys and a weight.
@@ -59,6 +65,9 @@
 	LongestDrain timekeeper.Span `toml:"longest-drain"`
 	// FirstByte is how long a caller waits for the first byte; zero means 30 seconds.
 	FirstByte timekeeper.Span `toml:"first-byte"`
+	// ResumeGrace is how long a stream whose caller is gone runs on, so that the
+	// caller can resume it; zero means 5 seconds.
+	ResumeGrace timekeeper.Span `toml:"resume-grace"`
 	// ChatField is the JSON field that names the chat when no header does.
 	ChatField string `toml:"chat-field"`
 	// CachedHeader is the upstream's header with the prompt tokens found cached.
@@ -67,6 +76,10 @@
 	ChecksOrders bool `toml:"checks-orders"`
 	// Adapters are the adapters that orders may load on the engines.
 	Adapters []string `toml:"adapters"`
+	// LongestOrder is how long an engine takes for an order; zero means 30 seconds.
+	LongestOrder timekeeper.Span `toml:"longest-order"`
+	// LoadsPerMinute is the service's share of the weight store's rate; zero means 6.
+	LoadsPerMinute int `toml:"loads-a-minute"`
 }
 
 // Route leads the calls under a path to a service.
@@ -88,6 +101,10 @@
 	DefaultMaxBody     = 1 << 20
 	DefaultLongestCall = 10 * timekeeper.Minute
 	DefaultFirstByte   = 30 * timekeeper.Second
+	DefaultResumeGrace = 5 * timekeeper.Second
+
+	DefaultLongestOrder   = 30 * timekeeper.Second
+	DefaultLoadsPerMinute = 6
 )
 
 // WithRevision returns the configuration under a revision.
@@ -105,6 +122,9 @@
 	orDefault(&service.LongestCall, DefaultLongestCall)
 	orDefault(&service.LongestDrain, service.LongestCall)
 	orDefault(&service.FirstByte, DefaultFirstByte)
+	orDefault(&service.ResumeGrace, DefaultResumeGrace)
+	orDefault(&service.LongestOrder, DefaultLongestOrder)
+	orDefault(&service.LoadsPerMinute, DefaultLoadsPerMinute)
 	return service
 }
 
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -50,8 +50,7 @@
 		_ = stream.Write(encoder.Of(agent.refusal(offer, failure)))
 		return
 	}
-	go agent.watch(ctx, run, inbox.frames)
-	_ = run.answer.follow(ctx, stream, 0)
+	agent.follow(ctx, stream, run, 0, inbox.frames)
 }
 
 // pump reads frames in the background, so that a call can wait for its caller
@@ -140,6 +139,7 @@
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
+	agent.adopt()
 	if failure, ok := agent.bound(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
@@ -191,7 +191,12 @@
 	delete(agent.granted, id)
 	agent.keys.book.Abandon(id)
 	agent.leaveGate(id)
-	for _, ticket := range agent.desk.Finish(id) {
+	agent.wake(agent.desk.Finish(id))
+}
+
+// wake tells the tickets that got a slot; the lock must be held.
+func (agent *Agent) wake(tickets []admitter.Ticket) {
+	for _, ticket := range tickets {
 		if slot := agent.granted[ticket.ID]; slot != nil {
 			close(slot)
 			delete(agent.granted, ticket.ID)
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -12,21 +12,32 @@
 // run is what the agent knows about one committed request, or, with tomb set,
 // about one that was declared not run.
 type run struct {
-	id     string
-	team   string
-	tomb   bool
-	keyed  bool
-	answer *answer
-	cancel context.CancelFunc
-	ended  timekeeper.Instant
+	id         string
+	team       string
+	serial     uint64
+	idempotent bool
+	tomb       bool
+	answer     *answer
+	cancel     context.CancelFunc
+	ended      timekeeper.Instant
+	// readers is how many streams follow the answer now, and left counts how
+	// often the last of them has gone.
+	readers int
+	left    int
 }
 
 // start registers the run and calls the upstream in the background.
 func (agent *Agent) start(offer *encoder.Offer, commit *encoder.Run) (*run, classifier.Failure, bool) {
 	// The run outlives the stream it came on: a caller whose connection broke
 	// finds it by look-up. The longest call bounds it.
-	ctx, cancel := context.WithTimeout(context.Background(), agent.service.LongestCall.Duration())
-	started := &run{id: offer.GetRequestId(), team: offer.GetTeam(), keyed: keyed(offer), answer: newAnswer(), cancel: cancel}
+	ctx, cancel := context.WithTimeout(context.Background(), agent.serviceNow().LongestCall.Duration())
+	started := &run{
+		id:         offer.GetRequestId(),
+		team:       offer.GetTeam(),
+		idempotent: offer.GetIdempotent(),
+		answer:     newAnswer(),
+		cancel:     cancel,
+	}
 	agent.mu.Lock()
 	if known := agent.runs[started.id]; known != nil {
 		agent.mu.Unlock()
@@ -38,12 +49,15 @@
 		cancel()
 		return nil, classifier.New(classifier.Tombstoned, "the claim was given up"), false
 	}
+	agent.serial++
+	started.serial = agent.serial
 	agent.runs[started.id] = started
+	agent.bySerial[started.serial] = started
 	agent.takeOff(offer)
 	agent.mu.Unlock()
 	go func() {
 		defer cancel()
-		agent.upstream.call(ctx, agent.settings, offer, commit, started.answer)
+		agent.upstream.call(ctx, agent.settings, offer, commit, started)
 		agent.landed(started, ctx.Err() != nil)
 		agent.finish(started)
 	}()
@@ -61,40 +75,25 @@
 	for id, known := range agent.runs {
 		if known.ended != 0 && now.Since(known.ended) > agent.settings.KeepRun {
 			delete(agent.runs, id)
-		}
-	}
-}
-
-// watch ends the run when its caller cancels it.
-func (agent *Agent) watch(ctx context.Context, run *run, frames <-chan incoming) {
-	for {
-		select {
-		case in := <-frames:
-			// A keyed call goes on without its caller: the resend with the same
-			// key must find an outcome, and cancelling would make it unknown.
-			if in.frame.GetCancel() != nil && !run.keyed {
-				run.cancel()
-			}
-			if in.err != nil {
-				return
-			}
-		case <-ctx.Done():
-			return
+			delete(agent.bySerial, known.serial)
 		}
 	}
 }
 
 // serveLookup tells what became of a request, and follows its answer if asked.
 func (agent *Agent) serveLookup(ctx context.Context, stream *encoder.Stream, lookup *encoder.Lookup) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if failure, ok := agent.resolveEventID(lookup); !ok {
+		_ = stream.Write(encoder.Of(&encoder.Found{State: encoder.RunState_RUN_STATE_FORGOTTEN, Kind: failure.Kind.String()}))
+		return
+	}
 	found, known := agent.find(lookup)
 	if err := stream.Write(encoder.Of(found)); err != nil {
 		return
 	}
 	if lookup.GetFollow() && known != nil {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		go agent.watch(ctx, known, pump(ctx, stream))
-		_ = known.answer.follow(ctx, stream, lookup.GetOffset())
+		agent.follow(ctx, stream, known, lookup.GetOffset(), pump(ctx, stream))
 	}
 }
 
@@ -124,6 +123,7 @@
 		found.State = encoder.RunState_RUN_STATE_FORGOTTEN
 		return found, nil
 	}
+	found.Offset = lookup.GetOffset()
 	return found, known
 }
 
--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -19,6 +19,9 @@
 	"syscall"
 	"testing"
 
+	// The binary is built from this package and what it imports. Importing it
+	// makes go test run anew when one of them has changed.
+	_ "github.com/trefoilseam/trefoilseam/internal/assembler"
 	"github.com/trefoilseam/trefoilseam/internal/disturber"
 	"github.com/trefoilseam/trefoilseam/internal/imitator"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
@@ -55,15 +58,19 @@
 
 // siteConfig is the configuration that most tests run under.
 func siteConfig() resolver.Bundle {
-	sum := sha256.Sum256([]byte(teamKey))
+	sum, other := sha256.Sum256([]byte(teamKey)), sha256.Sum256([]byte("other-key"))
 	return resolver.Bundle{Base: fmt.Sprintf(`
 [teams.rig]
 key-hashes = [%q]
 
+[teams.other]
+key-hashes = [%q]
+
 [services.planner]
 kind = "model"
 models = ["planner"]
 cached-header = %q
+resume-grace = "1s"
 
 [services.orders]
 kind = "plain"
@@ -72,7 +79,7 @@
 path = "/orders"
 service = "orders"
 idempotent-methods = ["GET", "HEAD"]
-`, hex.EncodeToString(sum[:]), imitator.CachedHeader)}
+`, hex.EncodeToString(sum[:]), hex.EncodeToString(other[:]), imitator.CachedHeader)}
 }
 
 // rig is one site: stand-ins in the test process, entries and agents as real
@@ -89,9 +96,25 @@
 	instances []storekeeper.Instance
 }
 
+// noteSources reads the command's files, so that go test runs anew when they
+// have changed. Only what a test itself opens counts for that.
+func noteSources(t *testing.T) {
+	t.Helper()
+	sources, err := filepath.Glob("../../cmd/trefoilseam/*.go")
+	if err != nil || len(sources) == 0 {
+		t.Fatal("the command's files are not there", err)
+	}
+	for _, source := range sources {
+		if _, err := os.ReadFile(source); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // newRig returns a rig with a platform that holds the configuration.
 func newRig(t *testing.T, bundle resolver.Bundle) *rig {
 	t.Helper()
+	noteSources(t)
 	rig := &rig{
 		t:        t,
 		clock:    timekeeper.Wall(),
