--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -92,6 +92,9 @@
 // grace, so clocks may be a grace apart.
 const Grace = timekeeper.Hour
 
+// mostDone bounds the runs that wait to be marked as done.
+const mostDone = 1024
+
 // Book is what one agent incarnation knows about keys.
 type Book struct {
 	settings  Settings
@@ -286,7 +289,9 @@
 	known.stage, known.done, known.digest = ended, complete, digest
 	delete(book.byRequest, request)
 	if complete && !known.minted {
-		book.done = append(book.done, key)
+		// The oldest mark is dropped: an agent that runs more calls than it may
+		// mark answers "unknown" for some of them once it is gone.
+		book.done = append(book.done[max(0, len(book.done)+1-mostDone):], key)
 	}
 }
 
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -175,7 +175,8 @@
 	// markEvery is the time between two writes that mark runs as done. Marks
 	// are not urgent: they matter once the owner is gone.
 	markEvery = 10 * timekeeper.Second
-	// mostMarks bounds one such write.
+	// mostMarks bounds one such write, and so the reads before it: 6 a second
+	// for each agent, which covers the design size many times over.
 	mostMarks = 64
 	// sweepEvery is the mean time between two sweeps of expired claims, and
 	// sweepRows how many rows each looks at. With 500 agents that is 533 rows
