runner: a run frame past its time is refused, and suspects under test

Cause: an agent that was paused found a late Run frame and its fired timer together, and could take the frame after the tombstone was forgotten. Tests at the agent for late frames, upstreams that can't be reached, and isolation.

--- /dev/null
+++ b/internal/runner/once_test.go
@@ -0,0 +1,216 @@
+package runner
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/imitator"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// bench is an agent before an upstream that counts its runs.
+type bench struct {
+	t        *testing.T
+	agent    *Agent
+	runs     atomic.Int64
+	upstream *httptest.Server
+	// hold keeps requests for /slow at the upstream; inside is how many are there.
+	hold   chan struct{}
+	inside atomic.Int64
+	// ahead moves the agent's clock without firing its timers, as a pause of
+	// the whole process does.
+	ahead atomic.Int64
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	made := &bench{t: t, hold: make(chan struct{})}
+	made.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		made.runs.Add(1)
+		made.inside.Add(1)
+		defer made.inside.Add(-1)
+		if r.URL.Path == "/slow" {
+			<-made.hold
+		}
+		w.Header().Set("Beside", strconv.FormatInt(made.inside.Load()-1, 10))
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(made.upstream.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	wall := timekeeper.Wall()
+	config := resolver.Config{Services: map[string]resolver.Service{"orders": {Kind: resolver.KindPlain}}}
+	agent, release, err := New(Settings{
+		Name: "orders-1", Service: "orders", Incarnation: 7, Upstream: made.upstream.URL, Log: log, Scope: tally.NoopScope,
+		Config: func() resolver.Config { return config },
+		Table:  imitator.NewPlatform(wall).Seams().Table,
+		Clock: timekeeper.Clock{
+			Now:   func() timekeeper.Instant { return wall.Now().Add(timekeeper.Span(made.ahead.Load())) },
+			After: wall.After,
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	made.agent = agent
+	go agent.Keep(t.Context())
+	return made
+}
+
+// open starts a stream with its first frame.
+func (bench *bench) open(first any) *encoder.Stream {
+	bench.t.Helper()
+	near, far := net.Pipe()
+	bench.t.Cleanup(func() { _ = near.Close() })
+	go bench.agent.serveStream(bench.t.Context(), far)
+	stream := encoder.NewStream(near)
+	bench.send(stream, first)
+	return stream
+}
+
+func (bench *bench) send(stream *encoder.Stream, message any) {
+	if err := stream.Write(encoder.Of(message)); err != nil {
+		bench.t.Error(err)
+	}
+}
+
+func (bench *bench) offer(request, key string) *encoder.Stream {
+	return bench.open(&encoder.Offer{RequestId: request, Service: "orders", Team: "rig", Key: key})
+}
+
+// refusalOf reads frames until a refusal, and returns its kind, or "" for an answer.
+func refusalOf(stream *encoder.Stream) string {
+	for {
+		frame, err := stream.Read()
+		switch {
+		case err != nil:
+			return err.Error()
+		case frame.GetRefused() != nil:
+			return frame.GetRefused().GetKind()
+		case frame.GetEnd() != nil:
+			return frame.GetEnd().GetKind()
+		}
+	}
+}
+
+func TestALateRunFrameDoesNotRunWhatWasCalledNotRun(t *testing.T) {
+	// The caller was told "not run", so its order must not appear afterwards.
+	// The slot is granted and the connection breaks; the entry looks the
+	// request up and leaves a tombstone; the Run frame arrives only then, or
+	// it arrives at an agent that was paused past the time that it waits.
+	Convey("a frame behind a tombstone is refused", t, func() {
+		bench := newBench(t)
+		stream := bench.offer("late", "")
+		_, err := encoder.ReadAs(stream, (*encoder.Frame).GetGranted)
+		So(err, ShouldBeNil)
+		found, err := encoder.ReadAs(
+			bench.open(&encoder.Lookup{RequestId: "late", Team: "rig", Incarnation: 7, Tombstone: true}), (*encoder.Frame).GetFound)
+		So(err, ShouldBeNil)
+		So(found.GetState(), ShouldEqual, encoder.RunState_RUN_STATE_NEVER_SEEN)
+		bench.send(stream, &encoder.Run{RequestId: "late", Method: "POST", Path: "/orders"})
+		So(refusalOf(stream), ShouldEqual, "tombstoned")
+		So(bench.runs.Load(), ShouldEqual, 0)
+	})
+	Convey("a frame that a paused agent finds is refused", t, func() {
+		bench := newBench(t)
+		stream := bench.offer("paused", "")
+		_, err := encoder.ReadAs(stream, (*encoder.Frame).GetGranted)
+		So(err, ShouldBeNil)
+		bench.ahead.Store(int64(timekeeper.Hour))
+		bench.send(stream, &encoder.Run{RequestId: "paused", Method: "POST", Path: "/orders"})
+		So(refusalOf(stream), ShouldEqual, "deadline-passed")
+		So(bench.runs.Load(), ShouldEqual, 0)
+	})
+}
+
+func TestAnUpstreamThatCantBeReachedHasNotRun(t *testing.T) {
+	// The caller sees "not ready, not run", and the same key runs later.
+	// The upstream's port is closed, so nothing of the request was sent. The
+	// claim stays with the agent and is free for the resend.
+	bench := newBench(t)
+	address := bench.upstream.Listener.Addr().String()
+	bench.upstream.Close()
+	Convey("the key is free again", t, func() {
+		for request, want := range []string{"not-ready", ""} {
+			stream := bench.offer(string(rune('a'+request)), "key")
+			granted, err := encoder.ReadAs(stream, (*encoder.Frame).GetGranted)
+			So(err, ShouldBeNil)
+			bench.send(stream, &encoder.Run{RequestId: granted.GetRequestId(), Method: "POST", Path: "/orders"})
+			So(refusalOf(stream), ShouldEqual, want)
+			if want != "" {
+				bench.restart(address)
+			}
+		}
+		So(bench.runs.Load(), ShouldEqual, 1)
+	})
+}
+
+// restart serves the upstream again and waits until the agent has seen it.
+func (bench *bench) restart(address string) {
+	listener, err := net.Listen("tcp", address) //nolint:noctx // A test's listener has no deadline.
+	if err != nil {
+		bench.t.Fatal(err)
+	}
+	server := &http.Server{Handler: bench.upstream.Config.Handler} //nolint:gosec // Loopback, in a test.
+	bench.t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	bench.until(func() bool { return bench.agent.Digest().GetState() != encoder.ReplicaState_REPLICA_STATE_DOWN })
+	bench.runs.Store(0)
+}
+
+func TestASuspectRunsAlone(t *testing.T) {
+	// The suspect's caller waits until the engine is empty, newcomers wait for
+	// the suspect, and all get their answers.
+	// Should the engine crash again, only one request can be to blame.
+	bench := newBench(t)
+	Convey("nothing runs beside it", t, func() {
+		slow := bench.offer("slow", "")
+		_, err := encoder.ReadAs(slow, (*encoder.Frame).GetGranted)
+		So(err, ShouldBeNil)
+		bench.send(slow, &encoder.Run{RequestId: "slow", Method: "POST", Path: "/slow"})
+		bench.until(func() bool { return bench.inside.Load() == 1 })
+		suspect := bench.open(&encoder.Offer{
+			RequestId: "suspect", Service: "orders", Team: "rig", Fingerprint: 9, Strikes: 1, Idempotent: true, RunFollows: true,
+		})
+		go bench.send(suspect, &encoder.Run{RequestId: "suspect", Method: "GET", Path: "/orders"})
+		bench.until(func() bool {
+			bench.agent.mu.Lock()
+			defer bench.agent.mu.Unlock()
+			return bench.agent.strikes.gate.Busy("") || bench.runs.Load() == 2
+		})
+		newcomer := bench.offer("newcomer", "")
+		close(bench.hold)
+		So(refusalOf(slow), ShouldEqual, "")
+		head, err := encoder.ReadAs(suspect, (*encoder.Frame).GetHead)
+		So(err, ShouldBeNil)
+		for _, header := range head.GetHeaders() {
+			if header.GetName() == "Beside" {
+				So(header.GetValue(), ShouldEqual, "0")
+			}
+		}
+		So(refusalOf(suspect), ShouldEqual, "")
+		_, err = encoder.ReadAs(newcomer, (*encoder.Frame).GetGranted)
+		So(err, ShouldBeNil)
+	})
+}
+
+// until waits for a condition; it ends with the test.
+func (bench *bench) until(condition func() bool) {
+	for !condition() {
+		if timekeeper.Wall().Sleep(bench.t.Context(), 1) != nil {
+			return
+		}
+	}
+}
--- a/internal/striker/siege_test.go
+++ b/internal/striker/siege_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 
 	"github.com/trefoilseam/trefoilseam/internal/imitator"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -223,3 +225,35 @@
 		t.Fatal("the gate must open again")
 	}
 }
+
+func TestOneAgentAtATimeRunsASuspect(t *testing.T) {
+	// A suspect that is resent through two entries at once costs one engine.
+	// Both agents want to write its second strike; one wins, and its write
+	// holds also when the answer to it was lost.
+	clock := timekeeper.NewManual(1)
+	platform := imitator.NewPlatform(clock.Clock())
+	book := NewBook(platform.Seams().Table, clock.Now)
+	ctx := context.Background()
+	first := Strike{Fingerprint: 9}.More("crashed", clock.Now().Add(DefaultLife))
+	if err := book.Add(ctx, Strike{Fingerprint: 9, Expires: first.Expires}, "crashed"); err != nil {
+		t.Fatal(err)
+	}
+	platform.SetFaults(imitator.PlatformFaults{LoseAnswers: 1})
+	if err := book.Raise(ctx, first.More("a", clock.Now().Add(DefaultLife+1))); err != nil {
+		t.Fatal("a write whose answer was lost is its writer's own:", err)
+	}
+	if err := book.Raise(ctx, first.More("b", clock.Now().Add(DefaultLife+2))); !errors.Is(err, storekeeper.ErrConflict) {
+		t.Fatal("the second agent must lose:", err)
+	}
+	if err := book.Lower(ctx, 9); err != nil {
+		t.Fatal(err)
+	}
+	strikes, err := book.List(ctx, "", 8)
+	if err != nil || len(strikes) != 1 || strikes[0].Count != Isolated {
+		t.Fatal(strikes, err)
+	}
+	clock.Advance(2 * DefaultLife)
+	if strikes, err = book.List(ctx, "", 8); err != nil || len(strikes) != 0 {
+		t.Fatal("expired strikes are still listed:", strikes, err)
+	}
+}
