--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -22,6 +22,8 @@
 type inbox struct {
 	frames <-chan incoming
 	early  *encoder.Run
+	// granted is when the slot was given; the Run frame must follow in time.
+	granted timekeeper.Instant
 }
 
 // gone reports whether a frame means that the caller has left. It keeps an
@@ -105,7 +107,8 @@
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
 	}
-	waited := agent.settings.Clock.Now().Since(arrived)
+	inbox.granted = agent.settings.Clock.Now()
+	waited := inbox.granted.Since(arrived)
 	err := stream.Write(encoder.Of(&encoder.Granted{
 		RequestId:   offer.GetRequestId(),
 		Incarnation: agent.settings.Incarnation,
@@ -209,7 +212,6 @@
 	if inbox.early != nil {
 		return agent.begin(offer, inbox.early)
 	}
-	granted := agent.settings.Clock.Now()
 	late, stop := agent.settings.Clock.After(agent.settings.RunWait)
 	defer stop()
 	select {
@@ -220,7 +222,7 @@
 		// An agent that was paused finds the frame and the fired timer together.
 		// A frame past its time is refused here, so tombstones, which are kept
 		// far longer than RunWait, outlive every frame that they must stop.
-		if agent.settings.Clock.Now().Since(granted) > agent.settings.RunWait {
+		if agent.settings.Clock.Now().Since(inbox.granted) > agent.settings.RunWait {
 			return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
 		}
 		return agent.begin(offer, in.frame.GetRun())
