--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -69,6 +69,7 @@
 			entryCommand(),
 			agentCommand(),
 			devCommand(),
+			strikesCommand(),
 			versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -54,6 +54,9 @@
 	if settings.Learn == nil {
 		settings.Learn = func(*encoder.Digest) {}
 	}
+	if settings.Locate == nil {
+		settings.Locate = func(string) (string, bool) { return "", false }
+	}
 	if settings.Record == nil {
 		settings.Record = recorder.Drop
 	}
@@ -65,6 +68,7 @@
 	settings Settings
 	serial   atomic.Uint64
 	keys     keyTable
+	hints    hints
 }
 
 // New returns an entry.
@@ -77,6 +81,10 @@
 	id := entry.nextID()
 	w.Header().Set(encoder.RequestHeader, id)
 	w.Header().Set("X-Request-Id", correlation(r, id))
+	if r.URL.Path == keysPath {
+		entry.serveKeys(w, r, id)
+		return
+	}
 	if wish, ok := resumes(r); ok {
 		if err := entry.serveStream(w, r, id, wish); err != nil {
 			entry.refuse(w, id, err)
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -39,6 +40,9 @@
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
+	// Table is the platform's table, where keys are claimed; a zero Table means
+	// that only minted keys can be used.
+	Table storekeeper.Table
 	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
 	RunWait timekeeper.Span
 	// KeepRun is how long an ended run stays known; zero means 2 minutes.
@@ -71,6 +75,8 @@
 type Agent struct {
 	settings Settings
 	upstream *upstream
+	keys     *keys
+	strikes  *strikes
 	askers   askers
 
 	// service is as in the configuration of revision; mu guards both.
@@ -102,6 +108,8 @@
 		revision: settings.Config().Revision,
 		upstream: newUpstream(settings.Upstream, service),
 		desk:     admitter.NewDesk(deskLimits(service)),
+		keys:     newKeys(settings),
+		strikes:  newStrikes(settings),
 		granted:  map[string]chan struct{}{},
 		runs:     map[string]*run{},
 		bySerial: map[uint64]*run{},
@@ -156,6 +164,8 @@
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
+	case *encoder.Frame_MintAsk:
+		agent.serveMint(stream, message.MintAsk)
 	case *encoder.Frame_Cancel:
 		agent.serveCancel(stream, message.Cancel)
 	case *encoder.Frame_DigestAsk:
@@ -181,6 +191,8 @@
 	state := encoder.ReplicaState_REPLICA_STATE_LIVE
 	if agent.draining {
 		state = encoder.ReplicaState_REPLICA_STATE_DRAINING
+	} else if agent.strikes.ledger.Down() {
+		state = encoder.ReplicaState_REPLICA_STATE_DOWN
 	}
 	return &encoder.Digest{
 		Instance:    agent.settings.Name,
