--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -29,6 +29,8 @@
 	view     *reporter.View
 	front    *forwarder.Entry
 	metrics  http.Handler
+
+	announcer *announcer
 }
 
 // EntryStatus is what an entry says about itself.
@@ -61,6 +63,10 @@
 		closePool()
 		return nil, nil, err
 	}
+	entry.announcer = &announcer{
+		name: settings.Name, pool: pool, peers: entry.view.Addresses,
+		revision: func() uint64 { return entry.watcher.Current().Revision },
+	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	entry.metrics = metrics
 	entry.front = forwarder.New(forwarder.Settings{
@@ -115,6 +121,7 @@
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
 	addLoop(group, entry.watcher.Run)
+	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
 	addLoop(group, func(ctx context.Context) { entry.view.Run(ctx, entry.env.Clock) })
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
 	entry.env.Log.WithField("address", entry.Address()).Info("listening")
--- a/internal/publisher/peer.go
+++ b/internal/publisher/peer.go
@@ -46,44 +46,54 @@
 	return stream.Read()
 }
 
-// mostAsked bounds how many peers one round asks: enough for Answers of them
-// to answer though some are gone.
-const mostAsked = 2 * Answers
-
-// askPeers asks random peers for a revision of at least least, and takes the
-// highest that they have. It returns how many answered, the highest revision
-// among them, and whether that came into force.
-func (watcher *Watcher) askPeers(ctx context.Context, least uint64) (answered int, highest uint64, found bool) {
-	for _, address := range watcher.somePeers() {
-		if answered >= Answers {
-			break
-		}
-		body, err := watcher.settings.Ask(ctx, address, max(least, highest))
-		if err != nil {
+// askPeers asks some random peers for a revision of at least least, all at
+// once, and takes the highest that they have. It returns how many answered,
+// the highest revision that any of them has or has heard of, and whether one
+// came into force.
+func (watcher *Watcher) askPeers(ctx context.Context, least uint64, most int) (answered int, highest uint64, found bool) {
+	peers := watcher.somePeers(most)
+	answers := make(chan *encoder.ConfigBody, len(peers))
+	for _, address := range peers {
+		go func() {
+			body, err := watcher.settings.Ask(ctx, address, least)
+			if err != nil {
+				body = nil
+			}
+			answers <- body
+		}()
+	}
+	for range peers {
+		body := <-answers
+		if body == nil {
 			continue
 		}
 		answered++
-		highest = max(highest, body.GetRevision())
-		if body.GetRevision() < least || len(body.GetBody()) == 0 {
-			continue
-		}
-		accepted := Accepted{
-			Head: Head{Revision: body.GetRevision(), Hash: body.GetHash(), ChangeID: body.GetChangeId()},
-			Body: body.GetBody(),
-		}
-		if err := watcher.take(accepted, address); err != nil {
-			watcher.settings.Log.WithError(err).WithField("peer", address).Warn("a peer's configuration was refused")
-			continue
-		}
-		found = true
+		highest = max(highest, body.GetRevision(), body.GetHeard())
+		found = watcher.takeFrom(body, least) || found
 	}
 	return answered, highest, found
 }
 
-func (watcher *Watcher) somePeers() []string {
+// takeFrom brings a peer's configuration into force when it is high enough.
+func (watcher *Watcher) takeFrom(body *encoder.ConfigBody, least uint64) bool {
+	if body.GetRevision() < least || len(body.GetBody()) == 0 {
+		return false
+	}
+	accepted := Accepted{
+		Head: Head{Revision: body.GetRevision(), Hash: body.GetHash(), ChangeID: body.GetChangeId()},
+		Body: body.GetBody(),
+	}
+	if err := watcher.take(accepted, "peer"); err != nil {
+		watcher.settings.Log.WithError(err).Warn("a peer's configuration was refused")
+		return false
+	}
+	return true
+}
+
+func (watcher *Watcher) somePeers(most int) []string {
 	peers := append([]string(nil), watcher.settings.Peers()...)
 	watcher.mu.Lock()
 	defer watcher.mu.Unlock()
 	watcher.draws.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(mostAsked, len(peers))]
+	return peers[:min(most, len(peers))]
 }
--- a/internal/publisher/propose.go
+++ b/internal/publisher/propose.go
@@ -24,8 +24,8 @@
 
 const (
 	// settleRounds and settlePause bound how long a proposal asks a store that
-	// doesn't answer: some ten seconds, or thirty when each call times out.
-	settleRounds = 8
+	// doesn't answer: some three seconds, or more when each call times out.
+	settleRounds = 5
 	settlePause  = 200 * timekeeper.Millisecond
 	longestPause = 2 * timekeeper.Second
 )
--- a/internal/publisher/standing.go
+++ b/internal/publisher/standing.go
@@ -16,6 +16,8 @@
 	// hear from. One peer may have been cut off; three in different places
 	// were not, unless most of the fleet was.
 	Answers = 3
+	// StartPeers is how many peers such a process asks at most in a round.
+	StartPeers = 32
 	// Settle is the least time between the first and the last round of asking
 	// peers. A revision accepted just before the outage reaches some peer's
 	// next poll, and from there the others, in this time.
@@ -118,7 +120,8 @@
 }
 
 // WithRound takes in a round of asking: how many peers are known, how many
-// answered, and the highest revision among them. A round in which too few
+// answered, and the highest revision that any of
+// them has or has heard of. A round in which too few
 // answered doesn't count.
 func (start Start) WithRound(known, answered int, highest uint64, now timekeeper.Instant) Start {
 	if answered == 0 || answered < min(Answers, known) {
--- a/internal/publisher/watcher.go
+++ b/internal/publisher/watcher.go
@@ -122,7 +122,7 @@
 	watcher.mu.Lock()
 	defer watcher.mu.Unlock()
 	head := watcher.accepted.Head
-	body := &encoder.ConfigBody{Revision: head.Revision, Hash: head.Hash, ChangeId: head.ChangeID}
+	body := &encoder.ConfigBody{Revision: head.Revision, Hash: head.Hash, ChangeId: head.ChangeID, Heard: watcher.standing.Heard}
 	if head.Revision >= ask.GetLeast() {
 		body.Body = watcher.accepted.Body
 	}
@@ -135,7 +135,7 @@
 	head, _, err := ReadHead(ctx, watcher.settings.Platform)
 	if err != nil {
 		watcher.update(Standing.Miss)
-		if _, _, found := watcher.askPeers(ctx, watcher.Current().Revision+1); found {
+		if _, _, found := watcher.askPeers(ctx, watcher.Current().Revision+1, Answers); found {
 			return nil
 		}
 		return err
@@ -153,7 +153,7 @@
 	if err == nil {
 		return watcher.take(accepted, "store")
 	}
-	if _, _, found := watcher.askPeers(ctx, head.Revision); found {
+	if _, _, found := watcher.askPeers(ctx, head.Revision, Answers); found {
 		return nil
 	}
 	return err
@@ -243,7 +243,7 @@
 	if err == nil {
 		return head.Revision > 0 && watcher.Look(ctx) == nil && watcher.Current().Revision >= head.Revision
 	}
-	answered, highest, _ := watcher.askPeers(ctx, watcher.Current().Revision+1)
+	answered, highest, _ := watcher.askPeers(ctx, watcher.Current().Revision+1, StartPeers)
 	known := len(watcher.settings.Peers())
 	now := watcher.settings.Clock.Now()
 	*start = start.WithRound(known, answered, max(highest, watcher.Current().Revision), now)
--- a/internal/resolver/check.go
+++ b/internal/resolver/check.go
@@ -11,9 +11,11 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// LongestPoll bounds limits.poll-every: with a fifth of jitter and the fetch
-// after it, a process that hears of nothing still has a change within 13 s.
-const LongestPoll = 9 * timekeeper.Second
+// LongestPoll bounds limits.poll-every. A change that comes just after a look
+// waits for the poll with a fifth of jitter, and three calls to the store, the
+// old look's among them: 7.2 s and, with a store that takes 1.5 s for each,
+// 4.5 s. That is under the bound of 13 s also when no peer carries the news.
+const LongestPoll = 6 * timekeeper.Second
 
 // checker collects the faults between the values of one site.
 type checker struct {
--- a/internal/runner/adopt.go
+++ b/internal/runner/adopt.go
@@ -42,7 +42,7 @@
 const askerLimit = 1024
 
 // askerLife is how long an entry that is not heard of stays listed.
-const askerLife = timekeeper.Minute
+const askerLife = 45 * timekeeper.Second
 
 // askers are the entries that an agent has heard from, with the revision that
 // each carried: so the fleet's lag can be read from agents, without a row in
