--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -69,6 +69,7 @@
 			entryCommand(),
 			agentCommand(),
 			devCommand(),
+			configCommand(),
 			strikesCommand(),
 			versionCommand(),
 		},
