runner: the run frame's time counts from the grant in every case

Cause: the time of the grant was noted only where a Granted frame is sent; an idempotent call, whose run frame follows at once, was refused as late whenever the frame came after the slot. Change: noted before both ways part. Measured: TestDevServesTheWholePath 503 before, passes after. Conclusion: the dev tests cover it.

--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -104,10 +104,10 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	inbox.granted = agent.settings.Clock.Now()
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
 	}
-	inbox.granted = agent.settings.Clock.Now()
 	waited := inbox.granted.Since(arrived)
 	err := stream.Write(encoder.Of(&encoder.Granted{
 		RequestId:   offer.GetRequestId(),
