runner, forwarder: kept answers are bounded, and forgetting is not 'not run'

Cause: ended answers were kept by time alone, without a bound in bytes; and an entry that was paused past the two minutes that agents keep runs would have taken a forgotten run for one that had never been seen, and called it not run. Change: 32 MB of ended answers at most, oldest bodies first, runs stay known; 'never seen' proves 'not run' only within a minute of the offer. Tried by hand: with the bound taken out TestOldAnswers... fails, with the minute taken out TestAForgottenRun... fails.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -74,7 +74,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	stream := encoder.NewStream(conn)
-	at := contact{replica: replica}
+	at := contact{replica: replica, since: entry.settings.Clock.Now()}
 	failure, committed, lost := entry.commit(stream, call, &at, attempt)
 	switch {
 	case lost:
--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -17,6 +17,20 @@
 type contact struct {
 	replica     placer.Replica
 	incarnation uint64
+	// since is when the call was offered.
+	since timekeeper.Instant
+}
+
+// provable is how long after its offer a call that an agent has "never seen"
+// is known not to have run. Agents keep ended runs for two minutes; an entry
+// that was paused for longer would take a forgotten run for one that never
+// was. Half of that leaves room for clocks that run at different speeds.
+const provable = timekeeper.Minute
+
+// provesNotRun reports whether an agent's answer, read now, proves that the
+// call didn't run there and never will.
+func (at contact) provesNotRun(state encoder.RunState, now timekeeper.Instant) bool {
+	return state == encoder.RunState_RUN_STATE_NEVER_SEEN && now.Since(at.since) < provable
 }
 
 // lookUpPauses are the waits before each look-up after a lost connection. A
@@ -77,10 +91,10 @@
 		return classifier.Failure{}, false, true
 	}
 	defer hangUp()
-	switch found.GetState() {
-	case encoder.RunState_RUN_STATE_DONE, encoder.RunState_RUN_STATE_RUNNING:
+	switch state := found.GetState(); {
+	case state == encoder.RunState_RUN_STATE_DONE || state == encoder.RunState_RUN_STATE_RUNNING:
 		return answer.follow(stream)
-	case encoder.RunState_RUN_STATE_NEVER_SEEN:
+	case at.provesNotRun(state, entry.settings.Clock.Now()):
 		failure, done := answer.broken(classifier.New(classifier.Unreachable, "the call had not arrived when its connection broke"))
 		return failure, done, false
 	}
--- a/internal/forwarder/recover_test.go
+++ b/internal/forwarder/recover_test.go
@@ -6,8 +6,32 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
+func TestAForgottenRunIsNotTakenForOneThatNeverWas(t *testing.T) {
+	// The caller of a paused entry sees "unknown", since the order has run.
+	// The entry is stopped for minutes after it sent the call; the agent ends
+	// the run and forgets it; the entry wakes, looks up, and finds "never seen".
+	tests := []struct {
+		name  string
+		state encoder.RunState
+		after timekeeper.Span
+		want  bool
+	}{
+		{"at once", encoder.RunState_RUN_STATE_NEVER_SEEN, timekeeper.Second, true},
+		{"after a pause", encoder.RunState_RUN_STATE_NEVER_SEEN, provable, false},
+		{"another incarnation", encoder.RunState_RUN_STATE_FORGOTTEN, 0, false},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			at := contact{since: 1000}
+			So(at.provesNotRun(test.state, at.since.Add(test.after)), ShouldEqual, test.want)
+		})
+	}
+}
+
 func TestNotRunIsToldOnlyWhenItIsTrueOfEveryAttempt(t *testing.T) {
 	tests := []struct {
 		name       string
--- a/internal/runner/once_test.go
+++ b/internal/runner/once_test.go
@@ -214,3 +214,32 @@
 		}
 	}
 }
+
+func TestOldAnswersAreDroppedAndNeverCalledNotRun(t *testing.T) {
+	// A caller who comes back too late sees "no longer kept", not "not run".
+	// Ended answers fill the memory that the agent may use for them; the oldest
+	// bodies go, and their runs stay known.
+	bench := newBench(t)
+	agent := bench.agent
+	const each = 1 << 20
+	for i := range mostKept/each + 1 {
+		id := "run-" + strconv.Itoa(i)
+		kept := &run{id: id, team: "rig", answer: newAnswer(), ended: timekeeper.Instant(i + 1)}
+		kept.answer.data = make([]byte, each)
+		agent.runs[id] = kept
+	}
+	agent.mu.Lock()
+	agent.trimKept()
+	agent.mu.Unlock()
+	Convey("the oldest is forgotten, the newest is kept", t, func() {
+		oldest, _ := agent.find(&encoder.Lookup{RequestId: "run-0", Team: "rig", Tombstone: true})
+		So(oldest.GetState(), ShouldEqual, encoder.RunState_RUN_STATE_FORGOTTEN)
+		newest, _ := agent.find(&encoder.Lookup{RequestId: "run-32", Team: "rig"})
+		So(newest.GetState(), ShouldEqual, encoder.RunState_RUN_STATE_DONE)
+		total := 0
+		for _, kept := range agent.runs {
+			total += kept.answer.held()
+		}
+		So(total, ShouldBeLessThanOrEqualTo, leastKept)
+	})
+}
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -72,6 +72,7 @@
 	defer agent.mu.Unlock()
 	ended.ended = now
 	agent.endKey(ended)
+	agent.trimKept()
 	for id, known := range agent.runs {
 		if known.ended != 0 && now.Since(known.ended) > agent.settings.KeepRun {
 			delete(agent.runs, id)
