--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -34,6 +34,7 @@
 }
 
 func TestACutAtAnyByteRunsAnOrderAtMostOnce(t *testing.T) {
+	t.Parallel()
 	// The caller sees the answer as if nothing had happened, or a truthful "not run".
 	// The connection between entry and agent is cut after each single byte of a
 	// clean run, so after each frame's edge too, in each direction. The entry
@@ -72,6 +73,7 @@
 }
 
 func TestTwoEntriesWithOneKeyRunItOnce(t *testing.T) {
+	t.Parallel()
 	// Two callers see one and the same run, or a truthful "in progress".
 	// Both entries get the same key at once while the service takes its time;
 	// the claim is one row, so one agent holds it, and every other offer is led
@@ -115,6 +117,7 @@
 }
 
 func TestAStoreThatFailsDoublesNothing(t *testing.T) {
+	t.Parallel()
 	// The caller of a plain key sees "store-down, not run" and comes back later;
 	// the caller with a minted key sees its answer.
 	// Claims need the table: while it is down nothing is claimed and so nothing
@@ -171,6 +174,7 @@
 }
 
 func TestAPausedAgentRunsNothingTwice(t *testing.T) {
+	t.Parallel()
 	// The caller sees its first try break or end as unknown, and its resend
 	// get the one answer once the agent is awake.
 	// The agent is stopped in the middle of the call (SIGSTOP), the entry is
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestSeparateProcessesServeTheWholePath(t *testing.T) {
+	t.Parallel()
 	rig := newRig(t, siteConfig())
 	rig.addPlanner("planner-1", imitator.EngineSettings{})
 	rig.addPlanner("planner-2", imitator.EngineSettings{})
@@ -48,6 +49,7 @@
 }
 
 func TestACutAnswerIsNotPassedOffAsWhole(t *testing.T) {
+	t.Parallel()
 	// The caller sees its stream break instead of ending.
 	// The answer is under way when the connection from the agent to the entry
 	// is cut after 600 bytes; the entry has passed on a part and can't take it
@@ -64,6 +66,7 @@
 }
 
 func TestACallerThatLeavesFreesTheEngine(t *testing.T) {
+	t.Parallel()
 	// The caller closes its connection in the middle of a long answer.
 	// The entry tells the agent, the agent ends the upstream call, and the
 	// engine drops the sequence: nobody waits behind work that no one reads.
--- a/test/integration/resume_test.go
+++ b/test/integration/resume_test.go
@@ -48,6 +48,7 @@
 }
 
 func TestAStreamIsResumedThroughAnotherEntry(t *testing.T) {
+	t.Parallel()
 	// The caller has five events of a stream when its entry is killed.
 	// The agent keeps the run alive for its grace; the caller goes to another
 	// entry with Last-Event-ID, which finds the replica by the id alone.
@@ -84,6 +85,7 @@
 }
 
 func TestACancelReachesTheEngine(t *testing.T) {
+	t.Parallel()
 	rig := newRig(t, siteConfig())
 	rig.addPlanner("planner-1", imitator.EngineSettings{Step: 10 * timekeeper.Millisecond})
 	entry := rig.addEntry("entry-1")
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -16,6 +16,7 @@
 const wholeStream = "data: [DONE]\n\n"
 
 func TestAPlannedStopCutsNothingOff(t *testing.T) {
+	t.Parallel()
 	// The caller reads a long stream when a process on its way is told to stop.
 	// The process takes no new work from then on, relays the stream to its end,
 	// and only then exits, with code 0. The caller notices nothing.
@@ -51,6 +52,7 @@
 }
 
 func TestADrainingAgentGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	// One of two replicas is told to stop while it still streams an answer.
 	// The instance list goes on naming it. Callers whose chats live there are
 	// served by the other replica at once: the draining agent refuses, which
--- a/test/integration/strikes_test.go
+++ b/test/integration/strikes_test.go
@@ -33,6 +33,7 @@
 }
 
 func TestARequestThatCrashesEnginesCostsTwo(t *testing.T) {
+	t.Parallel()
 	// The bad request's caller sees "upstream-broken" twice, then "struck, not
 	// run"; callers that shared an engine see a broken answer once and then a whole one.
 	// Each crash strikes what was in flight. The second try runs alone, on
