forwarder: 'never seen' by an incarnation that was not told proves nothing

Cause: an idempotent call isn't told its incarnation before the answer; a look-up could reach the successor of the agent that ran it and call it not run. Change: without the incarnation the attempt is unknown; idempotent calls still go elsewhere.

--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -28,9 +28,10 @@
 const provable = timekeeper.Minute
 
 // provesNotRun reports whether an agent's answer, read now, proves that the
-// call didn't run there and never will.
+// call didn't run there and never will. An entry that was not told the
+// incarnation may be speaking to the successor of the one that ran it.
 func (at contact) provesNotRun(state encoder.RunState, now timekeeper.Instant) bool {
-	return state == encoder.RunState_RUN_STATE_NEVER_SEEN && now.Since(at.since) < provable
+	return state == encoder.RunState_RUN_STATE_NEVER_SEEN && at.incarnation != 0 && now.Since(at.since) < provable
 }
 
 // lookUpPauses are the waits before each look-up after a lost connection. A
--- a/internal/forwarder/recover_test.go
+++ b/internal/forwarder/recover_test.go
@@ -18,15 +18,17 @@
 		name  string
 		state encoder.RunState
 		after timekeeper.Span
+		known uint64
 		want  bool
 	}{
-		{"at once", encoder.RunState_RUN_STATE_NEVER_SEEN, timekeeper.Second, true},
-		{"after a pause", encoder.RunState_RUN_STATE_NEVER_SEEN, provable, false},
-		{"another incarnation", encoder.RunState_RUN_STATE_FORGOTTEN, 0, false},
+		{"at once", encoder.RunState_RUN_STATE_NEVER_SEEN, timekeeper.Second, 7, true},
+		{"after a pause", encoder.RunState_RUN_STATE_NEVER_SEEN, provable, 7, false},
+		{"an incarnation that was not told", encoder.RunState_RUN_STATE_NEVER_SEEN, 0, 0, false},
+		{"another incarnation", encoder.RunState_RUN_STATE_FORGOTTEN, 0, 7, false},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			at := contact{since: 1000}
+			at := contact{since: 1000, incarnation: test.known}
 			So(at.provesNotRun(test.state, at.since.Add(test.after)), ShouldEqual, test.want)
 		})
 	}
