runner: forgetting ended runs costs the same however many are kept

Cause: each end of a run looked at all kept runs, twice since answers are bounded: quadratic in the calls of two minutes. Change: ended runs and tombstones stand in the order of their ends. Conclusion: one path for tombstones and ended runs; the bound's test holds.

--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -87,6 +87,7 @@
 	desk     *admitter.Desk
 	granted  map[string]chan struct{}
 	runs     map[string]*run
+	kept     endedRuns
 	bySerial map[uint64]*run
 	serial   uint64
 	draining bool
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -70,15 +70,8 @@
 	now := agent.settings.Clock.Now()
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	ended.ended = now
 	agent.endKey(ended)
-	agent.trimKept()
-	for id, known := range agent.runs {
-		if known.ended != 0 && now.Since(known.ended) > agent.settings.KeepRun {
-			delete(agent.runs, id)
-			delete(agent.bySerial, known.serial)
-		}
-	}
+	agent.keep(ended, now)
 }
 
 // serveLookup tells what became of a request, and follows its answer if asked.
@@ -135,7 +128,9 @@
 func (agent *Agent) bury(lookup *encoder.Lookup) {
 	if lookup.GetTombstone() {
 		now := agent.settings.Clock.Now()
-		agent.runs[lookup.GetRequestId()] = &run{id: lookup.GetRequestId(), tomb: true, ended: now}
+		tomb := &run{id: lookup.GetRequestId(), tomb: true}
+		agent.runs[tomb.id] = tomb
+		agent.keep(tomb, now)
 		agent.settings.Record(recorder.Event{
 			At: now, Kind: recorder.Buried, Request: lookup.GetRequestId(), Service: agent.settings.Service,
 			Team: lookup.GetTeam(), Instance: agent.settings.Name, Incarnation: agent.settings.Incarnation,
