--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -45,23 +46,28 @@
 	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	made.metrics = metrics
+	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: newIncarnation()}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin, made.watcher)
 	agent, release, err := runner.New(runner.Settings{
 		Name:        settings.Name,
 		Service:     settings.Service,
 		Site:        settings.Site,
-		Incarnation: newIncarnation(),
+		Incarnation: origin.Incarnation,
 		Upstream:    settings.Upstream,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Record:      record.Record,
 	})
 	if err != nil {
+		closeRecord()
 		closeScope()
 		return nil, nil, err
 	}
 	made.agent = agent
-	return made, func() { release(); closeScope() }, nil
+	record.SetPulse(agent.Sample)
+	return made, func() { release(); closeRecord(); closeScope() }, nil
 }
 
 func (made *Agent) bind() error {
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 )
@@ -60,10 +61,13 @@
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	entry.metrics = metrics
+	origin := recorder.Origin{Group: recorder.EntryGroup, Name: settings.Name, Incarnation: newIncarnation()}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin, entry.watcher)
+	record.SetPulse(entry.alive)
 	entry.front = forwarder.New(forwarder.Settings{
 		Name:        settings.Name,
 		Site:        settings.Site,
-		Incarnation: newIncarnation(),
+		Incarnation: origin.Incarnation,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
@@ -72,8 +76,9 @@
 		Roster:      entry.view.Roster,
 		Locate:      entry.view.Locate,
 		Learn:       entry.view.Learn,
+		Record:      record.Record,
 	})
-	return entry, func() { closePool(); closeScope() }, nil
+	return entry, func() { closePool(); closeRecord(); closeScope() }, nil
 }
 
 func (entry *Entry) bind() error {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -32,6 +33,7 @@
 			return nil
 		}
 		entry.logAttempt(call, replica, failure)
+		entry.recordAttempt(call, replica, failure)
 		last = failure
 		if ctx.Err() != nil {
 			return classifier.New(classifier.CallerGone, "")
@@ -69,6 +71,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	stream := encoder.NewStream(conn)
+	entry.settings.Record(entry.event(recorder.Offered, call, replica.Name))
 	if failure, ok := entry.commit(stream, call, replica, attempt); !ok {
 		return failure, false
 	}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -102,6 +102,7 @@
 
 func (entry *Entry) refuse(w http.ResponseWriter, id string, err error) {
 	failure := classifier.Of(err)
+	entry.recordRefusal(id, failure)
 	entry.settings.Scope.Tagged(map[string]string{"kind": failure.Kind.String()}).Counter("refusals").Inc(1)
 	entry.settings.Log.WithFields(logrus.Fields{
 		"request-id": id,
--- /dev/null
+++ b/internal/forwarder/record.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
+)
+
+// ranYes is what the record says of a call that was answered from its run.
+const ranYes = "yes"
+
+// event returns an event about a call and the replica that it concerns.
+func (entry *Entry) event(kind recorder.Kind, call call, instance string) recorder.Event {
+	return recorder.Event{
+		At:         entry.settings.Clock.Now(),
+		Kind:       kind,
+		Request:    call.id,
+		Service:    call.service,
+		Team:       call.team,
+		Instance:   instance,
+		Key:        recorder.KeyHash(call.team, call.service, call.key),
+		Idempotent: call.idempotent,
+	}
+}
+
+// recordAttempt records that a replica did not take a call.
+func (entry *Entry) recordAttempt(call call, replica placer.Replica, failure classifier.Failure) {
+	event := entry.event(recorder.Refused, call, replica.Name)
+	event.Reason = failure.Kind.String()
+	event.Ran = string(classifier.AnswerOf(failure.Kind).Ran)
+	entry.settings.Record(event)
+}
+
+// recordRefusal records a problem that the caller was told.
+func (entry *Entry) recordRefusal(id string, failure classifier.Failure) {
+	entry.settings.Record(recorder.Event{
+		At:      entry.settings.Clock.Now(),
+		Kind:    recorder.Answered,
+		Request: id,
+		Reason:  failure.Kind.String(),
+		Ran:     string(classifier.AnswerOf(failure.Kind).Ran),
+	})
+}
+
+// record records an answer that went to the caller, whole or cut.
+func (answer *relayed) record(failure classifier.Failure, complete bool) {
+	entry := answer.entry
+	event := entry.event(recorder.Answered, answer.call, entry.upstreamOf(answer.head).Name)
+	event.Incarnation = answer.head.GetIncarnation()
+	event.Complete = complete
+	event.Length = answer.length
+	event.Digest = answer.digest.Sum64()
+	event.Ran = ranYes
+	if answer.head.GetReplayed() {
+		event.Detail = recorder.Replayed
+	}
+	if !complete {
+		event.Ran = string(classifier.RanUnknown)
+		event.Reason = failure.Kind.String()
+	}
+	entry.settings.Record(event)
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -121,6 +121,7 @@
 		answer.start()
 	}
 	answer.entry.settings.Scope.Counter("answers").Inc(1)
+	answer.record(classifier.Failure{}, true)
 	return classifier.Failure{}, true
 }
 
@@ -138,6 +139,7 @@
 	if !answer.started {
 		return failure, false
 	}
+	answer.record(failure, false)
 	answer.entry.logAttempt(answer.call, answer.entry.upstreamOf(answer.head), failure)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -1,6 +1,10 @@
 package recorder
 
-import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
 
 // Kind says what an event is about.
 type Kind string
@@ -43,6 +47,18 @@
 	Ordered Kind = "ordered"
 	// Gap says that events were lost before they could be stored.
 	Gap Kind = "gap"
+	// Alive says that the process lived and had recorded all that happened before.
+	Alive Kind = "alive"
+)
+
+// Details that the verifier knows.
+const (
+	// Replayed marks an answer that was kept from an earlier run of the key.
+	Replayed = "replayed"
+	// LostInQueue marks a Gap of events that found the queue full.
+	LostInQueue = "queue"
+	// LostInOutage marks a Gap of segments dropped while the store was down.
+	LostInOutage = "store"
 )
 
 // Event is one entry of the record. Fields that don't apply stay zero.
@@ -72,7 +88,25 @@
 	Detail string `json:"detail,omitempty"`
 	// Count is a number of events or calls, by the kind's meaning.
 	Count int64 `json:"count,omitempty"`
+	// Work is the estimated work of the one call that the event is about.
+	Work int64 `json:"work,omitempty"`
+	// Factor is the multiple of the mean load that the service may reach.
+	Factor float64 `json:"factor,omitempty"`
+	// First and Last are the sequence numbers that a Gap covers; zero when the
+	// lost events had none yet.
+	First uint64 `json:"first,omitempty"`
+	Last  uint64 `json:"last,omitempty"`
 }
 
 // Drop is a Record function that keeps nothing.
 func Drop(Event) {}
+
+// KeyHash returns the hash under which a caller's Idempotency-Key stands in the
+// record, and zero when there is none. Team and service are part of it, since
+// equal keys of two teams are two keys.
+func KeyHash(team, service, key string) uint64 {
+	if key == "" {
+		return 0
+	}
+	return max(1, xxhash.Sum64String(team+"\x00"+service+"\x00"+key))
+}
--- a/internal/runner/drain.go
+++ b/internal/runner/drain.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -19,9 +20,11 @@
 	agent.mu.Lock()
 	agent.draining = true
 	agent.mu.Unlock()
+	agent.recordLeaving(recorder.Draining)
 	for {
 		left := agent.inFlight()
 		if left == 0 {
+			agent.recordLeaving(recorder.Drained)
 			return nil
 		}
 		if err := agent.settings.Clock.Sleep(ctx, drainLook); err != nil {
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -94,6 +94,7 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	agent.recordGrant(offer)
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
 	}
@@ -212,6 +213,7 @@
 }
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
+	agent.recordRefusal(offer, failure)
 	return &encoder.Refused{
 		RequestId:   offer.GetRequestId(),
 		Kind:        failure.Kind.String(),
--- /dev/null
+++ b/internal/runner/record.go
@@ -0,0 +1,86 @@
+package runner
+
+import (
+	"math"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
+)
+
+// event returns an event about an offer, with what most kinds share.
+func (agent *Agent) event(kind recorder.Kind, offer *encoder.Offer) recorder.Event {
+	return recorder.Event{
+		At:          agent.settings.Clock.Now(),
+		Kind:        kind,
+		Request:     offer.GetRequestId(),
+		Service:     agent.settings.Service,
+		Team:        offer.GetTeam(),
+		Instance:    agent.settings.Name,
+		Incarnation: agent.settings.Incarnation,
+		Key:         recorder.KeyHash(offer.GetTeam(), agent.settings.Service, offer.GetKey()),
+		Fingerprint: offer.GetFingerprint(),
+		Idempotent:  offer.GetIdempotent(),
+	}
+}
+
+// recordGrant records a slot that was given, with the load that the replica
+// then held and the bound that the mean load set.
+func (agent *Agent) recordGrant(offer *encoder.Offer) {
+	event := agent.event(recorder.Granted, offer)
+	event.Work = offer.GetWork()
+	agent.mu.Lock()
+	event.Load = agent.desk.Load().Work
+	agent.mu.Unlock()
+	event.Factor = agent.service.LoadFactor
+	if mean := agent.settings.Mean(); mean.Replicas > 0 {
+		share := float64(mean.Total+event.Work) / float64(mean.Replicas)
+		event.Bound = int64(math.Ceil(event.Factor * share))
+	}
+	agent.settings.Record(event)
+}
+
+// recordRefusal records what the agent told the entry.
+func (agent *Agent) recordRefusal(offer *encoder.Offer, failure classifier.Failure) {
+	event := agent.event(recorder.Refused, offer)
+	event.Reason = failure.Kind.String()
+	event.Ran = string(classifier.AnswerOf(failure.Kind).Ran)
+	agent.settings.Record(event)
+}
+
+// recordEnd records how a run ended; the load is what stays when it is gone.
+func (agent *Agent) recordEnd(offer *encoder.Offer, answer *answer) {
+	event := agent.event(recorder.Ended, offer)
+	answer.mu.Lock()
+	event.Complete = answer.end.GetComplete()
+	event.Length = answer.end.GetLength()
+	event.Digest = answer.end.GetDigest()
+	event.Reason = answer.end.GetKind()
+	answer.mu.Unlock()
+	agent.mu.Lock()
+	event.Load = agent.desk.Load().Work - offer.GetWork()
+	agent.mu.Unlock()
+	agent.settings.Record(event)
+}
+
+// recordLeaving records that the agent drains, or that it has drained.
+func (agent *Agent) recordLeaving(kind recorder.Kind) {
+	agent.settings.Record(agent.event(kind, nil))
+}
+
+// Sample returns the event that tells the agent's load beside the mean of its
+// service.
+func (agent *Agent) Sample() recorder.Event {
+	event := agent.event(recorder.Sampled, nil)
+	agent.mu.Lock()
+	load := agent.desk.Load()
+	agent.mu.Unlock()
+	event.Load = load.Work
+	event.Count = int64(load.Running + load.Waiting)
+	event.Factor = agent.service.LoadFactor
+	event.Revision = agent.settings.Config().Revision
+	if mean := agent.settings.Mean(); mean.Replicas > 0 {
+		event.Bound = int64(math.Ceil(event.Factor * float64(mean.Total) / float64(mean.Replicas)))
+	}
+	return event
+}
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -48,9 +49,11 @@
 	agent.runs[started.id] = started
 	agent.bySerial[started.serial] = started
 	agent.mu.Unlock()
+	agent.settings.Record(agent.event(recorder.Committed, offer))
 	go func() {
 		defer cancel()
 		agent.upstream.call(ctx, agent.settings, offer, commit, started)
+		agent.recordEnd(offer, started.answer)
 		agent.finish(started)
 	}()
 	return started, classifier.Failure{}, true
