verifier: chains checked, and a verdict on each of the seven promises

Cause: a record helps only when it can convict. Change: Verify finds changed, dropped and moved records; Judge says held, broken with the records, or not provable with the gap; audit verify and audit report print text, JSON and a page.

--- /dev/null
+++ b/cmd/trefoilseam/audit.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"io"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
+	"github.com/trefoilseam/trefoilseam/internal/verifier"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Outcomes of an audit that end with exit code 1.
+var (
+	errNotHeld  = eris.New("not every promise is shown to have held")
+	errTampered = eris.New("the record is not as it was written")
+)
+
+// settle is how far before now a report ends by default: what a live process
+// has recorded since may still wait to be flushed.
+const settle = 30 * timekeeper.Second
+
+// auditFlags are the flags of the audit commands.
+type auditFlags struct {
+	platform *string
+	asJSON   *bool
+}
+
+func newAuditFlags(name string) (*flag.FlagSet, auditFlags) {
+	flags := flag.NewFlagSet("trefoilseam audit "+name, flag.ContinueOnError)
+	return flags, auditFlags{
+		platform: flags.String("platform", "", "base address of the platform, such as http://127.0.0.1:7000"),
+		asJSON:   flags.Bool("json", false, "print JSON"),
+	}
+}
+
+func auditCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:        "audit",
+		ShortUsage:  "trefoilseam audit report|verify [flags]",
+		ShortHelp:   "check the fleet's own record",
+		FlagSet:     flag.NewFlagSet("trefoilseam audit", flag.ContinueOnError),
+		Subcommands: []*ffcli.Command{auditReportCommand(), auditVerifyCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func auditVerifyCommand() *ffcli.Command {
+	flags, common := newAuditFlags("verify")
+	return &ffcli.Command{
+		Name:       "verify",
+		ShortUsage: "trefoilseam audit verify -platform ADDRESS [-json]",
+		ShortHelp:  "find every changed, dropped or moved record",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			trail, err := common.trail(ctx)
+			if err != nil {
+				return err
+			}
+			if err := common.print(trail.Summary(), trail.WriteText); err != nil {
+				return err
+			}
+			if len(trail.Findings) > 0 {
+				return errTampered
+			}
+			return nil
+		},
+	}
+}
+
+func auditReportCommand() *ffcli.Command {
+	flags, common := newAuditFlags("report")
+	from := flags.String("from", "", "start of the time to judge, RFC 3339; empty means the last 24 hours")
+	until := flags.String("until", "", "end of the time to judge, RFC 3339; empty means 30 seconds ago")
+	page := flags.String("html", "", "file to write the report to as a page")
+	skew := flags.Duration("skew", 0, "how far clocks of processes may differ; 0 means 500ms")
+	leave := flags.Duration("leave-within", 0, "how long a leaving replica may take new work; 0 means 3s")
+	inForce := flags.Duration("in-force-within", 0, "how long a configuration may take to be in force; 0 means 13s")
+	return &ffcli.Command{
+		Name:       "report",
+		ShortUsage: "trefoilseam audit report -platform ADDRESS [-from TIME] [-until TIME] [-json] [-html FILE]",
+		ShortHelp:  "say of each promise whether it held",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
+		Exec: func(ctx context.Context, _ []string) error {
+			settings, err := auditRange(*from, *until)
+			if err != nil {
+				return err
+			}
+			settings.Skew = timekeeper.Span(skew.Milliseconds())
+			settings.LeaveWithin = timekeeper.Span(leave.Milliseconds())
+			settings.InForceWithin = timekeeper.Span(inForce.Milliseconds())
+			return common.report(ctx, settings, *page)
+		},
+	}
+}
+
+// auditRange reads the time range of a report.
+func auditRange(from, until string) (verifier.Settings, error) {
+	now := timekeeper.Wall().Now()
+	settings := verifier.Settings{From: now.Add(-24 * timekeeper.Hour), Until: now.Add(-settle)}
+	if err := readTime("from", from, &settings.From); err != nil {
+		return settings, err
+	}
+	if err := readTime("until", until, &settings.Until); err != nil {
+		return settings, err
+	}
+	if settings.Until <= settings.From {
+		return settings, eris.Wrapf(errUsage, "-until %s is not after -from %s", settings.Until, settings.From)
+	}
+	return settings, nil
+}
+
+func readTime(name, text string, out *timekeeper.Instant) error {
+	if text == "" {
+		return nil
+	}
+	moment, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return eris.Wrapf(errUsage, "-%s is %q; write a time such as 2026-01-31T06:00:00Z", name, text)
+	}
+	*out = timekeeper.FromTime(moment)
+	return nil
+}
+
+// trail reads and verifies the whole record.
+func (common auditFlags) trail(ctx context.Context) (verifier.Trail, error) {
+	if *common.platform == "" {
+		return verifier.Trail{}, eris.Wrap(errUsage, "-platform is missing")
+	}
+	platform, closePlatform := storekeeper.Remote(*common.platform)
+	defer closePlatform()
+	objects, err := verifier.Fetch(ctx, platform.Objects, timekeeper.Wall())
+	if err != nil {
+		return verifier.Trail{}, err
+	}
+	return verifier.Verify(objects), nil
+}
+
+func (common auditFlags) report(ctx context.Context, settings verifier.Settings, page string) error {
+	trail, err := common.trail(ctx)
+	if err != nil {
+		return err
+	}
+	report := verifier.Judge(trail, settings)
+	if page != "" {
+		if err := writePage(report, page); err != nil {
+			return err
+		}
+	}
+	if err := common.print(report, report.WriteText); err != nil {
+		return err
+	}
+	if !report.Held() {
+		return errNotHeld
+	}
+	return nil
+}
+
+func (common auditFlags) print(value any, text func(io.Writer)) error {
+	if !*common.asJSON {
+		text(os.Stdout)
+		return nil
+	}
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", "  ")
+	return eris.Wrap(out.Encode(value), "print")
+}
+
+func writePage(report verifier.Report, page string) error {
+	file, err := os.Create(page)
+	if err != nil {
+		return eris.Wrap(err, "page")
+	}
+	if err := report.WriteHTML(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return eris.Wrap(file.Close(), "page")
+}
--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -63,6 +63,7 @@
 			entryCommand(),
 			agentCommand(),
 			devCommand(),
+			auditCommand(),
 			versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -275,7 +275,7 @@
 		"segment": segment.Name(),
 		"records": segment.Records(),
 		"link":    hex.EncodeToString(segment.Link[:]),
-	}).Debug("segment stored")
+	}).Info("segment stored")
 }
 
 // put stores a segment. The failure: the answer to a write is lost after the
@@ -286,7 +286,8 @@
 	ctx, cancel := context.WithTimeout(ctx, putTimeout.Duration())
 	defer cancel()
 	err := made.settings.Objects.Put(ctx, segment.Name(), segment.Body)
-	if err == nil || !(eris.Is(err, storekeeper.ErrUnknown) || eris.Is(err, storekeeper.ErrConflict)) {
+	settle := eris.Is(err, storekeeper.ErrUnknown) || eris.Is(err, storekeeper.ErrConflict)
+	if !settle {
 		return err
 	}
 	there, readErr := made.settings.Objects.Get(ctx, segment.Name())
--- /dev/null
+++ b/internal/verifier/court.go
@@ -0,0 +1,191 @@
+package verifier
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// place is one incarnation of one instance, as records name it.
+type place struct {
+	name        string
+	incarnation uint64
+}
+
+// court holds the evidence by what the rules ask for.
+type court struct {
+	settings     Settings
+	incarnations []Incarnation
+	// all is the evidence of all processes in order of time.
+	all       []Evidence
+	byRequest map[string][]Evidence
+	byPlace   map[place]*Incarnation
+	gaps      []Gap
+	// unrecorded are requests that ran though no entry's record offers them.
+	unrecorded []string
+}
+
+func newCourt(trail Trail, settings Settings) *court {
+	made := &court{
+		settings:     settings,
+		incarnations: trail.Incarnations,
+		byRequest:    map[string][]Evidence{},
+		byPlace:      map[place]*Incarnation{},
+		gaps:         trail.Gaps(),
+	}
+	for i := range trail.Incarnations {
+		incarnation := &trail.Incarnations[i]
+		made.byPlace[place{incarnation.Origin.Name, incarnation.Origin.Incarnation}] = incarnation
+		for _, record := range incarnation.Records {
+			made.all = append(made.all, Evidence{Origin: incarnation.Origin, Record: record})
+		}
+	}
+	slices.SortStableFunc(made.all, func(a, b Evidence) int { return cmp.Compare(a.At, b.At) })
+	for _, evidence := range made.all {
+		if evidence.Request != "" {
+			made.byRequest[evidence.Request] = append(made.byRequest[evidence.Request], evidence)
+		}
+	}
+	made.missing()
+	return made
+}
+
+// missing finds incarnations that others' records name and that have none
+// themselves: the one way to drop records that no chain can show.
+func (court *court) missing() {
+	named := map[place]bool{}
+	for _, evidence := range court.all {
+		at := place{evidence.Instance, evidence.Incarnation}
+		if evidence.Kind == recorder.Answered && at.incarnation != 0 && court.byPlace[at] == nil && !named[at] {
+			named[at] = true
+			court.gaps = append(court.gaps, Gap{
+				Origin: recorder.Origin{Group: evidence.Service, Name: at.name, Incarnation: at.incarnation},
+				Until:  never,
+				Reason: fmt.Sprintf("no record at all, though %s names it", evidence),
+				Open:   true,
+			})
+		}
+		if evidence.Kind == recorder.Committed && !court.offered(evidence) && court.inRange(evidence) {
+			court.unrecorded = append(court.unrecorded, fmt.Sprintf("%s ran, and no entry's record offers it: %s", evidence.Request, evidence))
+		}
+	}
+}
+
+func (court *court) offered(committed Evidence) bool {
+	return slices.ContainsFunc(court.byRequest[committed.Request], func(other Evidence) bool {
+		return other.Kind == recorder.Offered
+	})
+}
+
+func (court *court) inRange(evidence Evidence) bool {
+	return evidence.At >= court.settings.From && evidence.At <= court.settings.Until
+}
+
+// each calls look for every record of a kind within the range, in order of time.
+func (court *court) each(kind recorder.Kind, look func(evidence Evidence)) {
+	for _, evidence := range court.all {
+		if evidence.Kind == kind && court.inRange(evidence) {
+			look(evidence)
+		}
+	}
+}
+
+// about returns the records of a kind about a request.
+func (court *court) about(request string, kind recorder.Kind) []Evidence {
+	var found []Evidence
+	for _, evidence := range court.byRequest[request] {
+		if evidence.Kind == kind {
+			found = append(found, evidence)
+		}
+	}
+	return found
+}
+
+// gapsInRange returns the gaps that reach into the range that is judged.
+func (court *court) gapsInRange() []Gap {
+	var found []Gap
+	for _, gap := range court.gaps {
+		if gap.overlaps(court.settings.From, court.settings.Until.Add(-1)) {
+			found = append(found, gap)
+		}
+	}
+	return found
+}
+
+func atEntry(gap Gap) bool {
+	return gap.Origin.Group == recorder.EntryGroup
+}
+
+// gapOf returns a gap of one incarnation that reaches past an instant.
+func (court *court) gapOf(at place, after timekeeper.Instant) (Gap, bool) {
+	for _, gap := range court.gaps {
+		if gap.Origin.Name == at.name && gap.Origin.Incarnation == at.incarnation && gap.Until.Add(court.settings.Skew) >= after {
+			return gap, true
+		}
+	}
+	return Gap{}, false
+}
+
+// doubtEntries doubts a verdict that rests on what entries told: each gap of an
+// entry, and each run that no entry's record accounts for.
+func (court *court) doubtEntries(verdict *Verdict) {
+	for _, gap := range court.gapsInRange() {
+		if atEntry(gap) {
+			verdict.doubt(gap.String())
+		}
+	}
+	for _, reason := range court.unrecorded {
+		verdict.doubt(reason)
+	}
+}
+
+// doubtAgents doubts a verdict that rests on what agents did. A gap counts when
+// an entry offered that agent a call that matters around it and the agent's
+// record doesn't tell the call's fate, or when an entry's own record is not
+// whole at that time.
+func (court *court) doubtAgents(verdict *Verdict, matters func(offered Evidence) bool) {
+	gaps := court.gapsInRange()
+	for _, gap := range gaps {
+		if atEntry(gap) {
+			continue
+		}
+		if hidden, ok := court.hidden(gap, matters); ok {
+			verdict.doubt(fmt.Sprintf("%s; it may hide the fate of %s", gap, hidden))
+			continue
+		}
+		blind := slices.ContainsFunc(gaps, func(other Gap) bool {
+			return atEntry(other) && other.overlaps(gap.From, gap.Until)
+		})
+		if blind {
+			verdict.doubt(gap.String() + "; an entry's record has a gap there too")
+		}
+	}
+}
+
+// hidden returns an offer whose fate a gap of an agent may hide.
+func (court *court) hidden(gap Gap, matters func(offered Evidence) bool) (Evidence, bool) {
+	from, until := gap.From.Add(-court.settings.Hidden), gap.Until.Add(court.settings.Skew)
+	for _, evidence := range court.all {
+		near := evidence.At >= from && evidence.At <= until
+		if near && evidence.Kind == recorder.Offered && evidence.Instance == gap.Origin.Name &&
+			matters(evidence) && !court.fateKnown(evidence) {
+			return evidence, true
+		}
+	}
+	return Evidence{}, false
+}
+
+// fateKnown reports whether the agent's record tells what became of an offer.
+func (court *court) fateKnown(offered Evidence) bool {
+	return slices.ContainsFunc(court.byRequest[offered.Request], func(other Evidence) bool {
+		if other.Origin.Name != offered.Instance {
+			return false
+		}
+		return other.Kind == recorder.Committed || other.Kind == recorder.Refused
+	})
+}
+
+func anyCall(Evidence) bool { return true }
--- /dev/null
+++ b/internal/verifier/report.go
@@ -0,0 +1,189 @@
+package verifier
+
+import (
+	"fmt"
+
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Settings say what is judged. Fields without a stated default must be set.
+type Settings struct {
+	// From and Until bound the time that is judged, both included.
+	From  timekeeper.Instant
+	Until timekeeper.Instant
+	// Skew is how far the clocks of two processes may differ; zero means 500 milliseconds.
+	Skew timekeeper.Span
+	// LeaveWithin is how long after Draining new work may still be granted;
+	// zero means 3 seconds.
+	LeaveWithin timekeeper.Span
+	// InForceWithin is how long an accepted configuration may take; zero means 13 seconds.
+	InForceWithin timekeeper.Span
+	// Hidden is how long before a gap a call may have been offered whose fate
+	// the gap hides; zero means 1 minute.
+	Hidden timekeeper.Span
+}
+
+func (settings Settings) withDefaults() Settings {
+	orDefault(&settings.Skew, 500*timekeeper.Millisecond)
+	orDefault(&settings.LeaveWithin, 3*timekeeper.Second)
+	orDefault(&settings.InForceWithin, 13*timekeeper.Second)
+	orDefault(&settings.Hidden, timekeeper.Minute)
+	return settings
+}
+
+func orDefault(field *timekeeper.Span, value timekeeper.Span) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Outcome is the verdict on a promise.
+type Outcome string
+
+// The outcomes.
+const (
+	Held        Outcome = "held"
+	Broken      Outcome = "broken"
+	NotProvable Outcome = "not provable"
+)
+
+// Evidence is one record of one incarnation.
+type Evidence struct {
+	Origin recorder.Origin `json:"origin"`
+	recorder.Record
+}
+
+// String names the record.
+func (evidence Evidence) String() string {
+	return fmt.Sprintf("%s record %d (%s at %s)", evidence.Origin, evidence.Sequence, evidence.Kind, evidence.At)
+}
+
+// Breach is a contradiction between a promise and the record.
+type Breach struct {
+	Reason  string     `json:"reason"`
+	Records []Evidence `json:"records"`
+}
+
+// Verdict says whether one promise held.
+type Verdict struct {
+	Number  int     `json:"number"`
+	Promise string  `json:"promise"`
+	Rule    string  `json:"rule"`
+	Outcome Outcome `json:"outcome"`
+	// Checked is how many records the rule was put to.
+	Checked  int      `json:"checked"`
+	Breaches []Breach `json:"breaches,omitempty"`
+	// Doubts name what is missing that could hide a breach.
+	Doubts []string `json:"doubts,omitempty"`
+}
+
+func (verdict *Verdict) breach(reason string, records ...Evidence) {
+	verdict.Breaches = append(verdict.Breaches, Breach{Reason: reason, Records: records})
+}
+
+// doubt adds a reason once.
+func (verdict *Verdict) doubt(reason string) {
+	for _, known := range verdict.Doubts {
+		if known == reason {
+			return
+		}
+	}
+	verdict.Doubts = append(verdict.Doubts, reason)
+}
+
+// Report is the verdict on each promise over a time.
+type Report struct {
+	From         timekeeper.Instant `json:"from"`
+	Until        timekeeper.Instant `json:"until"`
+	Skew         timekeeper.Span    `json:"skew"`
+	Incarnations int                `json:"incarnations"`
+	Segments     int                `json:"segments"`
+	Records      int                `json:"records"`
+	Verdicts     []Verdict          `json:"verdicts"`
+	Findings     []Finding          `json:"findings,omitempty"`
+	Gaps         []Gap              `json:"gaps,omitempty"`
+	Skews        []Skew             `json:"skews,omitempty"`
+	Answers      []AnswerCount      `json:"answers,omitempty"`
+}
+
+// Held reports whether every promise held and the record is untouched.
+func (report Report) Held() bool {
+	for _, verdict := range report.Verdicts {
+		if verdict.Outcome != Held {
+			return false
+		}
+	}
+	return len(report.Findings) == 0
+}
+
+// rule is one promise and the function that checks it.
+type rule struct {
+	promise string
+	text    string
+	check   func(court *court, verdict *Verdict)
+}
+
+var rules = [...]rule{
+	{
+		"No engine carries more than a set multiple of the mean load across its service.",
+		"Each granted call found its replica's load at or under the bound that the mean set.",
+		(*court).loadBound,
+	},
+	{
+		"Every caller gets the whole answer to their own request.",
+		"Each answer told as whole was offered by that entry, ended whole at that agent with the same " +
+			"request, length and digest, and was told once.",
+		(*court).wholeAnswers,
+	},
+	{
+		"When a request is refused as not run, it was not run.",
+		"No request that anyone was told had not run was committed there, or anywhere for a caller.",
+		(*court).notRun,
+	},
+	{
+		"A non-idempotent request runs at most once.",
+		"For each key, and for each request without one, at most one non-idempotent run was committed.",
+		(*court).atMostOnce,
+	},
+	{
+		"A leaving upstream receives no new work after a few seconds.",
+		"No call was granted at a replica later than the stated time after draining.",
+		(*court).leaving,
+	},
+	{
+		"Every planned stop cuts off no request in flight.",
+		"At a process that drained or stopped, each committed run ended, each offered call was answered, " +
+			"and no whole answer was cut on its way.",
+		(*court).plannedStops,
+	},
+	{
+		"An accepted configuration is in force everywhere within seconds and never reverts.",
+		"Revisions in force never fall, accepted revisions rise, and each is in force at each live process in time.",
+		(*court).configuration,
+	},
+}
+
+// Judge gives a verdict on each promise from a verified trail.
+func Judge(trail Trail, settings Settings) Report {
+	settings = settings.withDefaults()
+	court := newCourt(trail, settings)
+	report := Report{
+		From: settings.From, Until: settings.Until, Skew: settings.Skew,
+		Incarnations: len(trail.Incarnations), Segments: trail.Segments, Records: trail.Records,
+		Findings: trail.Findings, Gaps: court.gapsInRange(),
+		Skews: court.skews(), Answers: court.answers(),
+	}
+	for i, rule := range rules {
+		verdict := Verdict{Number: i + 1, Promise: rule.promise, Rule: rule.text, Outcome: Held}
+		rule.check(court, &verdict)
+		switch {
+		case len(verdict.Breaches) > 0:
+			verdict.Outcome = Broken
+		case len(verdict.Doubts) > 0:
+			verdict.Outcome = NotProvable
+		}
+		report.Verdicts = append(report.Verdicts, verdict)
+	}
+	return report
+}
--- /dev/null
+++ b/internal/verifier/rules_calls.go
@@ -0,0 +1,222 @@
+package verifier
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
+)
+
+// loadBound checks promise 1. A call is admitted when the load before it is at
+// or under the bound, so one call more than the bound may run: the rounding up
+// of the bound (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with
+// Bounded Loads", 2018). A grant made without a mean is judged by the mean that
+// the records of all agents give together.
+func (court *court) loadBound(verdict *Verdict) {
+	loads := tally{}
+	for _, evidence := range court.all {
+		if evidence.Kind == recorder.Granted && court.inRange(evidence) {
+			verdict.Checked++
+			court.judgeGrant(verdict, evidence, loads[evidence.Service])
+		}
+		loads.note(evidence)
+	}
+	court.doubtAgents(verdict, anyCall)
+}
+
+func (court *court) judgeGrant(verdict *Verdict, grant Evidence, loads serviceLoads) {
+	before := grant.Load - grant.Work
+	if grant.Bound > 0 {
+		if before > grant.Bound {
+			verdict.breach(fmt.Sprintf("granted at load %d, over the bound %d", before, grant.Bound), grant)
+		}
+		return
+	}
+	total, replicas := loads.sum()
+	if replicas <= 1 || before <= 0 {
+		return
+	}
+	limit := int64(math.Ceil(grant.Factor * float64(total+grant.Work) / float64(replicas)))
+	if before > limit {
+		verdict.doubt(fmt.Sprintf("%s knew no mean; the records give the bound %d, and the load was %d", grant, limit, before))
+	}
+}
+
+// serviceLoads are the last known loads of a service's replicas.
+type serviceLoads map[place]int64
+
+func (loads serviceLoads) sum() (total int64, replicas int) {
+	for _, load := range loads {
+		total += load
+	}
+	return total, len(loads)
+}
+
+// tally follows the loads of all services through time.
+type tally map[string]serviceLoads
+
+func (loads tally) note(evidence Evidence) {
+	at := place{evidence.Origin.Name, evidence.Origin.Incarnation}
+	service := loads[evidence.Origin.Group]
+	if service == nil {
+		service = serviceLoads{}
+		loads[evidence.Origin.Group] = service
+	}
+	switch evidence.Kind {
+	case recorder.Granted, recorder.Ended, recorder.Sampled:
+		service[at] = max(0, evidence.Load)
+	case recorder.Started:
+		if evidence.Origin.Group != recorder.EntryGroup {
+			service[at] = 0
+		}
+	case recorder.Stopped, recorder.Draining:
+		delete(service, at)
+	}
+}
+
+// wholeAnswers checks promise 2.
+func (court *court) wholeAnswers(verdict *Verdict) {
+	told := map[string]Evidence{}
+	court.each(recorder.Answered, func(answer Evidence) {
+		verdict.Checked++
+		if first, twice := told[answer.Request]; twice {
+			verdict.breach("one request was answered twice", first, answer)
+		}
+		told[answer.Request] = answer
+		if answer.Complete {
+			court.judgeAnswer(verdict, answer)
+		}
+	})
+	court.doubtEntries(verdict)
+}
+
+func (court *court) judgeAnswer(verdict *Verdict, answer Evidence) {
+	offered := false
+	for _, offer := range court.about(answer.Request, recorder.Offered) {
+		offered = offered || offer.Origin == answer.Origin && offer.Instance == answer.Instance
+	}
+	from := place{answer.Origin.Name, answer.Origin.Incarnation}
+	gap, entryGap := court.gapOf(from, 0)
+	switch {
+	case !offered && entryGap:
+		verdict.doubt(fmt.Sprintf("no offer is on record for %s; %s", answer, gap))
+		return
+	case !offered:
+		verdict.breach("the entry answered a request that it did not offer to that replica", answer)
+		return
+	}
+	run, near := court.runOf(answer)
+	if run {
+		return
+	}
+	if gap, ok := court.gapOf(place{answer.Instance, answer.Incarnation}, answer.At.Add(-court.settings.Hidden)); ok && near == nil {
+		verdict.doubt(fmt.Sprintf("no run is on record for %s; %s", answer, gap))
+		return
+	}
+	verdict.breach("an answer told as whole did not end whole at its agent with this length and digest", append([]Evidence{answer}, near...)...)
+}
+
+// runOf reports whether an answer's run ended whole with the same body, and
+// else returns the run that is nearest.
+func (court *court) runOf(answer Evidence) (bool, []Evidence) {
+	replayed := answer.Detail == recorder.Replayed
+	at := place{answer.Instance, answer.Incarnation}
+	incarnation := court.byPlace[at]
+	if incarnation == nil {
+		return false, nil
+	}
+	var near []Evidence
+	for _, record := range incarnation.Records {
+		mine := record.Request == answer.Request || replayed && answer.Key != 0 && record.Key == answer.Key
+		if record.Kind != recorder.Ended || !mine {
+			continue
+		}
+		if record.Complete && record.Length == answer.Length && record.Digest == answer.Digest {
+			return true, nil
+		}
+		near = []Evidence{{Origin: incarnation.Origin, Record: record}}
+	}
+	return false, near
+}
+
+// toldNo is what a caller or peer was told of a request that had not run.
+const toldNo = string(classifier.RanNo)
+
+// notRun checks promise 3: for callers against every run, and for what agents
+// told entries against that agent's own runs.
+func (court *court) notRun(verdict *Verdict) {
+	court.each(recorder.Answered, func(answer Evidence) {
+		if answer.Ran != toldNo {
+			return
+		}
+		verdict.Checked++
+		for _, run := range court.about(answer.Request, recorder.Committed) {
+			verdict.breach("the caller was told that the request did not run, and it ran", answer, run)
+		}
+	})
+	court.notRunThere(verdict)
+	court.doubtEntries(verdict)
+	court.doubtAgents(verdict, func(offered Evidence) bool {
+		for _, answer := range court.about(offered.Request, recorder.Answered) {
+			if answer.Ran != toldNo {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// notRunThere checks what agents told entries against their own runs.
+func (court *court) notRunThere(verdict *Verdict) {
+	look := func(refusal Evidence) {
+		if refusal.Origin.Group == recorder.EntryGroup {
+			return
+		}
+		verdict.Checked++
+		for _, run := range court.about(refusal.Request, recorder.Committed) {
+			if run.Origin == refusal.Origin {
+				verdict.breach("the agent said that the request did not run there, and it ran", refusal, run)
+			}
+		}
+	}
+	court.each(recorder.Buried, look)
+	court.each(recorder.Refused, func(refusal Evidence) {
+		if refusal.Ran == toldNo {
+			look(refusal)
+		}
+	})
+}
+
+// claim is what may run once: a key, or a request without one.
+type claim struct {
+	key     uint64
+	request string
+}
+
+// atMostOnce checks promise 4. Runs outside the range count too: the second run
+// of an old key is as bad.
+func (court *court) atMostOnce(verdict *Verdict) {
+	first := map[claim]Evidence{}
+	for _, run := range court.all {
+		if run.Kind != recorder.Committed || run.Idempotent {
+			continue
+		}
+		one := claim{key: run.Key}
+		if run.Key == 0 {
+			one.request = run.Request
+		}
+		before, twice := first[one]
+		if !twice {
+			first[one] = run
+		}
+		if !court.inRange(run) {
+			continue
+		}
+		verdict.Checked++
+		if twice {
+			verdict.breach("a non-idempotent request ran twice", before, run)
+		}
+	}
+	court.doubtAgents(verdict, func(offered Evidence) bool { return !offered.Idempotent })
+}
--- /dev/null
+++ b/internal/verifier/series.go
@@ -0,0 +1,98 @@
+package verifier
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Skew is how far the busiest replica of a service is from the mean.
+type Skew struct {
+	At      timekeeper.Instant `json:"at"`
+	Service string             `json:"service"`
+	// Ratio is the highest load over the mean load.
+	Ratio float64 `json:"ratio"`
+	Max   int64   `json:"max"`
+	Mean  float64 `json:"mean"`
+}
+
+// AnswerCount is what callers were told in one part of the range.
+type AnswerCount struct {
+	At      timekeeper.Instant `json:"at"`
+	Whole   int                `json:"whole"`
+	NotRun  int                `json:"not-run"`
+	Unknown int                `json:"unknown"`
+}
+
+// parts is how many points a plot has at most.
+const parts = 120
+
+// step returns the length of one part of the range.
+func (court *court) step() timekeeper.Span {
+	return max(1, (court.settings.Until.Since(court.settings.From)+parts-1)/parts)
+}
+
+func (court *court) part(at timekeeper.Instant) timekeeper.Instant {
+	step := court.step()
+	return court.settings.From.Add(at.Since(court.settings.From) / step * step)
+}
+
+// spot is one part of the range at one service.
+type spot struct {
+	at      timekeeper.Instant
+	service string
+}
+
+// skews returns the highest skew of each service in each part of the range.
+func (court *court) skews() []Skew {
+	loads := tally{}
+	highest := map[spot]Skew{}
+	for _, evidence := range court.all {
+		loads.note(evidence)
+		service := evidence.Origin.Group
+		total, replicas := loads[service].sum()
+		if !court.inRange(evidence) || total == 0 || replicas == 0 {
+			continue
+		}
+		at := spot{court.part(evidence.At), service}
+		mean := float64(total) / float64(replicas)
+		top := int64(0)
+		for _, load := range loads[service] {
+			top = max(top, load)
+		}
+		if ratio := float64(top) / mean; ratio > highest[at].Ratio {
+			highest[at] = Skew{At: at.at, Service: service, Ratio: ratio, Max: top, Mean: mean}
+		}
+	}
+	skews := make([]Skew, 0, len(highest))
+	for _, skew := range highest {
+		skews = append(skews, skew)
+	}
+	slices.SortFunc(skews, func(a, b Skew) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.At, b.At))
+	})
+	return skews
+}
+
+// answers counts what callers were told in each part of the range.
+func (court *court) answers() []AnswerCount {
+	var counts []AnswerCount
+	court.each(recorder.Answered, func(answer Evidence) {
+		at := court.part(answer.At)
+		if len(counts) == 0 || counts[len(counts)-1].At != at {
+			counts = append(counts, AnswerCount{At: at})
+		}
+		count := &counts[len(counts)-1]
+		switch {
+		case answer.Complete:
+			count.Whole++
+		case answer.Ran == toldNo:
+			count.NotRun++
+		default:
+			count.Unknown++
+		}
+	})
+	return counts
+}
