recorder: what the last seal drops is declared before Stopped

Cause: a process stopped after an outage dropped segments with its last seal and declared them in a segment that was never sealed: verification found a hole. Change: the last segment drops nothing; resumed answers are judged by length. Conclusion: found by the verifier itself.

--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -54,6 +54,9 @@
 	if answer.head.GetReplayed() {
 		event.Detail = recorder.Replayed
 	}
+	if answer.resumed {
+		event.Detail, event.Digest = recorder.Resumed, 0
+	}
 	if !complete {
 		event.Ran = string(classifier.RanUnknown)
 		event.Reason = failure.Kind.String()
--- a/internal/recorder/backlog.go
+++ b/internal/recorder/backlog.go
@@ -28,8 +28,7 @@
 // Push adds a segment. It returns the events that declare what was dropped,
 // which must go into the same chain.
 func (backlog *Backlog) Push(segment Segment) []Event {
-	backlog.segments = append(backlog.segments, segment)
-	backlog.bytes += len(segment.Body)
+	backlog.PushLast(segment)
 	dropped := false
 	for backlog.bytes > backlog.limit && len(backlog.segments) > 1 {
 		backlog.drop()
@@ -47,6 +46,13 @@
 	return gaps
 }
 
+// PushLast adds the last segment of a chain. It drops nothing, even past the
+// limit: no record could follow to declare it.
+func (backlog *Backlog) PushLast(segment Segment) {
+	backlog.segments = append(backlog.segments, segment)
+	backlog.bytes += len(segment.Body)
+}
+
 func (backlog *Backlog) drop() {
 	oldest := backlog.segments[0]
 	backlog.remove()
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -55,6 +55,9 @@
 const (
 	// Replayed marks an answer that was kept from an earlier run of the key.
 	Replayed = "replayed"
+	// Resumed marks the rest of an answer, sent to a caller that has its start;
+	// it carries the whole length, and no digest.
+	Resumed = "resumed"
 	// LostInQueue marks a Gap of events that found the queue full.
 	LostInQueue = "queue"
 	// LostInOutage marks a Gap of segments dropped while the store was down.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -164,14 +164,19 @@
 }
 
 func (made *Recorder) add(chain *Chain, event Event) {
-	if missed := made.missed.Swap(0); missed > 0 {
-		chain.Add(Event{At: made.settings.Clock.Now(), Kind: Gap, Detail: LostInQueue, Count: missed})
-	}
+	made.declare(chain)
 	if chain.Add(event) >= made.settings.SegmentBytes {
 		made.seal(chain)
 	}
 }
 
+// declare records how many events found the queue full.
+func (made *Recorder) declare(chain *Chain) {
+	if missed := made.missed.Swap(0); missed > 0 {
+		chain.Add(Event{At: made.settings.Clock.Now(), Kind: Gap, Detail: LostInQueue, Count: missed})
+	}
+}
+
 // seal closes the open segment and hands it to the backlog.
 func (made *Recorder) seal(chain *Chain) {
 	segment, ok := chain.Cut()
@@ -186,6 +191,11 @@
 		chain.Add(gap)
 		made.settings.Log.WithFields(logrus.Fields{"first": gap.First, "last": gap.Last}).Error("records lost")
 	}
+	made.alert()
+}
+
+// alert wakes the goroutine that stores.
+func (made *Recorder) alert() {
 	select {
 	case made.wake <- struct{}{}:
 	default:
@@ -203,8 +213,15 @@
 		}
 		break
 	}
-	made.add(chain, Event{At: made.settings.Clock.Now(), Kind: Stopped})
+	made.declare(chain)
+	// Sealing may drop segments and declare them, so that comes before Stopped.
 	made.seal(chain)
+	chain.Add(Event{At: made.settings.Clock.Now(), Kind: Stopped})
+	last, _ := chain.Cut()
+	made.mu.Lock()
+	made.backlog.PushLast(last)
+	made.mu.Unlock()
+	made.alert()
 }
 
 func (made *Recorder) stop(chained, stored *sync.WaitGroup, cancel func()) {
--- a/internal/verifier/reader.go
+++ b/internal/verifier/reader.go
@@ -144,8 +144,11 @@
 		switch {
 		case chain.covers(hole.Range):
 			reason = "declared: " + reason + ", dropped while the store was down"
-		case !hole.found:
+		case !hole.found && chain.incarnation.Stopped:
 			chain.find(hole.object, hole.First, reason+" before this segment, and no gap declares them")
+		case !hole.found:
+			chain.find(hole.object, hole.First, reason+" before this segment; the record ends without stopped, "+
+				"so a gap that declared them may be lost with its end")
 		}
 		chain.gap(hole.from, hole.until, reason)
 	}
--- a/internal/verifier/rules_lives.go
+++ b/internal/verifier/rules_lives.go
@@ -104,13 +104,20 @@
 		}
 		for _, answer := range court.about(record.Request, recorder.Answered) {
 			lost := answer.Reason == classifier.OutcomeUnknown.String() && answer.At.Add(court.settings.Skew) >= left.At
-			if record.Complete && lost {
+			if record.Complete && lost && !court.resumed(record.Request) {
 				verdict.breach("the run ended whole while the agent was leaving, and the caller's answer was cut", left, ended, answer)
 			}
 		}
 	}
 }
 
+// resumed reports whether a caller got the rest of a cut answer.
+func (court *court) resumed(request string) bool {
+	return slices.ContainsFunc(court.about(request, recorder.Answered), func(answer Evidence) bool {
+		return answer.Complete && answer.Detail == recorder.Resumed
+	})
+}
+
 // configuration checks promise 7.
 func (court *court) configuration(verdict *Verdict) {
 	accepted := court.accepted(verdict)
