--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -61,11 +61,14 @@
 		faults  imitator.PlatformFaults
 		backlog int
 		whole   bool
+		// late says that the store comes back only after the stop has begun.
+		late bool
 	}{
-		{"answers lost after the write", imitator.PlatformFaults{LoseAnswers: 2}, 0, true},
-		{"writes lost", imitator.PlatformFaults{LoseWrites: 2}, 0, true},
-		{"down, within memory", imitator.PlatformFaults{Down: true}, 0, true},
-		{"down, past memory", imitator.PlatformFaults{Down: true}, 8 << 10, false},
+		{"answers lost after the write", imitator.PlatformFaults{LoseAnswers: 2}, 0, true, false},
+		{"writes lost", imitator.PlatformFaults{LoseWrites: 2}, 0, true, false},
+		{"down, within memory", imitator.PlatformFaults{Down: true}, 0, true, false},
+		{"down, past memory", imitator.PlatformFaults{Down: true}, 8 << 10, false, false},
+		{"down until the stop, with memory for one segment", imitator.PlatformFaults{Down: true}, 1, false, true},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
@@ -79,9 +82,16 @@
 				record.Record(recorder.Event{Kind: recorder.Committed, Request: "entry-1-" + strconv.Itoa(i*i), Digest: uint64(i) * 0x9e3779b97f4a7c15})
 				runtime.Gosched()
 			}
-			if test.faults.Down {
-				So(timekeeper.Wall().Sleep(t.Context(), 100*timekeeper.Millisecond), ShouldBeNil)
-				platform.SetFaults(imitator.PlatformFaults{})
+			lift := func() {
+				if test.faults.Down {
+					_ = timekeeper.Wall().Sleep(t.Context(), 100*timekeeper.Millisecond)
+					platform.SetFaults(imitator.PlatformFaults{})
+				}
+			}
+			if test.late {
+				go lift()
+			} else {
+				lift()
 			}
 			stop()
 			trail := verify(t, platform)
