verifier: the page folds long lists and plots skew at the busiest moment

Cause: looked at in a browser: 131 gaps buried the other six verdicts, the last time label was cut, and skew at idle moments hid that under load. Change: folded lists, a tally on top, a wider margin.

--- a/internal/verifier/page.go
+++ b/internal/verifier/page.go
@@ -15,6 +15,8 @@
 	"class": classOf,
 	"skews": skewPlots,
 	"told":  answerPlot,
+	"tally": tallies,
+	"few":   func(count int) bool { return count <= unfolded },
 }).Parse(pageText))
 
 // WriteHTML writes the report as one page that needs nothing else.
@@ -22,6 +24,31 @@
 	return eris.Wrap(pageTemplate.Execute(out, report), "write the page")
 }
 
+// unfolded is how long a list the page shows without a click.
+const unfolded = 6
+
+// outcomeCount is how many promises have one outcome.
+type outcomeCount struct {
+	Class string
+	Count int
+	Text  Outcome
+}
+
+func tallies(report Report) []outcomeCount {
+	outcomes := [...]Outcome{Held, Broken, NotProvable}
+	counts := make([]outcomeCount, 0, len(outcomes))
+	for _, outcome := range outcomes {
+		count := outcomeCount{Class: classOf(outcome), Text: outcome}
+		for _, verdict := range report.Verdicts {
+			if verdict.Outcome == outcome {
+				count.Count++
+			}
+		}
+		counts = append(counts, count)
+	}
+	return counts
+}
+
 func classOf(outcome Outcome) string {
 	if outcome == NotProvable {
 		return "open"
--- a/internal/verifier/plot.go
+++ b/internal/verifier/plot.go
@@ -14,7 +14,7 @@
 	plotWidth  = 860.0
 	plotHeight = 190.0
 	left       = 46.0
-	right      = 16.0
+	right      = 34.0
 	top        = 12.0
 	bottom     = 28.0
 )
@@ -105,7 +105,7 @@
 
 func skewPlot(report Report, skews []Skew, most float64) plot {
 	scale := axes{report.From, report.Until, math.Ceil(most)}
-	made := scale.frame(skews[0].Service, "highest load over mean load; no point where the service was idle")
+	made := scale.frame(skews[0].Service, "highest load over mean load at the busiest moment of each part; no point where it was idle")
 	var line strings.Builder
 	for _, skew := range skews {
 		point := dot{scale.x(skew.At), scale.y(skew.Ratio), fmt.Sprintf("%s: %.2f (highest %d, mean %.1f)", skew.At, skew.Ratio, skew.Max, skew.Mean)}
--- a/internal/verifier/series.go
+++ b/internal/verifier/series.go
@@ -45,29 +45,31 @@
 	service string
 }
 
-// skews returns the highest skew of each service in each part of the range.
+// skews returns the skew of each service at the busiest moment of each part of
+// the range. The highest ratio would say little: one call at an idle service
+// makes its replica as many times the mean as there are replicas.
 func (court *court) skews() []Skew {
 	loads := tally{}
-	highest := map[spot]Skew{}
+	busiest := map[spot]int64{}
+	found := map[spot]Skew{}
 	for _, evidence := range court.all {
 		loads.note(evidence)
 		service := evidence.Origin.Group
 		total, replicas := loads[service].sum()
-		if !court.inRange(evidence) || total == 0 || replicas == 0 {
+		at := spot{court.part(evidence.At), service}
+		if !court.inRange(evidence) || replicas == 0 || total <= busiest[at] {
 			continue
 		}
-		at := spot{court.part(evidence.At), service}
+		busiest[at] = total
 		mean := float64(total) / float64(replicas)
 		top := int64(0)
 		for _, load := range loads[service] {
 			top = max(top, load)
 		}
-		if ratio := float64(top) / mean; ratio > highest[at].Ratio {
-			highest[at] = Skew{At: at.at, Service: service, Ratio: ratio, Max: top, Mean: mean}
-		}
+		found[at] = Skew{At: at.at, Service: service, Ratio: float64(top) / mean, Max: top, Mean: mean}
 	}
-	skews := make([]Skew, 0, len(highest))
-	for _, skew := range highest {
+	skews := make([]Skew, 0, len(found))
+	for _, skew := range found {
 		skews = append(skews, skew)
 	}
 	slices.SortFunc(skews, func(a, b Skew) int {
