--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
@@ -28,6 +29,8 @@
 	watcher  *publisher.Watcher
 	agent    *runner.Agent
 	metrics  http.Handler
+
+	neighbours *neighbours
 }
 
 // NewAgent returns an agent that listens and has its first configuration, and
@@ -35,39 +38,51 @@
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
 	made := &Agent{settings: settings, env: env}
-	made.watcher = publisher.NewWatcher(env.Platform, settings.Site, env.Log)
+	incarnation := newIncarnation()
+	made.neighbours = newNeighbours(env.Platform.Directory, incarnation)
+	pool, closePool := dialer.NewPool(dialer.Settings{})
+	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
+	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses, record.Record)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := made.watcher.Await(ctx, env.Clock); err != nil {
+	if err := made.watcher.Await(ctx); err != nil {
+		closeRecord()
+		closePool()
 		return nil, nil, err
 	}
 	if err := made.bind(); err != nil {
+		closeRecord()
+		closePool()
 		return nil, nil, err
 	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	made.metrics = metrics
-	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: newIncarnation()}
-	record, closeRecord := newRecorder(ctx, env, settings.Process, origin, made.watcher)
 	agent, release, err := runner.New(runner.Settings{
 		Name:        settings.Name,
 		Service:     settings.Service,
 		Site:        settings.Site,
-		Incarnation: origin.Incarnation,
+		Incarnation: incarnation,
 		Upstream:    settings.Upstream,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
 		Record:      record.Record,
+		Table:       env.Platform.Table,
+
+		Hear:          made.watcher.Hear,
+		Configuration: made.watcher.Answer,
 	})
 	if err != nil {
 		closeRecord()
+		closePool()
 		closeScope()
 		return nil, nil, err
 	}
 	made.agent = agent
 	record.SetPulse(agent.Sample)
-	return made, func() { release(); closeRecord(); closeScope() }, nil
+	return made, func() { release(); closeRecord(); closePool(); closeScope() }, nil
 }
 
 func (made *Agent) bind() error {
@@ -90,7 +105,9 @@
 
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
-	addLoop(group, func(ctx context.Context) { made.watcher.Run(ctx, made.env.Clock) })
+	addLoop(group, made.watcher.Run)
+	addLoop(group, func(ctx context.Context) { made.neighbours.run(ctx, made.env.Clock) })
+	addLoop(group, made.agent.Keep)
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
 	if made.admin == nil {
@@ -98,6 +115,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
+	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(func() *encoder.Digest { return made.agent.Digest() }))
 	addServer(group, made.admin, mux, headerTimeout)
 	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
--- a/internal/assembler/record.go
+++ b/internal/assembler/record.go
@@ -4,14 +4,13 @@
 	"context"
 
 	"github.com/trefoilseam/trefoilseam/internal/loader"
-	"github.com/trefoilseam/trefoilseam/internal/publisher"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 )
 
 // newRecorder starts the record of a process, and returns a function that ends
 // it once nothing more can happen.
 func newRecorder(
-	ctx context.Context, env Environment, process loader.Process, origin recorder.Origin, watcher *publisher.Watcher,
+	ctx context.Context, env Environment, process loader.Process, origin recorder.Origin,
 ) (*recorder.Recorder, func()) {
 	// The size of the fleet only stretches the time between flushes; without
 	// the list the record is flushed as a small fleet's.
@@ -22,7 +21,6 @@
 	started := recorder.Event{
 		Instance:    origin.Name,
 		Incarnation: origin.Incarnation,
-		Revision:    watcher.Current().Revision,
 		Detail:      process.Site,
 	}
 	if origin.Group != recorder.EntryGroup {
--- a/internal/forwarder/record.go
+++ b/internal/forwarder/record.go
@@ -51,7 +51,7 @@
 	event.Length = answer.length
 	event.Digest = answer.digest.Sum64()
 	event.Ran = ranYes
-	if answer.head.GetReplayed() {
+	if answer.replay {
 		event.Detail = recorder.Replayed
 	}
 	if answer.resumed {
--- a/internal/forwarder/resume.go
+++ b/internal/forwarder/resume.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 )
@@ -106,10 +104,9 @@
 		return classifier.New(classifier.ResumeLost, "the stream is no longer kept, or is another team's")
 	}
 	call.id = found.GetRequestId()
-	answer := relayed{
-		entry: entry, w: w, control: http.NewResponseController(w), call: call,
-		digest: xxhash.New(), resumed: true, length: found.GetOffset(),
-	}
+	answer := entry.newRelayed(w, call)
+	answer.resumed = true
+	answer.length = found.GetOffset()
 	if failure, ok := answer.relay(stream); !ok {
 		return failure
 	}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -31,10 +32,17 @@
 	Scope    tally.Scope
 	// Config returns the configuration in force.
 	Config func() resolver.Config
+	// Hear takes a revision of the configuration that a peer carried; nil means it is dropped.
+	Hear func(revision uint64)
+	// Configuration answers a peer that asks for it; nil means that none is given.
+	Configuration func(ask *encoder.ConfigAsk) *encoder.ConfigBody
 	// Mean returns the load of the whole service as it is known; nil means unknown.
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
+	// Table is the platform's table, where keys are claimed; a zero Table means
+	// that only minted keys can be used.
+	Table storekeeper.Table
 	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
 	RunWait timekeeper.Span
 	// KeepRun is how long an ended run stays known; zero means 2 minutes.
@@ -51,6 +59,12 @@
 	if settings.Mean == nil {
 		settings.Mean = func() admitter.Mean { return admitter.Mean{} }
 	}
+	if settings.Hear == nil {
+		settings.Hear = func(uint64) {}
+	}
+	if settings.Configuration == nil {
+		settings.Configuration = func(*encoder.ConfigAsk) *encoder.ConfigBody { return &encoder.ConfigBody{} }
+	}
 	if settings.Record == nil {
 		settings.Record = recorder.Drop
 	}
@@ -60,8 +74,14 @@
 // Agent owns one upstream instance.
 type Agent struct {
 	settings Settings
-	service  resolver.Service
 	upstream *upstream
+	keys     *keys
+	strikes  *strikes
+	askers   askers
+
+	// service is as in the configuration of revision; mu guards both.
+	service  resolver.Service
+	revision uint64
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
@@ -86,8 +106,11 @@
 	agent := &Agent{
 		settings: settings,
 		service:  service,
+		revision: settings.Config().Revision,
 		upstream: newUpstream(settings.Upstream, service),
-		desk:     admitter.NewDesk(admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}),
+		desk:     admitter.NewDesk(deskLimits(service)),
+		keys:     newKeys(settings),
+		strikes:  newStrikes(settings),
 		granted:  map[string]chan struct{}{},
 		runs:     map[string]*run{},
 		bySerial: map[uint64]*run{},
@@ -139,13 +162,19 @@
 	}
 	switch message := frame.GetBody().(type) {
 	case *encoder.Frame_Offer:
+		agent.heard(message.Offer.GetEntry(), message.Offer.GetRevision())
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
+	case *encoder.Frame_MintAsk:
+		agent.serveMint(stream, message.MintAsk)
 	case *encoder.Frame_Cancel:
 		agent.serveCancel(stream, message.Cancel)
 	case *encoder.Frame_DigestAsk:
-		_ = stream.Write(encoder.Of(agent.digests()))
+		agent.heard(message.DigestAsk.GetAsker(), message.DigestAsk.GetRevision())
+		_ = stream.Write(encoder.Of(agent.withAskers(message.DigestAsk, agent.digests())))
+	case *encoder.Frame_ConfigAsk:
+		_ = stream.Write(encoder.Of(agent.settings.Configuration(message.ConfigAsk)))
 	default:
 		agent.settings.Log.WithField("frame", frame.String()).Warn("unexpected first frame")
 	}
@@ -164,6 +193,8 @@
 	state := encoder.ReplicaState_REPLICA_STATE_LIVE
 	if agent.draining {
 		state = encoder.ReplicaState_REPLICA_STATE_DRAINING
+	} else if agent.strikes.ledger.Down() {
+		state = encoder.ReplicaState_REPLICA_STATE_DOWN
 	}
 	return &encoder.Digest{
 		Instance:    agent.settings.Name,
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -22,6 +22,8 @@
 type inbox struct {
 	frames <-chan incoming
 	early  *encoder.Run
+	// granted is when the slot was given; the Run frame must follow in time.
+	granted timekeeper.Instant
 }
 
 // gone reports whether a frame means that the caller has left. It keeps an
@@ -94,11 +96,20 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	if failure, ok := agent.enter(ctx, offer); !ok {
+		agent.release(offer.GetRequestId())
+		return failure, false
+	}
+	if failure, ok := agent.claim(ctx, offer); !ok {
+		agent.release(offer.GetRequestId())
+		return failure, false
+	}
 	agent.recordGrant(offer)
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
 	}
-	waited := agent.settings.Clock.Now().Since(arrived)
+	inbox.granted = agent.settings.Clock.Now()
+	waited := inbox.granted.Since(arrived)
 	err := stream.Write(encoder.Of(&encoder.Granted{
 		RequestId:   offer.GetRequestId(),
 		Incarnation: agent.settings.Incarnation,
@@ -132,6 +143,10 @@
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
+	agent.adopt()
+	if failure, ok := agent.bound(offer); ok {
+		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
+	}
 	if failure, ok := agent.unfit(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
@@ -145,7 +160,7 @@
 	if offer.GetDeadline() > 0 {
 		ticket.Deadline = arrived.Add(timekeeper.Span(offer.GetDeadline()))
 	}
-	agent.weigh(offer)
+	agent.noteLoad(offer)
 	decision := agent.desk.Offer(ticket)
 	slot := make(chan struct{})
 	switch decision.Outcome {
@@ -166,6 +181,8 @@
 		return classifier.New(classifier.WrongInstance, ""), true
 	case agent.draining:
 		return classifier.New(classifier.Draining, "").WithRetryAfter(timekeeper.Second), true
+	case agent.strikes.ledger.Down():
+		return agent.engineAway(), true
 	case agent.runs[offer.GetRequestId()] != nil:
 		return classifier.New(classifier.Tombstoned, "the request id is known already"), true
 	}
@@ -177,7 +194,14 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.granted, id)
-	for _, ticket := range agent.desk.Finish(id) {
+	agent.keys.book.Abandon(id)
+	agent.leaveGate(id)
+	agent.wake(agent.desk.Finish(id))
+}
+
+// wake tells the tickets that got a slot; the lock must be held.
+func (agent *Agent) wake(tickets []admitter.Ticket) {
+	for _, ticket := range tickets {
 		if slot := agent.granted[ticket.ID]; slot != nil {
 			close(slot)
 			delete(agent.granted, ticket.ID)
@@ -197,6 +221,12 @@
 		if in.err != nil {
 			return nil, classifier.New(classifier.CallerGone, "no run frame came"), false
 		}
+		// An agent that was paused finds the frame and the fired timer together.
+		// A frame past its time is refused here, so tombstones, which are kept
+		// far longer than RunWait, outlive every frame that they must stop.
+		if agent.settings.Clock.Now().Since(inbox.granted) > agent.settings.RunWait {
+			return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
+		}
 		return agent.begin(offer, in.frame.GetRun())
 	case <-late:
 		return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
@@ -215,14 +245,18 @@
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
 	agent.recordRefusal(offer, failure)
-	return &encoder.Refused{
+	agent.mu.Lock()
+	digest := agent.digest()
+	digest.Strikes = agent.strikesOf(offer.GetFingerprint())
+	agent.mu.Unlock()
+	return agent.lead(&encoder.Refused{
 		RequestId:   offer.GetRequestId(),
 		Kind:        failure.Kind.String(),
 		Detail:      failure.Detail,
 		RetryAfter:  int64(failure.RetryAfter),
 		Incarnation: agent.settings.Incarnation,
-		Digest:      agent.Digest(),
-	}
+		Digest:      digest,
+	})
 }
 
 func (agent *Agent) logDecision(offer *encoder.Offer, decision admitter.Decision) {
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -30,10 +30,10 @@
 	bound int64
 }
 
-// weigh notes the load with the offer, and the bound that the mean sets, before
+// noteLoad notes the load with the offer, and the bound that the mean sets, before
 // the desk decides; the lock must be held. The slot may be given later, from
 // the queue, when load and mean are others.
-func (agent *Agent) weigh(offer *encoder.Offer) {
+func (agent *Agent) noteLoad(offer *encoder.Offer) {
 	noted := weighing{load: agent.desk.Load().Work + offer.GetWork()}
 	if mean := agent.settings.Mean(); mean.Replicas > 0 {
 		share := float64(mean.Total+offer.GetWork()) / float64(mean.Replicas)
@@ -80,6 +80,9 @@
 	event.Digest = answer.end.GetDigest()
 	event.Reason = answer.end.GetKind()
 	answer.mu.Unlock()
+	if event.Reason != "" {
+		event.Ran = string(classifier.AnswerOf(classifier.KindOf(event.Reason)).Ran)
+	}
 	agent.mu.Lock()
 	event.Load = agent.desk.Load().Work - offer.GetWork()
 	agent.mu.Unlock()
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -30,7 +30,7 @@
 func (agent *Agent) start(offer *encoder.Offer, commit *encoder.Run) (*run, classifier.Failure, bool) {
 	// The run outlives the stream it came on: a caller whose connection broke
 	// finds it by look-up. The longest call bounds it.
-	ctx, cancel := context.WithTimeout(context.Background(), agent.service.LongestCall.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), agent.serviceNow().LongestCall.Duration())
 	started := &run{
 		id:         offer.GetRequestId(),
 		team:       offer.GetTeam(),
@@ -44,16 +44,23 @@
 		cancel()
 		return nil, classifier.New(classifier.Tombstoned, "the request id is known already"), false
 	}
+	if !agent.mayStart(offer) {
+		agent.mu.Unlock()
+		cancel()
+		return nil, classifier.New(classifier.Tombstoned, "the claim was given up"), false
+	}
 	agent.serial++
 	started.serial = agent.serial
 	agent.runs[started.id] = started
 	agent.bySerial[started.serial] = started
+	agent.takeOff(offer)
 	agent.mu.Unlock()
 	agent.settings.Record(agent.event(recorder.Committed, offer))
 	go func() {
 		defer cancel()
 		agent.upstream.call(ctx, agent.settings, offer, commit, started)
 		agent.recordEnd(offer, started.answer)
+		agent.landed(started, ctx.Err() != nil)
 		agent.finish(started)
 	}()
 	return started, classifier.Failure{}, true
@@ -66,6 +73,7 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	ended.ended = now
+	agent.endKey(ended)
 	for id, known := range agent.runs {
 		if known.ended != 0 && now.Since(known.ended) > agent.settings.KeepRun {
 			delete(agent.runs, id)
@@ -127,6 +135,11 @@
 // tombstone is refused under the same lock, so one of the two always wins.
 func (agent *Agent) bury(lookup *encoder.Lookup) {
 	if lookup.GetTombstone() {
-		agent.runs[lookup.GetRequestId()] = &run{id: lookup.GetRequestId(), tomb: true, ended: agent.settings.Clock.Now()}
+		now := agent.settings.Clock.Now()
+		agent.runs[lookup.GetRequestId()] = &run{id: lookup.GetRequestId(), tomb: true, ended: now}
+		agent.settings.Record(recorder.Event{
+			At: now, Kind: recorder.Buried, Request: lookup.GetRequestId(), Service: agent.settings.Service,
+			Team: lookup.GetTeam(), Instance: agent.settings.Name, Incarnation: agent.settings.Incarnation,
+		})
 	}
 }
