--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -70,6 +70,7 @@
 			agentCommand(),
 			devCommand(),
 			auditCommand(),
+			configCommand(),
 			strikesCommand(),
 			versionCommand(),
 		},
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -105,10 +105,10 @@
 		return failure, false
 	}
 	agent.recordGrant(offer)
+	inbox.granted = agent.settings.Clock.Now()
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
 	}
-	inbox.granted = agent.settings.Clock.Now()
 	waited := inbox.granted.Since(arrived)
 	err := stream.Write(encoder.Of(&encoder.Granted{
 		RequestId:   offer.GetRequestId(),
