recorder: accepted changes are on record, and what waited is not new work

Cause: apply kept no record, so every change made promise 7 not provable; a call that waited in the queue when its replica began to leave would have been taken for new work. Change: apply writes a chain of its own; a grant tells when its offer was taken; a run that never reached its upstream did not run.

--- a/cmd/trefoilseam/change.go
+++ b/cmd/trefoilseam/change.go
@@ -12,7 +12,6 @@
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
-	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // unset is the value of a revision flag that was not given.
@@ -121,8 +120,7 @@
 	if err != nil {
 		return err
 	}
-	proposer := publisher.Proposer{Platform: platform, Clock: timekeeper.Wall()}
-	result, err := proposer.Propose(ctx, proposal)
+	result, err := recorded(ctx, platform, proposal)
 	if err != nil {
 		return err
 	}
--- a/internal/recorder/chain.go
+++ b/internal/recorder/chain.go
@@ -15,6 +15,9 @@
 // EntryGroup stands in the place of the service in the names of entries' segments.
 const EntryGroup = "entry"
 
+// OperatorGroup stands there in the names of segments of operators' commands.
+const OperatorGroup = "operator"
+
 // Origin names one incarnation of one process.
 type Origin struct {
 	// Group is the service of an agent, or EntryGroup.
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -95,6 +95,8 @@
 	Work int64 `json:"work,omitempty"`
 	// Factor is the multiple of the mean load that the service may reach.
 	Factor float64 `json:"factor,omitempty"`
+	// Taken is when an offer was taken that got its slot only later, from the queue.
+	Taken timekeeper.Instant `json:"taken,omitempty"`
 	// First and Last are the sequence numbers that a Gap covers; zero when the
 	// lost events had none yet.
 	First uint64 `json:"first,omitempty"`
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -6,6 +6,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // event returns an event about an offer, with what most kinds share.
@@ -26,6 +27,7 @@
 
 // weighing is what the desk went by when it took an offer.
 type weighing struct {
+	at    timekeeper.Instant
 	load  int64
 	bound int64
 }
@@ -34,7 +36,7 @@
 // the desk decides; the lock must be held. The slot may be given later, from
 // the queue, when load and mean are others.
 func (agent *Agent) noteLoad(offer *encoder.Offer) {
-	noted := weighing{load: agent.desk.Load().Work + offer.GetWork()}
+	noted := weighing{at: agent.settings.Clock.Now(), load: agent.desk.Load().Work + offer.GetWork()}
 	if mean := agent.settings.Mean(); mean.Replicas > 0 {
 		share := float64(mean.Total+offer.GetWork()) / float64(mean.Replicas)
 		noted.bound = int64(math.Ceil(agent.service.LoadFactor * share))
@@ -58,6 +60,9 @@
 	event := agent.event(recorder.Granted, offer)
 	event.Work = offer.GetWork()
 	event.Load, event.Bound = noted.load, noted.bound
+	if noted.at < event.At {
+		event.Taken = noted.at
+	}
 	event.Factor = agent.service.LoadFactor
 	agent.settings.Record(event)
 }
--- a/internal/verifier/judge_test.go
+++ b/internal/verifier/judge_test.go
@@ -157,6 +157,16 @@
 			told.add(orders, recorder.Event{At: 50005, Kind: recorder.Draining}, recorder.Event{At: 55000, Kind: recorder.Granted, Request: "l"})
 			told.drop(orders, recorder.Stopped)
 		}, "took new work"},
+		{"5: a call that waited when the replica began to leave", 5, Held, func(told story) {
+			told.add(orders, recorder.Event{At: 50005, Kind: recorder.Draining},
+				recorder.Event{At: 55000, Kind: recorder.Granted, Request: "l", Taken: 49000}, recorder.Event{At: 56000, Kind: recorder.Stopped})
+			told[orders] = slices.DeleteFunc(told[orders], func(event recorder.Event) bool { return event.At == 50100 })
+		}, ""},
+		{"3: the run never reached its upstream", 3, Held, func(told story) {
+			told.add(orders, recorder.Event{At: 2012, Kind: recorder.Committed, Request: "b"},
+				recorder.Event{At: 2013, Kind: recorder.Ended, Request: "b", Ran: "no", Reason: "not-ready"})
+			told.drop(orders, recorder.Refused)
+		}, ""},
 		{"5: the leaving replica's record ends", 5, NotProvable, func(told story) { told.drop(orders, recorder.Stopped) }, "open tail"},
 		{"6: a run that never ended", 6, Broken, func(told story) { told.drop(orders, recorder.Ended) }, "had not ended"},
 		{"6: a run that the stop ended", 6, Broken, func(told story) {
--- a/test/integration/record_test.go
+++ b/test/integration/record_test.go
@@ -61,6 +61,8 @@
 	}
 	Convey("every promise is held, and every chain whole", t, func() {
 		day(0)
+		_, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "four.toml", 4), "-edited-from", "1", "-wait")
+		So(code, ShouldEqual, 0)
 		rig.platform.SetFaults(imitator.PlatformFaults{Down: true})
 		day(100)
 		rig.platform.SetFaults(imitator.PlatformFaults{LoseAnswers: 2})
@@ -77,6 +79,7 @@
 		}
 		So(code, ShouldEqual, 0)
 		So(report.Verdicts[1].Checked, ShouldEqual, 72)
+		So(report.Incarnations, ShouldEqual, 7)
 		_, code = rig.audit("verify", "-platform", rig.base)
 		So(code, ShouldEqual, 0)
 		out, code := rig.audit("verify", "-platform", rig.forged())
