--- a/test/integration/record_test.go
+++ b/test/integration/record_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -51,6 +52,7 @@
 	rig.addOrders("orders-1", 0)
 	rig.addOrders("orders-2", 5*timekeeper.Millisecond)
 	entry := rig.addEntry("entry-1")
+	other := rig.addEntry("entry-2")
 	day := func(from int) {
 		for i := range 8 {
 			id := strconv.Itoa(from + i)
@@ -61,6 +63,12 @@
 	}
 	Convey("every promise is held, and every chain whole", t, func() {
 		day(0)
+		again := other.call(t.Context(), "POST", "/orders", `{"meals":3}`, "Idempotency-Key", "lunch-3")
+		So(again.header.Get("Idempotency-Replayed"), ShouldEqual, "true")
+		stream := entry.call(t.Context(), "POST", "/v1/chat/completions", chat(8, "plan 9"), "Trefoilseam-Chat", "van-9")
+		id := regexp.MustCompile(`id: (\S+)`).FindStringSubmatch(stream.body)
+		rest := other.call(t.Context(), "GET", "/v1/streams/"+id[1], "")
+		So(rest.body, ShouldEndWith, "data: [DONE]\n\n")
 		_, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "four.toml", 4), "-edited-from", "1", "-wait")
 		So(code, ShouldEqual, 0)
 		rig.platform.SetFaults(imitator.PlatformFaults{Down: true})
@@ -69,6 +77,7 @@
 		So(rig.agents["planner-2"].stop(), ShouldEqual, 0)
 		day(200)
 		So(entry.stop(), ShouldEqual, 0)
+		So(other.stop(), ShouldEqual, 0)
 		for _, name := range []string{"planner-1", "planner-3", "orders-1", "orders-2"} {
 			So(rig.agents[name].stop(), ShouldEqual, 0)
 		}
@@ -78,8 +87,8 @@
 			So(append(verdict.Doubts, string(verdict.Outcome)), ShouldResemble, []string{"held"})
 		}
 		So(code, ShouldEqual, 0)
-		So(report.Verdicts[1].Checked, ShouldEqual, 72)
-		So(report.Incarnations, ShouldEqual, 7)
+		So(report.Verdicts[1].Checked, ShouldEqual, 75)
+		So(report.Incarnations, ShouldEqual, 8)
 		_, code = rig.audit("verify", "-platform", rig.base)
 		So(code, ShouldEqual, 0)
 		out, code := rig.audit("verify", "-platform", rig.forged())
