runner: the load factor is read under the lock, and one way to hash a key

Cause: a change of configuration replaces the service under the agent's lock, and the record read it without. Change: the factor is noted with the load. Measured: go test -race of runner, assembler, recorder, forwarder passes.

--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -98,11 +98,7 @@
 	if verdict.Step != claimer.Proceed {
 		return verdict.Failure, false
 	}
-	agent.settings.Record(recorder.Event{
-		At: agent.settings.Clock.Now(), Kind: recorder.Claimed, Request: ask.Request, Service: offer.GetService(),
-		Team: offer.GetTeam(), Instance: agent.settings.Name, Incarnation: agent.settings.Incarnation,
-		Key: xxhash.Sum64String(ask.Key), Fingerprint: ask.Fingerprint,
-	})
+	agent.settings.Record(agent.event(recorder.Claimed, offer))
 	return classifier.Failure{}, true
 }
 
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -27,19 +27,20 @@
 
 // weighing is what the desk went by when it took an offer.
 type weighing struct {
-	at    timekeeper.Instant
-	load  int64
-	bound int64
+	at     timekeeper.Instant
+	load   int64
+	bound  int64
+	factor float64
 }
 
 // noteLoad notes the load with the offer, and the bound that the mean sets, before
 // the desk decides; the lock must be held. The slot may be given later, from
 // the queue, when load and mean are others.
 func (agent *Agent) noteLoad(offer *encoder.Offer) {
-	noted := weighing{at: agent.settings.Clock.Now(), load: agent.desk.Load().Work + offer.GetWork()}
+	noted := weighing{at: agent.settings.Clock.Now(), load: agent.desk.Load().Work + offer.GetWork(), factor: agent.service.LoadFactor}
 	if mean := agent.settings.Mean(); mean.Replicas > 0 {
 		share := float64(mean.Total+offer.GetWork()) / float64(mean.Replicas)
-		noted.bound = int64(math.Ceil(agent.service.LoadFactor * share))
+		noted.bound = int64(math.Ceil(noted.factor * share))
 	}
 	agent.weighed[offer.GetRequestId()] = noted
 }
@@ -59,11 +60,10 @@
 	noted := agent.weighingOf(offer)
 	event := agent.event(recorder.Granted, offer)
 	event.Work = offer.GetWork()
-	event.Load, event.Bound = noted.load, noted.bound
+	event.Load, event.Bound, event.Factor = noted.load, noted.bound, noted.factor
 	if noted.at < event.At {
 		event.Taken = noted.at
 	}
-	event.Factor = agent.service.LoadFactor
 	agent.settings.Record(event)
 }
 
@@ -108,7 +108,7 @@
 	agent.mu.Unlock()
 	event.Load = load.Work
 	event.Count = int64(load.Running + load.Waiting)
-	event.Factor = agent.service.LoadFactor
+	event.Factor = agent.serviceNow().LoadFactor
 	event.Revision = agent.settings.Config().Revision
 	if mean := agent.settings.Mean(); mean.Replicas > 0 {
 		event.Bound = int64(math.Ceil(event.Factor * float64(mean.Total) / float64(mean.Replicas)))
