runner: the bound on record is the one that the desk can go by

Cause: an old mean, or that of a service with one replica, sets no bound, and a record with one would convict a sound grant. Change: bound zero then; the mean is read before the agent's lock, since who keeps it may ask the agent.

--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -141,6 +141,7 @@
 
 // decide asks the desk about an offer under the agent's lock.
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
+	mean := agent.settings.Mean()
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	agent.adopt()
@@ -160,7 +161,7 @@
 	if offer.GetDeadline() > 0 {
 		ticket.Deadline = arrived.Add(timekeeper.Span(offer.GetDeadline()))
 	}
-	agent.noteLoad(offer)
+	agent.noteLoad(offer, mean)
 	decision := agent.desk.Offer(ticket)
 	slot := make(chan struct{})
 	switch decision.Outcome {
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/trefoilseam/trefoilseam/internal/admitter"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
@@ -33,16 +34,30 @@
 	factor float64
 }
 
-// noteLoad notes the load with the offer, and the bound that the mean sets, before
-// the desk decides; the lock must be held. The slot may be given later, from
-// the queue, when load and mean are others.
-func (agent *Agent) noteLoad(offer *encoder.Offer) {
-	noted := weighing{at: agent.settings.Clock.Now(), load: agent.desk.Load().Work + offer.GetWork(), factor: agent.service.LoadFactor}
-	if mean := agent.settings.Mean(); mean.Replicas > 0 {
-		share := float64(mean.Total+offer.GetWork()) / float64(mean.Replicas)
-		noted.bound = int64(math.Ceil(noted.factor * share))
+// oldestMean is the age past which a mean sets no bound.
+const oldestMean = 5 * timekeeper.Second
+
+// noteLoad notes the load with the offer, and the bound that the mean sets,
+// before the desk decides; the lock must be held. The slot may be given later,
+// from the queue, when load and mean are others.
+func (agent *Agent) noteLoad(offer *encoder.Offer, mean admitter.Mean) {
+	held := agent.desk.Load().Work
+	agent.weighed[offer.GetRequestId()] = weighing{
+		at:     agent.settings.Clock.Now(),
+		load:   held + offer.GetWork(),
+		bound:  boundOf(mean, held, offer.GetWork(), agent.service.LoadFactor),
+		factor: agent.service.LoadFactor,
 	}
-	agent.weighed[offer.GetRequestId()] = noted
+}
+
+// boundOf returns the bound that a mean sets for the load before a call of the
+// given work, and zero when the mean is unknown, old, or that of one replica.
+func boundOf(mean admitter.Mean, held, own int64, factor float64) int64 {
+	if mean.Replicas <= 1 || mean.Age > oldestMean {
+		return 0
+	}
+	total := max(mean.Total, held) + own
+	return max(1, int64(math.Ceil(factor*float64(total)/float64(mean.Replicas))))
 }
 
 // weighingOf returns and forgets what was noted for an offer.
@@ -110,8 +125,6 @@
 	event.Count = int64(load.Running + load.Waiting)
 	event.Factor = agent.serviceNow().LoadFactor
 	event.Revision = agent.settings.Config().Revision
-	if mean := agent.settings.Mean(); mean.Replicas > 0 {
-		event.Bound = int64(math.Ceil(event.Factor * float64(mean.Total) / float64(mean.Replicas)))
-	}
+	event.Bound = boundOf(agent.settings.Mean(), event.Load, 0, event.Factor)
 	return event
 }
