--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 )
@@ -49,10 +50,13 @@
 	entry.view = reporter.NewView(env.Platform.Directory, env.Log)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	incarnation := newIncarnation()
-	entry.watcher = newWatcher(env, settings.Process, incarnation, pool, entry.view.Addresses)
+	origin := recorder.Origin{Group: recorder.EntryGroup, Name: settings.Name, Incarnation: incarnation}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
+	entry.watcher = newWatcher(env, settings.Process, incarnation, pool, entry.view.Addresses, record.Record)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := entry.watcher.Await(ctx); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
@@ -60,6 +64,7 @@
 		env.Log.WithError(err).Warn("instance list not read")
 	}
 	if err := entry.bind(); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
@@ -69,6 +74,7 @@
 	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	entry.metrics = metrics
+	record.SetPulse(entry.alive)
 	entry.front = forwarder.New(forwarder.Settings{
 		Name:        settings.Name,
 		Site:        settings.Site,
@@ -81,8 +87,9 @@
 		Roster:      entry.view.Roster,
 		Locate:      entry.view.Locate,
 		Learn:       entry.learn,
+		Record:      record.Record,
 	})
-	return entry, func() { closePool(); closeScope() }, nil
+	return entry, func() { closePool(); closeRecord(); closeScope() }, nil
 }
 
 func (entry *Entry) bind() error {
