admitter: classes, fair queue, deadline, bound; placer: probes, hints

Cause: the first path ranked every replica for each call, queued first come first served, and set no bound on the load of a replica.

--- /dev/null
+++ b/internal/admitter/queue.go
@@ -0,0 +1,197 @@
+package admitter
+
+import (
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// class returns the class of a waiting ticket after ageing.
+//
+// Batch work under a steady stream of chats would never run, so each Ageing of
+// waiting lifts a ticket by one class. It never reaches class 0: a live caption
+// is not to wait behind batch work, however old that is.
+func (desk *Desk) class(ticket Ticket, now timekeeper.Instant) uint8 {
+	if ticket.Class <= agedClass {
+		return ticket.Class
+	}
+	steps := int64(now.Since(ticket.Arrived) / desk.limits.Ageing)
+	return uint8(max(agedClass, int64(ticket.Class)-steps))
+}
+
+// promote gives free slots to waiting tickets and returns who got one.
+func (desk *Desk) promote(now timekeeper.Instant) []Ticket {
+	var granted []Ticket
+	for len(desk.running) < desk.limits.Slots {
+		at := desk.next(now)
+		if at < 0 {
+			return granted
+		}
+		ticket := desk.leave(at)
+		desk.run(ticket, now)
+		desk.grants++
+		granted = append(granted, ticket)
+	}
+	return granted
+}
+
+// next returns the position of the waiting ticket that runs next, or -1. It
+// looks at each waiting ticket, of which there are at most QueueLength.
+func (desk *Desk) next(now timekeeper.Instant) int {
+	var present [classes]bool
+	for i := range desk.waiting {
+		if desk.ready(desk.waiting[i], now) {
+			present[desk.class(desk.waiting[i], now)] = true
+		}
+	}
+	best := slices.Index(present[:], true)
+	if best < 0 {
+		return -1
+	}
+	// A flood of calls that all claim to be live would starve the rest, which
+	// never age into class 0. One grant in agedShare goes to aged work, so a
+	// caption finds at most that one ahead of it.
+	if best <= urgentClass && present[agedClass] && desk.grants%agedShare == agedShare-1 {
+		best = agedClass
+	}
+	var heads []head
+	for i := range desk.waiting {
+		ticket := desk.waiting[i]
+		if !desk.ready(ticket, now) || int(desk.class(ticket, now)) != best {
+			continue
+		}
+		if !slices.ContainsFunc(heads, func(head head) bool { return head.team == ticket.Team }) {
+			heads = append(heads, head{team: ticket.Team, weight: ticket.weight(), work: ticket.Work, at: i})
+		}
+	}
+	return desk.rotas[best].pick(heads).at
+}
+
+// ready reports whether a waiting ticket may run now: a slot is free for it
+// and its caller still waits.
+func (desk *Desk) ready(ticket Ticket, now timekeeper.Instant) bool {
+	return desk.fits(ticket) && (ticket.Deadline == 0 || !ticket.Deadline.Before(now))
+}
+
+// head is the first waiting ticket of a team in one class.
+type head struct {
+	team   string
+	weight int
+	work   int64
+	at     int
+}
+
+// turn is a team's place in a rota.
+type turn struct {
+	team    string
+	deficit int64
+}
+
+// rota is deficit round robin (Shreedhar and Varghese, 1996) between the teams
+// that wait in one class. A team's turn adds to its deficit in proportion to
+// its weight, and a ticket runs when the deficit covers its work. So a team of
+// many or of long calls gets no more than its share.
+type rota struct {
+	turns []turn
+}
+
+// pick chooses among the heads, of which there must be at least one.
+func (rota *rota) pick(heads []head) head {
+	rota.meet(heads)
+	// With the largest work as the quantum, each turn pays for one ticket at
+	// least, so the loop ends within two rounds.
+	quantum := int64(1)
+	for _, head := range heads {
+		quantum = max(quantum, head.work)
+	}
+	for {
+		front := &rota.turns[0]
+		head := headOf(heads, front.team)
+		if front.deficit >= head.work {
+			front.deficit -= head.work
+			return head
+		}
+		front.deficit += quantum * int64(head.weight)
+		rota.turns = append(rota.turns[1:], rota.turns[0])
+	}
+}
+
+// meet drops teams that no longer wait and adds those that newly do. A team
+// that leaves loses its deficit, so nobody saves up for a burst.
+func (rota *rota) meet(heads []head) {
+	rota.turns = slices.DeleteFunc(rota.turns, func(turn turn) bool {
+		return !slices.ContainsFunc(heads, func(head head) bool { return head.team == turn.team })
+	})
+	for _, head := range heads {
+		if !slices.ContainsFunc(rota.turns, func(turn turn) bool { return turn.team == head.team }) {
+			rota.turns = append(rota.turns, turn{team: head.team})
+		}
+	}
+}
+
+func headOf(heads []head, team string) head {
+	at := slices.IndexFunc(heads, func(head head) bool { return head.team == team })
+	return heads[at]
+}
+
+// estimate returns the wait that a ticket must expect if it joins the queue.
+//
+// In its own class a ticket waits for at most all the work before it, and by
+// the rota for at most the work of its own team times the others' weights. The
+// lesser of the two counts, so that a surge elsewhere doesn't get a small team
+// refused.
+func (desk *Desk) estimate(ticket Ticket, now timekeeper.Instant) timekeeper.Span {
+	var before, same, own int64
+	weights := map[string]int{ticket.Team: ticket.weight()}
+	for i := range desk.waiting {
+		other := desk.waiting[i]
+		switch class := desk.class(other, now); {
+		case class < ticket.Class:
+			before += other.Work
+		case class == ticket.Class:
+			same += other.Work
+			weights[other.Team] = other.weight()
+			if other.Team == ticket.Team {
+				own += other.Work
+			}
+		}
+	}
+	total := 0
+	for _, weight := range weights {
+		total += weight
+	}
+	fair := (own + ticket.Work) * int64(total) / int64(ticket.weight())
+	return desk.pace.span(before+min(same, fair), desk.limits.Slots) + desk.pace.first(len(desk.running))
+}
+
+// pace is the measured speed of the replica.
+type pace struct {
+	// perToken is the milliseconds that a slot takes for one token of work.
+	perToken float64
+	// length is the milliseconds that a call holds its slot.
+	length float64
+}
+
+// note takes in a finished call. Each counts for an eighth, so the estimate
+// follows an engine that turns slow within about a dozen calls.
+func (pace *pace) note(work int64, took timekeeper.Span) {
+	const share = 8
+	speed := float64(took) / float64(max(1, work))
+	if pace.length == 0 {
+		pace.perToken, pace.length = speed, float64(took)
+		return
+	}
+	pace.perToken += (speed - pace.perToken) / share
+	pace.length += (float64(took) - pace.length) / share
+}
+
+// span returns how long the slots take for the work together.
+func (pace *pace) span(work int64, slots int) timekeeper.Span {
+	return timekeeper.Span(pace.perToken * float64(work) / float64(slots))
+}
+
+// first returns how long it takes until the first of the running calls ends:
+// of n calls under way, each at a random point, the first ends after 1/(n+1).
+func (pace *pace) first(running int) timekeeper.Span {
+	return timekeeper.Span(pace.length / float64(running+1))
+}
--- a/internal/classifier/failure.go
+++ b/internal/classifier/failure.go
@@ -15,6 +15,10 @@
 	Kind       Kind
 	Detail     string
 	RetryAfter timekeeper.Span
+	// Where is the replica that the chat last ran at, or "".
+	Where string
+	// Room is a replica with room, or "".
+	Room string
 }
 
 // New returns a failure of the kind with a detail for the caller.
--- a/internal/classifier/kind.go
+++ b/internal/classifier/kind.go
@@ -39,6 +39,7 @@
 	Protocol
 	Tombstoned
 	ResumeLost
+	Moved
 )
 
 // Ran says what is known about whether a request ran.
@@ -101,6 +102,7 @@
 	Protocol:         {"protocol", http.StatusBadGateway, "a process broke the protocol", RanUnknown, false, false},
 	Tombstoned:       {"tombstoned", http.StatusServiceUnavailable, "the request was declared not run", RanNo, true, false},
 	ResumeLost:       {"resume-lost", http.StatusGone, "the stream can't be resumed from there", RanUnknown, false, false},
+	Moved:            {"moved", http.StatusServiceUnavailable, "the chat last ran at another replica", RanNo, true, true},
 }
 
 // AnswerOf returns the answer for a kind; an unknown kind gets that of Internal.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -13,41 +13,33 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// maxCandidates is how many replicas one call is offered to at most. It bounds
-// what a saturated service costs: three offers a call, however many replicas.
-const maxCandidates = 3
-
 // carry offers the call to its candidates until one answers. It returns an
 // error only when nothing of an answer was written.
 func (entry *Entry) carry(ctx context.Context, w http.ResponseWriter, call call) error {
-	candidates := entry.candidates(call)
-	entry.logPlacement(call, candidates)
-	if len(candidates) == 0 {
-		return classifier.New(classifier.NoUpstream, call.service).WithRetryAfter(timekeeper.Second)
-	}
-	var last classifier.Failure
-	for i, replica := range candidates {
-		failure, done := entry.attempt(ctx, w, call, replica, uint32(i))
+	route := entry.route(call)
+	entry.logPlacement(call, route.Ranked())
+	entry.budgets.earn(call.service)
+	last := classifier.New(classifier.NoUpstream, call.service).WithRetryAfter(timekeeper.Second)
+	deadline := entry.settings.Clock.Now().Add(call.settings.FirstByte)
+	for i := uint32(0); ; i++ {
+		call.left = deadline.Since(entry.settings.Clock.Now())
+		stop, ok := route.Next()
+		if !ok || call.left <= 0 || (i > 0 && !stop.Free && !entry.budgets.spend(call.service)) {
+			return entry.giveUp(last)
+		}
+		call.seek, call.ranked = stop.Seek, route.Ranked()
+		failure, done := entry.attempt(ctx, w, call, stop.Replica, i)
 		if done {
+			go entry.tellHome(context.WithoutCancel(ctx), call, route.Home(), stop.Replica)
 			return nil
 		}
-		entry.logAttempt(call, replica, failure)
+		entry.logAttempt(call, stop.Replica, failure)
 		last = failure
 		if !classifier.AnswerOf(failure.Kind).Elsewhere {
-			break
+			return last
 		}
+		route.Refused(placer.Refusal{Moved: failure.Kind == classifier.Moved, Where: failure.Where, Room: failure.Room})
 	}
-	return last
-}
-
-// candidates ranks the replicas for a call. A call without a chat is ranked by
-// its own id, which spreads such calls evenly.
-func (entry *Entry) candidates(call call) []placer.Replica {
-	chat := call.chat
-	if chat == 0 {
-		chat = xxhash.Sum64String(call.id)
-	}
-	return entry.settings.Roster(call.service).Rank(chat, maxCandidates)
 }
 
 // attempt offers the call to one replica. It returns true when an answer, or
@@ -131,6 +123,7 @@
 		entry.settings.Learn(refused.GetDigest())
 	}
 	failure := classifier.New(classifier.KindOf(refused.GetKind()), refused.GetDetail())
+	failure.Where, failure.Room = refused.GetWhere(), refused.GetRoom()
 	return failure.WithRetryAfter(timekeeper.Span(refused.GetRetryAfter()))
 }
 
@@ -146,10 +139,12 @@
 		Idempotent:  call.idempotent,
 		Key:         call.key,
 		Fingerprint: call.fingerprint(),
-		Deadline:    int64(call.settings.FirstByte),
+		Deadline:    int64(call.left),
 		Work:        call.work,
 		Attempt:     attempt,
 		Entry:       entry,
+		Candidates:  call.ranked,
+		Seek:        call.seek,
 	}
 }
 
@@ -164,17 +159,13 @@
 	return digest.Sum64()
 }
 
-func (entry *Entry) logPlacement(call call, candidates []placer.Replica) {
-	names := make([]string, len(candidates))
-	for i, replica := range candidates {
-		names[i] = replica.Name
-	}
+func (entry *Entry) logPlacement(call call, candidates []string) {
 	entry.settings.Log.WithFields(logrus.Fields{
 		"request-id": call.id,
 		"service":    call.service,
 		"team":       call.team,
 		"chat":       call.chat,
-		"candidates": names,
+		"candidates": candidates,
 	}).Info("placement")
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // call is one classified request of a caller. It doesn't change once made.
@@ -34,6 +35,12 @@
 	headers    []*encoder.Header
 	body       []byte
 	work       int64
+	// ranked and seek tell the agent how the entry ranks the chat, and that
+	// the offer came for its prefix alone.
+	ranked []string
+	seek   bool
+	// left is how long the caller still waits for the first byte.
+	left timekeeper.Span
 }
 
 const (
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -62,11 +62,12 @@
 	settings Settings
 	serial   atomic.Uint64
 	keys     keyTable
+	budgets  *budgets
 }
 
 // New returns an entry.
 func New(settings Settings) *Entry {
-	return &Entry{settings: settings.withDefaults()}
+	return &Entry{settings: settings.withDefaults(), budgets: newBudgets()}
 }
 
 // ServeHTTP serves one call.
--- /dev/null
+++ b/internal/forwarder/route.go
@@ -0,0 +1,90 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/retrier"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// route returns the way of a call through the replicas. A call without a chat
+// is ranked by its own id, which spreads such calls evenly.
+func (entry *Entry) route(call call) *placer.Itinerary {
+	chat := call.chat
+	if chat == 0 {
+		chat = xxhash.Sum64String(call.id)
+	}
+	return placer.NewItinerary(entry.settings.Roster(call.service), chat)
+}
+
+// giveUp returns the failure that a caller gets once no candidate is left. It
+// always tells when to come back.
+func (entry *Entry) giveUp(failure classifier.Failure) classifier.Failure {
+	if failure.Kind == classifier.Moved {
+		failure = classifier.New(classifier.Overloaded, "no replica took the chat")
+	}
+	if failure.RetryAfter == 0 {
+		failure = failure.WithRetryAfter(timekeeper.Second)
+	}
+	return failure
+}
+
+// pointerTimeout bounds a message to a home that doesn't answer.
+const pointerTimeout = 2 * timekeeper.Second
+
+// tellHome tells a chat's home that the chat ran elsewhere, so that the next
+// turn finds it. A lost message costs a cold prefix and nothing else, so it is
+// sent once and no answer is awaited.
+func (entry *Entry) tellHome(ctx context.Context, call call, home, served placer.Replica) {
+	if call.chat == 0 || home.Name == served.Name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pointerTimeout.Duration())
+	defer cancel()
+	conn, err := entry.settings.Pool.Open(ctx, home.Address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	entry.settings.Scope.Counter("pointers-put").Inc(1)
+	_ = encoder.NewStream(conn).Write(encoder.Of(&encoder.PointerPut{Chat: call.chat, Instance: served.Name}))
+}
+
+// budgets are the retry budgets of an entry, one a service, so that a service
+// that is saturated uses up no other's.
+type budgets struct {
+	mu        sync.Mutex
+	byService map[string]*retrier.Budget
+}
+
+func newBudgets() *budgets {
+	return &budgets{byService: map[string]*retrier.Budget{}}
+}
+
+// of returns the budget of a service; the lock must be held.
+func (budgets *budgets) of(service string) *retrier.Budget {
+	budget := budgets.byService[service]
+	if budget == nil {
+		budget = retrier.NewBudget(retrier.Settings{})
+		budgets.byService[service] = budget
+	}
+	return budget
+}
+
+func (budgets *budgets) earn(service string) {
+	budgets.mu.Lock()
+	defer budgets.mu.Unlock()
+	budgets.of(service).Earn()
+}
+
+func (budgets *budgets) spend(service string) bool {
+	budgets.mu.Lock()
+	defer budgets.mu.Unlock()
+	return budgets.of(service).Spend()
+}
--- /dev/null
+++ b/internal/placer/itinerary.go
@@ -0,0 +1,114 @@
+package placer
+
+import "slices"
+
+// MaxOffers is how many offers one call makes at most. It bounds what a
+// saturated service costs, however many replicas it has.
+const MaxOffers = 3
+
+// Stop is a replica that an offer goes to.
+type Stop struct {
+	Replica Replica
+	// Seek says that the offer goes there for the chat's prefix alone: a replica
+	// that doesn't know the chat sends it back.
+	Seek bool
+	// Free says that the stop follows a hint and is no retry after a failure.
+	Free bool
+}
+
+// Refusal is what an itinerary reads in a refusal.
+type Refusal struct {
+	// Moved says that the chat is elsewhere, and that the replica would take it
+	// if it came again.
+	Moved bool
+	// Where is the replica that the chat last ran at, or "".
+	Where string
+	// Room is a replica with room, or "".
+	Room string
+}
+
+// Itinerary leads one call's offers: to the chat's home, then where a hint
+// says, then along the ranking.
+type Itinerary struct {
+	roster  Roster
+	ranked  []Replica
+	visited []string
+	// home is set when the home sent the offer on and is to be asked again.
+	home bool
+	hint Refusal
+}
+
+// NewItinerary returns the itinerary of a chat.
+func NewItinerary(roster Roster, chat uint64) *Itinerary {
+	return &Itinerary{roster: roster, ranked: roster.Rank(chat, MaxOffers)}
+}
+
+// Ranked returns the names of the replicas as they rank for the chat.
+func (itinerary *Itinerary) Ranked() []string {
+	names := make([]string, len(itinerary.ranked))
+	for i, replica := range itinerary.ranked {
+		names[i] = replica.Name
+	}
+	return names
+}
+
+// Home returns the first replica of the ranking; there must be one.
+func (itinerary *Itinerary) Home() Replica {
+	return itinerary.ranked[0]
+}
+
+// Refused takes in the refusal of the last stop.
+func (itinerary *Itinerary) Refused(refusal Refusal) {
+	itinerary.hint = refusal
+	if refusal.Moved && len(itinerary.visited) == 1 {
+		itinerary.home = true
+	}
+}
+
+// Next returns the next stop; it returns false when there is none left.
+func (itinerary *Itinerary) Next() (Stop, bool) {
+	if len(itinerary.visited) >= MaxOffers || len(itinerary.ranked) == 0 {
+		return Stop{}, false
+	}
+	stop, ok := itinerary.choose()
+	if ok {
+		itinerary.visited = append(itinerary.visited, stop.Replica.Name)
+	}
+	return stop, ok
+}
+
+func (itinerary *Itinerary) choose() (Stop, bool) {
+	first := len(itinerary.visited) == 0
+	if !first {
+		if replica, ok := itinerary.fresh(itinerary.hint.Where); ok {
+			return Stop{Replica: replica, Free: itinerary.hint.Moved}, true
+		}
+	}
+	// The home asked to look at the runner-up, without knowing more.
+	if itinerary.home && len(itinerary.visited) == 1 && itinerary.hint.Where == "" && len(itinerary.ranked) > 1 {
+		return Stop{Replica: itinerary.ranked[1], Seek: true, Free: true}, true
+	}
+	if itinerary.home {
+		itinerary.home = false
+		return Stop{Replica: itinerary.ranked[0], Free: true}, true
+	}
+	if len(itinerary.visited) == MaxOffers-1 {
+		if replica, ok := itinerary.fresh(itinerary.hint.Room); ok {
+			return Stop{Replica: replica}, true
+		}
+	}
+	for _, replica := range itinerary.ranked {
+		if !slices.Contains(itinerary.visited, replica.Name) {
+			return Stop{Replica: replica}, true
+		}
+	}
+	return Stop{}, false
+}
+
+// fresh returns the named replica when the roster has it and it was not visited.
+func (itinerary *Itinerary) fresh(name string) (Replica, bool) {
+	if name == "" || slices.Contains(itinerary.visited, name) {
+		return Replica{}, false
+	}
+	return itinerary.roster.Find(name)
+}
--- a/internal/resolver/config.go
+++ b/internal/resolver/config.go
@@ -51,6 +51,20 @@
 	Slots int `toml:"slots"`
 	// QueueLength is how many calls wait at a replica at most; zero means 64.
 	QueueLength int `toml:"queue-length"`
+	// UrgentSlots is how many of the slots only urgency 0 may use; absent means
+	// one of eight.
+	UrgentSlots *int `toml:"urgent-slots"`
+	// OldestMean is the age past which the service's mean load sets no bound;
+	// zero means 5 seconds.
+	OldestMean timekeeper.Span `toml:"oldest-mean"`
+	// Ageing is the wait that lifts a call by one urgency; zero means 2 seconds.
+	Ageing timekeeper.Span `toml:"ageing"`
+	// UnknownHold is how long a slot stays taken after a cancelled call whose
+	// end the upstream did not confirm; absent means one second.
+	UnknownHold *timekeeper.Span `toml:"unknown-hold"`
+	// SettleTime is how long after its start a replica sends chats that it
+	// doesn't know to where they last ran; absent means ten minutes.
+	SettleTime *timekeeper.Span `toml:"settle-time"`
 	// MaxBody is the longest request body in bytes; zero means 1 MiB.
 	MaxBody int64 `toml:"max-body"`
 	// LongestCall is how long a call may run; zero means ten minutes.
@@ -88,6 +102,12 @@
 	DefaultMaxBody     = 1 << 20
 	DefaultLongestCall = 10 * timekeeper.Minute
 	DefaultFirstByte   = 30 * timekeeper.Second
+	DefaultOldestMean  = 5 * timekeeper.Second
+	DefaultAgeing      = 2 * timekeeper.Second
+	DefaultUnknownHold = timekeeper.Second
+	DefaultSettleTime  = 10 * timekeeper.Minute
+	// slotsPerUrgent is how many slots there are to each one kept for urgent work.
+	slotsPerUrgent = 8
 )
 
 // WithRevision returns the configuration under a revision.
@@ -105,6 +125,11 @@
 	orDefault(&service.LongestCall, DefaultLongestCall)
 	orDefault(&service.LongestDrain, service.LongestCall)
 	orDefault(&service.FirstByte, DefaultFirstByte)
+	orDefault(&service.OldestMean, DefaultOldestMean)
+	orDefault(&service.Ageing, DefaultAgeing)
+	orDefault(&service.UrgentSlots, new(service.Slots/slotsPerUrgent))
+	orDefault(&service.UnknownHold, new(DefaultUnknownHold))
+	orDefault(&service.SettleTime, new(DefaultSettleTime))
 	return service
 }
 
--- a/internal/resolver/parse.go
+++ b/internal/resolver/parse.go
@@ -89,6 +89,7 @@
 		if service.LoadFactor != 0 && service.LoadFactor < 1 {
 			add("services.%s.load-factor is %g; write 1 or more", name, service.LoadFactor)
 		}
+		checkQueue(name, service, add)
 	}
 	for _, route := range config.Routes {
 		if _, ok := config.Services[route.Service]; !ok {
@@ -97,3 +98,18 @@
 	}
 	return faults
 }
+
+// checkQueue checks the settings of a service's slots and queue.
+func checkQueue(name string, service Service, add func(reason string, parts ...any)) {
+	if service.Slots < 0 || service.QueueLength < 0 {
+		add("services.%s: slots and queue-length must not be negative", name)
+		return
+	}
+	whole := service.WithDefaults()
+	if *whole.UrgentSlots < 0 || *whole.UrgentSlots >= whole.Slots {
+		add("services.%s.urgent-slots is %d; write 0 or more, and fewer than the %d slots", name, *whole.UrgentSlots, whole.Slots)
+	}
+	if min(whole.OldestMean, whole.Ageing, *whole.UnknownHold, *whole.SettleTime) < 0 {
+		add("services.%s: no span may be negative", name)
+	}
+}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 
@@ -13,6 +14,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/admitter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -35,6 +37,12 @@
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
+	// Room names a replica of the service with room, for callers that are sent
+	// on; nil means that none is known.
+	Room func() string
+	// Draw returns random numbers in [0, 1) for jitter; nil means a source
+	// seeded with the incarnation.
+	Draw func() float64
 	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
 	RunWait timekeeper.Span
 	// KeepRun is how long an ended run stays known; zero means 2 minutes.
@@ -51,6 +59,12 @@
 	if settings.Mean == nil {
 		settings.Mean = func() admitter.Mean { return admitter.Mean{} }
 	}
+	if settings.Room == nil {
+		settings.Room = func() string { return "" }
+	}
+	if settings.Draw == nil {
+		settings.Draw = rand.New(rand.NewPCG(settings.Incarnation, 0)).Float64
+	}
 	if settings.Record == nil {
 		settings.Record = recorder.Drop
 	}
@@ -65,7 +79,9 @@
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
-	granted  map[string]chan struct{}
+	queue    map[string]chan verdict
+	places   *placer.Directory
+	born     timekeeper.Instant
 	runs     map[string]*run
 	draining bool
 	sequence uint64
@@ -84,8 +100,10 @@
 		settings: settings,
 		service:  service,
 		upstream: newUpstream(settings.Upstream, service),
-		desk:     admitter.NewDesk(admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}),
-		granted:  map[string]chan struct{}{},
+		desk:     admitter.NewDesk(limitsOf(service, settings.Draw)),
+		queue:    map[string]chan verdict{},
+		places:   placer.NewDirectory(placer.DirectorySize),
+		born:     settings.Clock.Now(),
 		runs:     map[string]*run{},
 	}
 	return agent, agent.upstream.close, nil
@@ -137,6 +155,8 @@
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
+	case *encoder.Frame_PointerPut:
+		agent.notePointer(message.PointerPut)
 	case *encoder.Frame_DigestAsk:
 		_ = stream.Write(encoder.Of(agent.digests()))
 	default:
--- /dev/null
+++ b/internal/runner/chats.go
@@ -0,0 +1,58 @@
+package runner
+
+import (
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// elsewhere returns a refusal when the chat's prefix is at another replica;
+// the lock must be held.
+func (agent *Agent) elsewhere(offer *encoder.Offer, now timekeeper.Instant) (classifier.Failure, bool) {
+	if agent.service.Kind != resolver.KindModel {
+		return classifier.Failure{}, false
+	}
+	visit := placer.Visit{
+		Chat:     offer.GetChat(),
+		Self:     agent.settings.Name,
+		Attempt:  int(offer.GetAttempt()),
+		Ranked:   offer.GetCandidates(),
+		Seek:     offer.GetSeek(),
+		Settling: now.Since(agent.born) < *agent.service.SettleTime,
+	}
+	if !agent.places.Moved(visit) {
+		return classifier.Failure{}, false
+	}
+	return classifier.New(classifier.Moved, "the chat last ran at another replica"), true
+}
+
+// hints returns where the caller of a refused offer should go: to the replica
+// that the chat last ran at, else to one with room.
+func (agent *Agent) hints(offer *encoder.Offer, kind classifier.Kind) (where, room string) {
+	if !classifier.AnswerOf(kind).Elsewhere {
+		return "", ""
+	}
+	agent.mu.Lock()
+	where = agent.places.Where(offer.GetChat())
+	agent.mu.Unlock()
+	if where == agent.settings.Name {
+		where = ""
+	}
+	return where, agent.settings.Room()
+}
+
+// noteChat remembers that a chat runs here.
+func (agent *Agent) noteChat(chat uint64) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	agent.places.Note(chat, agent.settings.Name)
+}
+
+// notePointer remembers that a chat whose home is here ran elsewhere.
+func (agent *Agent) notePointer(put *encoder.PointerPut) {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	agent.places.Note(put.GetChat(), put.GetInstance())
+}
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -91,7 +91,7 @@
 			return classifier.New(classifier.CallerGone, ""), false
 		}
 	}
-	if failure, ok := waitForSlot(ctx, slot, inbox); !ok {
+	if failure, ok := agent.waitForSlot(ctx, offer, slot, inbox); !ok {
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
@@ -111,51 +111,6 @@
 	return classifier.Failure{}, true
 }
 
-// waitForSlot waits until the slot is granted. It returns false when the
-// caller leaves or the agent stops before.
-func waitForSlot(ctx context.Context, slot <-chan struct{}, inbox *inbox) (classifier.Failure, bool) {
-	for {
-		select {
-		case <-slot:
-			return classifier.Failure{}, true
-		case in := <-inbox.frames:
-			if inbox.gone(in) {
-				return classifier.New(classifier.CallerGone, "the caller left the queue"), false
-			}
-		case <-ctx.Done():
-			return classifier.New(classifier.Draining, "the agent stops"), false
-		}
-	}
-}
-
-// decide asks the desk about an offer under the agent's lock.
-func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	if failure, ok := agent.unfit(offer); ok {
-		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
-	}
-	ticket := admitter.Ticket{
-		ID:      offer.GetRequestId(),
-		Team:    offer.GetTeam(),
-		Class:   uint8(min(offer.GetClass(), 7)),
-		Work:    offer.GetWork(),
-		Arrived: arrived,
-	}
-	if offer.GetDeadline() > 0 {
-		ticket.Deadline = arrived.Add(timekeeper.Span(offer.GetDeadline()))
-	}
-	decision := agent.desk.Offer(ticket)
-	slot := make(chan struct{})
-	switch decision.Outcome {
-	case admitter.Granted:
-		close(slot)
-	case admitter.Queued:
-		agent.granted[ticket.ID] = slot
-	}
-	return decision, slot
-}
-
 // unfit returns the reason why this replica can't take the offer at all.
 func (agent *Agent) unfit(offer *encoder.Offer) (classifier.Failure, bool) {
 	switch {
@@ -165,25 +120,12 @@
 		return classifier.New(classifier.WrongInstance, ""), true
 	case agent.draining:
 		return classifier.New(classifier.Draining, "").WithRetryAfter(timekeeper.Second), true
-	case agent.runs[offer.GetRequestId()] != nil:
+	case agent.runs[offer.GetRequestId()] != nil || agent.desk.Holds(offer.GetRequestId()):
 		return classifier.New(classifier.Tombstoned, "the request id is known already"), true
 	}
 	return classifier.Failure{}, false
 }
 
-// release gives a slot or a place in the queue back and wakes who gets it.
-func (agent *Agent) release(id string) {
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	delete(agent.granted, id)
-	for _, ticket := range agent.desk.Finish(id) {
-		if slot := agent.granted[ticket.ID]; slot != nil {
-			close(slot)
-			delete(agent.granted, ticket.ID)
-		}
-	}
-}
-
 // await waits for the Run frame of a granted offer and starts it.
 func (agent *Agent) await(ctx context.Context, offer *encoder.Offer, inbox *inbox) (*run, classifier.Failure, bool) {
 	if inbox.early != nil {
@@ -213,7 +155,10 @@
 }
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
+	where, room := agent.hints(offer, failure.Kind)
 	return &encoder.Refused{
+		Where:       where,
+		Room:        room,
 		RequestId:   offer.GetRequestId(),
 		Kind:        failure.Kind.String(),
 		Detail:      failure.Detail,
@@ -234,6 +179,11 @@
 	}
 	if decision.Outcome == admitter.Refused {
 		fields["reason"] = decision.Failure.Kind.String()
+		fields["detail"] = decision.Failure.Detail
+		fields["retry-after"] = decision.Failure.RetryAfter.String()
+	}
+	if decision.Outcome == admitter.Queued {
+		fields["estimate"] = decision.Estimate.String()
 	}
 	agent.settings.Scope.Tagged(map[string]string{"outcome": decision.Outcome.String()}).Counter("offers").Inc(1)
 	agent.settings.Log.WithFields(fields).Info("admission")
--- /dev/null
+++ b/internal/runner/slot.go
@@ -0,0 +1,120 @@
+package runner
+
+import (
+	"context"
+
+	"github.com/trefoilseam/trefoilseam/internal/admitter"
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// verdict is what became of an offer that waited for a slot.
+type verdict struct {
+	granted bool
+	failure classifier.Failure
+}
+
+// limitsOf returns the limits of a service's desks.
+func limitsOf(service resolver.Service, draw func() float64) admitter.Limits {
+	return admitter.Limits{
+		Slots:       service.Slots,
+		QueueLength: service.QueueLength,
+		UrgentSlots: *service.UrgentSlots,
+		LoadFactor:  service.LoadFactor,
+		OldestMean:  service.OldestMean,
+		Ageing:      service.Ageing,
+		Backoff:     admitter.Backoff{Draw: draw},
+	}
+}
+
+// decide asks the desk about an offer under the agent's lock.
+func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan verdict) {
+	mean := agent.settings.Mean()
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	if failure, ok := agent.unfit(offer); ok {
+		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
+	}
+	if failure, ok := agent.elsewhere(offer, arrived); ok {
+		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
+	}
+	decision := agent.desk.Offer(agent.ticket(offer, arrived), mean)
+	for _, ticket := range decision.Displaced {
+		agent.tell(ticket.ID, verdict{failure: agent.desk.PushedOut()})
+	}
+	slot := make(chan verdict, 1)
+	switch decision.Outcome {
+	case admitter.Granted:
+		slot <- verdict{granted: true}
+	case admitter.Queued:
+		agent.queue[offer.GetRequestId()] = slot
+	}
+	return decision, slot
+}
+
+func (agent *Agent) ticket(offer *encoder.Offer, arrived timekeeper.Instant) admitter.Ticket {
+	const lastClass = 7
+	ticket := admitter.Ticket{
+		ID:      offer.GetRequestId(),
+		Team:    offer.GetTeam(),
+		Weight:  agent.settings.Config().Teams[offer.GetTeam()].Weight,
+		Class:   uint8(min(offer.GetClass(), lastClass)),
+		Work:    offer.GetWork(),
+		Arrived: arrived,
+	}
+	if offer.GetDeadline() > 0 {
+		ticket.Deadline = arrived.Add(timekeeper.Span(offer.GetDeadline()))
+	}
+	return ticket
+}
+
+// tell gives a waiting offer its verdict; the lock must be held.
+func (agent *Agent) tell(id string, verdict verdict) {
+	if slot := agent.queue[id]; slot != nil {
+		delete(agent.queue, id)
+		slot <- verdict
+	}
+}
+
+// release gives a slot or a place in the queue back and wakes who gets it.
+func (agent *Agent) release(id string) {
+	now := agent.settings.Clock.Now()
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	delete(agent.queue, id)
+	for _, ticket := range agent.desk.Finish(id, now) {
+		agent.tell(ticket.ID, verdict{granted: true})
+	}
+}
+
+// waitForSlot waits until the offer has its verdict. It returns false when
+// the caller leaves, its deadline passes, or the agent stops before. An offer
+// past its deadline is refused at that instant: nobody waits for it any more,
+// and its place is worth something to others.
+func (agent *Agent) waitForSlot(
+	ctx context.Context, offer *encoder.Offer, slot <-chan verdict, inbox *inbox,
+) (classifier.Failure, bool) {
+	var late <-chan timekeeper.Instant
+	if deadline := timekeeper.Span(offer.GetDeadline()); deadline > 0 {
+		fired, stop := agent.settings.Clock.After(deadline)
+		defer stop()
+		late = fired
+	}
+	for {
+		select {
+		case verdict := <-slot:
+			return verdict.failure, verdict.granted
+		case in := <-inbox.frames:
+			if inbox.gone(in) {
+				return classifier.New(classifier.CallerGone, "the caller left the queue"), false
+			}
+		case <-late:
+			failure := classifier.New(classifier.DeadlinePassed, "no slot came free in time")
+			return failure.WithRetryAfter(timekeeper.Second), false
+		case <-ctx.Done():
+			return classifier.New(classifier.Draining, "the agent stops"), false
+		}
+	}
+}
