--- a/internal/admitter/desk.go
+++ b/internal/admitter/desk.go
@@ -79,11 +79,7 @@
 
 // NewDesk returns an empty desk. It panics when a limit is out of its range.
 func NewDesk(limits Limits) *Desk {
-	limits = limits.withDefaults()
-	if limits.Slots <= 0 || limits.QueueLength < 0 || limits.UrgentSlots >= limits.Slots {
-		panic(badLimits)
-	}
-	return &Desk{limits: limits, running: map[string]grant{}, places: map[string]int{}}
+	return &Desk{limits: limits.checked(), running: map[string]grant{}, places: map[string]int{}}
 }
 
 const (
@@ -241,6 +237,13 @@
 	}
 }
 
+// Resize changes the limits and returns the tickets that got a slot by that.
+// What runs or waits over a lower limit stays, and new offers are held to it.
+func (desk *Desk) Resize(limits Limits, now timekeeper.Instant) []Ticket {
+	desk.limits = limits.checked()
+	return desk.promote(now)
+}
+
 // Load returns what the desk holds.
 func (desk *Desk) Load() Load {
 	return Load{Running: len(desk.running), Waiting: len(desk.waiting), Work: desk.work}
--- a/internal/admitter/desk_test.go
+++ b/internal/admitter/desk_test.go
@@ -15,59 +15,79 @@
 	return Ticket{ID: id, Team: team, Class: class, Work: work}
 }
 
+// trial follows what a desk says about its tickets.
+type trial struct {
+	t                *rapid.T
+	desk             *Desk
+	running, waiting map[string]bool
+	now              timekeeper.Instant
+}
+
+func (trial *trial) finish(number int) {
+	id := rapid.SampledFrom(keys(trial.running, number)).Draw(trial.t, "finished")
+	delete(trial.running, id)
+	for _, granted := range trial.desk.Finish(id, trial.now) {
+		if trial.running[granted.ID] || !trial.waiting[granted.ID] {
+			trial.t.Fatalf("%s was granted twice, or never waited", granted.ID)
+		}
+		delete(trial.waiting, granted.ID)
+		trial.running[granted.ID] = true
+	}
+}
+
+func (trial *trial) offer(number int) {
+	t := trial.t
+	offered := ticket(fmt.Sprint(number), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "team")),
+		uint8(rapid.IntRange(0, 7).Draw(t, "class")), int64(rapid.IntRange(1, 500).Draw(t, "work")))
+	offered.Arrived = trial.now
+	mean := Mean{Total: int64(rapid.IntRange(0, 9000).Draw(t, "total")), Replicas: rapid.IntRange(0, 9).Draw(t, "replicas")}
+	held := trial.desk.Load().Work
+	decision := trial.desk.Offer(offered, mean)
+	for _, displaced := range decision.Displaced {
+		if !trial.waiting[displaced.ID] {
+			t.Fatalf("%s was displaced and did not wait", displaced.ID)
+		}
+		delete(trial.waiting, displaced.ID)
+	}
+	switch decision.Outcome {
+	case Granted:
+		trial.running[offered.ID] = true
+	case Queued:
+		trial.waiting[offered.ID] = true
+	}
+	if decision.Outcome != Refused && held >= trial.desk.limits.Bound(mean, held, offered) {
+		t.Fatalf("taken above the bound: held %d, mean %+v", held, mean)
+	}
+}
+
+func (trial *trial) check() {
+	load := trial.desk.Load()
+	if load.Running != len(trial.running) || load.Waiting != len(trial.waiting) {
+		trial.t.Fatalf("the desk holds %+v, of %d running and %d waiting", load, len(trial.running), len(trial.waiting))
+	}
+	if load.Running > trial.desk.limits.Slots || load.Waiting > trial.desk.limits.QueueLength {
+		trial.t.Fatalf("a cap broke: %+v", load)
+	}
+}
+
 // TestDeskKeepsEveryTicket drives a desk at random: no ticket is lost, none is
 // granted twice, the caps hold, and no replica goes above its bound by more
 // than the one ticket that crosses it.
 func TestDeskKeepsEveryTicket(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Slots: rapid.IntRange(2, 6).Draw(t, "slots"), QueueLength: rapid.IntRange(0, 8).Draw(t, "queue"), UrgentSlots: 1, LoadFactor: 1.25}
-		desk := NewDesk(limits)
-		running, waiting := map[string]bool{}, map[string]bool{}
-		grant := func(id string) {
-			if running[id] || !waiting[id] {
-				t.Fatalf("%s was granted twice, or never waited", id)
-			}
-			delete(waiting, id)
-			running[id] = true
+		limits := Limits{
+			Slots: rapid.IntRange(2, 6).Draw(t, "slots"), QueueLength: rapid.IntRange(0, 8).Draw(t, "queue"),
+			UrgentSlots: 1, LoadFactor: 1.25,
 		}
-		now := timekeeper.Instant(0)
+		trial := trial{t: t, desk: NewDesk(limits), running: map[string]bool{}, waiting: map[string]bool{}}
 		for number := range rapid.IntRange(1, 80).Draw(t, "steps") {
-			now = now.Add(timekeeper.Span(rapid.IntRange(0, 900).Draw(t, "pause")))
-			if len(running) > 0 && rapid.Bool().Draw(t, "finish") {
-				id := rapid.SampledFrom(keys(running, number)).Draw(t, "finished")
-				delete(running, id)
-				for _, granted := range desk.Finish(id, now) {
-					grant(granted.ID)
-				}
+			trial.now = trial.now.Add(timekeeper.Span(rapid.IntRange(0, 900).Draw(t, "pause")))
+			if len(trial.running) > 0 && rapid.Bool().Draw(t, "finish") {
+				trial.finish(number)
 			} else {
-				offered := ticket(fmt.Sprint(number), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "team")), uint8(rapid.IntRange(0, 7).Draw(t, "class")), int64(rapid.IntRange(1, 500).Draw(t, "work")))
-				offered.Arrived = now
-				mean := Mean{Total: int64(rapid.IntRange(0, 9000).Draw(t, "total")), Replicas: rapid.IntRange(0, 9).Draw(t, "replicas")}
-				held := desk.Load().Work
-				decision := desk.Offer(offered, mean)
-				for _, displaced := range decision.Displaced {
-					if !waiting[displaced.ID] {
-						t.Fatalf("%s was displaced and did not wait", displaced.ID)
-					}
-					delete(waiting, displaced.ID)
-				}
-				switch decision.Outcome {
-				case Granted:
-					running[offered.ID] = true
-				case Queued:
-					waiting[offered.ID] = true
-				}
-				if decision.Outcome != Refused && held >= desk.limits.Bound(mean, held, offered) {
-					t.Fatalf("taken above the bound: held %d, mean %+v", held, mean)
-				}
-			}
-			load := desk.Load()
-			if load.Running != len(running) || load.Waiting != len(waiting) {
-				t.Fatalf("the desk holds %+v, of %d running and %d waiting", load, len(running), len(waiting))
-			}
-			if load.Running > limits.Slots || load.Waiting > limits.QueueLength {
-				t.Fatalf("a cap broke: %+v", load)
+				trial.offer(number)
 			}
+			trial.check()
 		}
 	})
 }
--- a/internal/admitter/limits.go
+++ b/internal/admitter/limits.go
@@ -55,6 +55,14 @@
 // the way to the bound.
 const coldShare = 0.25
 
+// checked returns the limits with defaults; it panics when one is out of range.
+func (limits Limits) checked() Limits {
+	if limits.Slots <= 0 || limits.QueueLength < 0 || limits.UrgentSlots >= limits.Slots {
+		panic(badLimits)
+	}
+	return limits.withDefaults()
+}
+
 // unbounded is the bound where none applies.
 const unbounded = math.MaxInt64
 
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
@@ -27,6 +28,8 @@
 	watcher  *publisher.Watcher
 	agent    *runner.Agent
 	metrics  http.Handler
+
+	neighbours *neighbours
 }
 
 // NewAgent returns an agent that listens and has its first configuration, and
@@ -34,13 +37,18 @@
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
 	made := &Agent{settings: settings, env: env}
-	made.watcher = publisher.NewWatcher(env.Platform, settings.Site, env.Log)
+	incarnation := newIncarnation()
+	made.neighbours = newNeighbours(env.Platform.Directory, incarnation)
+	pool, closePool := dialer.NewPool(dialer.Settings{})
+	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := made.watcher.Await(ctx, env.Clock); err != nil {
+	if err := made.watcher.Await(ctx); err != nil {
+		closePool()
 		return nil, nil, err
 	}
 	if err := made.bind(); err != nil {
+		closePool()
 		return nil, nil, err
 	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
@@ -49,19 +57,24 @@
 		Name:        settings.Name,
 		Service:     settings.Service,
 		Site:        settings.Site,
-		Incarnation: newIncarnation(),
+		Incarnation: incarnation,
 		Upstream:    settings.Upstream,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Table:       env.Platform.Table,
+
+		Hear:          made.watcher.Hear,
+		Configuration: made.watcher.Answer,
 	})
 	if err != nil {
+		closePool()
 		closeScope()
 		return nil, nil, err
 	}
 	made.agent = agent
-	return made, func() { release(); closeScope() }, nil
+	return made, func() { release(); closePool(); closeScope() }, nil
 }
 
 func (made *Agent) bind() error {
@@ -84,7 +97,9 @@
 
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
-	addLoop(group, func(ctx context.Context) { made.watcher.Run(ctx, made.env.Clock) })
+	addLoop(group, made.watcher.Run)
+	addLoop(group, func(ctx context.Context) { made.neighbours.run(ctx, made.env.Clock) })
+	addLoop(group, made.agent.Keep)
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
 	if made.admin == nil {
@@ -92,6 +107,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
+	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(func() *encoder.Digest { return made.agent.Digest() }))
 	addServer(group, made.admin, mux, headerTimeout)
 	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
@@ -125,12 +141,14 @@
 	err := made.agent.Drain(ctx)
 	took := made.env.Clock.Now().Since(started)
 	made.env.Log.WithFields(logrus.Fields{"took": took.String(), "whole": err == nil}).Info("drained")
-	if err == nil {
-		// Answers that ended at the upstream may still be on their way to the entry.
-		return made.env.Clock.Sleep(context.Background(), lastFrames)
+	if err != nil {
+		return err
 	}
-	return err
+	return made.env.Clock.Sleep(context.Background(), linger)
 }
 
-// lastFrames is how long a drained agent stays for its last frames to be read.
-const lastFrames = 100 * timekeeper.Millisecond
+// linger is how long a drained agent keeps its connections. A socket that is
+// closed with unread bytes resets its peer, and the peer then loses the end of
+// an answer that it had not read yet; half a second lets the last frames be
+// read and the last window updates arrive.
+const linger = 500 * timekeeper.Millisecond
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/minter"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -16,16 +17,19 @@
 // carry offers the call to its candidates until one answers. It returns an
 // error only when nothing of an answer was written.
 func (entry *Entry) carry(ctx context.Context, w http.ResponseWriter, call call) error {
+	if named, ok := minter.Read(call.key); ok && !call.idempotent {
+		return entry.carryMinted(ctx, w, call, named)
+	}
 	route := entry.route(call)
 	entry.logPlacement(call, route.Ranked())
 	entry.budgets.earn(call.service)
-	last := classifier.New(classifier.NoUpstream, call.service).WithRetryAfter(timekeeper.Second)
+	attempts := attempts{last: classifier.New(classifier.NoUpstream, call.service)}
 	deadline := entry.settings.Clock.Now().Add(call.settings.FirstByte)
 	for i := uint32(0); ; i++ {
 		call.left = deadline.Since(entry.settings.Clock.Now())
 		stop, ok := route.Next()
 		if !ok || call.left <= 0 || (i > 0 && !stop.Free && !entry.budgets.spend(call.service)) {
-			return entry.giveUp(last)
+			break
 		}
 		call.seek, call.ranked = stop.Seek, route.Ranked()
 		failure, done := entry.attempt(ctx, w, call, stop.Replica, i)
@@ -34,12 +38,18 @@
 			return nil
 		}
 		entry.logAttempt(call, stop.Replica, failure)
-		last = failure
-		if !classifier.AnswerOf(failure.Kind).Elsewhere {
-			return last
+		if ctx.Err() != nil {
+			return classifier.New(classifier.CallerGone, "")
+		}
+		if call.heard.owner.agent != "" {
+			return entry.carryOwned(ctx, w, call, failure)
+		}
+		if !attempts.add(call, failure) {
+			break
 		}
 		route.Refused(refusalOf(failure))
 	}
+	return giveUp(attempts.failure())
 }
 
 // attempt offers the call to one replica. It returns true when an answer, or
@@ -52,73 +62,78 @@
 		return classifier.New(classifier.Unreachable, replica.Name), false
 	}
 	defer func() { _ = conn.Close() }()
+	// The caller's leaving must reach the agent, or the engine works for
+	// nobody and its slot stays taken. The agent sees the stream close, gives a
+	// queued place back at once, and ends a run after its grace for a resume.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
 	stream := encoder.NewStream(conn)
-	if failure, ok := entry.commit(stream, call, replica, attempt); !ok {
+	at := contact{replica: replica}
+	failure, committed, lost := entry.commit(stream, call, &at, attempt)
+	switch {
+	case lost:
+		return entry.settle(ctx, entry.newRelayed(w, call), at)
+	case !committed:
 		return failure, false
 	}
-	// The caller's leaving must reach the agent, or the engine works for
-	// nobody and its slot stays taken.
-	stop := context.AfterFunc(ctx, func() {
-		_ = stream.Write(encoder.Of(&encoder.Cancel{RequestId: call.id, Reason: "caller gone"}))
-		_ = conn.Close()
-	})
-	defer stop()
-	return entry.relay(w, call, stream)
+	return entry.relay(ctx, w, call, at, stream)
 }
 
 // commit brings the call to the point where it is committed: offered, granted
-// and sent. It returns false with the reason when it was not.
+// and sent. It returns false with the reason when it was not. The third result
+// is true when the connection broke while the Run frame was sent: part of it,
+// or all, may have reached the agent.
 func (entry *Entry) commit(
-	stream *encoder.Stream, call call, replica placer.Replica, attempt uint32,
-) (classifier.Failure, bool) {
-	offer := call.offer(entry.settings.Name, replica, attempt)
+	stream *encoder.Stream, call call, at *contact, attempt uint32,
+) (classifier.Failure, bool, bool) {
+	offer := call.offer(entry.settings.Name, at.replica, attempt)
+	offer.Strikes = entry.hints.of(offer.GetFingerprint(), entry.settings.Clock.Now()).strikes
 	run := &encoder.Run{
 		RequestId: call.id, Method: call.method, Path: call.path, Headers: call.headers, Body: call.body,
 	}
 	if call.idempotent {
 		offer.RunFollows = true
-		if err := stream.Write(encoder.Of(offer), encoder.Of(run)); err != nil {
-			return classifier.New(classifier.Unreachable, replica.Name), false
-		}
-		return classifier.Failure{}, true
+		err := stream.Write(encoder.Of(offer), encoder.Of(run))
+		return classifier.Failure{}, err == nil, err != nil
 	}
 	if err := stream.Write(encoder.Of(offer)); err != nil {
-		return classifier.New(classifier.Unreachable, replica.Name), false
-	}
-	if failure, ok := entry.granted(stream, call); !ok {
-		return failure, false
+		return classifier.New(classifier.Unreachable, at.replica.Name), false, false
 	}
-	if err := stream.Write(encoder.Of(run)); err != nil {
-		// Part of the frame may have reached the agent, so what happened there is not known.
-		return classifier.New(classifier.OutcomeUnknown, "the connection broke while the call was sent"), false
+	incarnation, failure, ok := entry.granted(stream, call)
+	if !ok {
+		return failure, false, false
 	}
-	return classifier.Failure{}, true
+	at.incarnation = incarnation
+	err := stream.Write(encoder.Of(run))
+	return classifier.Failure{}, err == nil, err != nil
 }
 
 // granted waits for the answer to an offer.
-func (entry *Entry) granted(stream *encoder.Stream, call call) (classifier.Failure, bool) {
+func (entry *Entry) granted(stream *encoder.Stream, call call) (uint64, classifier.Failure, bool) {
 	for {
 		frame, err := stream.Read()
 		if err != nil {
-			return classifier.New(classifier.Unreachable, "the connection broke before the call was sent"), false
+			return 0, classifier.New(classifier.Unreachable, "the connection broke before the call was sent"), false
 		}
 		switch message := frame.GetBody().(type) {
 		case *encoder.Frame_Queued:
 		case *encoder.Frame_Granted:
 			if message.Granted.GetRequestId() != call.id {
-				return classifier.New(classifier.Protocol, "a grant for another request"), false
+				return 0, classifier.New(classifier.Protocol, "a grant for another request"), false
 			}
-			return classifier.Failure{}, true
+			return message.Granted.GetIncarnation(), classifier.Failure{}, true
 		case *encoder.Frame_Refused:
-			return entry.refused(message.Refused), false
+			return 0, entry.refused(call, message.Refused), false
 		default:
-			return classifier.New(classifier.Protocol, "unexpected frame before the grant"), false
+			return 0, classifier.New(classifier.Protocol, "unexpected frame before the grant"), false
 		}
 	}
 }
 
 // refused reads a refusal and learns from it.
-func (entry *Entry) refused(refused *encoder.Refused) classifier.Failure {
+func (entry *Entry) refused(call call, refused *encoder.Refused) classifier.Failure {
+	call.heard.note(refused)
+	entry.hints.learn(refused.GetDigest(), entry.settings.Clock.Now())
 	if refused.GetDigest() != nil {
 		entry.settings.Learn(refused.GetDigest())
 	}
@@ -145,6 +160,8 @@
 		Entry:       entry,
 		Candidates:  call.ranked,
 		Seek:        call.seek,
+		Incarnation: call.bound,
+		Revision:    call.revision,
 	}
 }
 
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
@@ -14,11 +12,11 @@
 )
 
 // route returns the way of a call through the replicas. A call without a chat
-// is ranked by its own id, which spreads such calls evenly.
+// is spread evenly.
 func (entry *Entry) route(call call) *placer.Itinerary {
 	chat := call.chat
 	if chat == 0 {
-		chat = xxhash.Sum64String(call.id)
+		chat = call.spread()
 	}
 	return placer.NewItinerary(entry.settings.Roster(call.service), chat)
 }
@@ -35,11 +33,11 @@
 
 // giveUp returns the failure that a caller gets once no candidate is left. It
 // always tells when to come back.
-func (entry *Entry) giveUp(failure classifier.Failure) classifier.Failure {
+func giveUp(failure classifier.Failure) classifier.Failure {
 	if failure.Kind == classifier.Moved {
 		failure = classifier.New(classifier.Overloaded, "no replica took the chat")
 	}
-	if failure.RetryAfter == 0 {
+	if failure.RetryAfter == 0 && classifier.AnswerOf(failure.Kind).Retry {
 		failure = failure.WithRetryAfter(timekeeper.Second)
 	}
 	return failure
--- /dev/null
+++ b/internal/publisher/peer.go
@@ -0,0 +1,99 @@
+package publisher
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/dialer"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+)
+
+// askTimeout bounds one question to a peer.
+const askTimeout = time.Second
+
+// Asker returns a Settings.Ask that asks over a pool of sessions.
+func Asker(pool *dialer.Pool, name string) func(ctx context.Context, address string, least uint64) (*encoder.ConfigBody, error) {
+	return func(ctx context.Context, address string, least uint64) (*encoder.ConfigBody, error) {
+		answer, err := Exchange(ctx, pool, address, &encoder.ConfigAsk{Asker: name, Least: least})
+		if err != nil {
+			return nil, err
+		}
+		body := answer.GetConfigBody()
+		if body == nil {
+			return nil, eris.New("the peer answered something else than its configuration")
+		}
+		return body, nil
+	}
+}
+
+// Exchange sends one message to a peer and returns the frame that answers it.
+func Exchange(ctx context.Context, pool *dialer.Pool, address string, message any) (*encoder.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn, err := pool.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	stream := encoder.NewStream(conn)
+	if err := stream.Write(encoder.Of(message)); err != nil {
+		return nil, eris.Wrap(err, "ask peer")
+	}
+	return stream.Read()
+}
+
+// askPeers asks some random peers for a revision of at least least, all at
+// once, and takes the highest that they have. It returns how many answered,
+// the highest revision that any of them has or has heard of, and whether one
+// came into force.
+func (watcher *Watcher) askPeers(ctx context.Context, least uint64, most int) (answered int, highest uint64, found bool) {
+	peers := watcher.somePeers(most)
+	answers := make(chan *encoder.ConfigBody, len(peers))
+	for _, address := range peers {
+		go func() {
+			body, err := watcher.settings.Ask(ctx, address, least)
+			if err != nil {
+				body = nil
+			}
+			answers <- body
+		}()
+	}
+	for range peers {
+		body := <-answers
+		if body == nil {
+			continue
+		}
+		answered++
+		highest = max(highest, body.GetRevision(), body.GetHeard())
+		found = watcher.takeFrom(body, least) || found
+	}
+	return answered, highest, found
+}
+
+// takeFrom brings a peer's configuration into force when it is high enough.
+func (watcher *Watcher) takeFrom(body *encoder.ConfigBody, least uint64) bool {
+	if body.GetRevision() < least || len(body.GetBody()) == 0 {
+		return false
+	}
+	accepted := Accepted{
+		Head: Head{Revision: body.GetRevision(), Hash: body.GetHash(), ChangeID: body.GetChangeId()},
+		Body: body.GetBody(),
+	}
+	if err := watcher.take(accepted, "peer"); err != nil {
+		watcher.settings.Log.WithError(err).Warn("a peer's configuration was refused")
+		return false
+	}
+	return true
+}
+
+func (watcher *Watcher) somePeers(most int) []string {
+	peers := append([]string(nil), watcher.settings.Peers()...)
+	watcher.mu.Lock()
+	defer watcher.mu.Unlock()
+	watcher.draws.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(most, len(peers))]
+}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -33,6 +34,10 @@
 	Scope    tally.Scope
 	// Config returns the configuration in force.
 	Config func() resolver.Config
+	// Hear takes a revision of the configuration that a peer carried; nil means it is dropped.
+	Hear func(revision uint64)
+	// Configuration answers a peer that asks for it; nil means that none is given.
+	Configuration func(ask *encoder.ConfigAsk) *encoder.ConfigBody
 	// Mean returns the load of the whole service as it is known; nil means unknown.
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
@@ -43,6 +48,9 @@
 	// Draw returns random numbers in [0, 1) for jitter; nil means a source
 	// seeded with the incarnation.
 	Draw func() float64
+	// Table is the platform's table, where keys are claimed; a zero Table means
+	// that only minted keys can be used.
+	Table storekeeper.Table
 	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
 	RunWait timekeeper.Span
 	// KeepRun is how long an ended run stays known; zero means 2 minutes.
@@ -65,6 +73,12 @@
 	if settings.Draw == nil {
 		settings.Draw = rand.New(rand.NewPCG(settings.Incarnation, 0)).Float64
 	}
+	if settings.Hear == nil {
+		settings.Hear = func(uint64) {}
+	}
+	if settings.Configuration == nil {
+		settings.Configuration = func(*encoder.ConfigAsk) *encoder.ConfigBody { return &encoder.ConfigBody{} }
+	}
 	if settings.Record == nil {
 		settings.Record = recorder.Drop
 	}
@@ -74,8 +88,14 @@
 // Agent owns one upstream instance.
 type Agent struct {
 	settings Settings
-	service  resolver.Service
 	upstream *upstream
+	keys     *keys
+	strikes  *strikes
+	askers   askers
+
+	// service is as in the configuration of revision; mu guards both.
+	service  resolver.Service
+	revision uint64
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
@@ -83,6 +103,8 @@
 	places   *placer.Directory
 	born     timekeeper.Instant
 	runs     map[string]*run
+	bySerial map[uint64]*run
+	serial   uint64
 	draining bool
 	sequence uint64
 	calls    sync.WaitGroup
@@ -99,12 +121,16 @@
 	agent := &Agent{
 		settings: settings,
 		service:  service,
+		revision: settings.Config().Revision,
 		upstream: newUpstream(settings.Upstream, service),
 		desk:     admitter.NewDesk(limitsOf(service, settings.Draw)),
 		queue:    map[string]chan verdict{},
 		places:   placer.NewDirectory(placer.DirectorySettings{Self: settings.Name, CacheTokens: service.CacheTokens}),
 		born:     settings.Clock.Now(),
+		keys:     newKeys(settings),
+		strikes:  newStrikes(settings),
 		runs:     map[string]*run{},
+		bySerial: map[uint64]*run{},
 	}
 	return agent, agent.upstream.close, nil
 }
@@ -152,13 +178,21 @@
 	}
 	switch message := frame.GetBody().(type) {
 	case *encoder.Frame_Offer:
+		agent.heard(message.Offer.GetEntry(), message.Offer.GetRevision())
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
 	case *encoder.Frame_PointerPut:
 		agent.notePointer(message.PointerPut)
+	case *encoder.Frame_MintAsk:
+		agent.serveMint(stream, message.MintAsk)
+	case *encoder.Frame_Cancel:
+		agent.serveCancel(stream, message.Cancel)
 	case *encoder.Frame_DigestAsk:
-		_ = stream.Write(encoder.Of(agent.digests()))
+		agent.heard(message.DigestAsk.GetAsker(), message.DigestAsk.GetRevision())
+		_ = stream.Write(encoder.Of(agent.withAskers(message.DigestAsk, agent.digests())))
+	case *encoder.Frame_ConfigAsk:
+		_ = stream.Write(encoder.Of(agent.settings.Configuration(message.ConfigAsk)))
 	default:
 		agent.settings.Log.WithField("frame", frame.String()).Warn("unexpected first frame")
 	}
@@ -177,6 +211,8 @@
 	state := encoder.ReplicaState_REPLICA_STATE_LIVE
 	if agent.draining {
 		state = encoder.ReplicaState_REPLICA_STATE_DRAINING
+	} else if agent.strikes.ledger.Down() {
+		state = encoder.ReplicaState_REPLICA_STATE_DOWN
 	}
 	return &encoder.Digest{
 		Instance:    agent.settings.Name,
@@ -199,27 +235,3 @@
 		Digests:     []*encoder.Digest{agent.Digest()},
 	}
 }
-
-// Drain stops new work at once and returns when nothing is in flight, or with
-// the error of ctx when that ends first.
-func (agent *Agent) Drain(ctx context.Context) error {
-	agent.mu.Lock()
-	agent.draining = true
-	agent.mu.Unlock()
-	const look = 20 * timekeeper.Millisecond
-	for {
-		if agent.idle() {
-			return nil
-		}
-		if err := agent.settings.Clock.Sleep(ctx, look); err != nil {
-			return eris.Wrap(err, "calls were still in flight")
-		}
-	}
-}
-
-func (agent *Agent) idle() bool {
-	agent.mu.Lock()
-	defer agent.mu.Unlock()
-	load := agent.desk.Load()
-	return load.Running+load.Waiting == 0
-}
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -35,6 +35,10 @@
 	mean := agent.settings.Mean()
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
+	agent.adopt()
+	if failure, ok := agent.bound(offer); ok {
+		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
+	}
 	if failure, ok := agent.unfit(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
@@ -86,7 +90,14 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.queue, id)
-	for _, ticket := range agent.desk.Finish(id, now) {
+	agent.keys.book.Abandon(id)
+	agent.leaveGate(id)
+	agent.wake(agent.desk.Finish(id, now))
+}
+
+// wake tells the tickets that got a slot; the lock must be held.
+func (agent *Agent) wake(tickets []admitter.Ticket) {
+	for _, ticket := range tickets {
 		agent.tell(ticket.ID, verdict{granted: true})
 	}
 }
@@ -139,7 +150,8 @@
 // Queues After HTTP 200" (unknown occupancy is quarantined, and not released).
 // The bound keeps an engine that cancels at once from losing slots for long.
 func (agent *Agent) hold(ctx context.Context) {
-	if ctx.Err() != nil && agent.service.Kind == resolver.KindModel {
-		_ = agent.settings.Clock.Sleep(context.Background(), *agent.service.UnknownHold)
+	service := agent.serviceNow()
+	if ctx.Err() != nil && service.Kind == resolver.KindModel {
+		_ = agent.settings.Clock.Sleep(context.Background(), *service.UnknownHold)
 	}
 }
