--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -1,8 +1,6 @@
 package runner
 
 import (
-	"math"
-
 	"github.com/trefoilseam/trefoilseam/internal/admitter"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
@@ -34,32 +32,17 @@
 	factor float64
 }
 
-// oldestMean is the age past which a mean sets no bound.
-const oldestMean = 5 * timekeeper.Second
-
-// noteLoad notes the load with the offer, and the bound that the mean sets,
-// before the desk decides; the lock must be held. The slot may be given later,
-// from the queue, when load and mean are others.
-func (agent *Agent) noteLoad(offer *encoder.Offer, mean admitter.Mean) {
-	held := agent.desk.Load().Work
+// noteLoad notes by which load and bound the desk took an offer; the lock must
+// be held. The slot may be given later, from the queue, when both are others.
+func (agent *Agent) noteLoad(offer *encoder.Offer, decision admitter.Decision) {
 	agent.weighed[offer.GetRequestId()] = weighing{
 		at:     agent.settings.Clock.Now(),
-		load:   held + offer.GetWork(),
-		bound:  boundOf(mean, held, offer.GetWork(), agent.service.LoadFactor),
+		load:   decision.Load,
+		bound:  decision.Bound,
 		factor: agent.service.LoadFactor,
 	}
 }
 
-// boundOf returns the bound that a mean sets for the load before a call of the
-// given work, and zero when the mean is unknown, old, or that of one replica.
-func boundOf(mean admitter.Mean, held, own int64, factor float64) int64 {
-	if mean.Replicas <= 1 || mean.Age > oldestMean {
-		return 0
-	}
-	total := max(mean.Total, held) + own
-	return max(1, int64(math.Ceil(factor*float64(total)/float64(mean.Replicas))))
-}
-
 // weighingOf returns and forgets what was noted for an offer.
 func (agent *Agent) weighingOf(offer *encoder.Offer) weighing {
 	agent.mu.Lock()
@@ -118,13 +101,14 @@
 // service.
 func (agent *Agent) Sample() recorder.Event {
 	event := agent.event(recorder.Sampled, nil)
+	mean := agent.settings.Mean()
 	agent.mu.Lock()
 	load := agent.desk.Load()
+	event.Bound = agent.desk.Allowed(mean)
 	agent.mu.Unlock()
 	event.Load = load.Work
 	event.Count = int64(load.Running + load.Waiting)
 	event.Factor = agent.serviceNow().LoadFactor
 	event.Revision = agent.settings.Config().Revision
-	event.Bound = boundOf(agent.settings.Mean(), event.Load, 0, event.Factor)
 	return event
 }
