--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -71,7 +71,7 @@
 	defer stop()
 	stream := encoder.NewStream(conn)
 	entry.settings.Record(entry.event(recorder.Offered, call, replica.Name))
-	at := contact{replica: replica}
+	at := contact{replica: replica, since: entry.settings.Clock.Now()}
 	failure, committed, lost := entry.commit(stream, call, &at, attempt)
 	switch {
 	case lost:
