storekeeper: a meter before the platform, by cause

Cause: nothing counted or bounded what a process asks of the store. Measured: with every call to the store hanging, 20 chats and 20 plain calls end inside half a store timeout (TestASlowStoreDoesNotHoldUpCalls).

--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -30,13 +31,17 @@
 	metrics  http.Handler
 
 	neighbours *neighbours
+	meter      *storekeeper.Meter
 }
 
 // NewAgent returns an agent that listens and has its first configuration, and
 // a function that releases what it holds. It waits for the configuration.
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
-	made := &Agent{settings: settings, env: env}
+	made := &Agent{settings: settings}
+	made.meter = newMeter(env, func() *publisher.Watcher { return made.watcher })
+	env.Platform = made.meter.Wrap(env.Platform)
+	made.env = env
 	incarnation := newIncarnation()
 	made.neighbours = newNeighbours(env.Platform.Directory, incarnation)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
@@ -105,6 +110,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
+	mux.HandleFunc("GET /store", handler.Show(made.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(func() *encoder.Digest { return made.agent.Digest() }))
 	addServer(group, made.admin, mux, headerTimeout)
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -17,6 +17,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 )
 
 // Entry is an entry process, ready to run.
@@ -31,6 +32,7 @@
 	metrics  http.Handler
 
 	announcer *announcer
+	meter     *storekeeper.Meter
 }
 
 // EntryStatus is what an entry says about itself.
@@ -45,7 +47,10 @@
 // a function that releases what it holds. It waits for the configuration.
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "entry", "name": settings.Name, "site": settings.Site})
-	entry := &Entry{settings: settings, env: env}
+	entry := &Entry{settings: settings}
+	entry.meter = newMeter(env, func() *publisher.Watcher { return entry.watcher })
+	env.Platform = entry.meter.Wrap(env.Platform)
+	entry.env = env
 	entry.view = reporter.NewView(env.Platform.Directory, env.Log)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	incarnation := newIncarnation()
@@ -130,6 +135,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", entry.metrics)
+	mux.HandleFunc("GET /store", handler.Show(entry.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(entry.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(entry.Status))
 	addServer(group, entry.admin, mux, headerTimeout)
--- a/internal/assembler/watch.go
+++ b/internal/assembler/watch.go
@@ -10,6 +10,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -34,6 +35,23 @@
 	})
 }
 
+// newMeter returns the meter before a process's platform. Its rates follow the
+// configuration, once there is one.
+func newMeter(env Environment, watcher func() *publisher.Watcher) *storekeeper.Meter {
+	return storekeeper.NewMeter(storekeeper.MeterSettings{
+		Clock: env.Clock,
+		Seed:  newIncarnation(),
+		Rates: func() storekeeper.Rates {
+			var limits resolver.Limits
+			if known := watcher(); known != nil {
+				limits = known.Current().Limits
+			}
+			limits = limits.WithDefaults()
+			return storekeeper.Rates{Reads: limits.StoreReads, Writes: limits.StoreWrites}
+		},
+	})
+}
+
 // learn takes in what an agent said about itself: its state for the view, and
 // the revision that it carries for the watcher.
 func (entry *Entry) learn(digest *encoder.Digest) {
--- a/internal/publisher/standing.go
+++ b/internal/publisher/standing.go
@@ -11,7 +11,7 @@
 	// longestWait bounds the back-off while the store gives no answer. It lies
 	// under the bound of 13 s, less jitter and the fetch, so that a change is in
 	// force in time once the store is back.
-	longestWait = 8 * timekeeper.Second
+	longestWait = 4 * timekeeper.Second
 	// Answers is how many peers a process that starts in an outage needs to
 	// hear from. One peer may have been cut off; three in different places
 	// were not, unless most of the fleet was.
--- a/internal/resolver/check.go
+++ b/internal/resolver/check.go
@@ -164,7 +164,7 @@
 		check.add(Path{"limits", "poll-every"}, "write at most "+LongestPoll.String(), "limits.poll-every is %s", limits.PollEvery)
 	}
 	for _, number := range []setting{
-		{"store-reads", int64(limits.StoreReads)}, {"store-writes", int64(limits.StoreWrites)},
+		{"order-lease", int64(limits.OrderLease)}, {"store-reads", int64(limits.StoreReads)}, {"store-writes", int64(limits.StoreWrites)},
 	} {
 		if number.value < 0 {
 			check.add(Path{"limits", number.key}, "write a positive number, or leave it out", "limits.%s is negative", number.key)
--- a/internal/resolver/site.go
+++ b/internal/resolver/site.go
@@ -46,6 +46,8 @@
 type Limits struct {
 	// PollEvery is the mean time between two looks at the head; zero means 2 seconds.
 	PollEvery timekeeper.Span `toml:"poll-every"`
+	// OrderLease is how long a planner holds its lease; zero means 30 seconds.
+	OrderLease timekeeper.Span `toml:"order-lease"`
 	// StoreReads is how many reads a second a process makes at most; zero means 20.
 	StoreReads int `toml:"store-reads"`
 	// StoreWrites is how many writes a second a process makes at most; zero means 50.
@@ -55,6 +57,7 @@
 // Defaults of the limits.
 const (
 	DefaultPollEvery   = 2 * timekeeper.Second
+	DefaultOrderLease  = 30 * timekeeper.Second
 	DefaultStoreReads  = 20
 	DefaultStoreWrites = 50
 )
@@ -62,6 +65,7 @@
 // WithDefaults returns the limits with every zero replaced by its default.
 func (limits Limits) WithDefaults() Limits {
 	orDefault(&limits.PollEvery, DefaultPollEvery)
+	orDefault(&limits.OrderLease, DefaultOrderLease)
 	orDefault(&limits.StoreReads, DefaultStoreReads)
 	orDefault(&limits.StoreWrites, DefaultStoreWrites)
 	return limits
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -17,6 +17,9 @@
 	"github.com/trefoilseam/trefoilseam/internal/disturber"
 	"github.com/trefoilseam/trefoilseam/internal/imitator"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // configure runs trefoilseam config and returns what it printed and its exit code.
@@ -27,11 +30,18 @@
 	return string(out), command.ProcessState.ExitCode()
 }
 
+// quickConfig is siteConfig with more looks at the store.
+func quickConfig() resolver.Bundle {
+	bundle := siteConfig()
+	bundle.Base += "\n[limits]\npoll-every = \"300ms\"\n"
+	return bundle
+}
+
 // baseFile writes the rig's base with another number of slots.
 func baseFile(t *testing.T, name string, slots int) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), name)
-	text := strings.Replace(siteConfig().Base, `kind = "plain"`, fmt.Sprintf("kind = \"plain\"\nslots = %d\n", slots), 1)
+	text := strings.Replace(quickConfig().Base, `kind = "plain"`, fmt.Sprintf("kind = \"plain\"\nslots = %d\n", slots), 1)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -64,7 +74,7 @@
 }
 
 func TestOperatorsChangeTheConfiguration(t *testing.T) {
-	rig := newRig(t, siteConfig())
+	rig := newRig(t, quickConfig())
 	rig.addOrders("orders-1", 0)
 	rig.addOrders("orders-2", 0)
 	entry := rig.addEntry("entry-1")
@@ -129,7 +139,7 @@
 	// One is told "accepted", the other what changed; the history has each
 	// accepted change once, in order. Answers of the store are lost on the way.
 	const rounds = 8
-	rig := newRig(t, siteConfig())
+	rig := newRig(t, quickConfig())
 	Convey("each round has one winner", t, func() {
 		for round := range rounds {
 			rig.platform.SetFaults(imitator.PlatformFaults{LoseAnswers: round % 3, LoseWrites: round % 2})
@@ -159,7 +169,7 @@
 	// A site loses its way to the store; a change is accepted meanwhile; the
 	// operators see who lags. The site keeps what it has in force, and takes the
 	// change within the bound once it is back.
-	rig := newRig(t, siteConfig())
+	rig := newRig(t, quickConfig())
 	whole := rig.base
 	bridge, closeBridge, err := disturber.New(strings.TrimPrefix(rig.base, "http://"), rig.clock)
 	if err != nil {
@@ -184,12 +194,33 @@
 	})
 }
 
+func TestASlowStoreDoesNotHoldUpCalls(t *testing.T) {
+	// Callers notice nothing.
+	// Every call to the store takes a minute, so each ends in a timeout; chats
+	// and plain calls that need no claim are served meanwhile. Each call's own
+	// deadline is shorter than one call to the store.
+	rig := newRig(t, quickConfig())
+	rig.addPlanner("planner-1", imitator.EngineSettings{})
+	rig.addOrders("orders-1", 0)
+	entry := rig.addEntry("entry-1")
+	Convey("calls are served while the store hangs", t, func() {
+		rig.platform.SetFaults(imitator.PlatformFaults{Slow: timekeeper.Minute})
+		rig.eventually("the store is missed", func() bool { return len(entry.logged("configuration not read")) > 0 })
+		for range 20 {
+			ctx, cancel := context.WithTimeout(t.Context(), (storekeeper.CallTimeout / 2).Duration())
+			So(entry.call(ctx, "POST", "/v1/chat/completions", chat(2, "a quick question")).status, ShouldEqual, 200)
+			So(entry.call(ctx, "GET", "/orders", "").status, ShouldEqual, 200)
+			cancel()
+		}
+	})
+}
+
 func TestAnOutageOfTheStore(t *testing.T) {
 	// Callers go on being served under the last accepted configuration.
 	// The store goes down after a change; all entries are restarted in the
 	// outage and get the configuration from agents. Nobody falls back, and a
 	// change after the outage is in force everywhere.
-	rig := newRig(t, siteConfig())
+	rig := newRig(t, quickConfig())
 	agents := []*process{rig.addOrders("orders-1", 0), rig.addOrders("orders-2", 0), rig.addOrders("orders-3", 0)}
 	entry := rig.addEntry("entry-1")
 	text, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "b.toml", 4), "-edited-from", "1", "-wait", "-timeout", "10s")
