planner: orders to engines under a lease with a fencing number

Cause: nobody gave orders to engines. Change: one entry for each service holds a row; agents check number and lease when an order comes and at the last moment; a new holder waits out the lease and the longest order where engines check no numbers; loads keep a rate. Measured: 3,000 seeded schedules with pauses of up to three leases, and real processes with SIGSTOP and SIGCONT against an engine that checks nothing. Conclusion: demand by adapter is not known yet, so every engine holds every adapter of its service; the rule with hysteresis is there for it.

--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -32,6 +32,7 @@
 	metrics  http.Handler
 
 	announcer *announcer
+	planners  planners
 	meter     *storekeeper.Meter
 }
 
@@ -68,6 +69,7 @@
 		closePool()
 		return nil, nil, err
 	}
+	entry.planners = planners{entry: entry, pool: pool, incarnation: incarnation}
 	entry.announcer = &announcer{
 		name: settings.Name, pool: pool, peers: entry.view.Addresses,
 		revision: func() uint64 { return entry.watcher.Current().Revision },
@@ -126,6 +128,7 @@
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
 	addLoop(group, entry.watcher.Run)
+	addLoop(group, entry.planners.run)
 	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
 	addLoop(group, func(ctx context.Context) { entry.view.Run(ctx, entry.env.Clock) })
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
--- /dev/null
+++ b/internal/assembler/orders.go
@@ -0,0 +1,68 @@
+package assembler
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/dialer"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/planner"
+	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// plannersLook is how soon a service that is new in the configuration is planned for.
+const plannersLook = 2 * timekeeper.Second
+
+// planners run one planner for each service that has something to order.
+type planners struct {
+	entry       *Entry
+	pool        *dialer.Pool
+	incarnation uint64
+}
+
+func (planners planners) run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	started := map[string]bool{}
+	look := func(ctx context.Context) {
+		config := planners.entry.watcher.Current()
+		for _, name := range config.ServiceNames() {
+			if !started[name] && len(config.Services[name].Adapters) > 0 {
+				started[name] = true
+				running.Go(func() { planners.planner(name).Run(ctx) })
+			}
+		}
+	}
+	look(ctx)
+	planners.entry.env.Clock.Every(ctx, func() timekeeper.Span { return plannersLook }, look)
+}
+
+func (planners planners) planner(service string) *planner.Planner {
+	entry := planners.entry
+	return planner.New(planner.Settings{
+		Holder:  entry.settings.Name + "-" + strconv.FormatUint(planners.incarnation, 36),
+		Service: service,
+		Table:   entry.env.Platform.Table,
+		Clock:   entry.env.Clock,
+		Log:     entry.env.Log,
+		Seed:    planners.incarnation,
+		Config:  entry.watcher.Current,
+		Engines: entry.view.Engines,
+		Send:    planners.send,
+	})
+}
+
+func (planners planners) send(ctx context.Context, address string, order *encoder.EngineOrder) (*encoder.EngineOrderDone, error) {
+	answer, err := publisher.ExchangeUntil(ctx, planners.pool, address, order)
+	if err != nil {
+		return nil, err
+	}
+	if answer.GetEngineOrderDone() == nil {
+		return nil, eris.New("the agent answered something else than the end of an order")
+	}
+	return answer.GetEngineOrderDone(), nil
+}
--- /dev/null
+++ b/internal/planner/lease.go
@@ -0,0 +1,117 @@
+package planner
+
+import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+
+// Skew is how far the clocks of two instances may be apart. The platform keeps
+// them within milliseconds; two seconds leave room for a clock that is being
+// corrected.
+const Skew = 2 * timekeeper.Second
+
+// Lease is the row that says who plans for a service. It is an immutable value.
+type Lease struct {
+	Holder string `json:"holder"`
+	// Fence grows by one whenever the lease is taken anew, by whomever.
+	Fence uint64             `json:"fence"`
+	Until timekeeper.Instant `json:"until"`
+	// Quiet is until when the holder gives no orders, since an order of the
+	// holder before may still run at an engine that checks no numbers.
+	Quiet timekeeper.Instant `json:"quiet"`
+}
+
+// Terms are how a service's lease is held.
+type Terms struct {
+	// Span is how long a lease lasts without being renewed.
+	Span timekeeper.Span
+	// LongestOrder bounds an order at an engine; agents cut it off then.
+	LongestOrder timekeeper.Span
+	// EnginesCheck says that engines refuse an order with a lower number.
+	EnginesCheck bool
+}
+
+// Step is what to do about a lease.
+type Step uint8
+
+// The steps.
+const (
+	// Leave it: another holds it, or it is renewed early enough.
+	Leave Step = iota + 1
+	// Renew it under the same number.
+	Renew
+	// Take it under the next number.
+	Take
+)
+
+// Next decides about a lease as it was read, and returns the row to write.
+//
+// The failure: a holder is paused past its lease, another takes over, and the
+// first wakes and goes on. The symptom: an adapter that was just loaded is
+// unloaded, and a team's calls fail. An own lease that has run out is taken
+// under a new number like any other, since somebody may have held it between.
+// Where engines check no numbers, orders wait until the last one of the holder
+// before must have ended: it was sent before Until and took LongestOrder.
+func (lease Lease) Next(me string, terms Terms, now timekeeper.Instant) (Lease, Step) {
+	mine := lease.Holder == me && now < lease.Until
+	switch {
+	case mine && lease.Until.Since(now) > terms.Span/2:
+		return lease, Leave
+	case mine:
+		lease.Until = now.Add(terms.Span)
+		return lease, Renew
+	case lease.Fence > 0 && now < lease.Until.Add(Skew):
+		return lease, Leave
+	}
+	next := Lease{Holder: me, Fence: lease.Fence + 1, Until: now.Add(terms.Span), Quiet: now}
+	if lease.Fence > 0 && !terms.EnginesCheck {
+		next.Quiet = max(lease.Until, lease.Quiet).Add(terms.LongestOrder + Skew)
+	}
+	return next, Take
+}
+
+// MayOrder reports whether the holder may give an order now.
+func (lease Lease) MayOrder(me string, now timekeeper.Instant) bool {
+	return lease.Holder == me && now >= lease.Quiet && now < lease.Until
+}
+
+// LookIn returns the time to the next look at the row. The holder looks in time
+// to renew. Others look once the lease must have run out, each at a time of its
+// own in one span, so that hundreds of entries cost the store little and one of
+// them is early. draw is from [0, 1).
+func (lease Lease) LookIn(me string, terms Terms, draw float64, now timekeeper.Instant) timekeeper.Span {
+	if lease.Holder == me && now < lease.Until {
+		return max(terms.Span/4, 1)
+	}
+	left := max(0, lease.Until.Add(Skew).Since(now))
+	return left + max(1, timekeeper.Span(float64(terms.Span)*draw))
+}
+
+// Gate is an agent's guard before its engine. It is an immutable value.
+type Gate struct {
+	// Highest is the highest number that the agent has seen.
+	Highest uint64
+}
+
+// Verdict is what a gate says about an order.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Pass Verdict = iota + 1
+	// Lower says that a later holder has given orders.
+	Lower
+	// Lapsed says that the order's lease has run out.
+	Lapsed
+)
+
+// Check decides about an order. It is asked when the order comes and again at
+// the last moment before it is sent: between the two the agent may have been
+// paused, or may have waited for an order before.
+func (gate Gate) Check(fence uint64, until, now timekeeper.Instant) (Gate, Verdict) {
+	if fence < gate.Highest {
+		return gate, Lower
+	}
+	gate.Highest = fence
+	if now >= until {
+		return gate, Lapsed
+	}
+	return gate, Pass
+}
--- /dev/null
+++ b/internal/planner/lease_test.go
@@ -0,0 +1,205 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+var terms = Terms{Span: 30 * timekeeper.Second, LongestOrder: 20 * timekeeper.Second}
+
+func TestWhatIsDoneAboutALease(t *testing.T) {
+	const now = timekeeper.Instant(1_000_000)
+	checked := terms
+	checked.EnginesCheck = true
+	held := Lease{Holder: "a", Fence: 4, Until: now.Add(terms.Span)}
+	ran := Lease{Holder: "a", Fence: 4, Until: now.Add(-Skew)}
+	tests := []struct {
+		name  string
+		lease Lease
+		me    string
+		terms Terms
+		step  Step
+		fence uint64
+		quiet timekeeper.Span
+	}{
+		{"nobody ever held it", Lease{}, "a", terms, Take, 1, 0},
+		{"mine, and fresh", held, "a", terms, Leave, 4, 0},
+		{"mine, and half over", Lease{Holder: "a", Fence: 4, Until: now.Add(terms.Span / 2)}, "a", terms, Renew, 4, 0},
+		{"mine, but it ran out: the number grows", ran, "a", terms, Take, 5, terms.LongestOrder},
+		{"another's", held, "b", terms, Leave, 4, 0},
+		{"another's, over by less than the clocks may differ", Lease{Holder: "a", Fence: 4, Until: now}, "b", terms, Leave, 4, 0},
+		{"another's, over; engines check no numbers", ran, "b", terms, Take, 5, terms.LongestOrder},
+		{"another's, over; engines check numbers", ran, "b", checked, Take, 5, 0},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			next, step := test.lease.Next(test.me, test.terms, now)
+			So(step, ShouldEqual, test.step)
+			So(next.Fence, ShouldEqual, test.fence)
+			So(next.MayOrder(test.me, now), ShouldEqual, next.Holder == test.me && test.quiet == 0)
+			if test.quiet > 0 {
+				So(next.Quiet.Since(now), ShouldEqual, test.quiet)
+			}
+		})
+	}
+	Convey("a gate refuses lower numbers, and orders without a lease", t, func() {
+		gate, verdict := Gate{}.Check(5, now+1, now)
+		So(verdict, ShouldEqual, Pass)
+		_, verdict = gate.Check(4, now+1, now)
+		So(verdict, ShouldEqual, Lower)
+		gate, verdict = gate.Check(6, now, now)
+		So(verdict, ShouldEqual, Lapsed)
+		So(gate.Highest, ShouldEqual, 6)
+	})
+}
+
+// execution is an order as an engine that checks nothing carried it out.
+type execution struct {
+	fence      uint64
+	start, end timekeeper.Instant
+}
+
+func TestHoldersThatArePausedDoNoHarm(t *testing.T) {
+	// An engine that checks no numbers must never carry out an order of an
+	// earlier holder while or after it carries out one of a later holder.
+	// Entries are paused for up to three leases between reading the row and
+	// writing it, and between deciding and sending; clocks differ; and the agent
+	// is a new one each time, so that it remembers no number.
+	const schedules, steps, entries = 3000, 60, 4
+	for seed := range uint64(schedules) {
+		draws := rand.New(rand.NewPCG(seed, 6))
+		pause := func() timekeeper.Span {
+			return timekeeper.Span(draws.IntN(int(3*terms.Span))) * timekeeper.Span(draws.IntN(2))
+		}
+		skew := func() timekeeper.Span { return timekeeper.Span(draws.IntN(int(Skew/2))) - Skew/4 }
+		clocks := [entries]timekeeper.Span{}
+		for i := range clocks {
+			clocks[i] = skew()
+		}
+		var row Lease
+		version := 0
+		writtenAt := timekeeper.Instant(0)
+		var done []execution
+		now := timekeeper.Instant(1_000_000)
+		for range steps {
+			now = now.Add(timekeeper.Span(draws.IntN(int(terms.Span))))
+			i := draws.IntN(entries)
+			me := fmt.Sprint(i)
+			read := version
+			next, step := row.Next(me, terms, now.Add(clocks[i]))
+			wrote := now.Add(pause())
+			// The compare-and-set: the row is as it was read, also after the pause.
+			if step != Leave && read == version && wrote >= writtenAt {
+				row, writtenAt = next, wrote
+				version++
+				now = max(now, wrote)
+			}
+			if !row.MayOrder(me, now.Add(clocks[i])) {
+				continue
+			}
+			order := row
+			at := now.Add(pause())
+			if _, verdict := (Gate{}).Check(order.Fence, order.Until, at.Add(skew())); verdict == Pass {
+				end := at.Add(timekeeper.Span(draws.IntN(int(terms.LongestOrder))))
+				done = append(done, execution{fence: order.Fence, start: at, end: end})
+			}
+		}
+		for _, a := range done {
+			for _, b := range done {
+				if a.fence < b.fence && b.start < a.end {
+					t.Fatalf("schedule %d: order %+v of a later holder began before %+v ended", seed, b, a)
+				}
+			}
+		}
+	}
+}
+
+func TestAPlanThatIsCarriedOutLeavesNothingToDo(t *testing.T) {
+	for seed := range uint64(2000) {
+		draws := rand.New(rand.NewPCG(seed, 8))
+		engines := make([]Engine, 1+draws.IntN(6))
+		for i := range engines {
+			engines[i].Name = fmt.Sprint("engine-", i)
+			for adapter := range 5 {
+				if draws.IntN(2) == 0 {
+					engines[i].Loaded = append(engines[i].Loaded, fmt.Sprint("adapter-", adapter))
+				}
+			}
+		}
+		targets := make([]Target, 0, 4)
+		for adapter := range 4 {
+			targets = append(targets, Target{Adapter: fmt.Sprint("adapter-", adapter), Engines: 1 + draws.IntN(8)})
+		}
+		for _, order := range Plan(engines, targets) {
+			engines = carriedOut(engines, order)
+		}
+		if left := Plan(engines, targets); len(left) > 0 {
+			t.Fatalf("seed %d: still to do: %v", seed, left)
+		}
+	}
+}
+
+func carriedOut(engines []Engine, order Order) []Engine {
+	for i := range engines {
+		if engines[i].Name != order.Engine {
+			continue
+		}
+		var loaded []string
+		for _, name := range engines[i].Loaded {
+			if name != order.Subject {
+				loaded = append(loaded, name)
+			}
+		}
+		if order.Action == Load {
+			loaded = append(loaded, order.Subject)
+		}
+		engines[i].Loaded = loaded
+	}
+	return engines
+}
+
+func TestASurgeDoesNotFlapAdapters(t *testing.T) {
+	// A team surges for ten seconds of every minute, for two hours. Its adapter
+	// must not be loaded and unloaded each time; a demand that stays is met.
+	Convey("surges move nothing, a lasting demand moves once a step", t, func() {
+		spread := Spread{}.WithWish(2, 1)
+		moves := 0
+		var now timekeeper.Instant
+		for second := range 2 * 3600 {
+			now = timekeeper.Instant(second+1) * timekeeper.Instant(timekeeper.Second)
+			wish := 2
+			if second%60 < 10 {
+				wish = 9
+			}
+			next := spread.WithWish(wish, now)
+			if next.Engines != spread.Engines {
+				moves++
+			}
+			spread = next
+		}
+		So(moves, ShouldEqual, 0)
+		for range 91 {
+			now = now.Add(timekeeper.Second)
+			spread = spread.WithWish(9, now)
+		}
+		So(spread.Engines, ShouldEqual, 5)
+	})
+	Convey("loads keep to the weight store's rate", t, func() {
+		pace := After(6, 0)
+		loads := 0
+		for second := range 600 {
+			next, allowed := pace.Allow(6, timekeeper.Instant(second)*timekeeper.Instant(timekeeper.Second))
+			pace = next
+			if allowed {
+				loads++
+			}
+		}
+		So(loads, ShouldBeLessThanOrEqualTo, 60)
+		So(loads, ShouldBeGreaterThan, 55)
+	})
+}
--- /dev/null
+++ b/internal/planner/plan.go
@@ -0,0 +1,158 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Actions of an order.
+const (
+	Load   = "load"
+	Unload = "unload"
+	// Show changes nothing and returns what the engine holds.
+	Show = "show"
+)
+
+const (
+	// riseAfter is how long a demand must stay high before another engine gets
+	// the adapter, and fallAfter how long it must stay low before one loses it.
+	// A load takes weights from a store that gives a few a minute; a surge of
+	// one team that lasts seconds must not push out what others need.
+	riseAfter = 30 * timekeeper.Second
+	fallAfter = 10 * timekeeper.Minute
+)
+
+// Order is one order to one engine.
+type Order struct {
+	Engine  string
+	Action  string
+	Subject string
+}
+
+// Engine is what an engine was last known to hold.
+type Engine struct {
+	Name   string
+	Loaded []string
+}
+
+// Spread decides on how many engines an adapter should be. It is an immutable
+// value: one for each adapter.
+type Spread struct {
+	Engines int
+	high    timekeeper.Instant
+	low     timekeeper.Instant
+}
+
+// WithWish takes in on how many engines the adapter's demand would like to be
+// now, and returns the spread after hysteresis. A wish counts once it has stood
+// on one side for its whole time; a wish in between starts the time anew.
+func (spread Spread) WithWish(wish int, now timekeeper.Instant) Spread {
+	wish = max(1, wish)
+	switch {
+	case spread.Engines == 0:
+		spread.Engines = wish
+	case wish > spread.Engines:
+		spread.low = 0
+		spread.high, spread.Engines = hold(spread.high, now, riseAfter, spread.Engines, spread.Engines+1)
+	case wish < spread.Engines:
+		spread.high = 0
+		spread.low, spread.Engines = hold(spread.low, now, fallAfter, spread.Engines, spread.Engines-1)
+	default:
+		spread.high, spread.low = 0, 0
+	}
+	return spread
+}
+
+// hold returns since when a wish stands, and the count that follows from it.
+func hold(since, now timekeeper.Instant, after timekeeper.Span, stay, move int) (timekeeper.Instant, int) {
+	switch {
+	case since == 0:
+		return now, stay
+	case now.Since(since) < after:
+		return since, stay
+	}
+	return now, move
+}
+
+// Target says on how many engines an adapter should be.
+type Target struct {
+	Adapter string
+	Engines int
+}
+
+// Plan returns the orders that bring the engines to their targets: loads first,
+// on the engines that hold the least; then unloads, from the engines that hold
+// the most, and of every adapter that is no target. A load is never planned
+// for an adapter that is to be unloaded in the same plan, so a plan that is
+// carried out leaves nothing to do.
+func Plan(engines []Engine, targets []Target) []Order {
+	var orders []Order
+	wanted := map[string]bool{}
+	for _, target := range targets {
+		wanted[target.Adapter] = true
+		orders = append(orders, orderTarget(engines, target)...)
+	}
+	for _, engine := range engines {
+		for _, loaded := range engine.Loaded {
+			if !wanted[loaded] {
+				orders = append(orders, Order{Engine: engine.Name, Action: Unload, Subject: loaded})
+			}
+		}
+	}
+	slices.SortStableFunc(orders, func(a, b Order) int { return rank(a) - rank(b) })
+	return orders
+}
+
+func rank(order Order) int {
+	if order.Action == Load {
+		return 0
+	}
+	return 1
+}
+
+func orderTarget(engines []Engine, target Target) []Order {
+	var holders, others []Engine
+	for _, engine := range engines {
+		if slices.Contains(engine.Loaded, target.Adapter) {
+			holders = append(holders, engine)
+		} else {
+			others = append(others, engine)
+		}
+	}
+	byLoad := func(a, b Engine) int { return len(a.Loaded) - len(b.Loaded) }
+	slices.SortStableFunc(others, byLoad)
+	slices.SortStableFunc(holders, byLoad)
+	count := min(target.Engines, len(engines))
+	orders := make([]Order, 0, len(engines))
+	for i := range max(0, count-len(holders)) {
+		orders = append(orders, Order{Engine: others[i].Name, Action: Load, Subject: target.Adapter})
+	}
+	for i := range max(0, len(holders)-count) {
+		orders = append(orders, Order{Engine: holders[len(holders)-1-i].Name, Action: Unload, Subject: target.Adapter})
+	}
+	return orders
+}
+
+// Pace keeps loads under the weight store's rate. It is an immutable value.
+type Pace struct {
+	next timekeeper.Instant
+}
+
+// Allow reports whether a load may start now. Loads are spaced evenly, with no
+// burst: the weight store serves every engine of the fleet, and what one
+// service takes at once another waits for.
+func (pace Pace) Allow(perMinute int, now timekeeper.Instant) (Pace, bool) {
+	if now < pace.next {
+		return pace, false
+	}
+	pace.next = now.Add(timekeeper.Minute / timekeeper.Span(max(1, perMinute)))
+	return pace, true
+}
+
+// After returns the pace of a planner that takes over: the holder before may
+// have started a load just now.
+func After(perMinute int, now timekeeper.Instant) Pace {
+	pace, _ := Pace{}.Allow(perMinute, now)
+	return pace
+}
--- a/internal/publisher/peer.go
+++ b/internal/publisher/peer.go
@@ -28,10 +28,16 @@
 	}
 }
 
-// Exchange sends one message to a peer and returns the frame that answers it.
+// Exchange sends one message to a peer and returns the frame that answers it,
+// or an error after a second.
 func Exchange(ctx context.Context, pool *dialer.Pool, address string, message any) (*encoder.Frame, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	return ExchangeUntil(ctx, pool, address, message)
+}
+
+// ExchangeUntil is Exchange with the deadline of ctx.
+func ExchangeUntil(ctx context.Context, pool *dialer.Pool, address string, message any) (*encoder.Frame, error) {
 	conn, err := pool.Open(ctx, address)
 	if err != nil {
 		return nil, err
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -72,6 +72,7 @@
 	settings Settings
 	upstream *upstream
 	askers   askers
+	orders   orders
 
 	// service is as in the configuration of revision; mu guards both.
 	service  resolver.Service
@@ -161,6 +162,8 @@
 	case *encoder.Frame_DigestAsk:
 		agent.heard(message.DigestAsk.GetAsker(), message.DigestAsk.GetRevision())
 		_ = stream.Write(encoder.Of(agent.withAskers(message.DigestAsk, agent.digests())))
+	case *encoder.Frame_EngineOrder:
+		_ = stream.Write(encoder.Of(agent.carryOut(ctx, message.EngineOrder)))
 	case *encoder.Frame_ConfigAsk:
 		_ = stream.Write(encoder.Of(agent.settings.Configuration(message.ConfigAsk)))
 	default:
--- /dev/null
+++ b/test/integration/orders_test.go
@@ -0,0 +1,78 @@
+package integration
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/internal/imitator"
+	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+)
+
+// orderConfig is quickConfig with adapters, short leases and short orders.
+func orderConfig(adapters string) resolver.Bundle {
+	bundle := quickConfig()
+	bundle.Base = strings.Replace(bundle.Base, `kind = "model"`, "kind = \"model\"\nadapters = "+adapters+
+		"\nlongest-order = \"500ms\"\nloads-a-minute = 600\n", 1)
+	bundle.Base += "order-lease = \"1s\"\n"
+	return bundle
+}
+
+func TestAPausedPlannerDoesNoHarm(t *testing.T) {
+	// The engine checks no numbers. The entry that holds the lease is stopped in
+	// its tracks; operators change the adapters; another entry takes over and
+	// gives orders. Then the first is continued, past its lease.
+	// Its orders must not come after those of the new holder, and the engine
+	// ends with what the operators want. In an outage of the store, nothing moves.
+	rig := newRig(t, orderConfig(`["vans"]`))
+	rig.addPlanner("planner-1", imitator.EngineSettings{})
+	entries := []*process{rig.addEntry("entry-1"), rig.addEntry("entry-2")}
+	engine := rig.engines["planner-1"]
+	loaded := func(want string) func() bool {
+		return func() bool { return fmt.Sprint(engine.Orders().Loaded) == want }
+	}
+	Convey("the orders of the new holder stand", t, func() {
+		rig.eventually("the first adapter is loaded", loaded("[vans]"))
+		first := slices.IndexFunc(entries, func(entry *process) bool { return len(entry.logged("planner")) > 0 })
+		entries[first].signal(syscall.SIGSTOP)
+		file := filepath.Join(t.TempDir(), "base.toml")
+		So(os.WriteFile(file, []byte(orderConfig(`["menus"]`).Base), 0o600), ShouldBeNil)
+		text, code := configure(t, "apply", "-platform", rig.base, "-base", file, "-edited-from", "1")
+		So(text, ShouldContainSubstring, "accepted")
+		So(code, ShouldEqual, 0)
+		rig.eventually("the other entry orders", loaded("[menus]"))
+		before := len(entries[first].logged("configuration in force"))
+		entries[first].signal(syscall.SIGCONT)
+		rig.eventually("the first entry is awake", func() bool {
+			return len(entries[first].logged("configuration in force")) > before
+		})
+		rig.eventually("a lease is held again", func() bool { return len(entries[1-first].logged("planner")) > 0 })
+		carriedOut := engine.Orders().Orders
+		fences := make([]uint64, 0, len(carriedOut))
+		for _, order := range carriedOut {
+			fences = append(fences, order.Fence)
+		}
+		So(slices.IsSorted(fences), ShouldBeTrue)
+		So(len(slices.Compact(fences)), ShouldBeGreaterThan, 1)
+		So(loaded("[menus]")(), ShouldBeTrue)
+	})
+	Convey("with the store down, engines keep what they have", t, func() {
+		orders := len(engine.Orders().Orders)
+		rig.platform.SetFaults(imitator.PlatformFaults{Down: true})
+		rig.eventually("the holder misses the store", func() bool {
+			return len(entries[0].logged("lease not read or written"))+len(entries[1].logged("lease not read or written")) > 2
+		})
+		So(engine.Orders().Orders, ShouldHaveLength, orders)
+		rig.platform.SetFaults(imitator.PlatformFaults{})
+		head, _, err := publisher.ReadHead(t.Context(), rig.platform.Seams())
+		So(err, ShouldBeNil)
+		So(head.Revision, ShouldEqual, 2)
+	})
+}
