--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -70,6 +70,7 @@
 			agentCommand(),
 			devCommand(),
 			configCommand(),
+			strikesCommand(),
 			versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -68,6 +68,7 @@
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Table:       env.Platform.Table,
 
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
@@ -103,6 +104,7 @@
 func (made *Agent) AddTo(group *run.Group) {
 	addLoop(group, made.watcher.Run)
 	addLoop(group, func(ctx context.Context) { made.neighbours.run(ctx, made.env.Clock) })
+	addLoop(group, made.agent.Keep)
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
 	if made.admin == nil {
