--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -26,6 +26,7 @@
 }
 
 func TestAPausedPlannerDoesNoHarm(t *testing.T) {
+	t.Parallel()
 	// The engine checks no numbers. The entry that holds the lease is stopped in
 	// its tracks; operators change the adapters; another entry takes over and
 	// gives orders. Then the first is continued, past its lease.
