--- a/internal/assembler/watch.go
+++ b/internal/assembler/watch.go
@@ -10,6 +10,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -19,6 +20,7 @@
 // settings and those that the process knows.
 func newWatcher(
 	env Environment, process loader.Process, incarnation uint64, pool *dialer.Pool, known func() []string,
+	record func(event recorder.Event),
 ) *publisher.Watcher {
 	return publisher.NewWatcher(publisher.Settings{
 		Platform: env.Platform,
@@ -26,6 +28,7 @@
 		Log:      env.Log,
 		Site:     process.Site,
 		Seed:     incarnation,
+		Record:   record,
 		Ask:      publisher.Asker(pool, process.Name),
 		Peers: func() []string {
 			peers := slices.Concat(process.Peers, known())
--- a/internal/forwarder/owner.go
+++ b/internal/forwarder/owner.go
@@ -79,6 +79,7 @@
 			return nil
 		}
 		entry.logAttempt(call, replica, failure)
+		entry.recordAttempt(call, replica, failure)
 		switch {
 		case failure.Kind == classifier.Unreachable || failure.Kind == classifier.WrongInstance:
 			return otherwise
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -104,6 +104,7 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	agent.recordGrant(offer)
 	inbox.granted = agent.settings.Clock.Now()
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
@@ -140,6 +141,7 @@
 
 // decide asks the desk about an offer under the agent's lock.
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
+	mean := agent.settings.Mean()
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	agent.adopt()
@@ -159,6 +161,7 @@
 	if offer.GetDeadline() > 0 {
 		ticket.Deadline = arrived.Add(timekeeper.Span(offer.GetDeadline()))
 	}
+	agent.noteLoad(offer, mean)
 	decision := agent.desk.Offer(ticket)
 	slot := make(chan struct{})
 	switch decision.Outcome {
@@ -242,6 +245,7 @@
 }
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
+	agent.recordRefusal(offer, failure)
 	agent.mu.Lock()
 	digest := agent.digest()
 	digest.Strikes = agent.strikesOf(offer.GetFingerprint())
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -55,9 +55,11 @@
 	agent.bySerial[started.serial] = started
 	agent.takeOff(offer)
 	agent.mu.Unlock()
+	agent.settings.Record(agent.event(recorder.Committed, offer))
 	go func() {
 		defer cancel()
 		agent.upstream.call(ctx, agent.settings, offer, commit, started)
+		agent.recordEnd(offer, started.answer)
 		agent.landed(started, ctx.Err() != nil)
 		agent.finish(started)
 	}()
