--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -18,6 +18,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 )
 
 // Entry is an entry process, ready to run.
@@ -32,6 +33,8 @@
 	metrics  http.Handler
 
 	announcer *announcer
+	planners  planners
+	meter     *storekeeper.Meter
 }
 
 // EntryStatus is what an entry says about itself.
@@ -46,7 +49,10 @@
 // a function that releases what it holds. It waits for the configuration.
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "entry", "name": settings.Name, "site": settings.Site})
-	entry := &Entry{settings: settings, env: env}
+	entry := &Entry{settings: settings}
+	entry.meter = newMeter(env, func() *publisher.Watcher { return entry.watcher })
+	env.Platform = entry.meter.Wrap(env.Platform)
+	entry.env = env
 	entry.view = reporter.NewView(env.Platform.Directory, env.Log)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	incarnation := newIncarnation()
@@ -68,6 +74,7 @@
 		closePool()
 		return nil, nil, err
 	}
+	entry.planners = planners{entry: entry, pool: pool, incarnation: incarnation}
 	entry.announcer = &announcer{
 		name: settings.Name, pool: pool, peers: entry.view.Addresses,
 		revision: func() uint64 { return entry.watcher.Current().Revision },
@@ -128,6 +135,7 @@
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
 	addLoop(group, entry.watcher.Run)
+	addLoop(group, entry.planners.run)
 	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
 	addLoop(group, func(ctx context.Context) { entry.view.Run(ctx, entry.env.Clock) })
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
@@ -137,6 +145,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", entry.metrics)
+	mux.HandleFunc("GET /store", handler.Show(entry.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(entry.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(entry.Status))
 	addServer(group, entry.admin, mux, headerTimeout)
