--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -15,7 +15,9 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -30,24 +32,32 @@
 	metrics  http.Handler
 
 	neighbours *neighbours
+	meter      *storekeeper.Meter
 }
 
 // NewAgent returns an agent that listens and has its first configuration, and
 // a function that releases what it holds. It waits for the configuration.
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
-	made := &Agent{settings: settings, env: env}
+	made := &Agent{settings: settings}
+	made.meter = newMeter(env, func() *publisher.Watcher { return made.watcher })
+	env.Platform = made.meter.Wrap(env.Platform)
+	made.env = env
 	incarnation := newIncarnation()
 	made.neighbours = newNeighbours(env.Platform.Directory, incarnation)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
-	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses)
+	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
+	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses, record.Record)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := made.watcher.Await(ctx); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
 	if err := made.bind(); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
@@ -63,18 +73,21 @@
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Record:      record.Record,
 		Table:       env.Platform.Table,
 
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
 	})
 	if err != nil {
+		closeRecord()
 		closePool()
 		closeScope()
 		return nil, nil, err
 	}
 	made.agent = agent
-	return made, func() { release(); closePool(); closeScope() }, nil
+	record.SetPulse(agent.Sample)
+	return made, func() { release(); closeRecord(); closePool(); closeScope() }, nil
 }
 
 func (made *Agent) bind() error {
@@ -107,6 +120,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
+	mux.HandleFunc("GET /store", handler.Show(made.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(func() *encoder.Digest { return made.agent.Digest() }))
 	addServer(group, made.admin, mux, headerTimeout)
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -15,8 +15,10 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 )
 
 // Entry is an entry process, ready to run.
@@ -31,6 +33,8 @@
 	metrics  http.Handler
 
 	announcer *announcer
+	planners  planners
+	meter     *storekeeper.Meter
 }
 
 // EntryStatus is what an entry says about itself.
@@ -45,14 +49,20 @@
 // a function that releases what it holds. It waits for the configuration.
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "entry", "name": settings.Name, "site": settings.Site})
-	entry := &Entry{settings: settings, env: env}
+	entry := &Entry{settings: settings}
+	entry.meter = newMeter(env, func() *publisher.Watcher { return entry.watcher })
+	env.Platform = entry.meter.Wrap(env.Platform)
+	entry.env = env
 	entry.view = reporter.NewView(env.Platform.Directory, env.Log)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	incarnation := newIncarnation()
-	entry.watcher = newWatcher(env, settings.Process, incarnation, pool, entry.view.Addresses)
+	origin := recorder.Origin{Group: recorder.EntryGroup, Name: settings.Name, Incarnation: incarnation}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
+	entry.watcher = newWatcher(env, settings.Process, incarnation, pool, entry.view.Addresses, record.Record)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := entry.watcher.Await(ctx); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
@@ -60,15 +70,18 @@
 		env.Log.WithError(err).Warn("instance list not read")
 	}
 	if err := entry.bind(); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
+	entry.planners = planners{entry: entry, pool: pool, incarnation: incarnation}
 	entry.announcer = &announcer{
 		name: settings.Name, pool: pool, peers: entry.view.Addresses,
 		revision: func() uint64 { return entry.watcher.Current().Revision },
 	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	entry.metrics = metrics
+	record.SetPulse(entry.alive)
 	entry.front = forwarder.New(forwarder.Settings{
 		Name:        settings.Name,
 		Site:        settings.Site,
@@ -81,8 +94,9 @@
 		Roster:      entry.view.Roster,
 		Locate:      entry.view.Locate,
 		Learn:       entry.learn,
+		Record:      record.Record,
 	})
-	return entry, func() { closePool(); closeScope() }, nil
+	return entry, func() { closePool(); closeRecord(); closeScope() }, nil
 }
 
 func (entry *Entry) bind() error {
@@ -121,6 +135,7 @@
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
 	addLoop(group, entry.watcher.Run)
+	addLoop(group, entry.planners.run)
 	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
 	addLoop(group, func(ctx context.Context) { entry.view.Run(ctx, entry.env.Clock) })
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
@@ -130,6 +145,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", entry.metrics)
+	mux.HandleFunc("GET /store", handler.Show(entry.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(entry.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(entry.Status))
 	addServer(group, entry.admin, mux, headerTimeout)
--- a/internal/classifier/kind.go
+++ b/internal/classifier/kind.go
@@ -40,6 +40,8 @@
 	Tombstoned
 	ResumeLost
 	KeyDone
+	Moved
+	AtBound
 )
 
 // Ran says what is known about whether a request ran.
@@ -103,6 +105,8 @@
 	Protocol:         {"protocol", http.StatusBadGateway, "a process broke the protocol", RanUnknown, false, false},
 	Tombstoned:       {"tombstoned", http.StatusServiceUnavailable, "the request was declared not run", RanNo, true, false},
 	ResumeLost:       {"resume-lost", http.StatusGone, "the stream can't be resumed from there", RanUnknown, false, false},
+	Moved:            {"moved", http.StatusServiceUnavailable, "the chat last ran at another replica", RanNo, true, true},
+	AtBound:          {"at-bound", http.StatusServiceUnavailable, "the replicas tried carry their share of the load", RanNo, true, true},
 	KeyDone:          {"key-done", http.StatusConflict, "the request with this key ran to its end; its answer is not kept", RanYes, false, false},
 }
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,31 +11,35 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/minter"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// maxCandidates is how many replicas one call is offered to at most. It bounds
-// what a saturated service costs: three offers a call, however many replicas.
-const maxCandidates = 3
-
 // carry offers the call to its candidates until one answers. It returns an
 // error only when nothing of an answer was written.
 func (entry *Entry) carry(ctx context.Context, w http.ResponseWriter, call call) error {
 	if named, ok := minter.Read(call.key); ok && !call.idempotent {
 		return entry.carryMinted(ctx, w, call, named)
 	}
-	candidates := entry.candidates(call)
-	entry.logPlacement(call, candidates)
-	if len(candidates) == 0 {
-		return classifier.New(classifier.NoUpstream, call.service).WithRetryAfter(timekeeper.Second)
-	}
-	var attempts attempts
-	for i, replica := range candidates {
-		failure, done := entry.attempt(ctx, w, call, replica, uint32(i))
+	route := entry.route(call)
+	entry.logPlacement(call, route.Ranked())
+	entry.budgets.earn(call.service)
+	attempts := attempts{last: classifier.New(classifier.NoUpstream, call.service)}
+	deadline := entry.settings.Clock.Now().Add(call.settings.FirstByte)
+	for i := uint32(0); ; i++ {
+		call.left = deadline.Since(entry.settings.Clock.Now())
+		stop, ok := route.Next()
+		if !ok || call.left <= 0 || (i > 0 && !stop.Free && !entry.budgets.spend(call.service)) {
+			break
+		}
+		call.seek, call.ranked = stop.Seek, route.Ranked()
+		failure, done := entry.attempt(ctx, w, call, stop.Replica, i)
 		if done {
+			go entry.tellKeepers(context.WithoutCancel(ctx), call, route.Keepers(stop.Replica), stop.Replica)
 			return nil
 		}
-		entry.logAttempt(call, replica, failure)
+		entry.logAttempt(call, stop.Replica, failure)
+		entry.recordAttempt(call, stop.Replica, failure)
 		if ctx.Err() != nil {
 			return classifier.New(classifier.CallerGone, "")
 		}
@@ -45,17 +49,9 @@
 		if !attempts.add(call, failure) {
 			break
 		}
+		route.Refused(refusalOf(failure))
 	}
-	return attempts.failure()
-}
-
-// candidates ranks the replicas for a call.
-func (entry *Entry) candidates(call call) []placer.Replica {
-	chat := call.chat
-	if chat == 0 {
-		chat = call.spread()
-	}
-	return entry.settings.Roster(call.service).Rank(chat, maxCandidates)
+	return giveUp(attempts.failure())
 }
 
 // attempt offers the call to one replica. It returns true when an answer, or
@@ -74,6 +70,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	stream := encoder.NewStream(conn)
+	entry.settings.Record(entry.event(recorder.Offered, call, replica.Name))
 	at := contact{replica: replica, since: entry.settings.Clock.Now()}
 	failure, committed, lost := entry.commit(stream, call, &at, attempt)
 	switch {
@@ -144,6 +141,7 @@
 		entry.settings.Learn(refused.GetDigest())
 	}
 	failure := classifier.New(classifier.KindOf(refused.GetKind()), refused.GetDetail())
+	failure.Where, failure.Room = refused.GetWhere(), refused.GetRoom()
 	return failure.WithRetryAfter(timekeeper.Span(refused.GetRetryAfter()))
 }
 
@@ -159,10 +157,12 @@
 		Idempotent:  call.idempotent,
 		Key:         call.key,
 		Fingerprint: call.fingerprint(),
-		Deadline:    int64(call.settings.FirstByte),
+		Deadline:    int64(call.left),
 		Work:        call.work,
 		Attempt:     attempt,
 		Entry:       entry,
+		Candidates:  call.ranked,
+		Seek:        call.seek,
 		Incarnation: call.bound,
 		Revision:    call.revision,
 	}
@@ -179,17 +179,13 @@
 	return digest.Sum64()
 }
 
-func (entry *Entry) logPlacement(call call, candidates []placer.Replica) {
-	names := make([]string, len(candidates))
-	for i, replica := range candidates {
-		names[i] = replica.Name
-	}
+func (entry *Entry) logPlacement(call call, candidates []string) {
 	entry.settings.Log.WithFields(logrus.Fields{
 		"request-id": call.id,
 		"service":    call.service,
 		"team":       call.team,
 		"chat":       call.chat,
-		"candidates": names,
+		"candidates": candidates,
 	}).Info("placement")
 }
 
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -68,12 +68,13 @@
 	settings Settings
 	serial   atomic.Uint64
 	keys     keyTable
+	budgets  *budgets
 	hints    hints
 }
 
 // New returns an entry.
 func New(settings Settings) *Entry {
-	return &Entry{settings: settings.withDefaults()}
+	return &Entry{settings: settings.withDefaults(), budgets: newBudgets()}
 }
 
 // ServeHTTP serves one call.
@@ -110,6 +111,7 @@
 
 func (entry *Entry) refuse(w http.ResponseWriter, id string, err error) {
 	failure := classifier.Of(err)
+	entry.recordRefusal(id, failure)
 	entry.settings.Scope.Tagged(map[string]string{"kind": failure.Kind.String()}).Counter("refusals").Inc(1)
 	entry.settings.Log.WithFields(logrus.Fields{
 		"request-id": id,
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -38,6 +38,7 @@
 		answer:     newAnswer(),
 		cancel:     cancel,
 	}
+	started.answer.opened = func() { agent.opened(started.id) }
 	agent.mu.Lock()
 	if known := agent.runs[started.id]; known != nil {
 		agent.mu.Unlock()
@@ -55,10 +56,14 @@
 	agent.bySerial[started.serial] = started
 	agent.takeOff(offer)
 	agent.mu.Unlock()
+	agent.settings.Record(agent.event(recorder.Committed, offer))
+	agent.noteChat(offer.GetChat(), offer.GetWork())
 	go func() {
 		defer cancel()
 		agent.upstream.call(ctx, agent.settings, offer, commit, started)
+		agent.recordEnd(offer, started.answer)
 		agent.landed(started, ctx.Err() != nil)
+		agent.hold(ctx)
 		agent.finish(started)
 	}()
 	return started, classifier.Failure{}, true
