--- a/internal/runner/once_test.go
+++ b/internal/runner/once_test.go
@@ -112,13 +112,15 @@
 	// it arrives at an agent that was paused past the time that it waits.
 	Convey("a frame behind a tombstone is refused", t, func() {
 		bench := newBench(t)
-		stream := bench.offer("late", "")
+		stream := bench.offer("late", "key")
 		_, err := encoder.ReadAs(stream, (*encoder.Frame).GetGranted)
 		So(err, ShouldBeNil)
 		found, err := encoder.ReadAs(
 			bench.open(&encoder.Lookup{RequestId: "late", Team: "rig", Incarnation: 7, Tombstone: true}), (*encoder.Frame).GetFound)
 		So(err, ShouldBeNil)
 		So(found.GetState(), ShouldEqual, encoder.RunState_RUN_STATE_NEVER_SEEN)
+		_, err = encoder.ReadAs(bench.offer("resend", "key"), (*encoder.Frame).GetGranted)
+		So(err, ShouldBeNil)
 		bench.send(stream, &encoder.Run{RequestId: "late", Method: "POST", Path: "/orders"})
 		So(refusalOf(stream), ShouldEqual, "tombstoned")
 		So(bench.runs.Load(), ShouldEqual, 0)
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -136,6 +136,9 @@
 		tomb := &run{id: lookup.GetRequestId(), tomb: true}
 		agent.runs[tomb.id] = tomb
 		agent.keep(tomb, now)
+		// The key is free for the resend at once, not only when the agent has
+		// noticed that the first request's connection is gone.
+		agent.keys.book.Abandon(tomb.id)
 		agent.settings.Record(recorder.Event{
 			At: now, Kind: recorder.Buried, Request: lookup.GetRequestId(), Service: agent.settings.Service,
 			Team: lookup.GetTeam(), Instance: agent.settings.Name, Incarnation: agent.settings.Incarnation,
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -65,6 +65,8 @@
 				rig.soTruthful(key, resent)
 				if resent.status == 200 {
 					answered++
+				} else {
+					t.Log(key, got.status, got.body, "then", resent.status, resent.body, resent.err)
 				}
 			}
 			So(answered, ShouldEqual, (total+step-1)/step)
