runner: the test of an unreachable upstream waits for both changes of state

Cause: the answer goes out just before the agent marks its upstream as away; the test could look between the two. Change: it waits for 'down' before it serves the upstream again.

--- a/internal/runner/once_test.go
+++ b/internal/runner/once_test.go
@@ -159,8 +159,10 @@
 	})
 }
 
-// restart serves the upstream again and waits until the agent has seen it.
+// restart waits until the agent knows that the upstream is away, serves it
+// again, and waits until the agent has seen it.
 func (bench *bench) restart(address string) {
+	bench.until(func() bool { return bench.agent.Digest().GetState() == encoder.ReplicaState_REPLICA_STATE_DOWN })
 	listener, err := net.Listen("tcp", address) //nolint:noctx // A test's listener has no deadline.
 	if err != nil {
 		bench.t.Fatal(err)
