--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -104,6 +104,7 @@
 	places   *placer.Directory
 	born     timekeeper.Instant
 	runs     map[string]*run
+	kept     endedRuns
 	bySerial map[uint64]*run
 	serial   uint64
 	weighed  map[string]weighing
