publisher: a command run again doesn't accept anew

Cause: the event of an accepted change carried the time of the run that found it, so an old command run again looked like a lower revision accepted after a higher one. Change: the event carries the change's own time. Measured: a test; with the old time it fails.

--- a/internal/publisher/propose.go
+++ b/internal/publisher/propose.go
@@ -246,7 +246,9 @@
 	if proposer.Record == nil {
 		return
 	}
-	proposer.Record(recorder.Event{At: proposer.Clock.Now(), Kind: recorder.Accepted, Revision: change.Revision, Detail: change.Hash})
+	// The time is the change's own: a command that is run again finds the same
+	// change, and must not seem to have accepted it anew.
+	proposer.Record(recorder.Event{At: change.At, Kind: recorder.Accepted, Revision: change.Revision, Detail: change.Hash})
 }
 
 // BundleOf returns the files of a revision; revision 0 is empty.
--- a/internal/publisher/propose_test.go
+++ b/internal/publisher/propose_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/trefoilseam/trefoilseam/internal/imitator"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -246,3 +247,25 @@
 		So(wrong, ShouldEqual, 0)
 	})
 }
+
+func TestACommandRunAgainDoesNotAcceptAnew(t *testing.T) {
+	// An operator runs an old command again, after a later change was accepted.
+	// The record must not show the old revision as accepted after the later one.
+	Convey("the event carries the time of the change", t, func() {
+		seams := imitator.NewPlatform(hasty()).Seams()
+		var events []recorder.Event
+		run := func(number int, at timekeeper.Instant) {
+			clock := hasty()
+			clock.Now = func() timekeeper.Instant { return at }
+			proposer := Proposer{Platform: seams, Clock: clock, Record: func(event recorder.Event) { events = append(events, event) }}
+			_, err := proposer.Propose(t.Context(), Proposal{Bundle: bundleOf(number), Edited: uint64(number)})
+			So(err, ShouldBeNil)
+		}
+		run(0, 10)
+		run(1, 20)
+		run(0, 30)
+		So(events, ShouldHaveLength, 3)
+		So(events[2].Revision, ShouldEqual, 1)
+		So(events[2].At, ShouldEqual, 10)
+	})
+}
