--- a/internal/forwarder/mint.go
+++ b/internal/forwarder/mint.go
@@ -10,6 +10,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/minter"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -71,7 +72,7 @@
 // so that the calls made with the keys spread as other calls do.
 func (entry *Entry) mintAt(r *http.Request, id string, ask *encoder.MintAsk) (KeyGrant, error) {
 	failure := classifier.New(classifier.NoUpstream, ask.GetService()).WithRetryAfter(timekeeper.Second)
-	for _, replica := range entry.settings.Roster(ask.GetService()).Rank(xxhash.Sum64String(id), maxCandidates) {
+	for _, replica := range entry.settings.Roster(ask.GetService()).Rank(xxhash.Sum64String(id), placer.MaxOffers) {
 		conn, err := entry.settings.Pool.Open(r.Context(), replica.Address)
 		if err != nil {
 			failure = classifier.New(classifier.Unreachable, replica.Name)
--- /dev/null
+++ b/internal/forwarder/route.go
@@ -0,0 +1,101 @@
+package forwarder
+
+import (
+	"context"
+	"sync"
+
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/retrier"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// route returns the way of a call through the replicas. A call without a chat
+// is spread evenly.
+func (entry *Entry) route(call call) *placer.Itinerary {
+	chat := call.chat
+	if chat == 0 {
+		chat = call.spread()
+	}
+	return placer.NewItinerary(entry.settings.Roster(call.service), chat)
+}
+
+// refusalOf returns what the itinerary reads in a failure.
+func refusalOf(failure classifier.Failure) placer.Refusal {
+	return placer.Refusal{
+		Moved:   failure.Kind == classifier.Moved,
+		AtBound: failure.Kind == classifier.AtBound,
+		Where:   failure.Where,
+		Room:    failure.Room,
+	}
+}
+
+// giveUp returns the failure that a caller gets once no candidate is left. It
+// always tells when to come back.
+func giveUp(failure classifier.Failure) classifier.Failure {
+	if failure.Kind == classifier.Moved {
+		failure = classifier.New(classifier.Overloaded, "no replica took the chat")
+	}
+	if failure.RetryAfter == 0 && classifier.AnswerOf(failure.Kind).Retry {
+		failure = failure.WithRetryAfter(timekeeper.Second)
+	}
+	return failure
+}
+
+// pointerTimeout bounds a message to a home that doesn't answer.
+const pointerTimeout = 2 * timekeeper.Second
+
+// tellKeepers tells the keepers of a chat's pointer that the chat ran
+// elsewhere, so that the next turn finds it. A lost message costs a cold prefix
+// and nothing else, so each is sent once and no answer is awaited.
+func (entry *Entry) tellKeepers(ctx context.Context, call call, keepers []placer.Replica, served placer.Replica) {
+	if call.chat == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pointerTimeout.Duration())
+	defer cancel()
+	for _, keeper := range keepers {
+		conn, err := entry.settings.Pool.Open(ctx, keeper.Address)
+		if err != nil {
+			continue
+		}
+		put := &encoder.PointerPut{Chat: call.chat, Instance: served.Name, Tokens: call.work}
+		_ = encoder.NewStream(conn).Write(encoder.Of(put))
+		_ = conn.Close()
+		entry.settings.Scope.Counter("pointers-put").Inc(1)
+	}
+}
+
+// budgets are the retry budgets of an entry, one a service, so that a service
+// that is saturated uses up no other's.
+type budgets struct {
+	mu        sync.Mutex
+	byService map[string]*retrier.Budget
+}
+
+func newBudgets() *budgets {
+	return &budgets{byService: map[string]*retrier.Budget{}}
+}
+
+// of returns the budget of a service; the lock must be held.
+func (budgets *budgets) of(service string) *retrier.Budget {
+	budget := budgets.byService[service]
+	if budget == nil {
+		budget = retrier.NewBudget(retrier.Settings{})
+		budgets.byService[service] = budget
+	}
+	return budget
+}
+
+func (budgets *budgets) earn(service string) {
+	budgets.mu.Lock()
+	defer budgets.mu.Unlock()
+	budgets.of(service).Earn()
+}
+
+func (budgets *budgets) spend(service string) bool {
+	budgets.mu.Lock()
+	defer budgets.mu.Unlock()
+	return budgets.of(service).Spend()
+}
--- a/internal/resolver/config.go
+++ b/internal/resolver/config.go
@@ -57,6 +57,26 @@
 	Slots int `toml:"slots"`
 	// QueueLength is how many calls wait at a replica at most; zero means 64.
 	QueueLength int `toml:"queue-length"`
+	// UrgentSlots is how many of the slots only urgency 0 may use; absent means
+	// one of eight.
+	UrgentSlots *int `toml:"urgent-slots"`
+	// FreeCalls is how many calls a replica takes whatever the load factor
+	// says; zero means none.
+	FreeCalls int `toml:"free-calls"`
+	// OldestMean is the age past which the service's mean load sets no bound;
+	// zero means 5 seconds.
+	OldestMean timekeeper.Span `toml:"oldest-mean"`
+	// Ageing is the wait that lifts a call by one urgency; zero means half a second.
+	Ageing timekeeper.Span `toml:"ageing"`
+	// UnknownHold is how long a slot stays taken after a cancelled call whose
+	// end the upstream did not confirm; absent means one second.
+	UnknownHold *timekeeper.Span `toml:"unknown-hold"`
+	// CacheTokens is the memory of an engine's prefix cache in tokens; zero
+	// means unknown.
+	CacheTokens int64 `toml:"cache-tokens"`
+	// SettleTime is how long after its start a replica sends chats that it
+	// doesn't know to where they last ran; absent means ten minutes.
+	SettleTime *timekeeper.Span `toml:"settle-time"`
 	// MaxBody is the longest request body in bytes; zero means 1 MiB.
 	MaxBody int64 `toml:"max-body"`
 	// LongestCall is how long a call may run; zero means ten minutes.
@@ -101,6 +121,12 @@
 	DefaultMaxBody     = 1 << 20
 	DefaultLongestCall = 10 * timekeeper.Minute
 	DefaultFirstByte   = 30 * timekeeper.Second
+	DefaultOldestMean  = 5 * timekeeper.Second
+	DefaultAgeing      = timekeeper.Second / 2
+	DefaultUnknownHold = timekeeper.Second
+	DefaultSettleTime  = 10 * timekeeper.Minute
+	// slotsPerUrgent is how many slots there are to each one kept for urgent work.
+	slotsPerUrgent     = 8
 	DefaultResumeGrace = 5 * timekeeper.Second
 
 	DefaultLongestOrder   = 30 * timekeeper.Second
@@ -122,6 +148,11 @@
 	orDefault(&service.LongestCall, DefaultLongestCall)
 	orDefault(&service.LongestDrain, service.LongestCall)
 	orDefault(&service.FirstByte, DefaultFirstByte)
+	orDefault(&service.OldestMean, DefaultOldestMean)
+	orDefault(&service.Ageing, DefaultAgeing)
+	orDefault(&service.UrgentSlots, new(service.Slots/slotsPerUrgent))
+	orDefault(&service.UnknownHold, new(DefaultUnknownHold))
+	orDefault(&service.SettleTime, new(DefaultSettleTime))
 	orDefault(&service.ResumeGrace, DefaultResumeGrace)
 	orDefault(&service.LongestOrder, DefaultLongestOrder)
 	orDefault(&service.LoadsPerMinute, DefaultLoadsPerMinute)
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 
@@ -13,6 +14,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/admitter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
@@ -40,6 +42,12 @@
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
+	// Room names a replica of the service with room, for callers that are sent
+	// on; nil means that none is known.
+	Room func() string
+	// Draw returns random numbers in [0, 1) for jitter; nil means a source
+	// seeded with the incarnation.
+	Draw func() float64
 	// Table is the platform's table, where keys are claimed; a zero Table means
 	// that only minted keys can be used.
 	Table storekeeper.Table
@@ -59,6 +67,12 @@
 	if settings.Mean == nil {
 		settings.Mean = func() admitter.Mean { return admitter.Mean{} }
 	}
+	if settings.Room == nil {
+		settings.Room = func() string { return "" }
+	}
+	if settings.Draw == nil {
+		settings.Draw = rand.New(rand.NewPCG(settings.Incarnation, 0)).Float64
+	}
 	if settings.Hear == nil {
 		settings.Hear = func(uint64) {}
 	}
@@ -86,7 +100,9 @@
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
-	granted  map[string]chan struct{}
+	queue    map[string]chan verdict
+	places   *placer.Directory
+	born     timekeeper.Instant
 	runs     map[string]*run
 	bySerial map[uint64]*run
 	serial   uint64
@@ -109,10 +125,12 @@
 		service:  service,
 		revision: settings.Config().Revision,
 		upstream: newUpstream(settings.Upstream, service),
-		desk:     admitter.NewDesk(deskLimits(service)),
+		desk:     admitter.NewDesk(limitsOf(service, settings.Draw)),
+		queue:    map[string]chan verdict{},
+		places:   placer.NewDirectory(placer.DirectorySettings{Self: settings.Name, CacheTokens: service.CacheTokens}),
+		born:     settings.Clock.Now(),
 		keys:     newKeys(settings),
 		strikes:  newStrikes(settings),
-		granted:  map[string]chan struct{}{},
 		runs:     map[string]*run{},
 		bySerial: map[uint64]*run{},
 		weighed:  map[string]weighing{},
@@ -167,6 +185,8 @@
 		agent.serveOffer(ctx, stream, message.Offer)
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
+	case *encoder.Frame_PointerPut:
+		agent.notePointer(message.PointerPut)
 	case *encoder.Frame_MintAsk:
 		agent.serveMint(stream, message.MintAsk)
 	case *encoder.Frame_Cancel:
