--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,23 +18,32 @@
 )
 
 // orderConfig is quickConfig with adapters, short leases and short orders.
-func orderConfig(adapters string) resolver.Bundle {
+func orderConfig(adapters string, checks bool) resolver.Bundle {
 	bundle := quickConfig()
 	bundle.Base = strings.Replace(bundle.Base, `kind = "model"`, "kind = \"model\"\nadapters = "+adapters+
-		"\nlongest-order = \"500ms\"\nloads-a-minute = 600\n", 1)
+		"\nchecks-orders = "+strconv.FormatBool(checks)+"\nlongest-order = \"500ms\"\nloads-a-minute = 600\n", 1)
 	bundle.Base += "order-lease = \"1s\"\n"
 	return bundle
 }
 
 func TestAPausedPlannerDoesNoHarm(t *testing.T) {
-	t.Parallel()
-	// The engine checks no numbers. The entry that holds the lease is stopped in
+	for _, checks := range []bool{false, true} {
+		t.Run("engine checks numbers: "+strconv.FormatBool(checks), func(t *testing.T) {
+			t.Parallel()
+			pausePlanner(t, checks)
+		})
+	}
+}
+
+func pausePlanner(t *testing.T, checks bool) {
+	t.Helper()
+	// The engine checks the numbers of orders or ignores them. The entry that holds the lease is stopped in
 	// its tracks; operators change the adapters; another entry takes over and
 	// gives orders. Then the first is continued, past its lease.
 	// Its orders must not come after those of the new holder, and the engine
 	// ends with what the operators want. In an outage of the store, nothing moves.
-	rig := newRig(t, orderConfig(`["vans"]`))
-	rig.addPlanner("planner-1", imitator.EngineSettings{})
+	rig := newRig(t, orderConfig(`["vans"]`, checks))
+	rig.addPlanner("planner-1", imitator.EngineSettings{ChecksOrders: checks})
 	entries := []*process{rig.addEntry("entry-1"), rig.addEntry("entry-2")}
 	engine := rig.engines["planner-1"]
 	loaded := func(want string) func() bool {
@@ -44,7 +54,7 @@
 		first := slices.IndexFunc(entries, func(entry *process) bool { return len(entry.logged("planner")) > 0 })
 		entries[first].signal(syscall.SIGSTOP)
 		file := filepath.Join(t.TempDir(), "base.toml")
-		So(os.WriteFile(file, []byte(orderConfig(`["menus"]`).Base), 0o600), ShouldBeNil)
+		So(os.WriteFile(file, []byte(orderConfig(`["menus"]`, checks).Base), 0o600), ShouldBeNil)
 		text, code := configure(t, "apply", "-platform", rig.base, "-base", file, "-edited-from", "1")
 		So(text, ShouldContainSubstring, "accepted")
 		So(code, ShouldEqual, 0)
