reporter: membership and load as soft state between entries and agents

Cause: a process knew of replicas only by the platform's list, which lags. Change: one table for each service, merged by incarnation and sequence; agents exchange digests with a random peer each round, entries ask one agent of each service for what changed; silence is judged against the median age, at most half of a service is held dead; a leaving agent tells its peers at once; every control message is counted by cause and gives way by level. Incarnations now carry the start time, so that they order.

--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -9,11 +9,15 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/admitter"
+	"github.com/trefoilseam/trefoilseam/internal/budgeter"
+	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -26,42 +30,93 @@
 	admin    net.Listener
 	watcher  *publisher.Watcher
 	agent    *runner.Agent
+	control  *control
 	metrics  http.Handler
 }
 
+// AgentStatus is what an agent says about itself.
+type AgentStatus struct {
+	Name     string          `json:"name"`
+	Site     string          `json:"site"`
+	Service  string          `json:"service"`
+	Revision uint64          `json:"revision"`
+	Digest   *encoder.Digest `json:"digest"`
+	// Control is what the agent spends on control.
+	Control budgeter.Status `json:"control"`
+	// Members is what the agent believes about each replica of its service.
+	Members []reporter.ReplicaStatus `json:"members"`
+}
+
 // NewAgent returns an agent that listens and has its first configuration, and
 // a function that releases what it holds. It waits for the configuration.
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
 	made := &Agent{settings: settings, env: env}
-	made.watcher = publisher.NewWatcher(env.Platform, settings.Site, env.Log)
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := made.watcher.Await(ctx, env.Clock); err != nil {
-		return nil, nil, err
-	}
-	if err := made.bind(); err != nil {
-		return nil, nil, err
-	}
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	made.metrics = metrics
+	pool, closePool := dialer.NewPool(dialer.Settings{})
+	closeAll := func() { closePool(); closeScope() }
+	incarnation := newIncarnation()
+	made.control = newControl(controlSettings{
+		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
+		service: settings.Service, self: made.digest,
+	})
+	if err := made.ready(ctx); err != nil {
+		closeAll()
+		return nil, nil, err
+	}
 	agent, release, err := runner.New(runner.Settings{
 		Name:        settings.Name,
 		Service:     settings.Service,
 		Site:        settings.Site,
-		Incarnation: newIncarnation(),
+		Incarnation: incarnation,
 		Upstream:    settings.Upstream,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Mean:        func() admitter.Mean { return made.control.view.Mean(settings.Service) },
+		Digests:     made.control.exchanger.Answer,
 	})
 	if err != nil {
-		closeScope()
+		closeAll()
 		return nil, nil, err
 	}
 	made.agent = agent
-	return made, func() { release(); closeScope() }, nil
+	return made, func() { release(); closeAll() }, nil
+}
+
+// ready waits for the first configuration, looks around once and listens.
+func (made *Agent) ready(ctx context.Context) error {
+	made.watcher = publisher.NewWatcher(made.control.metered(), made.settings.Site, made.env.Log)
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := made.watcher.Await(ctx, made.env.Clock); err != nil {
+		return err
+	}
+	if err := made.control.view.Look(ctx); err != nil {
+		made.env.Log.WithError(err).Warn("instance list not read")
+	}
+	return made.bind()
+}
+
+// digest returns what the agent says about itself, and where it is reached.
+func (made *Agent) digest() *encoder.Digest {
+	digest := made.agent.Digest()
+	digest.Address = made.settings.Advertise
+	if digest.GetAddress() == "" {
+		digest.Address = made.Address()
+	}
+	return digest
+}
+
+// Status returns what the agent says about itself and believes about others.
+func (made *Agent) Status() AgentStatus {
+	return AgentStatus{
+		Name: made.settings.Name, Site: made.settings.Site, Service: made.settings.Service,
+		Revision: made.watcher.Current().Revision, Digest: made.digest(),
+		Control: made.control.status(), Members: made.control.view.Status(),
+	}
 }
 
 func (made *Agent) bind() error {
@@ -85,6 +140,7 @@
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
 	addLoop(group, func(ctx context.Context) { made.watcher.Run(ctx, made.env.Clock) })
+	made.control.addTo(group)
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
 	if made.admin == nil {
@@ -92,7 +148,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
-	mux.HandleFunc("GET /status", handler.Show(func() *encoder.Digest { return made.agent.Digest() }))
+	mux.HandleFunc("GET /status", handler.Show(made.Status))
 	addServer(group, made.admin, mux, headerTimeout)
 	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
 }
@@ -122,6 +178,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), service.LongestDrain.Duration())
 	defer cancel()
 	started := made.env.Clock.Now()
+	// New work is refused before anyone is told, so that nobody can be told
+	// late of a replica that still takes it.
+	made.agent.Refuse()
+	made.control.exchanger.Announce(ctx)
 	err := made.agent.Drain(ctx)
 	took := made.env.Clock.Now().Since(started)
 	made.env.Log.WithFields(logrus.Fields{"took": took.String(), "whole": err == nil}).Info("drained")
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/budgeter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/forwarder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
@@ -26,6 +27,7 @@
 	listener net.Listener
 	admin    net.Listener
 	watcher  *publisher.Watcher
+	control  *control
 	view     *reporter.View
 	front    *forwarder.Entry
 	metrics  http.Handler
@@ -37,6 +39,10 @@
 	Site     string         `json:"site"`
 	Revision uint64         `json:"revision"`
 	Replicas map[string]int `json:"replicas"`
+	// Control is what the entry spends on control.
+	Control budgeter.Status `json:"control"`
+	// Members is what the entry believes about each replica.
+	Members []reporter.ReplicaStatus `json:"members"`
 }
 
 // NewEntry returns an entry that listens and has its first configuration, and
@@ -44,26 +50,24 @@
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "entry", "name": settings.Name, "site": settings.Site})
 	entry := &Entry{settings: settings, env: env}
-	entry.watcher = publisher.NewWatcher(env.Platform, settings.Site, env.Log)
-	entry.view = reporter.NewView(env.Platform.Directory, env.Log)
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := entry.watcher.Await(ctx, env.Clock); err != nil {
-		return nil, nil, err
-	}
-	if err := entry.view.Look(ctx); err != nil {
-		env.Log.WithError(err).Warn("instance list not read")
-	}
-	if err := entry.bind(); err != nil {
-		return nil, nil, err
-	}
-	pool, closePool := dialer.NewPool(dialer.Settings{})
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
+	pool, closePool := dialer.NewPool(dialer.Settings{})
+	release := func() { closePool(); closeScope() }
 	entry.metrics = metrics
+	incarnation := newIncarnation()
+	entry.control = newControl(controlSettings{
+		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
+	})
+	entry.view = entry.control.view
+	entry.watcher = publisher.NewWatcher(entry.control.metered(), settings.Site, env.Log)
+	if err := entry.ready(ctx); err != nil {
+		release()
+		return nil, nil, err
+	}
 	entry.front = forwarder.New(forwarder.Settings{
 		Name:        settings.Name,
 		Site:        settings.Site,
-		Incarnation: newIncarnation(),
+		Incarnation: incarnation,
 		Clock:       env.Clock,
 		Log:         env.Log,
 		Scope:       scope,
@@ -72,7 +76,22 @@
 		Roster:      entry.view.Roster,
 		Learn:       entry.view.Learn,
 	})
-	return entry, func() { closePool(); closeScope() }, nil
+	return entry, release, nil
+}
+
+// ready waits for the first configuration, looks around once and listens. An
+// entry whose instance list can't be read asks the peers of its settings.
+func (entry *Entry) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := entry.watcher.Await(ctx, entry.env.Clock); err != nil {
+		return err
+	}
+	if err := entry.view.Look(ctx); err != nil {
+		entry.env.Log.WithError(err).Warn("instance list not read")
+		entry.control.exchanger.Round(ctx)
+	}
+	return entry.bind()
 }
 
 func (entry *Entry) bind() error {
@@ -101,6 +120,8 @@
 		Site:     entry.settings.Site,
 		Revision: config.Revision,
 		Replicas: map[string]int{},
+		Control:  entry.control.status(),
+		Members:  entry.view.Status(),
 	}
 	for _, service := range config.ServiceNames() {
 		status.Replicas[service] = entry.view.Roster(service).Len()
@@ -111,7 +132,7 @@
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
 	addLoop(group, func(ctx context.Context) { entry.watcher.Run(ctx, entry.env.Clock) })
-	addLoop(group, func(ctx context.Context) { entry.view.Run(ctx, entry.env.Clock) })
+	entry.control.addTo(group)
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
 	entry.env.Log.WithField("address", entry.Address()).Info("listening")
 	if entry.admin == nil {
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -35,10 +35,13 @@
 )
 
 // newIncarnation returns a number that sets a process apart from all others.
+// Its high bits are the start time in milliseconds, so that of two lives of
+// one name the later has the higher number; the low bits are random.
 func newIncarnation() uint64 {
+	const randomBits = 22
 	var bytes [8]byte
 	_, _ = rand.Read(bytes[:])
-	return binary.BigEndian.Uint64(bytes[:])>>1 | 1
+	return uint64(timekeeper.Wall().Now())<<randomBits | binary.BigEndian.Uint64(bytes[:])>>(64-randomBits)
 }
 
 func listen(address string) (net.Listener, error) {
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -35,6 +35,23 @@
 	return settings
 }
 
+const (
+	// AnswerKeepAlive is the time between probes on the side that was dialled:
+	// rare, for the side that dials probes too.
+	AnswerKeepAlive = timekeeper.Minute
+	// probeShare is the least time between any two probes of a pool. It keeps
+	// what probes cost the same at any number of peers: 20 probes a second, of
+	// 24 bytes with their answer, are 480 bytes a second.
+	probeShare = 50 * timekeeper.Millisecond
+	// ProbeSize is what one probe and its answer take in bytes.
+	ProbeSize = 24
+)
+
+// keepAlive returns the time between probes of one session among many.
+func (settings Settings) keepAlive(sessions int) timekeeper.Span {
+	return max(settings.withDefaults().KeepAlive, timekeeper.Span(sessions)*probeShare)
+}
+
 // Session returns the yamux configuration that both ends of a session use.
 func (settings Settings) Session() *yamux.Config {
 	settings = settings.withDefaults()
@@ -98,7 +115,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
-	session, err := yamux.Client(conn, pool.settings.Session())
+	settings := pool.settings
+	settings.KeepAlive = settings.keepAlive(pool.size())
+	session, err := yamux.Client(conn, settings.Session())
 	if err != nil {
 		_ = conn.Close()
 		return nil, eris.Wrap(err, "start session")
@@ -107,6 +126,22 @@
 	return session, nil
 }
 
+func (pool *Pool) size() int {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return len(pool.peers)
+}
+
+// ProbeRate returns what the probes of the open sessions cost in bytes a
+// second: those that the pool sends, and those that it answers.
+func (pool *Pool) ProbeRate() float64 {
+	sessions := pool.size()
+	rate := func(every timekeeper.Span) float64 {
+		return float64(sessions) * ProbeSize * float64(timekeeper.Second) / float64(every)
+	}
+	return rate(pool.settings.keepAlive(sessions)) + rate(AnswerKeepAlive)
+}
+
 func (pool *Pool) peer(address string) *peer {
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
--- a/internal/loader/process.go
+++ b/internal/loader/process.go
@@ -21,6 +21,8 @@
 	AdminListen string `toml:"admin-listen"`
 	// Platform is the base address of the platform's services.
 	Platform string `toml:"platform"`
+	// Peers are addresses of agents to ask while the instance list can't be read.
+	Peers []string `toml:"peers"`
 	// LogLevel is a level of logrus; empty means "info".
 	LogLevel string `toml:"log-level"`
 }
@@ -36,6 +38,9 @@
 	Service string `toml:"service"`
 	// Upstream is the base address of the upstream instance.
 	Upstream string `toml:"upstream"`
+	// Advertise is the address by which others reach the agent; empty means
+	// the one that it listens on.
+	Advertise string `toml:"advertise"`
 }
 
 // ReadEntry reads the settings of an entry.
@@ -82,6 +87,9 @@
 	if process.AdminListen != "" {
 		faults = append(faults, checkAddress(file, "admin-listen", process.AdminListen)...)
 	}
+	for _, peer := range process.Peers {
+		faults = append(faults, checkAddress(file, "peers", peer)...)
+	}
 	return append(faults, checkURL(file, "platform", process.Platform)...)
 }
 
--- a/internal/placer/roster.go
+++ b/internal/placer/roster.go
@@ -12,7 +12,9 @@
 	Name    string
 	Address string
 	Site    string
-	hash    uint64
+	// Weight is the replica's share of its usual traffic, up to 1; zero means 1.
+	Weight float64
+	hash   uint64
 }
 
 // WithHash returns the replica with the hash of its name filled in.
--- /dev/null
+++ b/internal/reporter/table.go
@@ -0,0 +1,230 @@
+package reporter
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Rules are the limits by which a table judges replicas.
+type Rules struct {
+	// Silence is how long a replica may be silent before it is held dead; zero
+	// means 8 seconds: four times the 99th percentile of the age of a digest
+	// among 50 agents, so that chance alone holds nobody dead.
+	Silence timekeeper.Span
+	// Forget is how long a silent replica that no list names is remembered;
+	// zero means 10 minutes. Within it, an older incarnation isn't believed.
+	Forget timekeeper.Span
+	// Told says that others judge silence (an entry, which hears of most
+	// replicas rarely); only verdicts of agents and failed dials count then.
+	Told bool
+}
+
+const (
+	defaultSilence = 8 * timekeeper.Second
+	defaultForget  = 10 * timekeeper.Minute
+	// mediansOfSilence is how many times the service's median age a replica
+	// must be silent for. When a network is slow, all ages grow together, and
+	// slow is not dead.
+	mediansOfSilence = 4
+	// failsToDie is how many failed dials in a row halve the silence asked for.
+	failsToDie = 2
+	// newsFor is how long a change of state is told in full in each exchange:
+	// longer than a change needs to reach 400 agents.
+	newsFor = 12 * timekeeper.Second
+)
+
+func (rules Rules) withDefaults() Rules {
+	if rules.Silence == 0 {
+		rules.Silence = defaultSilence
+	}
+	if rules.Forget == 0 {
+		rules.Forget = defaultForget
+	}
+	return rules
+}
+
+// Table is what is believed about the replicas of one service. It has no I/O
+// and no clock of its own; it is not safe for use by several goroutines.
+type Table struct {
+	service string
+	rules   Rules
+	rows    map[string]*Row
+	ids     map[uint32]string
+	version uint64
+	// judged is when the rows were judged last, and woke is when this process
+	// came back from a pause in which it could hear nobody.
+	judged timekeeper.Instant
+	woke   timekeeper.Instant
+}
+
+// NewTable returns a table that knows of no replica.
+func NewTable(service string, rules Rules) *Table {
+	return &Table{
+		service: service,
+		rules:   rules.withDefaults(),
+		rows:    map[string]*Row{},
+		ids:     map[uint32]string{},
+	}
+}
+
+// Merge takes in what was said about a replica and reports whether it was news
+// to the table: a new replica, incarnation, state or strike.
+//
+// Order is by incarnation, then by sequence. The failure: a paused process
+// wakes after its replacement has taken its name, and speaks of itself. The
+// symptom would be calls to a process that the platform has written off. A
+// later start always has a higher incarnation, so the old voice changes nothing.
+func (table *Table) Merge(now timekeeper.Instant, digest *encoder.Digest) bool {
+	said := now.Add(-timekeeper.Span(max(0, digest.GetAge())))
+	known, ok := table.rows[digest.GetInstance()]
+	if !ok {
+		table.put(now, Row{Name: digest.GetInstance()}.WithSaid(digest, said), true)
+		return true
+	}
+	if !newer(*known, digest) {
+		return false
+	}
+	merged := known.WithSaid(digest, said)
+	if known.Incarnation == digest.GetIncarnation() && known.State == encoder.ReplicaState_REPLICA_STATE_DRAINING {
+		// An incarnation that drains never serves again.
+		merged.State = known.State
+	}
+	merged = table.comeBack(now, *known, merged)
+	news := merged.Incarnation != known.Incarnation || merged.State != known.State ||
+		len(merged.Strikes) != len(known.Strikes) || known.dead
+	merged.dead = known.dead && merged.gone()
+	table.put(now, merged, news)
+	return news
+}
+
+// newer reports whether a digest says more than the row.
+func newer(known Row, digest *encoder.Digest) bool {
+	if digest.GetIncarnation() != known.Incarnation {
+		return digest.GetIncarnation() > known.Incarnation
+	}
+	if digest.GetSequence() == known.Sequence {
+		// A verdict repeats the last sequence that was heard.
+		return digest.GetState() == encoder.ReplicaState_REPLICA_STATE_GONE && known.State != digest.GetState()
+	}
+	return digest.GetSequence() > known.Sequence
+}
+
+// comeBack counts a return from the dead or a new life of a known name.
+func (table *Table) comeBack(now timekeeper.Instant, known, merged Row) Row {
+	if merged.gone() {
+		return merged
+	}
+	newLife := known.Incarnation != 0 && merged.Incarnation != known.Incarnation
+	if newLife || (known.dead && known.Incarnation != 0) {
+		if now.Since(known.returned) > calm {
+			merged.returns = 0
+		}
+		merged.returns++
+		merged.returned = now
+	}
+	if newLife {
+		merged.Leaving = false
+	}
+	return merged
+}
+
+func (table *Table) put(now timekeeper.Instant, row Row, news bool) {
+	table.version++
+	row.changed = table.version
+	if news {
+		row.newsAt = table.version
+		row.news = now
+		table.ids[id(row.Name, row.Incarnation)] = row.Name
+	}
+	table.rows[row.Name] = &row
+}
+
+// MergeLoads takes in load rows and returns the ids that it couldn't place.
+func (table *Table) MergeLoads(now timekeeper.Instant, loads *encoder.Loads) []uint32 {
+	var unknown []uint32
+	count := min(len(loads.GetIds()), len(loads.GetLoads()), len(loads.GetSequences()), len(loads.GetAges()))
+	for i, key := range loads.GetIds()[:count] {
+		row := table.rows[table.ids[key]]
+		if row == nil || id(row.Name, row.Incarnation) != key {
+			if row == nil {
+				unknown = append(unknown, key)
+			}
+			continue
+		}
+		digest := row.digest(table.service, now)
+		digest.State = row.State
+		if row.gone() {
+			digest.State = encoder.ReplicaState_REPLICA_STATE_LIVE
+		}
+		digest.Load = loads.GetLoads()[i]
+		digest.Sequence = loads.GetSequences()[i]
+		digest.Age = int64(loads.GetAges()[i]) * int64(ageUnit)
+		digest.Address = ""
+		table.Merge(now, digest)
+	}
+	return unknown
+}
+
+// List takes in the platform's list: names and addresses to start from. A
+// replica that the list omits stays as its digests say.
+func (table *Table) List(now timekeeper.Instant, instances []storekeeper.Instance) {
+	for _, row := range table.rows {
+		row.Listed = false
+	}
+	for _, instance := range instances {
+		row, ok := table.rows[instance.Name]
+		if !ok {
+			table.put(now, Row{
+				Name: instance.Name, Said: now, State: encoder.ReplicaState_REPLICA_STATE_LIVE,
+			}, true)
+			row = table.rows[instance.Name]
+		}
+		if row.Leaving != instance.Leaving {
+			table.version++
+			row.newsAt, row.changed, row.news = table.version, table.version, now
+		}
+		row.Listed = true
+		row.Leaving = instance.Leaving
+		row.Site = instance.Site
+		row.listAddress = instance.Address
+	}
+}
+
+// Fail notes that a dial to a replica, or a question to its agent, failed.
+func (table *Table) Fail(name string) {
+	if row := table.rows[name]; row != nil {
+		row.fails++
+	}
+}
+
+// Rows returns all rows in the order of their names.
+func (table *Table) Rows() []Row {
+	rows := make([]Row, 0, len(table.rows))
+	for _, name := range slices.Sorted(maps.Keys(table.rows)) {
+		rows = append(rows, *table.rows[name])
+	}
+	return rows
+}
+
+// Changes returns the rows whose state changed since it was last called.
+func (table *Table) Changes() []Row {
+	var changes []Row
+	for _, row := range table.rows {
+		if state := StateOf(*row); state != row.told {
+			row.told = state
+			changes = append(changes, *row)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Row) int { return cmp.Compare(a.Name, b.Name) })
+	return changes
+}
+
+// Version returns a number that grows with each change.
+func (table *Table) Version() uint64 {
+	return table.version
+}
--- a/internal/reporter/view.go
+++ b/internal/reporter/view.go
@@ -2,58 +2,113 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/admitter"
+	"github.com/trefoilseam/trefoilseam/internal/budgeter"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// ListEvery is the time between two readings of the instance list.
-const ListEvery = 2 * timekeeper.Second
+const (
+	// ListEvery is the shortest time between two readings of the instance list.
+	ListEvery = 2 * timekeeper.Second
+	// listRate is what reading the list may cost in bytes a second. A list of
+	// 3,100 instances is some 500 KB; read every 2 seconds by each process it
+	// would be most of what the platform and the budget can bear.
+	listRate = 640
+	// listEnvelope is what an instance takes in the list beside its texts.
+	listEnvelope = 64
+)
+
+// Settings set up a view. All fields without a stated default must be set.
+type Settings struct {
+	Directory storekeeper.Directory
+	Clock     timekeeper.Clock
+	Log       logrus.FieldLogger
+	Budget    *budgeter.Budget
+	Rules     Rules
+	// Service limits the view to one service; empty means all.
+	Service string
+	// Seed seeds the choice of peers and the jitter.
+	Seed uint64
+}
 
-// View is what a process believes about the replicas.
+// View is what a process believes about the replicas of all services. Its
+// methods may be called from several goroutines; one lock guards all tables.
 type View struct {
-	directory storekeeper.Directory
-	log       logrus.FieldLogger
+	settings Settings
 
-	mu       sync.Mutex
-	listed   []storekeeper.Instance
-	draining map[string]uint64
-	rosters  map[string]placer.Roster
+	mu      sync.Mutex
+	tables  map[string]*Table
+	rosters map[string]placer.Roster
+	random  *rand.Rand
+	listed  int64
 }
 
 // NewView returns a view that knows of no replica.
-func NewView(directory storekeeper.Directory, log logrus.FieldLogger) *View {
+func NewView(settings Settings) *View {
 	return &View{
-		directory: directory,
-		log:       log,
-		draining:  map[string]uint64{},
-		rosters:   map[string]placer.Roster{},
+		settings: settings,
+		tables:   map[string]*Table{},
+		rosters:  map[string]placer.Roster{},
+		random:   rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 	}
 }
 
 // Look reads the instance list once.
 func (view *View) Look(ctx context.Context) error {
-	listed, err := view.directory.List(ctx)
+	listed, err := view.settings.Directory.List(ctx)
 	if err != nil {
 		return err
 	}
+	now := view.settings.Clock.Now()
+	var bytes int64
+	byService := map[string][]storekeeper.Instance{}
+	for _, instance := range listed {
+		bytes += int64(listEnvelope + len(instance.Name) + len(instance.Service) + len(instance.Address) +
+			len(instance.Site) + len(instance.Region))
+		if view.settings.Service == "" || view.settings.Service == instance.Service {
+			byService[instance.Service] = append(byService[instance.Service], instance)
+		}
+	}
+	view.settings.Budget.Spend(now, budgeter.List, bytes)
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	view.listed = listed
-	view.rebuild()
+	view.listed = bytes
+	for service := range byService {
+		view.table(service)
+	}
+	for service, table := range view.tables {
+		table.List(now, byService[service])
+		view.rebuild(service)
+	}
 	return nil
 }
 
-// Run looks again and again until ctx ends.
+// listPause returns the time to the next reading of the list: by its size, so
+// that it costs the same at any size of fleet, and spread, so that processes
+// that started together don't read together.
+func (view *View) listPause() timekeeper.Span {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	pause := max(ListEvery, timekeeper.Span(view.listed)*timekeeper.Second/listRate)
+	if view.settings.Budget.Level(view.settings.Clock.Now()) >= budgeter.Short {
+		pause *= 2
+	}
+	return pause*3/4 + timekeeper.Span(view.random.Int64N(int64(pause/2)))
+}
+
+// Run reads the list again and again until ctx ends.
 func (view *View) Run(ctx context.Context, clock timekeeper.Clock) {
-	clock.Every(ctx, func() timekeeper.Span { return ListEvery }, func(ctx context.Context) {
+	clock.Every(ctx, view.listPause, func(ctx context.Context) {
 		if err := view.Look(ctx); err != nil {
-			view.log.WithError(err).Warn("instance list not read")
+			view.settings.Log.WithError(err).Warn("instance list not read")
 		}
 	})
 }
@@ -62,15 +117,18 @@
 func (view *View) Learn(digest *encoder.Digest) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	name := digest.GetInstance()
-	if digest.GetState() == encoder.ReplicaState_REPLICA_STATE_DRAINING {
-		view.draining[name] = digest.GetIncarnation()
-		view.rebuild()
-		return
+	table := view.table(digest.GetService())
+	if table.Merge(view.settings.Clock.Now(), digest) {
+		view.rebuild(digest.GetService())
 	}
-	if incarnation, ok := view.draining[name]; ok && incarnation != digest.GetIncarnation() {
-		delete(view.draining, name)
-		view.rebuild()
+}
+
+// Judge decides anew who is held dead and what weight each replica has.
+func (view *View) Judge() {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	for service := range view.tables {
+		view.rebuild(service)
 	}
 }
 
@@ -81,18 +139,56 @@
 	return view.rosters[service]
 }
 
-// rebuild makes the rosters anew; the lock must be held.
-func (view *View) rebuild() {
-	live := map[string][]placer.Replica{}
-	for _, instance := range view.listed {
-		if _, draining := view.draining[instance.Name]; draining || instance.Leaving {
-			continue
-		}
-		replica := placer.Replica{Name: instance.Name, Address: instance.Address, Site: instance.Site}
-		live[instance.Service] = append(live[instance.Service], replica)
+// Mean returns the load of a whole service as far as it is known.
+func (view *View) Mean(service string) admitter.Mean {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.table(service).Mean(view.settings.Clock.Now())
+}
+
+// Services returns the services that the view has heard of.
+func (view *View) Services() []string {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	names := make([]string, 0, len(view.tables))
+	for name := range view.tables {
+		names = append(names, name)
+	}
+	return names
+}
+
+// with runs work on a service's table under the lock, then judges it anew.
+func (view *View) with(service string, work func(table *Table, now timekeeper.Instant)) {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	work(view.table(service), view.settings.Clock.Now())
+	view.rebuild(service)
+}
+
+// table returns a service's table; the lock must be held.
+func (view *View) table(service string) *Table {
+	if view.tables[service] == nil {
+		view.tables[service] = NewTable(service, view.settings.Rules)
+	}
+	return view.tables[service]
+}
+
+// rebuild judges a service's replicas and makes its roster anew; the lock must
+// be held. Each replica that is newly held dead, or live again, is logged.
+func (view *View) rebuild(service string) {
+	now := view.settings.Clock.Now()
+	table := view.tables[service]
+	table.Judge(now)
+	for _, change := range table.Changes() {
+		view.settings.Log.WithFields(logrus.Fields{
+			"service": service, "upstream": change.Name, "state": StateOf(change),
+			"incarnation": change.Incarnation, "silent": now.Since(change.Said).String(),
+		}).Info("membership")
 	}
-	view.rosters = map[string]placer.Roster{}
-	for service, replicas := range live {
-		view.rosters[service] = placer.NewRoster(replicas)
+	live := table.Live()
+	replicas := make([]placer.Replica, len(live))
+	for i, row := range live {
+		replicas[i] = placer.Replica{Name: row.Name, Address: row.Reach(), Site: row.Site, Weight: row.Weight(now)}
 	}
+	view.rosters[service] = placer.NewRoster(replicas)
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -35,6 +35,9 @@
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
+	// Digests answers a peer's question about the service; nil means that the
+	// agent tells of itself alone.
+	Digests func(ask *encoder.DigestAsk) *encoder.Digests
 	// RunWait is how long a granted slot waits for its Run frame; zero means 5 seconds.
 	RunWait timekeeper.Span
 	// KeepRun is how long an ended run stays known; zero means 2 minutes.
@@ -107,7 +110,7 @@
 }
 
 func (agent *Agent) serveSession(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, dialer.Settings{}.Session())
+	session, err := yamux.Server(conn, dialer.Settings{KeepAlive: dialer.AnswerKeepAlive}.Session())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -138,7 +141,7 @@
 	case *encoder.Frame_Lookup:
 		agent.serveLookup(ctx, stream, message.Lookup)
 	case *encoder.Frame_DigestAsk:
-		_ = stream.Write(encoder.Of(agent.digests()))
+		_ = stream.Write(encoder.Of(agent.digests(message.DigestAsk)))
 	default:
 		agent.settings.Log.WithField("frame", frame.String()).Warn("unexpected first frame")
 	}
@@ -172,7 +175,10 @@
 	}
 }
 
-func (agent *Agent) digests() *encoder.Digests {
+func (agent *Agent) digests(ask *encoder.DigestAsk) *encoder.Digests {
+	if agent.settings.Digests != nil {
+		return agent.settings.Digests(ask)
+	}
 	return &encoder.Digests{
 		From:        agent.settings.Name,
 		Incarnation: agent.settings.Incarnation,
@@ -180,12 +186,17 @@
 	}
 }
 
+// Refuse stops new work at once.
+func (agent *Agent) Refuse() {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	agent.draining = true
+}
+
 // Drain stops new work at once and returns when nothing is in flight, or with
 // the error of ctx when that ends first.
 func (agent *Agent) Drain(ctx context.Context) error {
-	agent.mu.Lock()
-	agent.draining = true
-	agent.mu.Unlock()
+	agent.Refuse()
 	const look = 20 * timekeeper.Millisecond
 	for {
 		if agent.idle() {
