--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -38,7 +38,7 @@
 const (
 	// AnswerKeepAlive is the time between probes on the side that was dialled:
 	// rare, for the side that dials probes too.
-	AnswerKeepAlive = timekeeper.Minute
+	AnswerKeepAlive = 2 * timekeeper.Minute
 	// probeShare is the least time between any two probes of a pool. It keeps
 	// what probes cost the same at any number of peers: 20 probes a second, of
 	// 24 bytes with their answer, are 480 bytes a second.
@@ -135,11 +135,15 @@
 // ProbeRate returns what the probes of the open sessions cost in bytes a
 // second: those that the pool sends, and those that it answers.
 func (pool *Pool) ProbeRate() float64 {
-	sessions := pool.size()
+	return pool.settings.ProbeRate(pool.size())
+}
+
+// ProbeRate returns what the probes of a number of sessions cost in bytes a second.
+func (settings Settings) ProbeRate(sessions int) float64 {
 	rate := func(every timekeeper.Span) float64 {
 		return float64(sessions) * ProbeSize * float64(timekeeper.Second) / float64(every)
 	}
-	return rate(pool.settings.keepAlive(sessions)) + rate(AnswerKeepAlive)
+	return rate(settings.keepAlive(sessions)) + rate(AnswerKeepAlive)
 }
 
 func (pool *Pool) peer(address string) *peer {
--- a/internal/reporter/exchange.go
+++ b/internal/reporter/exchange.go
@@ -25,12 +25,13 @@
 	// askTimeout bounds one exchange: less than a round, so that a peer that
 	// swallows everything costs one round and holds up none.
 	askTimeout = 400 * timekeeper.Millisecond
-	// messageLimit is the size of a message in bytes, about 64 load rows. It is
+	// messageLimit is the size of a message in bytes, about 128 load rows. It is
 	// what keeps the bytes of an agent from growing with its service.
-	messageLimit = 704
-	// entryLimit is the size of what an entry asks for of each service. It hears
-	// all news, and as many load rows as fit.
-	entryLimit = 256
+	messageLimit = 1408
+	// entryLimit is the size of the load rows that an entry asks for in a round,
+	// shared by all services. It hears all news whatever their size; loads it
+	// needs only for a first guess, since agents enforce the bound.
+	entryLimit = 1024
 	// streamCost is what an exchange takes beside its two messages: yamux
 	// headers of 12 bytes to open, send, answer and close, and frame lengths.
 	streamCost = 96
@@ -49,12 +50,17 @@
 	seeds  []string
 	self   func() *encoder.Digest
 	every  timekeeper.Span
+	// limit is the size of a message between agents.
+	limit int
+	// share is the size of load rows that an entry asks for in a round.
+	share int
 
 	mu       sync.Mutex
 	rounds   int
 	wanted   []uint32
 	contacts map[string]contact
 	known    map[string]heard
+	answered map[string]timekeeper.Instant
 }
 
 // contact is the agent that an entry asks about a service.
@@ -92,7 +98,7 @@
 	return &Exchanger{
 		view: settings.View, budget: settings.View.settings.Budget, clock: settings.View.settings.Clock,
 		open: settings.Open, name: settings.Name, site: settings.Site, seeds: settings.Seeds, self: settings.Self,
-		every: settings.Every, contacts: map[string]contact{}, known: map[string]heard{},
+		every: settings.Every, limit: messageLimit, share: entryLimit, contacts: map[string]contact{}, known: map[string]heard{}, answered: map[string]timekeeper.Instant{},
 	}
 }
 
@@ -179,8 +185,10 @@
 func (exchanger *Exchanger) Answer(ask *encoder.DigestAsk) *encoder.Digests {
 	digest := exchanger.self()
 	service := digest.GetService()
-	query := exchanger.query(limitOf(ask))
-	query.Known, query.Wanted, query.Recent = ask.GetKnown(), ask.GetWanted(), ask.GetOwn() != nil
+	query := exchanger.query(exchanger.limitOf(ask))
+	query.Known, query.Wanted, query.Verdicts = ask.GetKnown(), ask.GetWanted(), ask.GetOwn() == nil
+	query.Recent = ask.GetOwn() != nil || ask.GetRecent()
+	query.Has = ask.GetOwn().GetLoads()
 	cause := budgeter.Digest
 	var answer *encoder.Digests
 	exchanger.view.with(service, func(table *Table, now timekeeper.Instant) {
@@ -196,11 +204,11 @@
 	return answer
 }
 
-func limitOf(ask *encoder.DigestAsk) int {
+func (exchanger *Exchanger) limitOf(ask *encoder.DigestAsk) int {
 	if limit := int(ask.GetLimit()); limit > 0 {
 		return min(limit, maxAnswer)
 	}
-	return messageLimit
+	return exchanger.limit
 }
 
 // maxAnswer bounds what a peer may ask for: the whole of a large service.
--- a/internal/reporter/judge.go
+++ b/internal/reporter/judge.go
@@ -38,7 +38,7 @@
 	limit := table.silence(now)
 	var silent []*Row
 	present := 0
-	for _, row := range table.rows {
+	for _, row := range table.order {
 		if row.leaving() {
 			continue
 		}
@@ -54,8 +54,8 @@
 	for i, row := range silent {
 		table.hold(now, row, i < allowed)
 	}
-	for _, row := range table.rows {
-		if !row.leaving() && !slices.Contains(silent, row) {
+	for _, row := range table.order {
+		if !row.leaving() && !table.deadBy(now, row, limit) {
 			table.hold(now, row, false)
 		}
 	}
@@ -79,6 +79,7 @@
 	row.dead = dead
 	table.version++
 	row.changed, row.newsAt, row.news = table.version, table.version, now
+	table.newsVersion = table.version
 }
 
 // deadBy reports whether a replica has been silent for too long.
@@ -95,7 +96,7 @@
 // silence returns how long a replica may be silent now.
 func (table *Table) silence(now timekeeper.Instant) timekeeper.Span {
 	var ages []timekeeper.Span
-	for _, row := range table.rows {
+	for _, row := range table.order {
 		if row.Incarnation != 0 && !row.leaving() && !row.dead {
 			ages = append(ages, now.Since(row.Said))
 		}
@@ -114,6 +115,7 @@
 		quiet := now.Since(max(row.Said, row.news)) > table.rules.Forget
 		if quiet && !row.Listed && (!table.rules.Told || row.dead || row.leaving()) {
 			delete(table.rows, name)
+			table.order = slices.DeleteFunc(table.order, func(row *Row) bool { return row.Name == name })
 			maps.DeleteFunc(table.ids, func(_ uint32, of string) bool { return of == name })
 		}
 	}
@@ -121,7 +123,13 @@
 
 // Live returns the rows that may get new work.
 func (table *Table) Live() []Row {
-	return slices.DeleteFunc(table.Rows(), func(row Row) bool { return row.dead || row.leaving() || row.Reach() == "" })
+	live := make([]Row, 0, len(table.order))
+	for _, row := range table.order {
+		if !row.dead && !row.leaving() && row.Reach() != "" {
+			live = append(live, *row)
+		}
+	}
+	return live
 }
 
 // Weight returns the share of its usual traffic that a replica gets, up to 1.
@@ -140,7 +148,7 @@
 // that knowledge is. Replicas known only by the list count for nothing.
 func (table *Table) Mean(now timekeeper.Instant) admitter.Mean {
 	var mean admitter.Mean
-	for _, row := range table.rows {
+	for _, row := range table.order {
 		if row.dead || row.leaving() || row.Incarnation == 0 {
 			continue
 		}
--- a/internal/reporter/pack.go
+++ b/internal/reporter/pack.go
@@ -13,6 +13,13 @@
 const (
 	// ageUnit is the unit of an age in a load row: a byte holds 25 seconds.
 	ageUnit = 100 * timekeeper.Millisecond
+	// newsSends is how often a process passes one piece of news on to peers.
+	// Each telling reaches one peer, so eight tellings by all who know reach
+	// 400 agents many times over, and after a restart of a whole service news
+	// doesn't fill the messages for longer than it must.
+	newsSends = 8
+	// mostSends is how often a process passes one load report on to peers.
+	mostSends = 3
 	// loadRowSize is what one load row takes in bytes, about: 4 for the id, 3
 	// for the load, 3 for the sequence, 1 for the age.
 	loadRowSize = 11
@@ -25,11 +32,17 @@
 	// Wanted are ids that the peer couldn't place.
 	Wanted []uint32
 	// Limit is the size of the message in bytes, about; zero means no limit.
-	// Notices of replicas that leave go beyond it.
+	// Notices of replicas that leave go beyond it, and so does all news to a
+	// peer that follows by version, for it wouldn't be told twice.
 	Limit int
-	// Recent takes news by their age instead of by version, for a peer whose
-	// table isn't followed by version.
+	// Recent takes news by their age instead of by version, for a peer that
+	// knows the service from others.
 	Recent bool
+	// Verdicts tells of replicas that are held dead. Agents judge for
+	// themselves, so that one agent's cut isn't taken for everybody's.
+	Verdicts bool
+	// Has are the load rows that the peer has just brought, with their sequences.
+	Has *encoder.Loads
 	// NewsOnly leaves load rows out: the budget is spent.
 	NewsOnly bool
 }
@@ -48,13 +61,16 @@
 	rows := table.byImportance(now, query)
 	size := 0
 	for _, row := range rows {
-		if table.isNews(now, *row, query) {
+		if table.isNews(now, row, query) {
 			digest := row.digest(table.service, now)
 			length := proto.Size(digest)
-			if !fits(query.Limit, size, length) && !row.leaving() {
+			if query.Recent && !fits(query.Limit, size, length) && !row.leaving() {
 				continue
 			}
 			digest.Service = ""
+			if !query.Verdicts {
+				row.newsSent++
+			}
 			out.Digests = append(out.Digests, digest)
 			size += length
 			continue
@@ -63,6 +79,10 @@
 			continue
 		}
 		addLoad(out.GetLoads(), *row, now)
+		if !query.Verdicts {
+			row.sent++
+			row.sentAt = now
+		}
 		size += loadRowSize
 	}
 	return out
@@ -76,9 +96,18 @@
 	if query.NewsOnly || row.Incarnation == 0 || row.dead || row.leaving() {
 		return false
 	}
+	if query.Recent && !query.Verdicts {
+		return row.sent < mostSends && !query.has(row)
+	}
 	return query.Recent || row.changed > query.Known
 }
 
+// has reports whether the peer has brought the row itself, as new or newer.
+func (query Query) has(row Row) bool {
+	at := slices.Index(query.Has.GetIds(), id(row.Name, row.Incarnation))
+	return at >= 0 && at < len(query.Has.GetSequences()) && query.Has.GetSequences()[at] >= row.Sequence
+}
+
 func addLoad(loads *encoder.Loads, row Row, now timekeeper.Instant) {
 	loads.Ids = append(loads.Ids, id(row.Name, row.Incarnation))
 	loads.Loads = append(loads.Loads, row.Load)
@@ -87,36 +116,50 @@
 }
 
 // isNews reports whether the peer may lack more than the row's load.
-func (table *Table) isNews(now timekeeper.Instant, row Row, query Query) bool {
+func (table *Table) isNews(now timekeeper.Instant, row *Row, query Query) bool {
 	if slices.Contains(query.Wanted, id(row.Name, row.Incarnation)) {
 		return true
 	}
-	if query.Recent {
-		return row.Incarnation != 0 && (!row.dead || row.leaving()) && now.Since(row.news) <= newsFor
+	if row.dead && !row.leaving() && !query.Verdicts {
+		return false
+	}
+	switch {
+	case query.Recent && query.Verdicts:
+		return (row.Incarnation != 0 || row.dead) && now.Since(row.news) <= newsFor
+	case query.Recent:
+		return row.Incarnation != 0 && row.newsSent < newsSends && now.Since(row.news) <= newsFor
 	}
 	return row.newsAt > query.Known
 }
 
 func (table *Table) byImportance(now timekeeper.Instant, query Query) []*Row {
-	rows := make([]*Row, 0, len(table.rows))
-	for _, row := range table.rows {
-		rows = append(rows, row)
-	}
-	rank := func(row *Row) int {
-		switch {
-		case row.leaving():
-			return 0
-		case table.isNews(now, *row, query):
-			return 1
-		}
-		return 2
+	rows := slices.Clone(table.order)
+	for _, row := range rows {
+		row.rank = table.rank(now, row, query)
 	}
 	slices.SortFunc(rows, func(a, b *Row) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Said, a.Said), cmp.Compare(a.Name, b.Name))
+		order := cmp.Compare(a.rank, b.rank)
+		if false {
+			order = cmp.Compare(a.sentAt, b.sentAt)
+		}
+		return cmp.Or(order, cmp.Compare(b.Said, a.Said), cmp.Compare(a.Name, b.Name))
 	})
 	return rows
 }
 
+// rank orders rows by the harm of not knowing them. Among load
+// rows those come first that this process has passed on the longest ago: were
+// it the youngest, the same few would crowd out all others in every message.
+func (table *Table) rank(now timekeeper.Instant, row *Row, query Query) int {
+	switch {
+	case row.leaving():
+		return 0
+	case table.isNews(now, row, query):
+		return 1
+	}
+	return 2
+}
+
 // Unpack takes in a message and returns the ids that it couldn't place.
 func (table *Table) Unpack(now timekeeper.Instant, digests *encoder.Digests) []uint32 {
 	for _, digest := range digests.GetDigests() {
--- a/internal/reporter/rounds.go
+++ b/internal/reporter/rounds.go
@@ -27,7 +27,7 @@
 func (exchanger *Exchanger) agentRound(ctx context.Context) {
 	own := exchanger.self()
 	service := own.GetService()
-	query := exchanger.query(messageLimit)
+	query := exchanger.query(exchanger.limit)
 	query.Recent = true
 	ask := &encoder.DigestAsk{
 		Asker: exchanger.name, Service: service, Revision: own.GetRevision(), Wanted: exchanger.takeWanted(),
@@ -90,10 +90,10 @@
 	var asks sync.WaitGroup
 	for _, service := range services {
 		asks.Go(func() {
-			if !exchanger.askAbout(ctx, service) {
+			if !exchanger.askAbout(ctx, service, len(services)) {
 				// The contact is gone, and may be the one that leaves: another is
 				// asked in the same round, or two seconds would pass unheard.
-				exchanger.askAbout(ctx, service)
+				exchanger.askAbout(ctx, service, len(services))
 			}
 		})
 	}
@@ -101,7 +101,7 @@
 }
 
 // askAbout asks the contact of a service and reports whether it answered.
-func (exchanger *Exchanger) askAbout(ctx context.Context, service string) bool {
+func (exchanger *Exchanger) askAbout(ctx context.Context, service string, services int) bool {
 	var peer Row
 	exchanger.view.with(service, func(table *Table, _ timekeeper.Instant) { peer = exchanger.contact(table) })
 	if peer.Name == "" {
@@ -110,12 +110,16 @@
 	}
 	exchanger.mu.Lock()
 	known := exchanger.known[peer.Name]
+	quiet := exchanger.clock.Now().Since(exchanger.answered[service])
 	exchanger.mu.Unlock()
-	query := exchanger.query(entryLimit)
+	query := exchanger.query(min(exchanger.limit, exchanger.share/services))
 	ask := &encoder.DigestAsk{
 		Asker: exchanger.name, Service: service, Known: known.version, Wanted: exchanger.takeWanted(), Limit: uint32(query.Limit),
 	}
-	if known.version == 0 {
+	// A new contact tells the last seconds' news, unless nobody has told any
+	// for so long that more is missing.
+	ask.Recent = known.version == 0 && quiet < newsFor/2
+	if known.version == 0 && !ask.GetRecent() {
 		ask.Limit = fullAnswer
 	}
 	answer, err := exchanger.ask(ctx, peer.Reach(), budgeter.Digest, ask)
@@ -146,6 +150,7 @@
 		delete(exchanger.known, peer.Name)
 		return
 	}
+	exchanger.answered[service] = exchanger.clock.Now()
 	exchanger.known[peer.Name] = heard{incarnation: answer.GetIncarnation(), version: answer.GetVersion()}
 }
 
--- a/internal/reporter/row.go
+++ b/internal/reporter/row.go
@@ -41,6 +41,10 @@
 	newsAt      uint64
 	dead        bool
 	told        string
+	sent        int
+	newsSent    int
+	sentAt      timekeeper.Instant
+	rank        int
 }
 
 // WithSaid returns the row with what a digest says, at a time by this clock.
@@ -56,6 +60,7 @@
 	row.Strikes = digest.GetStrikes()
 	row.Said = said
 	row.fails = 0
+	row.sent = 0
 	if digest.GetSite() != "" {
 		row.Site = digest.GetSite()
 	}
--- a/internal/reporter/table.go
+++ b/internal/reporter/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
@@ -54,8 +53,12 @@
 	service string
 	rules   Rules
 	rows    map[string]*Row
+	// order holds the same rows by name.
+	order   []*Row
 	ids     map[uint32]string
 	version uint64
+	// newsVersion is the version of the last change that was more than a load.
+	newsVersion uint64
 	// judged is when the rows were judged last, and woke is when this process
 	// came back from a pause in which it could hear nobody.
 	judged timekeeper.Instant
@@ -81,12 +84,13 @@
 // later start always has a higher incarnation, so the old voice changes nothing.
 func (table *Table) Merge(now timekeeper.Instant, digest *encoder.Digest) bool {
 	said := now.Add(-timekeeper.Span(max(0, digest.GetAge())))
-	known, ok := table.rows[digest.GetInstance()]
+	row, ok := table.rows[digest.GetInstance()]
 	if !ok {
 		table.put(now, Row{Name: digest.GetInstance()}.WithSaid(digest, said), true)
 		return true
 	}
-	if !newer(*known, digest) {
+	known := *row
+	if !newer(known, digest) {
 		return false
 	}
 	merged := known.WithSaid(digest, said)
@@ -94,7 +98,7 @@
 		// An incarnation that drains never serves again.
 		merged.State = known.State
 	}
-	merged = table.comeBack(now, *known, merged)
+	merged = table.comeBack(now, known, merged)
 	news := merged.Incarnation != known.Incarnation || merged.State != known.State ||
 		len(merged.Strikes) != len(known.Strikes) || known.dead
 	merged.dead = known.dead && merged.gone()
@@ -139,9 +143,18 @@
 	if news {
 		row.newsAt = table.version
 		row.news = now
+		row.newsSent = 0
+		table.newsVersion = table.version
 		table.ids[id(row.Name, row.Incarnation)] = row.Name
 	}
-	table.rows[row.Name] = &row
+	if known := table.rows[row.Name]; known != nil {
+		*known = row
+		return
+	}
+	kept := &row
+	table.rows[row.Name] = kept
+	at, _ := slices.BinarySearchFunc(table.order, row.Name, func(row *Row, name string) int { return cmp.Compare(row.Name, name) })
+	table.order = slices.Insert(table.order, at, kept)
 }
 
 // MergeLoads takes in load rows and returns the ids that it couldn't place.
@@ -187,6 +200,7 @@
 		if row.Leaving != instance.Leaving {
 			table.version++
 			row.newsAt, row.changed, row.news = table.version, table.version, now
+			table.newsVersion = table.version
 		}
 		row.Listed = true
 		row.Leaving = instance.Leaving
@@ -204,9 +218,9 @@
 
 // Rows returns all rows in the order of their names.
 func (table *Table) Rows() []Row {
-	rows := make([]Row, 0, len(table.rows))
-	for _, name := range slices.Sorted(maps.Keys(table.rows)) {
-		rows = append(rows, *table.rows[name])
+	rows := make([]Row, 0, len(table.order))
+	for _, row := range table.order {
+		rows = append(rows, *row)
 	}
 	return rows
 }
@@ -214,13 +228,12 @@
 // Changes returns the rows whose state changed since it was last called.
 func (table *Table) Changes() []Row {
 	var changes []Row
-	for _, row := range table.rows {
+	for _, row := range table.order {
 		if state := StateOf(*row); state != row.told {
 			row.told = state
 			changes = append(changes, *row)
 		}
 	}
-	slices.SortFunc(changes, func(a, b Row) int { return cmp.Compare(a.Name, b.Name) })
 	return changes
 }
 
--- a/internal/reporter/view.go
+++ b/internal/reporter/view.go
@@ -157,12 +157,17 @@
 	return names
 }
 
-// with runs work on a service's table under the lock, then judges it anew.
+// with runs work on a service's table under the lock, and judges it anew if
+// there was news.
 func (view *View) with(service string, work func(table *Table, now timekeeper.Instant)) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	work(view.table(service), view.settings.Clock.Now())
-	view.rebuild(service)
+	table := view.table(service)
+	before := table.newsVersion
+	work(table, view.settings.Clock.Now())
+	if table.newsVersion != before {
+		view.rebuild(service)
+	}
 }
 
 // table returns a service's table; the lock must be held.
