--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -61,6 +61,7 @@
 		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
 		service: settings.Service, self: made.digest,
 	})
+	made.watcher = newWatcher(made.control.environment(), settings.Process, incarnation, pool, made.control.view.Addresses)
 	if err := made.ready(ctx); err != nil {
 		closeAll()
 		return nil, nil, err
@@ -75,8 +76,12 @@
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
-		Mean:        func() admitter.Mean { return made.control.view.Mean(settings.Service) },
-		Digests:     made.control.exchanger.Answer,
+		Table:       env.Platform.Table,
+
+		Hear:          made.watcher.Hear,
+		Configuration: made.watcher.Answer,
+		Mean:          func() admitter.Mean { return made.control.view.Mean(settings.Service) },
+		Digests:       made.control.exchanger.Answer,
 	})
 	if err != nil {
 		closeAll()
@@ -88,10 +93,9 @@
 
 // ready waits for the first configuration, looks around once and listens.
 func (made *Agent) ready(ctx context.Context) error {
-	made.watcher = publisher.NewWatcher(made.control.metered(), made.settings.Site, made.env.Log)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := made.watcher.Await(ctx, made.env.Clock); err != nil {
+	if err := made.watcher.Await(ctx); err != nil {
 		return err
 	}
 	if err := made.control.view.Look(ctx); err != nil {
@@ -139,7 +143,8 @@
 
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
-	addLoop(group, func(ctx context.Context) { made.watcher.Run(ctx, made.env.Clock) })
+	addLoop(group, made.watcher.Run)
+	addLoop(group, made.agent.Keep)
 	made.control.addTo(group)
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
@@ -148,6 +153,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
+	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(made.Status))
 	addServer(group, made.admin, mux, headerTimeout)
 	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
@@ -185,12 +191,14 @@
 	err := made.agent.Drain(ctx)
 	took := made.env.Clock.Now().Since(started)
 	made.env.Log.WithFields(logrus.Fields{"took": took.String(), "whole": err == nil}).Info("drained")
-	if err == nil {
-		// Answers that ended at the upstream may still be on their way to the entry.
-		return made.env.Clock.Sleep(context.Background(), lastFrames)
+	if err != nil {
+		return err
 	}
-	return err
+	return made.env.Clock.Sleep(context.Background(), linger)
 }
 
-// lastFrames is how long a drained agent stays for its last frames to be read.
-const lastFrames = 100 * timekeeper.Millisecond
+// linger is how long a drained agent keeps its connections. A socket that is
+// closed with unread bytes resets its peer, and the peer then loses the end of
+// an answer that it had not read yet; half a second lets the last frames be
+// read and the last window updates arrive.
+const linger = 500 * timekeeper.Millisecond
--- a/internal/assembler/control.go
+++ b/internal/assembler/control.go
@@ -92,7 +92,13 @@
 // body: the request and the headers of both, about.
 const requestSize = 300
 
-// metered returns the platform with what configuration is read counted.
+// environment returns the environment with what configuration is read counted.
+func (made *control) environment() Environment {
+	env := made.env
+	env.Platform = made.metered()
+	return env
+}
+
 func (made *control) metered() storekeeper.Platform {
 	platform := made.env.Platform
 	spend := func(bytes int) {
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -31,6 +31,8 @@
 	view     *reporter.View
 	front    *forwarder.Entry
 	metrics  http.Handler
+
+	announcer *announcer
 }
 
 // EntryStatus is what an entry says about itself.
@@ -59,7 +61,11 @@
 		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
 	})
 	entry.view = entry.control.view
-	entry.watcher = publisher.NewWatcher(entry.control.metered(), settings.Site, env.Log)
+	entry.watcher = newWatcher(entry.control.environment(), settings.Process, incarnation, pool, entry.view.Addresses)
+	entry.announcer = &announcer{
+		name: settings.Name, pool: pool, peers: entry.view.Addresses,
+		revision: func() uint64 { return entry.watcher.Current().Revision },
+	}
 	if err := entry.ready(ctx); err != nil {
 		release()
 		return nil, nil, err
@@ -74,7 +80,8 @@
 		Pool:        pool,
 		Config:      entry.watcher.Current,
 		Roster:      entry.view.Roster,
-		Learn:       entry.view.Learn,
+		Locate:      entry.view.Locate,
+		Learn:       entry.learn,
 	})
 	return entry, release, nil
 }
@@ -84,7 +91,7 @@
 func (entry *Entry) ready(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := entry.watcher.Await(ctx, entry.env.Clock); err != nil {
+	if err := entry.watcher.Await(ctx); err != nil {
 		return err
 	}
 	if err := entry.view.Look(ctx); err != nil {
@@ -131,7 +138,8 @@
 
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
-	addLoop(group, func(ctx context.Context) { entry.watcher.Run(ctx, entry.env.Clock) })
+	addLoop(group, entry.watcher.Run)
+	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
 	entry.control.addTo(group)
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
 	entry.env.Log.WithField("address", entry.Address()).Info("listening")
@@ -140,6 +148,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", entry.metrics)
+	mux.HandleFunc("GET /config", handler.Show(entry.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(entry.Status))
 	addServer(group, entry.admin, mux, headerTimeout)
 	entry.env.Log.WithField("address", entry.admin.Addr().String()).Info("admin listening")
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -34,6 +35,10 @@
 	headers    []*encoder.Header
 	body       []byte
 	work       int64
+	// bound is the one incarnation that may run the call; zero means any.
+	bound    uint64
+	heard    *heard
+	revision uint64
 }
 
 const (
@@ -58,7 +63,10 @@
 	if !ok {
 		return call{}, classifier.New(classifier.Unauthorized, "send a team's key as Authorization: Bearer KEY")
 	}
-	made := call{id: id, team: team, method: r.Method, path: r.URL.RequestURI(), class: urgency(r.Header.Get("Priority"))}
+	made := call{
+		id: id, heard: &heard{}, team: team, revision: config.Revision,
+		method: r.Method, path: r.URL.RequestURI(), class: urgency(r.Header.Get("Priority")),
+	}
 	made.key = r.Header.Get(encoder.KeyHeader)
 	if len(made.key) > longestKey {
 		return call{}, classifier.New(classifier.HeadersTooLarge, "the Idempotency-Key is longer than 255 bytes")
@@ -175,7 +183,7 @@
 	case err != nil:
 		return nil, classifier.New(classifier.BadRequest, "the body ended early")
 	}
-	_ = control.SetReadDeadline(entry.settings.Clock.Now().Time().AddDate(1, 0, 0))
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/internal/loader/process.go
+++ b/internal/loader/process.go
@@ -21,7 +21,8 @@
 	AdminListen string `toml:"admin-listen"`
 	// Platform is the base address of the platform's services.
 	Platform string `toml:"platform"`
-	// Peers are addresses of agents to ask while the instance list can't be read.
+	// Peers are addresses of agents that are asked for the configuration, and
+	// for who is live, when the platform doesn't answer at the start of the process.
 	Peers []string `toml:"peers"`
 	// LogLevel is a level of logrus; empty means "info".
 	LogLevel string `toml:"log-level"`
--- a/internal/reporter/pack.go
+++ b/internal/reporter/pack.go
@@ -93,7 +93,7 @@
 }
 
 func (table *Table) loadGoes(row Row, query Query) bool {
-	if query.NewsOnly || row.Incarnation == 0 || row.dead || row.leaving() {
+	if query.NewsOnly || row.Incarnation == 0 || row.dead || row.gone() || row.leaving() {
 		return false
 	}
 	if query.Recent && !query.Verdicts {
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -22,6 +22,8 @@
 type inbox struct {
 	frames <-chan incoming
 	early  *encoder.Run
+	// granted is when the slot was given; the Run frame must follow in time.
+	granted timekeeper.Instant
 }
 
 // gone reports whether a frame means that the caller has left. It keeps an
@@ -50,8 +52,7 @@
 		_ = stream.Write(encoder.Of(agent.refusal(offer, failure)))
 		return
 	}
-	go agent.watch(ctx, run, inbox.frames)
-	_ = run.answer.follow(ctx, stream, 0)
+	agent.follow(ctx, stream, run, 0, inbox.frames)
 }
 
 // pump reads frames in the background, so that a call can wait for its caller
@@ -95,10 +96,19 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	if failure, ok := agent.enter(ctx, offer); !ok {
+		agent.release(offer.GetRequestId())
+		return failure, false
+	}
+	if failure, ok := agent.claim(ctx, offer); !ok {
+		agent.release(offer.GetRequestId())
+		return failure, false
+	}
+	inbox.granted = agent.settings.Clock.Now()
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
 	}
-	waited := agent.settings.Clock.Now().Since(arrived)
+	waited := inbox.granted.Since(arrived)
 	err := stream.Write(encoder.Of(&encoder.Granted{
 		RequestId:   offer.GetRequestId(),
 		Incarnation: agent.settings.Incarnation,
@@ -132,6 +142,10 @@
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan struct{}) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
+	agent.adopt()
+	if failure, ok := agent.bound(offer); ok {
+		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
+	}
 	if failure, ok := agent.unfit(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
@@ -165,6 +179,8 @@
 		return classifier.New(classifier.WrongInstance, ""), true
 	case agent.draining:
 		return classifier.New(classifier.Draining, "").WithRetryAfter(timekeeper.Second), true
+	case agent.strikes.ledger.Down():
+		return agent.engineAway(), true
 	case agent.runs[offer.GetRequestId()] != nil:
 		return classifier.New(classifier.Tombstoned, "the request id is known already"), true
 	}
@@ -176,7 +192,14 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.granted, id)
-	for _, ticket := range agent.desk.Finish(id) {
+	agent.keys.book.Abandon(id)
+	agent.leaveGate(id)
+	agent.wake(agent.desk.Finish(id))
+}
+
+// wake tells the tickets that got a slot; the lock must be held.
+func (agent *Agent) wake(tickets []admitter.Ticket) {
+	for _, ticket := range tickets {
 		if slot := agent.granted[ticket.ID]; slot != nil {
 			close(slot)
 			delete(agent.granted, ticket.ID)
@@ -196,6 +219,12 @@
 		if in.err != nil {
 			return nil, classifier.New(classifier.CallerGone, "no run frame came"), false
 		}
+		// An agent that was paused finds the frame and the fired timer together.
+		// A frame past its time is refused here, so tombstones, which are kept
+		// far longer than RunWait, outlive every frame that they must stop.
+		if agent.settings.Clock.Now().Since(inbox.granted) > agent.settings.RunWait {
+			return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
+		}
 		return agent.begin(offer, in.frame.GetRun())
 	case <-late:
 		return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
@@ -213,14 +242,18 @@
 }
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
-	return &encoder.Refused{
+	agent.mu.Lock()
+	digest := agent.digest()
+	digest.Strikes = agent.strikesOf(offer.GetFingerprint())
+	agent.mu.Unlock()
+	return agent.lead(&encoder.Refused{
 		RequestId:   offer.GetRequestId(),
 		Kind:        failure.Kind.String(),
 		Detail:      failure.Detail,
 		RetryAfter:  int64(failure.RetryAfter),
 		Incarnation: agent.settings.Incarnation,
-		Digest:      agent.Digest(),
-	}
+		Digest:      digest,
+	})
 }
 
 func (agent *Agent) logDecision(offer *encoder.Offer, decision admitter.Decision) {
