reporter: failures of membership with real processes

Cause: found by the tests: an entry that had itself heard a later word than the agents refused their verdict for ever, so a paused replica stayed live; hearsay kept live a replica that the entry couldn't reach. Change: a verdict also holds when the replica has been silent here for half the time; an entry goes by its own failed questions for 10 seconds. Measured: go test -run 'OneWay|PauseAnd|Leaving' ./test/integration passes; the two cases stand in the table tests too. Conclusion: what an entry sees itself and what it is told are now told apart.

--- a/internal/reporter/judge.go
+++ b/internal/reporter/judge.go
@@ -85,7 +85,7 @@
 // deadBy reports whether a replica has been silent for too long.
 func (table *Table) deadBy(now timekeeper.Instant, row *Row, limit timekeeper.Span) bool {
 	if table.rules.Told {
-		return row.gone() || row.fails >= failsToDie
+		return row.gone() || row.fails >= failsToDie && now.Since(row.failed) <= failCool
 	}
 	if row.fails >= failsToDie {
 		limit /= 2
--- a/internal/reporter/rounds.go
+++ b/internal/reporter/rounds.go
@@ -45,9 +45,10 @@
 	answer, err := exchanger.ask(ctx, address, budgeter.Digest, ask)
 	exchanger.view.with(service, func(table *Table, now timekeeper.Instant) {
 		if err != nil {
-			table.Fail(peer.Name)
+			table.Fail(now, peer.Name)
 			return
 		}
+		table.Reached(peer.Name)
 		exchanger.want(table.Unpack(now, answer))
 	})
 }
@@ -90,23 +91,24 @@
 	var asks sync.WaitGroup
 	for _, service := range services {
 		asks.Go(func() {
-			if !exchanger.askAbout(ctx, service, len(services)) {
+			if failed := exchanger.askAbout(ctx, service, len(services), ""); failed != "" {
 				// The contact is gone, and may be the one that leaves: another is
 				// asked in the same round, or two seconds would pass unheard.
-				exchanger.askAbout(ctx, service, len(services))
+				exchanger.askAbout(ctx, service, len(services), failed)
 			}
 		})
 	}
 	asks.Wait()
 }
 
-// askAbout asks the contact of a service and reports whether it answered.
-func (exchanger *Exchanger) askAbout(ctx context.Context, service string, services int) bool {
+// askAbout asks the contact of a service, or another if it is to be avoided,
+// and returns the name of an agent that didn't answer.
+func (exchanger *Exchanger) askAbout(ctx context.Context, service string, services int, avoid string) string {
 	var peer Row
-	exchanger.view.with(service, func(table *Table, _ timekeeper.Instant) { peer = exchanger.contact(table) })
+	exchanger.view.with(service, func(table *Table, _ timekeeper.Instant) { peer = exchanger.contact(table, avoid) })
 	if peer.Name == "" {
 		exchanger.askSeed(ctx)
-		return true
+		return ""
 	}
 	exchanger.mu.Lock()
 	known := exchanger.known[peer.Name]
@@ -131,23 +133,33 @@
 		err = errOtherService
 	}
 	exchanger.settle(service, peer, answer, err)
-	return err == nil
+	if err != nil {
+		return peer.Name
+	}
+	return ""
 }
 
 // settle takes in an answer, or drops the contact that gave none.
 func (exchanger *Exchanger) settle(service string, peer Row, answer *encoder.Digests, err error) {
+	dropped := false
 	exchanger.view.with(service, func(table *Table, now timekeeper.Instant) {
 		if err != nil {
-			table.Fail(peer.Name)
+			// A contact that fails once is asked again in the next round, so that
+			// a slow one is told from a dead one.
+			table.Fail(now, peer.Name)
+			dropped = table.rows[peer.Name] == nil || table.rows[peer.Name].fails >= failsToDie
 			return
 		}
+		table.Reached(peer.Name)
 		exchanger.want(table.Unpack(now, answer))
 	})
 	exchanger.mu.Lock()
 	defer exchanger.mu.Unlock()
 	if err != nil {
-		delete(exchanger.contacts, service)
-		delete(exchanger.known, peer.Name)
+		if dropped {
+			delete(exchanger.contacts, service)
+			delete(exchanger.known, peer.Name)
+		}
 		return
 	}
 	exchanger.answered[service] = exchanger.clock.Now()
@@ -156,7 +168,7 @@
 
 // contact returns the agent to ask about a service: one of the entry's own data
 // centre if there is one, now and then another. The view's lock must be held.
-func (exchanger *Exchanger) contact(table *Table) Row {
+func (exchanger *Exchanger) contact(table *Table, avoid string) Row {
 	random := exchanger.view.random
 	exchanger.mu.Lock()
 	defer exchanger.mu.Unlock()
@@ -164,6 +176,9 @@
 	stray := random.IntN(strayOneIn) == 0
 	var near, far []Row
 	for _, row := range table.Live() {
+		if row.Name == avoid {
+			continue
+		}
 		if row.Name == held.name && !stray {
 			return row
 		}
@@ -181,7 +196,7 @@
 		return Row{}
 	}
 	picked := choice[random.IntN(len(choice))]
-	if !stray {
+	if !stray && avoid == "" {
 		exchanger.contacts[table.service] = contact{name: picked.Name, site: picked.Site}
 	}
 	return picked
--- a/internal/reporter/row.go
+++ b/internal/reporter/row.go
@@ -34,6 +34,7 @@
 
 	listAddress string
 	fails       int
+	failed      timekeeper.Instant
 	returns     int
 	returned    timekeeper.Instant
 	news        timekeeper.Instant
@@ -59,7 +60,6 @@
 	row.Sequence = digest.GetSequence()
 	row.Strikes = digest.GetStrikes()
 	row.Said = said
-	row.fails = 0
 	row.sent = 0
 	if digest.GetSite() != "" {
 		row.Site = digest.GetSite()
--- a/internal/reporter/table.go
+++ b/internal/reporter/table.go
@@ -32,6 +32,9 @@
 	mediansOfSilence = 4
 	// failsToDie is how many failed dials in a row halve the silence asked for.
 	failsToDie = 2
+	// failCool is after what time an entry tries a replica again that it could
+	// not reach, though agents call it live.
+	failCool = 10 * timekeeper.Second
 	// newsFor is how long a change of state is told in full in each exchange:
 	// longer than a change needs to reach 400 agents.
 	newsFor = 12 * timekeeper.Second
@@ -90,14 +93,23 @@
 		return true
 	}
 	known := *row
-	if !newer(known, digest) {
+	if !table.newer(now, known, digest) {
 		return false
 	}
 	merged := known.WithSaid(digest, said)
+	if merged.Incarnation == known.Incarnation {
+		merged.Sequence = max(merged.Sequence, known.Sequence)
+		merged.Said = max(merged.Said, known.Said)
+	}
 	if known.Incarnation == digest.GetIncarnation() && known.State == encoder.ReplicaState_REPLICA_STATE_DRAINING {
 		// An incarnation that drains never serves again.
 		merged.State = known.State
 	}
+	if !table.rules.Told || merged.Incarnation != known.Incarnation {
+		// For an agent, hearsay of a peer proves it alive. An entry must reach it
+		// itself: others may speak to a replica that is cut off from the entry.
+		merged.fails = 0
+	}
 	merged = table.comeBack(now, known, merged)
 	news := merged.Incarnation != known.Incarnation || merged.State != known.State ||
 		len(merged.Strikes) != len(known.Strikes) || known.dead
@@ -107,13 +119,15 @@
 }
 
 // newer reports whether a digest says more than the row.
-func newer(known Row, digest *encoder.Digest) bool {
+func (table *Table) newer(now timekeeper.Instant, known Row, digest *encoder.Digest) bool {
 	if digest.GetIncarnation() != known.Incarnation {
 		return digest.GetIncarnation() > known.Incarnation
 	}
-	if digest.GetSequence() == known.Sequence {
-		// A verdict repeats the last sequence that was heard.
-		return digest.GetState() == encoder.ReplicaState_REPLICA_STATE_GONE && known.State != digest.GetState()
+	if digest.GetState() == encoder.ReplicaState_REPLICA_STATE_GONE && known.State != digest.GetState() {
+		// A verdict repeats the last sequence that its agent heard. This process
+		// may have heard a later one itself; the verdict holds all the same once
+		// the replica has been silent here too.
+		return digest.GetSequence() >= known.Sequence || now.Since(known.Said) > table.rules.Silence/2
 	}
 	return digest.GetSequence() > known.Sequence
 }
@@ -210,9 +224,17 @@
 }
 
 // Fail notes that a dial to a replica, or a question to its agent, failed.
-func (table *Table) Fail(name string) {
+func (table *Table) Fail(now timekeeper.Instant, name string) {
 	if row := table.rows[name]; row != nil {
 		row.fails++
+		row.failed = now
+	}
+}
+
+// Reached notes that the replica's agent has answered this process itself.
+func (table *Table) Reached(name string) {
+	if row := table.rows[name]; row != nil {
+		row.fails = 0
 	}
 }
 
--- a/internal/reporter/table_test.go
+++ b/internal/reporter/table_test.go
@@ -105,6 +105,16 @@
 		}
 		So(len(table.Live()), ShouldBeGreaterThanOrEqualTo, 5)
 	})
+	Convey("an entry that can't reach a replica goes by that, not by hearsay, for a while", t, func() {
+		table := full(9, Rules{Told: true})
+		table.Fail(at, "r0")
+		table.Fail(at, "r0")
+		table.Merge(at, said("r0", 10, 8, live))
+		table.Judge(at)
+		So(stateOf(table, "r0"), ShouldEqual, "dead")
+		table.Judge(at.Add(failCool + 1))
+		So(stateOf(table, "r0"), ShouldEqual, "live")
+	})
 	Convey("a process that was itself away holds nobody dead when it wakes", t, func() {
 		table := full(9, Rules{})
 		wake := start.Add(timekeeper.Minute)
@@ -123,6 +133,10 @@
 		table.Merge(at, said("r0", 10, 5, gone))
 		table.Judge(at)
 		So(stateOf(table, "r0"), ShouldEqual, "live")
+		late := at.Add(defaultSilence)
+		table.Merge(late, said("r0", 10, 5, gone))
+		table.Judge(late)
+		So(stateOf(table, "r0"), ShouldEqual, "dead")
 	})
 }
 
--- a/internal/reporter/view.go
+++ b/internal/reporter/view.go
@@ -118,6 +118,7 @@
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	table := view.table(digest.GetService())
+	table.Reached(digest.GetInstance())
 	if table.Merge(view.settings.Clock.Now(), digest) {
 		view.rebuild(digest.GetService())
 	}
