--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -71,6 +71,7 @@
 			devCommand(),
 			configCommand(),
 			strikesCommand(),
+			membersCommand(),
 			versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/publisher/peer.go
+++ b/internal/publisher/peer.go
@@ -39,6 +39,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
+	// Closing a yamux stream doesn't wake its reader; a deadline does.
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
 	stream := encoder.NewStream(conn)
 	if err := stream.Write(encoder.Of(message)); err != nil {
 		return nil, eris.Wrap(err, "ask peer")
--- a/internal/reporter/judge.go
+++ b/internal/reporter/judge.go
@@ -159,6 +159,11 @@
 	return mean
 }
 
+// StateName names what an agent says that it is.
+func StateName(state encoder.ReplicaState) string {
+	return StateOf(Row{Incarnation: 1, State: state, dead: Row{State: state}.gone()})
+}
+
 // StateOf names what the table holds a row to be.
 func StateOf(row Row) string {
 	switch {
