--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -69,6 +69,7 @@
 			entryCommand(),
 			agentCommand(),
 			devCommand(),
+			auditCommand(),
 			configCommand(),
 			strikesCommand(),
 			membersCommand(),
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -17,8 +17,10 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -32,6 +34,7 @@
 	agent    *runner.Agent
 	control  *control
 	metrics  http.Handler
+	meter    *storekeeper.Meter
 }
 
 // AgentStatus is what an agent says about itself.
@@ -51,17 +54,22 @@
 // a function that releases what it holds. It waits for the configuration.
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
-	made := &Agent{settings: settings, env: env}
+	made := &Agent{settings: settings}
+	made.meter = newMeter(env, func() *publisher.Watcher { return made.watcher })
+	env.Platform = made.meter.Wrap(env.Platform)
+	made.env = env
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	made.metrics = metrics
 	pool, closePool := dialer.NewPool(dialer.Settings{})
-	closeAll := func() { closePool(); closeScope() }
 	incarnation := newIncarnation()
+	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
+	closeAll := func() { closeRecord(); closePool(); closeScope() }
 	made.control = newControl(controlSettings{
 		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
 		service: settings.Service, self: made.digest,
 	})
-	made.watcher = newWatcher(made.control.environment(), settings.Process, incarnation, pool, made.control.view.Addresses)
+	made.watcher = newWatcher(made.control.environment(), settings.Process, incarnation, pool, made.control.view.Addresses, record.Record)
 	if err := made.ready(ctx); err != nil {
 		closeAll()
 		return nil, nil, err
@@ -76,11 +84,13 @@
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Record:      record.Record,
 		Table:       env.Platform.Table,
 
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
 		Mean:          func() admitter.Mean { return made.control.view.Mean(settings.Service) },
+		Room:          func() string { return made.control.view.Room(settings.Service) },
 		Digests:       made.control.exchanger.Answer,
 	})
 	if err != nil {
@@ -88,6 +98,7 @@
 		return nil, nil, err
 	}
 	made.agent = agent
+	record.SetPulse(agent.Sample)
 	return made, func() { release(); closeAll() }, nil
 }
 
@@ -153,6 +164,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", made.metrics)
+	mux.HandleFunc("GET /store", handler.Show(made.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(made.Status))
 	addServer(group, made.admin, mux, headerTimeout)
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -16,8 +16,10 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 )
 
 // Entry is an entry process, ready to run.
@@ -33,6 +35,8 @@
 	metrics  http.Handler
 
 	announcer *announcer
+	planners  planners
+	meter     *storekeeper.Meter
 }
 
 // EntryStatus is what an entry says about itself.
@@ -51,17 +55,25 @@
 // a function that releases what it holds. It waits for the configuration.
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "entry", "name": settings.Name, "site": settings.Site})
-	entry := &Entry{settings: settings, env: env}
+	entry := &Entry{settings: settings}
+	entry.meter = newMeter(env, func() *publisher.Watcher { return entry.watcher })
+	env.Platform = entry.meter.Wrap(env.Platform)
+	entry.env = env
 	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
-	release := func() { closePool(); closeScope() }
 	entry.metrics = metrics
 	incarnation := newIncarnation()
+	origin := recorder.Origin{Group: recorder.EntryGroup, Name: settings.Name, Incarnation: incarnation}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
+	release := func() { closePool(); closeRecord(); closeScope() }
 	entry.control = newControl(controlSettings{
 		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
 	})
 	entry.view = entry.control.view
-	entry.watcher = newWatcher(entry.control.environment(), settings.Process, incarnation, pool, entry.view.Addresses)
+	entry.watcher = newWatcher(
+		entry.control.environment(), settings.Process, incarnation, pool, entry.view.Addresses, record.Record,
+	)
+	entry.planners = planners{entry: entry, pool: pool, incarnation: incarnation}
 	entry.announcer = &announcer{
 		name: settings.Name, pool: pool, peers: entry.view.Addresses,
 		revision: func() uint64 { return entry.watcher.Current().Revision },
@@ -70,6 +82,7 @@
 		release()
 		return nil, nil, err
 	}
+	record.SetPulse(entry.alive)
 	entry.front = forwarder.New(forwarder.Settings{
 		Name:        settings.Name,
 		Site:        settings.Site,
@@ -82,6 +95,7 @@
 		Roster:      entry.view.Roster,
 		Locate:      entry.view.Locate,
 		Learn:       entry.learn,
+		Record:      record.Record,
 	})
 	return entry, release, nil
 }
@@ -139,6 +153,7 @@
 // AddTo adds the entry's actors to a group.
 func (entry *Entry) AddTo(group *run.Group) {
 	addLoop(group, entry.watcher.Run)
+	addLoop(group, entry.planners.run)
 	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
 	entry.control.addTo(group)
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
@@ -148,6 +163,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", entry.metrics)
+	mux.HandleFunc("GET /store", handler.Show(entry.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(entry.watcher.Status))
 	mux.HandleFunc("GET /status", handler.Show(entry.Status))
 	addServer(group, entry.admin, mux, headerTimeout)
--- a/internal/assembler/watch.go
+++ b/internal/assembler/watch.go
@@ -7,12 +7,16 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 )
 
 // newWatcher returns the watcher of a process. Its peers are those of the
 // settings and those that the process knows.
 func newWatcher(
 	env Environment, process loader.Process, incarnation uint64, pool *dialer.Pool, known func() []string,
+	record func(event recorder.Event),
 ) *publisher.Watcher {
 	return publisher.NewWatcher(publisher.Settings{
 		Platform: env.Platform,
@@ -20,6 +24,7 @@
 		Log:      env.Log,
 		Site:     process.Site,
 		Seed:     incarnation,
+		Record:   record,
 		Ask:      publisher.Asker(pool, process.Name),
 		Peers: func() []string {
 			peers := slices.Concat(process.Peers, known())
@@ -29,6 +34,23 @@
 	})
 }
 
+// newMeter returns the meter before a process's platform. Its rates follow the
+// configuration, once there is one.
+func newMeter(env Environment, watcher func() *publisher.Watcher) *storekeeper.Meter {
+	return storekeeper.NewMeter(storekeeper.MeterSettings{
+		Clock: env.Clock,
+		Seed:  newIncarnation(),
+		Rates: func() storekeeper.Rates {
+			var limits resolver.Limits
+			if known := watcher(); known != nil {
+				limits = known.Current().Limits
+			}
+			limits = limits.WithDefaults()
+			return storekeeper.Rates{Reads: limits.StoreReads, Writes: limits.StoreWrites}
+		},
+	})
+}
+
 // learn takes in what an agent said about itself: its state for the view, and
 // the revision that it carries for the watcher.
 func (entry *Entry) learn(digest *encoder.Digest) {
--- a/internal/budgeter/budget.go
+++ b/internal/budgeter/budget.go
@@ -40,7 +40,8 @@
 	Ample Level = iota
 	// Tight: load rows are halved, for stale load costs the least.
 	Tight
-	// Short: rounds come half as often, and the list is read half as often.
+	// Short: agents' rounds come half as often, entries ask for news only, and
+	// the list is read half as often.
 	Short
 	// Spent: only news goes: notices, deaths, new incarnations.
 	Spent
--- a/internal/reporter/exchange.go
+++ b/internal/reporter/exchange.go
@@ -117,7 +117,8 @@
 	if rounds < firstRounds {
 		pause = min(pause, firstPause)
 	}
-	if exchanger.budget.Level(exchanger.clock.Now()) >= budgeter.Short {
+	// An entry keeps its pace: a leave must reach it within two seconds.
+	if exchanger.self != nil && exchanger.budget.Level(exchanger.clock.Now()) >= budgeter.Short {
 		pause *= 2
 	}
 	return pause*7/8 + timekeeper.Span(exchanger.random(int64(pause/4)+1))
@@ -143,7 +144,7 @@
 // query returns what a message may hold now, by the level of the budget.
 func (exchanger *Exchanger) query(limit int) Query {
 	switch level := exchanger.budget.Level(exchanger.clock.Now()); {
-	case level >= budgeter.Spent:
+	case level >= budgeter.Spent, level >= budgeter.Short && exchanger.self == nil:
 		return Query{Limit: limit, NewsOnly: true}
 	case level >= budgeter.Tight:
 		return Query{Limit: limit / 2}
--- a/internal/reporter/view.go
+++ b/internal/reporter/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -47,8 +48,10 @@
 	mu      sync.Mutex
 	tables  map[string]*Table
 	rosters map[string]placer.Roster
-	random  *rand.Rand
-	listed  int64
+	// replicas are what each roster was made of.
+	replicas map[string][]placer.Replica
+	random   *rand.Rand
+	listed   int64
 }
 
 // NewView returns a view that knows of no replica.
@@ -57,6 +60,7 @@
 		settings: settings,
 		tables:   map[string]*Table{},
 		rosters:  map[string]placer.Roster{},
+		replicas: map[string][]placer.Replica{},
 		random:   rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 	}
 }
@@ -194,7 +198,12 @@
 	live := table.Live()
 	replicas := make([]placer.Replica, len(live))
 	for i, row := range live {
-		replicas[i] = placer.Replica{Name: row.Name, Address: row.Reach(), Site: row.Site, Weight: row.Weight(now)}
+		share := max(1, int(row.Weight(now)*placer.WholeShare))
+		replicas[i] = placer.Replica{Name: row.Name, Address: row.Reach(), Site: row.Site, Share: share}
+	}
+	if !slices.Equal(replicas, view.replicas[service]) {
+		// Making a ring costs a sort of all its points, so it is made only anew.
+		view.replicas[service] = replicas
+		view.rosters[service] = placer.NewRoster(replicas)
 	}
-	view.rosters[service] = placer.NewRoster(replicas)
 }
--- a/internal/resolver/check.go
+++ b/internal/resolver/check.go
@@ -91,6 +91,9 @@
 			check.add(path.child(number.key), "write a positive number, or leave it out", "%s of service %s is negative", number.key, name)
 		}
 	}
+	if whole := service.WithDefaults(); *whole.UrgentSlots >= whole.Slots && whole.Slots > 0 {
+		check.add(path.child("urgent-slots"), "leave a slot for other work", "service %s keeps all %d slots for urgent work", name, whole.Slots)
+	}
 }
 
 // setting is a key with its value as a number.
@@ -108,10 +111,26 @@
 		{"longest-drain", int64(service.LongestDrain)},
 		{"first-byte", int64(service.FirstByte)},
 		{"longest-order", int64(service.LongestOrder)},
+		{"free-calls", int64(service.FreeCalls)},
+		{"oldest-mean", int64(service.OldestMean)},
+		{"ageing", int64(service.Ageing)},
+		{"cache-tokens", service.CacheTokens},
+		{"urgent-slots", int64(valueOf(service.UrgentSlots))},
+		{"unknown-hold", int64(valueOf(service.UnknownHold))},
+		{"settle-time", int64(valueOf(service.SettleTime))},
 		{"loads-a-minute", int64(service.LoadsPerMinute)},
 	}
 }
 
+// valueOf returns what an optional setting holds, and zero when it is absent.
+func valueOf[T any](setting *T) T {
+	var zero T
+	if setting == nil {
+		return zero
+	}
+	return *setting
+}
+
 func (check *checker) models(config Config) {
 	owners := map[string]string{}
 	for _, name := range check.doc.inOrder("services", config.ServiceNames()) {
@@ -164,7 +183,7 @@
 		check.add(Path{"limits", "poll-every"}, "write at most "+LongestPoll.String(), "limits.poll-every is %s", limits.PollEvery)
 	}
 	for _, number := range []setting{
-		{"store-reads", int64(limits.StoreReads)}, {"store-writes", int64(limits.StoreWrites)},
+		{"order-lease", int64(limits.OrderLease)}, {"store-reads", int64(limits.StoreReads)}, {"store-writes", int64(limits.StoreWrites)},
 	} {
 		if number.value < 0 {
 			check.add(Path{"limits", number.key}, "write a positive number, or leave it out", "limits.%s is negative", number.key)
--- a/internal/runner/adopt.go
+++ b/internal/runner/adopt.go
@@ -3,16 +3,11 @@
 import (
 	"sync"
 
-	"github.com/trefoilseam/trefoilseam/internal/admitter"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-func deskLimits(service resolver.Service) admitter.Limits {
-	return admitter.Limits{Slots: service.Slots, QueueLength: service.QueueLength}
-}
-
 // adopt takes a changed service into force; the lock must be held. It is
 // called at each decision, so that the first decision after a revision is in
 // force is made under it. A service that was taken out of the configuration
@@ -28,7 +23,7 @@
 		return
 	}
 	agent.service = service
-	agent.wake(agent.desk.Resize(deskLimits(service)))
+	agent.wake(agent.desk.Resize(limitsOf(service, agent.settings.Draw), agent.settings.Clock.Now()))
 }
 
 // serviceNow returns the service as it is in force.
--- a/internal/runner/drain.go
+++ b/internal/runner/drain.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -24,9 +25,11 @@
 // is not enough, since a slow reader may have most of the answer before it.
 func (agent *Agent) Drain(ctx context.Context) error {
 	agent.Refuse()
+	agent.recordLeaving(recorder.Draining)
 	for {
 		left := agent.inFlight()
 		if left == 0 {
+			agent.recordLeaving(recorder.Drained)
 			return nil
 		}
 		if err := agent.settings.Clock.Sleep(ctx, drainLook); err != nil {
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -98,11 +98,7 @@
 	if verdict.Step != claimer.Proceed {
 		return verdict.Failure, false
 	}
-	agent.settings.Record(recorder.Event{
-		At: agent.settings.Clock.Now(), Kind: recorder.Claimed, Request: ask.Request, Service: offer.GetService(),
-		Team: offer.GetTeam(), Instance: agent.settings.Name, Incarnation: agent.settings.Incarnation,
-		Key: xxhash.Sum64String(ask.Key), Fingerprint: ask.Fingerprint,
-	})
+	agent.settings.Record(agent.event(recorder.Claimed, offer))
 	return classifier.Failure{}, true
 }
 
@@ -223,6 +219,14 @@
 // sweep looks at a stretch of rows at a random place. Agents don't agree on
 // who sweeps what; a row that two of them delete at once is deleted once.
 func (agent *Agent) sweep(ctx context.Context) {
+	agent.mu.Lock()
+	claims := agent.keys.book.Len()
+	agent.mu.Unlock()
+	if claims == 0 {
+		// Whoever makes claims clears them away: the many agents of model
+		// engines make none, and would cost the store a read each.
+		return
+	}
 	after := claimer.RowKey("", "", agent.settings.Clock.Now().String()+agent.settings.Name)
 	count, err := agent.keys.committer.Sweep(ctx, after, sweepRows)
 	if err != nil && !eris.Is(err, storekeeper.ErrConflict) {
