--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -42,6 +42,9 @@
 	Mean func() admitter.Mean
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
+	// Digests answers a peer's question about the service; nil means that the
+	// agent tells of itself alone.
+	Digests func(ask *encoder.DigestAsk) *encoder.Digests
 	// Room names a replica of the service with room, for callers that are sent
 	// on; nil means that none is known.
 	Room func() string
@@ -155,7 +158,7 @@
 }
 
 func (agent *Agent) serveSession(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, dialer.Settings{}.Session())
+	session, err := yamux.Server(conn, dialer.Settings{KeepAlive: dialer.AnswerKeepAlive}.Session())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -196,7 +199,7 @@
 		agent.serveCancel(stream, message.Cancel)
 	case *encoder.Frame_DigestAsk:
 		agent.heard(message.DigestAsk.GetAsker(), message.DigestAsk.GetRevision())
-		_ = stream.Write(encoder.Of(agent.withAskers(message.DigestAsk, agent.digests())))
+		_ = stream.Write(encoder.Of(agent.withAskers(message.DigestAsk, agent.digests(message.DigestAsk))))
 	case *encoder.Frame_EngineOrder:
 		_ = stream.Write(encoder.Of(agent.carryOut(ctx, message.EngineOrder)))
 	case *encoder.Frame_ConfigAsk:
@@ -236,7 +239,11 @@
 	}
 }
 
-func (agent *Agent) digests() *encoder.Digests {
+func (agent *Agent) digests(ask *encoder.DigestAsk) *encoder.Digests {
+	// A question that names no service and no size is about the agent alone.
+	if agent.settings.Digests != nil && (ask.GetService() != "" || ask.GetLimit() > 0) {
+		return agent.settings.Digests(ask)
+	}
 	return &encoder.Digests{
 		From:        agent.settings.Name,
 		Incarnation: agent.settings.Incarnation,
