--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -72,6 +72,7 @@
 			auditCommand(),
 			configCommand(),
 			strikesCommand(),
+			membersCommand(),
 			versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -9,6 +9,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/admitter"
+	"github.com/trefoilseam/trefoilseam/internal/budgeter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
@@ -16,6 +18,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -29,10 +32,22 @@
 	admin    net.Listener
 	watcher  *publisher.Watcher
 	agent    *runner.Agent
+	control  *control
 	metrics  http.Handler
+	meter    *storekeeper.Meter
+}
 
-	neighbours *neighbours
-	meter      *storekeeper.Meter
+// AgentStatus is what an agent says about itself.
+type AgentStatus struct {
+	Name     string          `json:"name"`
+	Site     string          `json:"site"`
+	Service  string          `json:"service"`
+	Revision uint64          `json:"revision"`
+	Digest   *encoder.Digest `json:"digest"`
+	// Control is what the agent spends on control.
+	Control budgeter.Status `json:"control"`
+	// Members is what the agent believes about each replica of its service.
+	Members []reporter.ReplicaStatus `json:"members"`
 }
 
 // NewAgent returns an agent that listens and has its first configuration, and
@@ -43,26 +58,22 @@
 	made.meter = newMeter(env, func() *publisher.Watcher { return made.watcher })
 	env.Platform = made.meter.Wrap(env.Platform)
 	made.env = env
-	incarnation := newIncarnation()
-	made.neighbours = newNeighbours(env.Platform.Directory, incarnation)
+	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
+	made.metrics = metrics
 	pool, closePool := dialer.NewPool(dialer.Settings{})
+	incarnation := newIncarnation()
 	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
 	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
-	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses, record.Record)
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := made.watcher.Await(ctx); err != nil {
-		closeRecord()
-		closePool()
-		return nil, nil, err
-	}
-	if err := made.bind(); err != nil {
-		closeRecord()
-		closePool()
+	closeAll := func() { closeRecord(); closePool(); closeScope() }
+	made.control = newControl(controlSettings{
+		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
+		service: settings.Service, self: made.digest,
+	})
+	made.watcher = newWatcher(made.control.environment(), settings.Process, incarnation, pool, made.control.view.Addresses, record.Record)
+	if err := made.ready(ctx); err != nil {
+		closeAll()
 		return nil, nil, err
 	}
-	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
-	made.metrics = metrics
 	agent, release, err := runner.New(runner.Settings{
 		Name:        settings.Name,
 		Service:     settings.Service,
@@ -78,16 +89,49 @@
 
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
+		Mean:          func() admitter.Mean { return made.control.view.Mean(settings.Service) },
+		Room:          func() string { return made.control.view.Room(settings.Service) },
+		Digests:       made.control.exchanger.Answer,
 	})
 	if err != nil {
-		closeRecord()
-		closePool()
-		closeScope()
+		closeAll()
 		return nil, nil, err
 	}
 	made.agent = agent
 	record.SetPulse(agent.Sample)
-	return made, func() { release(); closeRecord(); closePool(); closeScope() }, nil
+	return made, func() { release(); closeAll() }, nil
+}
+
+// ready waits for the first configuration, looks around once and listens.
+func (made *Agent) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := made.watcher.Await(ctx); err != nil {
+		return err
+	}
+	if err := made.control.view.Look(ctx); err != nil {
+		made.env.Log.WithError(err).Warn("instance list not read")
+	}
+	return made.bind()
+}
+
+// digest returns what the agent says about itself, and where it is reached.
+func (made *Agent) digest() *encoder.Digest {
+	digest := made.agent.Digest()
+	digest.Address = made.settings.Advertise
+	if digest.GetAddress() == "" {
+		digest.Address = made.Address()
+	}
+	return digest
+}
+
+// Status returns what the agent says about itself and believes about others.
+func (made *Agent) Status() AgentStatus {
+	return AgentStatus{
+		Name: made.settings.Name, Site: made.settings.Site, Service: made.settings.Service,
+		Revision: made.watcher.Current().Revision, Digest: made.digest(),
+		Control: made.control.status(), Members: made.control.view.Status(),
+	}
 }
 
 func (made *Agent) bind() error {
@@ -111,8 +155,8 @@
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
 	addLoop(group, made.watcher.Run)
-	addLoop(group, func(ctx context.Context) { made.neighbours.run(ctx, made.env.Clock) })
 	addLoop(group, made.agent.Keep)
+	made.control.addTo(group)
 	made.addCalls(group)
 	made.env.Log.WithField("address", made.Address()).Info("listening")
 	if made.admin == nil {
@@ -122,7 +166,7 @@
 	mux.Handle("GET /metrics", made.metrics)
 	mux.HandleFunc("GET /store", handler.Show(made.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
-	mux.HandleFunc("GET /status", handler.Show(func() *encoder.Digest { return made.agent.Digest() }))
+	mux.HandleFunc("GET /status", handler.Show(made.Status))
 	addServer(group, made.admin, mux, headerTimeout)
 	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
 }
@@ -152,6 +196,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), service.LongestDrain.Duration())
 	defer cancel()
 	started := made.env.Clock.Now()
+	// New work is refused before anyone is told, so that nobody can be told
+	// late of a replica that still takes it.
+	made.agent.Refuse()
+	made.control.exchanger.Announce(ctx)
 	err := made.agent.Drain(ctx)
 	took := made.env.Clock.Now().Since(started)
 	made.env.Log.WithFields(logrus.Fields{"took": took.String(), "whole": err == nil}).Info("drained")
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/budgeter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/forwarder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
@@ -28,6 +29,7 @@
 	listener net.Listener
 	admin    net.Listener
 	watcher  *publisher.Watcher
+	control  *control
 	view     *reporter.View
 	front    *forwarder.Entry
 	metrics  http.Handler
@@ -43,6 +45,10 @@
 	Site     string         `json:"site"`
 	Revision uint64         `json:"revision"`
 	Replicas map[string]int `json:"replicas"`
+	// Control is what the entry spends on control.
+	Control budgeter.Status `json:"control"`
+	// Members is what the entry believes about each replica.
+	Members []reporter.ReplicaStatus `json:"members"`
 }
 
 // NewEntry returns an entry that listens and has its first configuration, and
@@ -53,34 +59,29 @@
 	entry.meter = newMeter(env, func() *publisher.Watcher { return entry.watcher })
 	env.Platform = entry.meter.Wrap(env.Platform)
 	entry.env = env
-	entry.view = reporter.NewView(env.Platform.Directory, env.Log)
+	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
+	entry.metrics = metrics
 	incarnation := newIncarnation()
 	origin := recorder.Origin{Group: recorder.EntryGroup, Name: settings.Name, Incarnation: incarnation}
 	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
-	entry.watcher = newWatcher(env, settings.Process, incarnation, pool, entry.view.Addresses, record.Record)
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := entry.watcher.Await(ctx); err != nil {
-		closeRecord()
-		closePool()
-		return nil, nil, err
-	}
-	if err := entry.view.Look(ctx); err != nil {
-		env.Log.WithError(err).Warn("instance list not read")
-	}
-	if err := entry.bind(); err != nil {
-		closeRecord()
-		closePool()
-		return nil, nil, err
-	}
+	release := func() { closePool(); closeRecord(); closeScope() }
+	entry.control = newControl(controlSettings{
+		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
+	})
+	entry.view = entry.control.view
+	entry.watcher = newWatcher(
+		entry.control.environment(), settings.Process, incarnation, pool, entry.view.Addresses, record.Record,
+	)
 	entry.planners = planners{entry: entry, pool: pool, incarnation: incarnation}
 	entry.announcer = &announcer{
 		name: settings.Name, pool: pool, peers: entry.view.Addresses,
 		revision: func() uint64 { return entry.watcher.Current().Revision },
 	}
-	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
-	entry.metrics = metrics
+	if err := entry.ready(ctx); err != nil {
+		release()
+		return nil, nil, err
+	}
 	record.SetPulse(entry.alive)
 	entry.front = forwarder.New(forwarder.Settings{
 		Name:        settings.Name,
@@ -96,7 +97,22 @@
 		Learn:       entry.learn,
 		Record:      record.Record,
 	})
-	return entry, func() { closePool(); closeRecord(); closeScope() }, nil
+	return entry, release, nil
+}
+
+// ready waits for the first configuration, looks around once and listens. An
+// entry whose instance list can't be read asks the peers of its settings.
+func (entry *Entry) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := entry.watcher.Await(ctx); err != nil {
+		return err
+	}
+	if err := entry.view.Look(ctx); err != nil {
+		entry.env.Log.WithError(err).Warn("instance list not read")
+		entry.control.exchanger.Round(ctx)
+	}
+	return entry.bind()
 }
 
 func (entry *Entry) bind() error {
@@ -125,6 +141,8 @@
 		Site:     entry.settings.Site,
 		Revision: config.Revision,
 		Replicas: map[string]int{},
+		Control:  entry.control.status(),
+		Members:  entry.view.Status(),
 	}
 	for _, service := range config.ServiceNames() {
 		status.Replicas[service] = entry.view.Roster(service).Len()
@@ -137,7 +155,7 @@
 	addLoop(group, entry.watcher.Run)
 	addLoop(group, entry.planners.run)
 	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
-	addLoop(group, func(ctx context.Context) { entry.view.Run(ctx, entry.env.Clock) })
+	entry.control.addTo(group)
 	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
 	entry.env.Log.WithField("address", entry.Address()).Info("listening")
 	if entry.admin == nil {
--- a/internal/loader/process.go
+++ b/internal/loader/process.go
@@ -21,8 +21,8 @@
 	AdminListen string `toml:"admin-listen"`
 	// Platform is the base address of the platform's services.
 	Platform string `toml:"platform"`
-	// Peers are addresses of agents that are asked for the configuration when
-	// the platform doesn't answer at the start of the process.
+	// Peers are addresses of agents that are asked for the configuration, and
+	// for who is live, when the platform doesn't answer at the start of the process.
 	Peers []string `toml:"peers"`
 	// LogLevel is a level of logrus; empty means "info".
 	LogLevel string `toml:"log-level"`
@@ -39,6 +39,9 @@
 	Service string `toml:"service"`
 	// Upstream is the base address of the upstream instance.
 	Upstream string `toml:"upstream"`
+	// Advertise is the address by which others reach the agent; empty means
+	// the one that it listens on.
+	Advertise string `toml:"advertise"`
 }
 
 // ReadEntry reads the settings of an entry.
--- a/internal/placer/roster.go
+++ b/internal/placer/roster.go
@@ -13,6 +13,8 @@
 	pointsPerWeight = 16
 	// probes is how many points of the ring are looked up for a chat.
 	probes = 12
+	// WholeShare is the Share of a replica that has all of its weight.
+	WholeShare = 16
 	// heaviestWeight bounds the memory that one replica takes on the ring.
 	heaviestWeight = 16
 )
@@ -24,6 +26,9 @@
 	Site    string
 	// Weight is the replica's share of the chats; zero means 1.
 	Weight int
+	// Share is the part of its weight that the replica has now, up to 1, in
+	// sixteenths; zero means all of it.
+	Share int
 }
 
 // point is a place on the ring that belongs to a replica.
@@ -47,7 +52,7 @@
 	roster := Roster{replicas: slices.Clone(replicas)}
 	for i, replica := range replicas {
 		seed := xxhash.Sum64String(replica.Name)
-		for j := range pointsPerWeight * min(max(1, replica.Weight), heaviestWeight) {
+		for j := range replica.points() {
 			roster.ring = append(roster.ring, point{at: mix(seed, uint64(j+1)), replica: int32(i)})
 		}
 	}
@@ -56,6 +61,17 @@
 	return roster
 }
 
+// points returns how many points the replica has on the ring. A replica with a
+// part of its share has the first of its points only, so that each chat it
+// keeps stays where it was.
+func (replica Replica) points() int {
+	points := pointsPerWeight * min(max(1, replica.Weight), heaviestWeight)
+	if replica.Share > 0 {
+		points = max(1, points*min(replica.Share, WholeShare)/WholeShare)
+	}
+	return points
+}
+
 func (roster *Roster) index() {
 	if len(roster.ring) == 0 {
 		return
--- a/internal/reporter/address.go
+++ b/internal/reporter/address.go
@@ -1,29 +1,58 @@
 package reporter
 
-import "github.com/trefoilseam/trefoilseam/internal/planner"
+import (
+	"cmp"
+	"maps"
+	"slices"
 
-// Addresses returns where the agents on the instance list are reached.
+	"github.com/trefoilseam/trefoilseam/internal/planner"
+)
+
+// Addresses returns where the agents that the view knows of are reached.
 func (view *View) Addresses() []string {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	addresses := make([]string, 0, len(view.listed))
-	for _, instance := range view.listed {
-		if instance.Address != "" {
-			addresses = append(addresses, instance.Address)
+	var addresses []string
+	for _, service := range slices.Sorted(maps.Keys(view.tables)) {
+		for _, row := range view.tables[service].Live() {
+			addresses = append(addresses, row.Reach())
 		}
 	}
 	return addresses
 }
 
-// Engines returns the agents of a service that are not leaving.
-func (view *View) Engines(service string) []planner.Address {
+// Locate returns the address of a replica that is known, also of one that
+// leaves: what is in flight there can still be followed.
+func (view *View) Locate(instance string) (address string, known bool) {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	var engines []planner.Address
-	for _, instance := range view.listed {
-		if instance.Service == service && !instance.Leaving && instance.Address != "" {
-			engines = append(engines, planner.Address{Engine: instance.Name, Address: instance.Address})
+	for _, table := range view.tables {
+		if row := table.rows[instance]; row != nil && row.Reach() != "" {
+			return row.Reach(), true
 		}
 	}
+	return "", false
+}
+
+// Engines returns the agents of a service that are live.
+func (view *View) Engines(service string) []planner.Address {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	live := view.table(service).Live()
+	engines := make([]planner.Address, 0, len(live))
+	for _, row := range live {
+		engines = append(engines, planner.Address{Engine: row.Name, Address: row.Reach()})
+	}
 	return engines
 }
+
+// Room returns the live replica of a service with the least load.
+func (view *View) Room(service string) string {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	live := view.table(service).Live()
+	if len(live) == 0 {
+		return ""
+	}
+	return slices.MinFunc(live, func(a, b Row) int { return cmp.Compare(a.Load, b.Load) }).Name
+}
