--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -89,7 +89,7 @@
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
 		Mean:          made.control.exchanger.Mean,
-		Room:          func() string { return made.control.view.Room(settings.Service) },
+		Room:          func() string { return made.control.view.Room(settings.Service, settings.Name) },
 		Digests:       made.control.exchanger.Answer,
 	})
 	if err != nil {
--- a/internal/reporter/address.go
+++ b/internal/reporter/address.go
@@ -46,11 +46,12 @@
 	return engines
 }
 
-// Room returns the live replica of a service with the least load.
-func (view *View) Room(service string) string {
+// Room returns the live replica of a service with the least load, other than
+// the one that asks: it has just refused.
+func (view *View) Room(service, asker string) string {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	live := view.table(service).Live()
+	live := slices.DeleteFunc(view.table(service).Live(), func(row Row) bool { return row.Name == asker })
 	if len(live) == 0 {
 		return ""
 	}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -107,6 +107,7 @@
 	places   *placer.Directory
 	born     timekeeper.Instant
 	runs     map[string]*run
+	kept     endedRuns
 	bySerial map[uint64]*run
 	serial   uint64
 	weighed  map[string]weighing
@@ -183,6 +184,8 @@
 		return
 	}
 	switch message := frame.GetBody().(type) {
+	case *encoder.Frame_Hello:
+		_ = stream.Write(encoder.Of(&encoder.Welcome{Instance: agent.settings.Name, Incarnation: agent.settings.Incarnation}))
 	case *encoder.Frame_Offer:
 		agent.heard(message.Offer.GetEntry(), message.Offer.GetRevision())
 		agent.serveOffer(ctx, stream, message.Offer)
