reporter: room is never the one that asks

Cause: an agent that refused by the bound named itself as the one with room, so the call came back, ran there, and the record showed a refusal that ran.

--- /dev/null
+++ b/internal/reporter/view_test.go
@@ -0,0 +1,41 @@
+package reporter
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/internal/budgeter"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+func TestRoomIsNeverTheOneThatAsks(t *testing.T) {
+	// The caller would be sent back to the replica that has just refused it.
+	// The asker has the least load it knows of, since others' loads are older.
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	listed := []storekeeper.Instance{}
+	view := NewView(Settings{
+		Directory: storekeeper.Directory{List: func(context.Context) ([]storekeeper.Instance, error) { return listed, nil }},
+		Clock:     timekeeper.NewManual(start).Clock(), Log: log, Budget: budgeter.New(budgeter.Settings{}),
+	})
+	digests := []struct {
+		name string
+		load int64
+	}{{"r0", 1}, {"r1", 50}, {"r2", 20}}
+	for _, one := range digests {
+		digest := said(one.name, 10, 1, live)
+		digest.Service, digest.Load = "planner", one.load
+		view.Learn(digest)
+	}
+	tests := []struct{ asker, room string }{{"r0", "r2"}, {"r1", "r0"}}
+	for _, test := range tests {
+		Convey(test.asker+" names "+test.room, t, func() {
+			So(view.Room("planner", test.asker), ShouldEqual, test.room)
+		})
+	}
+}
