--- a/internal/admitter/desk.go
+++ b/internal/admitter/desk.go
@@ -141,6 +141,17 @@
 	return ticket.Last && mean.Age > 0 && len(desk.waiting) == 0 && desk.fits(ticket)
 }
 
+// Bound returns the bound that holds for a ticket, and zero where none does:
+// the mean is unknown or old, or the ticket is spared. It is what the fleet's
+// record states of a grant, so a grant that no bound held for is shown as such.
+func (desk *Desk) Bound(ticket Ticket, mean Mean) int64 {
+	bound := desk.limits.Bound(mean, desk.work, ticket)
+	if bound == unbounded || desk.work >= bound && desk.spared(ticket, mean) {
+		return 0
+	}
+	return bound
+}
+
 // PushedOut returns the failure that a displaced ticket gets.
 func (desk *Desk) PushedOut() classifier.Failure {
 	return desk.refuse(classifier.Overloaded, detailPushed, 0).Failure
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -40,14 +41,18 @@
 	incarnation := newIncarnation()
 	made.neighbours = newNeighbours(env.Platform.Directory, incarnation)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
-	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses)
+	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
+	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
+	made.watcher = newWatcher(env, settings.Process, incarnation, pool, made.neighbours.addresses, record.Record)
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := made.watcher.Await(ctx); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
 	if err := made.bind(); err != nil {
+		closeRecord()
 		closePool()
 		return nil, nil, err
 	}
@@ -63,18 +68,21 @@
 		Log:         env.Log,
 		Scope:       scope,
 		Config:      made.watcher.Current,
+		Record:      record.Record,
 		Table:       env.Platform.Table,
 
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
 	})
 	if err != nil {
+		closeRecord()
 		closePool()
 		closeScope()
 		return nil, nil, err
 	}
 	made.agent = agent
-	return made, func() { release(); closePool(); closeScope() }, nil
+	record.SetPulse(agent.Sample)
+	return made, func() { release(); closeRecord(); closePool(); closeScope() }, nil
 }
 
 func (made *Agent) bind() error {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/minter"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -38,6 +39,10 @@
 			return nil
 		}
 		entry.logAttempt(call, stop.Replica, failure)
+		entry.away.note(stop.Replica, failure, entry.settings.Clock.Now())
+		if failure.Kind != classifier.Moved {
+			entry.recordAttempt(call, stop.Replica, failure)
+		}
 		if ctx.Err() != nil {
 			return classifier.New(classifier.CallerGone, "")
 		}
@@ -68,6 +73,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	stream := encoder.NewStream(conn)
+	entry.settings.Record(entry.event(recorder.Offered, call, replica.Name))
 	at := contact{replica: replica}
 	failure, committed, lost := entry.commit(stream, call, &at, attempt)
 	switch {
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -105,6 +105,7 @@
 	runs     map[string]*run
 	bySerial map[uint64]*run
 	serial   uint64
+	weighed  map[string]weighing
 	draining bool
 	sequence uint64
 	calls    sync.WaitGroup
@@ -131,6 +132,7 @@
 		strikes:  newStrikes(settings),
 		runs:     map[string]*run{},
 		bySerial: map[uint64]*run{},
+		weighed:  map[string]weighing{},
 	}
 	return agent, agent.upstream.close, nil
 }
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -104,6 +104,7 @@
 		agent.release(offer.GetRequestId())
 		return failure, false
 	}
+	agent.recordGrant(offer)
 	inbox.granted = agent.settings.Clock.Now()
 	if offer.GetRunFollows() {
 		return classifier.Failure{}, true
@@ -174,6 +175,10 @@
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
 	where, room := agent.hints(offer, failure)
+	// An offer that is sent on may come back and run here: it was not refused.
+	if failure.Kind != classifier.Moved {
+		agent.recordRefusal(offer, failure)
+	}
 	agent.mu.Lock()
 	digest := agent.digest()
 	digest.Strikes = agent.strikesOf(offer.GetFingerprint())
--- a/test/load/fleet_test.go
+++ b/test/load/fleet_test.go
@@ -272,7 +272,7 @@
 		return
 	}
 	fleet.budget.Earn()
-	itinerary := placer.NewItinerary(fleet.roster, request.chat)
+	itinerary := placer.NewItinerary(fleet.roster, request.chat, nil)
 	for attempt := 0; ; attempt++ {
 		stop, ok := itinerary.Next()
 		if !ok || attempt > 0 && !stop.Free && !fleet.budget.Spend() {
