--- a/internal/admitter/desk.go
+++ b/internal/admitter/desk.go
@@ -49,6 +49,10 @@
 	// Displaced are waiting tickets that lost their place to this one. They
 	// have not run and must be told so at once.
 	Displaced []Ticket
+	// Load is the work held with the ticket, and Bound what the mean allowed
+	// without it; a bound of zero means that none applied.
+	Load  int64
+	Bound int64
 }
 
 // Load is what a desk holds.
@@ -104,10 +108,41 @@
 	if desk.Holds(ticket.ID) {
 		panic(knownTicket)
 	}
-	now := ticket.Arrived
-	if !desk.spared(ticket, mean) && desk.work >= desk.limits.Bound(mean, desk.work, ticket) {
+	bound := desk.bound(ticket, mean)
+	if desk.work >= bound {
 		return desk.refuse(classifier.AtBound, detailBound, 0)
 	}
+	decision := desk.seat(ticket)
+	if decision.Outcome != Refused {
+		decision.Load = desk.work
+	}
+	if bound != unbounded {
+		decision.Bound = bound
+	}
+	return decision
+}
+
+// bound returns what the mean allows the desk to hold before the ticket.
+func (desk *Desk) bound(ticket Ticket, mean Mean) int64 {
+	bound := desk.limits.Bound(mean, desk.work, ticket)
+	if desk.work >= bound && desk.spared(ticket, mean) {
+		return unbounded
+	}
+	return bound
+}
+
+// Allowed returns what the mean allows the desk to hold now, and zero when the
+// mean sets no bound.
+func (desk *Desk) Allowed(mean Mean) int64 {
+	if bound := desk.bound(Ticket{}, mean); bound != unbounded {
+		return bound
+	}
+	return 0
+}
+
+// seat gives a ticket that is within the bound a slot or a place in the queue.
+func (desk *Desk) seat(ticket Ticket) Decision {
+	now := ticket.Arrived
 	if len(desk.waiting) == 0 && desk.fits(ticket) {
 		desk.take(ticket)
 		desk.run(ticket, now)
@@ -141,17 +176,6 @@
 	return ticket.Last && mean.Age > 0 && len(desk.waiting) == 0 && desk.fits(ticket)
 }
 
-// Bound returns the bound that holds for a ticket, and zero where none does:
-// the mean is unknown or old, or the ticket is spared. It is what the fleet's
-// record states of a grant, so a grant that no bound held for is shown as such.
-func (desk *Desk) Bound(ticket Ticket, mean Mean) int64 {
-	bound := desk.limits.Bound(mean, desk.work, ticket)
-	if bound == unbounded || desk.work >= bound && desk.spared(ticket, mean) {
-		return 0
-	}
-	return bound
-}
-
 // PushedOut returns the failure that a displaced ticket gets.
 func (desk *Desk) PushedOut() classifier.Failure {
 	return desk.refuse(classifier.Overloaded, detailPushed, 0).Failure
--- a/internal/runner/drain.go
+++ b/internal/runner/drain.go
@@ -12,14 +12,19 @@
 // drainLook is the time between two looks at what is still in flight.
 const drainLook = 20 * timekeeper.Millisecond
 
+// Refuse refuses new work from now on.
+func (agent *Agent) Refuse() {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	agent.draining = true
+}
+
 // Drain refuses new work at once and returns when nothing is in flight, or
 // with an error when ctx ends first. In flight is every call that runs or
 // waits, and every answer that a reader still takes: an upstream that is done
 // is not enough, since a slow reader may have most of the answer before it.
 func (agent *Agent) Drain(ctx context.Context) error {
-	agent.mu.Lock()
-	agent.draining = true
-	agent.mu.Unlock()
+	agent.Refuse()
 	agent.recordLeaving(recorder.Draining)
 	for {
 		left := agent.inFlight()
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -32,14 +32,13 @@
 	factor float64
 }
 
-// noteLoad notes the load with the offer, and the bound that the mean sets,
-// before the desk decides; the lock must be held. The slot may be given later,
-// from the queue, when load and mean are others.
-func (agent *Agent) noteLoad(ticket admitter.Ticket, mean admitter.Mean) {
-	agent.weighed[ticket.ID] = weighing{
+// noteLoad notes by which load and bound the desk took an offer; the lock must
+// be held. The slot may be given later, from the queue, when both are others.
+func (agent *Agent) noteLoad(offer *encoder.Offer, decision admitter.Decision) {
+	agent.weighed[offer.GetRequestId()] = weighing{
 		at:     agent.settings.Clock.Now(),
-		load:   agent.desk.Load().Work + ticket.Work,
-		bound:  agent.desk.Bound(ticket, mean),
+		load:   decision.Load,
+		bound:  decision.Bound,
 		factor: agent.service.LoadFactor,
 	}
 }
@@ -105,7 +104,7 @@
 	mean := agent.settings.Mean()
 	agent.mu.Lock()
 	load := agent.desk.Load()
-	event.Bound = agent.desk.Bound(admitter.Ticket{}, mean)
+	event.Bound = agent.desk.Allowed(mean)
 	agent.mu.Unlock()
 	event.Load = load.Work
 	event.Count = int64(load.Running + load.Waiting)
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -46,9 +46,8 @@
 	if failure, ok := agent.elsewhere(offer, arrived); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
-	ticket := agent.ticket(offer, arrived)
-	agent.noteLoad(ticket, mean)
-	decision := agent.desk.Offer(ticket, mean)
+	decision := agent.desk.Offer(agent.ticket(offer, arrived), mean)
+	agent.noteLoad(offer, decision)
 	for _, ticket := range decision.Displaced {
 		agent.tell(ticket.ID, verdict{failure: agent.desk.PushedOut()})
 	}
