--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -18,7 +18,7 @@
 	if chat == 0 {
 		chat = call.spread()
 	}
-	return placer.NewItinerary(entry.settings.Roster(call.service), chat)
+	return placer.NewItinerary(entry.settings.Roster(call.service), chat, entry.away.names(entry.settings.Clock.Now()))
 }
 
 // refusalOf returns what the itinerary reads in a failure.
@@ -99,3 +99,43 @@
 	defer budgets.mu.Unlock()
 	return budgets.of(service).Spend()
 }
+
+// awaySpan is how long a replica that could not be reached is passed by. The
+// platform's list lags by seconds, and until it tells of a replica's end each
+// of its chats would cost a dial that fails.
+const awaySpan = 5 * timekeeper.Second
+
+// absent are the replicas that an entry could not reach lately.
+type absent struct {
+	mu    sync.Mutex
+	until map[string]timekeeper.Instant
+}
+
+func newAbsent() *absent {
+	return &absent{until: map[string]timekeeper.Instant{}}
+}
+
+// note takes in a failed attempt.
+func (away *absent) note(replica placer.Replica, failure classifier.Failure, now timekeeper.Instant) {
+	if failure.Kind != classifier.Unreachable && failure.Kind != classifier.OutcomeUnknown {
+		return
+	}
+	away.mu.Lock()
+	defer away.mu.Unlock()
+	away.until[replica.Name] = now.Add(awaySpan)
+}
+
+// names returns the replicas to pass by, and forgets the others.
+func (away *absent) names(now timekeeper.Instant) []string {
+	away.mu.Lock()
+	defer away.mu.Unlock()
+	names := make([]string, 0, len(away.until))
+	for name, until := range away.until {
+		if until.Before(now) {
+			delete(away.until, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
