--- a/test/integration/record_test.go
+++ b/test/integration/record_test.go
@@ -41,6 +41,7 @@
 }
 
 func TestTheRecordOfACleanDayShowsThatEachPromiseHeld(t *testing.T) {
+	t.Parallel()
 	// Drivers chat and kitchens order through real processes, an agent leaves
 	// in the middle, and the store is down for part of the day. In the end
 	// everything is stopped as planned. The auditor reads only the store.
@@ -117,6 +118,7 @@
 }
 
 func TestAStopThatCutsACallIsConvicted(t *testing.T) {
+	t.Parallel()
 	// An operator has set a drain far shorter than an order takes. The agent is
 	// stopped as planned, gives up on the order, and its caller is told that
 	// the outcome is unknown. The record of both processes convicts the stop.
@@ -141,6 +143,7 @@
 }
 
 func TestAKilledAgentLeavesAPromiseNotProvable(t *testing.T) {
+	t.Parallel()
 	// An agent is killed in the middle of an order, before it has flushed what
 	// it did. The caller was told that the outcome is unknown, and the auditor
 	// is told that at-most-once can't be shown for that order, and why.
