--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -38,7 +38,10 @@
 			return nil
 		}
 		entry.logAttempt(call, stop.Replica, failure)
-		entry.recordAttempt(call, stop.Replica, failure)
+		entry.away.note(stop.Replica, failure, entry.settings.Clock.Now())
+		if failure.Kind != classifier.Moved {
+			entry.recordAttempt(call, stop.Replica, failure)
+		}
 		if ctx.Err() != nil {
 			return classifier.New(classifier.CallerGone, "")
 		}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -69,12 +69,13 @@
 	serial   atomic.Uint64
 	keys     keyTable
 	budgets  *budgets
+	away     *absent
 	hints    hints
 }
 
 // New returns an entry.
 func New(settings Settings) *Entry {
-	return &Entry{settings: settings.withDefaults(), budgets: newBudgets()}
+	return &Entry{settings: settings.withDefaults(), budgets: newBudgets(), away: newAbsent()}
 }
 
 // ServeHTTP serves one call.
--- a/internal/placer/itinerary.go
+++ b/internal/placer/itinerary.go
@@ -35,6 +35,7 @@
 // says, then along the ranking.
 type Itinerary struct {
 	roster  Roster
+	away    []string
 	ranked  []Replica
 	visited []string
 	// home is set when the home sent the offer on and is to be asked again.
@@ -42,9 +43,15 @@
 	hint Refusal
 }
 
-// NewItinerary returns the itinerary of a chat.
-func NewItinerary(roster Roster, chat uint64) *Itinerary {
-	return &Itinerary{roster: roster, ranked: roster.Rank(chat, MaxOffers)}
+// NewItinerary returns the itinerary of a chat. It passes by the replicas that
+// were lately out of reach, unless there are no others.
+func NewItinerary(roster Roster, chat uint64, away []string) *Itinerary {
+	all := roster.Rank(chat, MaxOffers+len(away))
+	ranked := slices.DeleteFunc(slices.Clone(all), func(replica Replica) bool { return slices.Contains(away, replica.Name) })
+	if len(ranked) == 0 {
+		ranked, away = all, nil
+	}
+	return &Itinerary{roster: roster, away: away, ranked: ranked[:min(MaxOffers, len(ranked))]}
 }
 
 // Ranked returns the names of the replicas as they rank for the chat.
@@ -115,7 +122,7 @@
 
 // fresh returns the named replica when the roster has it and it was not visited.
 func (itinerary *Itinerary) fresh(name string) (Replica, bool) {
-	if name == "" || slices.Contains(itinerary.visited, name) {
+	if name == "" || slices.Contains(itinerary.visited, name) || slices.Contains(itinerary.away, name) {
 		return Replica{}, false
 	}
 	return itinerary.roster.Find(name)
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -174,8 +174,11 @@
 }
 
 func (agent *Agent) refusal(offer *encoder.Offer, failure classifier.Failure) *encoder.Refused {
-	agent.recordRefusal(offer, failure)
 	where, room := agent.hints(offer, failure)
+	// An offer that is sent on may come back and run here: it was not refused.
+	if failure.Kind != classifier.Moved {
+		agent.recordRefusal(offer, failure)
+	}
 	agent.mu.Lock()
 	digest := agent.digest()
 	digest.Strikes = agent.strikesOf(offer.GetFingerprint())
