runner: unread orders end, part digests, and known ids are not called not run

Cause: a keyed run without a reader held its slot until the longest call once its answer passed the window; a resumed answer's bytes were not checked; an offer whose id had run here was refused as 'not run'; a reader whose bytes had been dropped waited for ever; pkg/caller counted tries over a whole stream and began anew when an event had no id. Change: answers without a reader are drained and keep their last MiB; End carries the digest of the bytes of its own stream; only a tombstone says 'tombstoned', other known ids are unknown; pkg/caller counts tries since the last event and waits for Retry-After.

--- a/internal/forwarder/recover_test.go
+++ b/internal/forwarder/recover_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
@@ -62,3 +63,29 @@
 		})
 	}
 }
+
+func TestAnEndBelongsToTheBytesThatWereRelayed(t *testing.T) {
+	// The caller's connection is cut before an answer with a changed byte could
+	// be taken for whole; a resumed one is checked over the bytes behind the offset.
+	sum := xxhash.Sum64String
+	tests := []struct {
+		name    string
+		resumed bool
+		end     *encoder.End
+		want    bool
+	}{
+		{"the whole", false, &encoder.End{RequestId: "a", Length: 4, Digest: sum("rest")}, true},
+		{"another digest", false, &encoder.End{RequestId: "a", Length: 4, Digest: sum("rust")}, false},
+		{"another length", false, &encoder.End{RequestId: "a", Length: 5, Digest: sum("rest")}, false},
+		{"another request", false, &encoder.End{RequestId: "b", Length: 4, Digest: sum("rest")}, false},
+		{"a resumed part", true, &encoder.End{RequestId: "a", Length: 4, Digest: sum("all"), PartDigest: sum("rest")}, true},
+		{"another part", true, &encoder.End{RequestId: "a", Length: 4, Digest: sum("rest"), PartDigest: sum("rust")}, false},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			answer := &relayed{expected: "a", length: 4, digest: xxhash.New(), resumed: test.resumed}
+			_, _ = answer.digest.WriteString("rest")
+			So(answer.agrees(test.end), ShouldEqual, test.want)
+		})
+	}
+}
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -92,7 +92,7 @@
 	length  uint64
 	digest  *xxhash.Digest
 	// resumed says that the caller has the bytes before length already, so
-	// that the digest of the whole can't be made here.
+	// that the digest of the whole can't be made here, but that of the part can.
 	resumed bool
 }
 
@@ -176,7 +176,10 @@
 	if end.GetRequestId() != answer.expected || end.GetLength() != answer.length {
 		return false
 	}
-	return answer.resumed || end.GetDigest() == answer.digest.Sum64()
+	if answer.resumed {
+		return end.GetPartDigest() == answer.digest.Sum64()
+	}
+	return end.GetDigest() == answer.digest.Sum64()
 }
 
 // broken ends an answer that is not whole. When part of it is with the caller,
--- a/internal/runner/answer.go
+++ b/internal/runner/answer.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
@@ -32,6 +34,8 @@
 	read    uint64
 	digest  *xxhash.Digest
 	end     *encoder.End
+	// unread says that nobody reads and that the upstream is drained all the same.
+	unread bool
 	// opened, if set, is called once the head is there.
 	opened func()
 }
@@ -58,10 +62,11 @@
 }
 
 // add appends bytes of the body. It waits while more than window bytes are
-// unread, and returns the error of ctx if that ends first.
+// unread, and returns the error of ctx if that ends first. An answer that is
+// drained waits for nobody.
 func (answer *answer) add(ctx context.Context, part []byte) error {
 	answer.mu.Lock()
-	for answer.length()-answer.read > window {
+	for !answer.unread && answer.length() > answer.read+window {
 		changed := answer.changed
 		answer.mu.Unlock()
 		select {
@@ -74,6 +79,10 @@
 	defer answer.mu.Unlock()
 	answer.data = append(answer.data, part...)
 	_, _ = answer.digest.Write(part)
+	if answer.unread {
+		answer.read = answer.length()
+		answer.trim()
+	}
 	answer.wake()
 	return nil
 }
@@ -118,6 +127,9 @@
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
 	for {
+		if offset < answer.base {
+			return nil, errDropped
+		}
 		frames := answer.ready(offset, headSent)
 		if len(frames) > 0 {
 			return frames, nil
@@ -154,6 +166,31 @@
 	return frames
 }
 
+// errDropped says that the bytes that a reader is to get are no longer held.
+var errDropped = eris.New("the answer's bytes are no longer held")
+
+// drain lets the upstream write on with nobody reading.
+//
+// The failure: the caller of an order leaves, the order's answer is longer
+// than the window, and the run may not be ended. The symptom: the upstream is
+// held back and the slot stays taken until the longest call. Drained, the run
+// ends as soon as the upstream does, and its last bytes, kept of them, wait for
+// a look-up; one that asks for earlier bytes is told that they are not kept.
+func (answer *answer) drain() {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	answer.unread = true
+	answer.wake()
+}
+
+// rewind makes the upstream wait again, for a reader that has come to offset.
+func (answer *answer) rewind(offset uint64) {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	answer.unread = false
+	answer.read = min(answer.read, offset)
+}
+
 // passed notes that the reader has taken all bytes before offset.
 func (answer *answer) passed(offset uint64) {
 	answer.mu.Lock()
@@ -175,11 +212,13 @@
 // follow sends the answer from offset on until its end.
 func (answer *answer) follow(ctx context.Context, stream *encoder.Stream, offset uint64) error {
 	headSent := false
+	carried := xxhash.New()
 	for {
 		frames, err := answer.next(ctx, offset, headSent)
 		if err != nil {
 			return err
 		}
+		seal(frames, carried)
 		if err := stream.Write(frames...); err != nil {
 			return err
 		}
@@ -193,3 +232,17 @@
 		answer.passed(offset)
 	}
 }
+
+// seal puts the digest of the bytes that one stream carried on its End. A
+// reader that came to an offset can't check the digest of the whole.
+func seal(frames []*encoder.Frame, carried *xxhash.Digest) {
+	for i, frame := range frames {
+		_, _ = carried.Write(frame.GetChunk().GetData())
+		if frame.GetEnd() != nil {
+			// The End is shared by all readers, so each seals a copy.
+			end := proto.CloneOf(frame.GetEnd())
+			end.PartDigest = carried.Sum64()
+			frames[i] = encoder.Of(end)
+		}
+	}
+}
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -134,7 +134,7 @@
 	case agent.strikes.ledger.Down():
 		return agent.engineAway(), true
 	case agent.runs[offer.GetRequestId()] != nil || agent.desk.Holds(offer.GetRequestId()):
-		return classifier.New(classifier.Tombstoned, "the request id is known already"), true
+		return agent.runs[offer.GetRequestId()].again(), true
 	}
 	return classifier.Failure{}, false
 }
--- a/internal/runner/resume.go
+++ b/internal/runner/resume.go
@@ -15,7 +15,7 @@
 ) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	agent.attach(run)
+	agent.attach(run, offset)
 	defer agent.detach(run)
 	go func() {
 		defer cancel()
@@ -42,10 +42,13 @@
 	}
 }
 
-func (agent *Agent) attach(run *run) {
+func (agent *Agent) attach(run *run, offset uint64) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	run.readers++
+	if run.readers == 1 {
+		run.answer.rewind(offset)
+	}
 }
 
 // detach notes that a reader has gone. The failure: a caller's connection
@@ -54,13 +57,17 @@
 // slot stays taken. So an idempotent run goes on for the service's resume
 // grace and ends when nobody has come back by then. A run that is not
 // idempotent is never ended by its reader's leaving: half an order is worse
-// than an order whose answer waits to be looked up.
+// than an order whose answer waits to be looked up. Its answer is drained.
 func (agent *Agent) detach(run *run) {
 	agent.mu.Lock()
 	run.readers--
 	run.left++
 	left := run.left
-	abandoned := run.readers == 0 && run.ended == 0 && run.idempotent
+	alone := run.readers == 0 && run.ended == 0
+	abandoned := alone && run.idempotent
+	if alone && !run.idempotent {
+		run.answer.drain()
+	}
 	agent.mu.Unlock()
 	if abandoned {
 		go agent.endAbandoned(run, left)
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -26,6 +26,15 @@
 	left    int
 }
 
+// again returns the failure of an offer whose request id is known already.
+// Only a tombstone proves that the request did not run.
+func (known *run) again() classifier.Failure {
+	if known != nil && known.tomb {
+		return classifier.New(classifier.Tombstoned, "")
+	}
+	return classifier.New(classifier.OutcomeUnknown, "the request id is in use here already")
+}
+
 // start registers the run and calls the upstream in the background.
 func (agent *Agent) start(offer *encoder.Offer, commit *encoder.Run) (*run, classifier.Failure, bool) {
 	// The run outlives the stream it came on: a caller whose connection broke
@@ -43,7 +52,7 @@
 	if known := agent.runs[started.id]; known != nil {
 		agent.mu.Unlock()
 		cancel()
-		return nil, classifier.New(classifier.Tombstoned, "the request id is known already"), false
+		return nil, known.again(), false
 	}
 	if !agent.mayStart(offer) {
 		agent.mu.Unlock()
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // Event is one server-sent event of a stream.
@@ -27,10 +29,11 @@
 // event that take has had. It returns nil only when the stream's terminal
 // came; an error of take ends the stream and is returned.
 func (caller *Caller) Stream(ctx context.Context, call Call, take func(event Event) error) error {
-	var last string
+	var last progress
 	var failed error
 	pause := caller.settings.Pause
-	for try := range caller.settings.Tries {
+	for try, idle := 0, 0; idle < caller.settings.Tries; try++ {
+		before := last.events
 		whole, err := caller.follow(ctx, call, try, &last, take)
 		if whole {
 			return nil
@@ -40,7 +43,17 @@
 			return stop.err
 		}
 		failed = err
-		if caller.wait(ctx, pause) != nil {
+		idle++
+		if last.events > before {
+			idle, pause = 0, caller.settings.Pause
+		}
+		if last.events > 0 && last.id == "" {
+			// Without an id there is no way back to the place behind it.
+			break
+		}
+		var refused refusedFor
+		_ = eris.As(err, &refused)
+		if caller.wait(ctx, max(pause, refused.wait)) != nil {
 			break
 		}
 		pause *= 2
@@ -48,6 +61,12 @@
 	return eris.Wrap(ErrCut, failed.Error())
 }
 
+// progress is how far a stream has come.
+type progress struct {
+	id     string
+	events int
+}
+
 // stopped is an error after which the stream is not tried again.
 type stopped struct {
 	err error
@@ -58,12 +77,18 @@
 	return stop.err.Error()
 }
 
+// refusedFor is a refusal that names a time to come back.
+type refusedFor struct {
+	Problem
+	wait timekeeper.Span
+}
+
 // follow reads one connection's part of the stream.
 func (caller *Caller) follow(
-	ctx context.Context, call Call, try int, last *string, take func(event Event) error,
+	ctx context.Context, call Call, try int, last *progress, take func(event Event) error,
 ) (bool, error) {
-	if *last != "" {
-		call = call.resumedFrom(*last)
+	if last.id != "" {
+		call = call.resumedFrom(last.id)
 	}
 	response, err := caller.do(ctx, call, try)
 	if err != nil {
@@ -85,7 +110,10 @@
 		if err := take(event); err != nil {
 			return false, stopped{err}
 		}
-		*last = event.ID
+		last.events++
+		if event.ID != "" {
+			last.id = event.ID
+		}
 	}
 }
 
@@ -110,10 +138,11 @@
 	if !ok {
 		return stopped{eris.Errorf("status %d", response.StatusCode)}
 	}
-	if outcome := outcomeOf(problem, response.Header); outcome.wait == 0 {
+	outcome := outcomeOf(problem, response.Header)
+	if outcome.wait == 0 {
 		return stopped{problem}
 	}
-	return problem
+	return refusedFor{Problem: problem, wait: outcome.wait}
 }
 
 // readEvent reads one event. It returns io.ErrUnexpectedEOF when the stream
