--- a/internal/disturber/proxy.go
+++ b/internal/disturber/proxy.go
@@ -38,11 +38,11 @@
 
 // Proxy stands between a dialler and one target.
 type Proxy struct {
-	target   string
 	clock    timekeeper.Clock
 	listener net.Listener
 
 	mu      sync.Mutex
+	target  string
 	changed chan struct{}
 	faults  [2]Fault
 	carried [2]int64
@@ -81,6 +81,14 @@
 	proxy.changed = make(chan struct{})
 }
 
+// Retarget leads new connections to another target, as a balancer does when an
+// instance is replaced. Open ones stay where they are.
+func (proxy *Proxy) Retarget(target string) {
+	proxy.mu.Lock()
+	defer proxy.mu.Unlock()
+	proxy.target = target
+}
+
 // Refuse makes the proxy close new connections at once, or accept them again.
 func (proxy *Proxy) Refuse(refuse bool) {
 	proxy.mu.Lock()
@@ -126,7 +134,10 @@
 // join connects an accepted connection to the target.
 func (proxy *Proxy) join(near net.Conn) {
 	var dialer net.Dialer
-	far, err := dialer.DialContext(context.Background(), "tcp", proxy.target)
+	proxy.mu.Lock()
+	target := proxy.target
+	proxy.mu.Unlock()
+	far, err := dialer.DialContext(context.Background(), "tcp", target)
 	if err != nil || !proxy.track(near, far) {
 		_ = near.Close()
 		if far != nil {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -118,6 +118,11 @@
 	if call.Key == "" && !idempotent(call.Method) {
 		call = call.WithKey(newKey())
 	}
+	return caller.send(ctx, call)
+}
+
+// send makes a call under the key that it has, if any.
+func (caller *Caller) send(ctx context.Context, call Call) (Answer, error) {
 	pause := caller.settings.Pause
 	// A call may have run as soon as one try ended without a word, whatever a
 	// later try says of itself.
--- /dev/null
+++ b/pkg/caller/purse.go
@@ -0,0 +1,98 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// keysPath is where minted keys are got.
+	keysPath = "/v1/keys"
+	// purseSize is how many keys a purse gets at a time.
+	purseSize = 16
+	// purseMargin is the time before their end from which keys are not given
+	// out any more, so that the resends of a call end before its key does.
+	purseMargin = 5 * timekeeper.Minute
+)
+
+// Purse holds minted keys in hand. Calls under a minted key need no store, so
+// they go on through an outage of it. A key names one agent: when that is
+// replaced before the key was used, a call under it can't run and ends with
+// ErrUnknown. A caller that knows that it never sent the key may take another.
+type Purse struct {
+	caller  *Caller
+	service string
+
+	mu      sync.Mutex
+	keys    []string
+	expires timekeeper.Instant
+}
+
+// Purse returns an empty purse for a service.
+func (caller *Caller) Purse(service string) *Purse {
+	return &Purse{caller: caller, service: service}
+}
+
+// Take returns a key that has not been given out. An empty purse, or one whose
+// keys are about to end, is filled first.
+func (purse *Purse) Take(ctx context.Context) (string, error) {
+	purse.mu.Lock()
+	defer purse.mu.Unlock()
+	now := purse.caller.settings.Clock.Now()
+	if len(purse.keys) == 0 || !now.Add(purseMargin).Before(purse.expires) {
+		if err := purse.fill(ctx); err != nil {
+			return "", err
+		}
+	}
+	key := purse.keys[0]
+	purse.keys = purse.keys[1:]
+	return key, nil
+}
+
+// Drop forgets the keys in hand. It is for a caller that got ErrUnknown for a
+// key's first use: the others name the same agent.
+func (purse *Purse) Drop() {
+	purse.mu.Lock()
+	defer purse.mu.Unlock()
+	purse.keys = nil
+}
+
+// fill gets new keys; the lock must be held.
+func (purse *Purse) fill(ctx context.Context) error {
+	ask, err := json.Marshal(keyAsk{Service: purse.service, Count: purseSize})
+	if err != nil {
+		return eris.Wrap(err, "ask for keys")
+	}
+	// Asking for keys changes nothing, so it needs no key of its own.
+	answer, err := purse.caller.send(ctx, Call{Method: http.MethodPost, Path: keysPath, Body: ask})
+	if err != nil {
+		return err
+	}
+	var grant keyGrant
+	if err := json.Unmarshal(answer.Body, &grant); err != nil {
+		return eris.Wrap(err, "the answer is no grant of keys")
+	}
+	if len(grant.Keys) == 0 {
+		return eris.New("no keys were granted")
+	}
+	purse.keys = grant.Keys
+	purse.expires = timekeeper.FromTime(grant.Expires)
+	return nil
+}
+
+type keyAsk struct {
+	Service string `json:"service"`
+	Count   int    `json:"count"`
+}
+
+type keyGrant struct {
+	Keys    []string  `json:"keys"`
+	Expires time.Time `json:"expires"`
+}
--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -93,6 +93,7 @@
 	engines   map[string]*imitator.Engine
 	proxies   map[string]*disturber.Proxy
 	agents    map[string]*process
+	upstreams map[string]string
 	instances []storekeeper.Instance
 }
 
@@ -116,13 +117,14 @@
 	t.Helper()
 	noteSources(t)
 	rig := &rig{
-		t:        t,
-		clock:    timekeeper.Wall(),
-		ledger:   imitator.NewLedger(),
-		engines:  map[string]*imitator.Engine{},
-		proxies:  map[string]*disturber.Proxy{},
-		agents:   map[string]*process{},
-		platform: imitator.NewPlatform(timekeeper.Wall()),
+		t:         t,
+		clock:     timekeeper.Wall(),
+		ledger:    imitator.NewLedger(),
+		engines:   map[string]*imitator.Engine{},
+		proxies:   map[string]*disturber.Proxy{},
+		agents:    map[string]*process{},
+		upstreams: map[string]string{},
+		platform:  imitator.NewPlatform(timekeeper.Wall()),
 	}
 	rig.base = rig.serve(rig.platform.Handler())
 	if _, err := publisher.Accept(t.Context(), rig.platform.Seams(), bundle, 0, "rig"); err != nil {
@@ -166,6 +168,7 @@
 	rig.t.Cleanup(closeProxy)
 	rig.proxies[name] = proxy
 	rig.agents[name] = agent
+	rig.upstreams[name] = upstream
 	rig.instances = append(rig.instances, storekeeper.Instance{
 		Name: name, Service: service, Address: proxy.Address(), Site: "bole",
 	})
@@ -283,6 +286,11 @@
 // stop asks for a graceful stop and returns the exit code.
 func (proc *process) stop() int {
 	proc.signal(syscall.SIGTERM)
+	return proc.ended()
+}
+
+// ended waits for the end of the process and returns its exit code.
+func (proc *process) ended() int {
 	<-proc.done
 	_ = proc.command.Wait()
 	return proc.command.ProcessState.ExitCode()
