--- a/internal/reporter/slopes_test.go
+++ b/internal/reporter/slopes_test.go
@@ -27,12 +27,16 @@
 	return (usage.Utime.Nano() + usage.Stime.Nano()) / 1000
 }
 
-// TestSlopes prints what a replica costs a process in memory and processor
+// BenchmarkSlopes prints what a replica costs a process in memory and processor
 // time, at several sizes. It asserts nothing: the figures depend on the machine.
-func TestSlopes(t *testing.T) {
-	if !testing.Verbose() {
-		t.Skip("prints only")
+func BenchmarkSlopes(b *testing.B) {
+	for b.Loop() {
+		slopes(b)
 	}
+}
+
+func slopes(t testing.TB) {
+	t.Helper()
 	for _, replicas := range []int{100, 400, 1600, 3200} {
 		before := heap()
 		table := full(replicas, Rules{})
