admitter: offers tell what their entry has under way

Cause: in dev, 40 callers at once before nine planners of eight slots: 270 to 400 of 600 calls were refused at-bound with most slots free. The mean came from digests a second old that still said 'idle', so each replica with one call was over its share; and every refusal named the same replica as the one with room. Ruled out: the queue and the retry budget (reasons in the log: all at-bound). Change: each offer tells the work that its entry has under way at the service; the mean takes the larger of the digests' total and the sum over entries heard within a second. Room is the lesser loaded of two at random.

--- /dev/null
+++ b/internal/admitter/demand.go
@@ -0,0 +1,63 @@
+package admitter
+
+import (
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// demandAge is how long an entry's word counts. Calls take from a tenth of a
+	// second to some twenty seconds, so within a second little of what an entry
+	// has under way has ended.
+	demandAge = timekeeper.Second
+	// mostEntries bounds the memory; the fleet is designed for 380 daemons.
+	mostEntries = 1024
+)
+
+// Demand is the work that entries say they have under way at a service, told
+// with each offer.
+//
+// It is for the first second of a burst. Digests between agents are a second or
+// more old; they say that the service is idle, so every replica that holds one
+// call is over its share of nothing. The symptom: callers refused at half load,
+// by every candidate, with slots free all over. What an entry has under way is
+// exact and as old as its offer. The sum over entries leaves out those that have
+// not offered here lately, so it is at most the true total but for what ended
+// within a second, and the mean takes the larger of the two.
+type Demand struct {
+	told []demandTold
+}
+
+type demandTold struct {
+	entry string
+	work  int64
+	at    timekeeper.Instant
+}
+
+// Note takes in what an entry has under way, the offered call included.
+func (demand *Demand) Note(entry string, work int64, now timekeeper.Instant) {
+	demand.forget(now)
+	at := slices.IndexFunc(demand.told, func(told demandTold) bool { return told.entry == entry })
+	switch {
+	case at >= 0:
+		demand.told[at] = demandTold{entry, work, now}
+	case len(demand.told) < mostEntries:
+		demand.told = append(demand.told, demandTold{entry, work, now})
+	}
+}
+
+// Raise returns the mean with a total that is not below what entries have told.
+func (demand *Demand) Raise(mean Mean, now timekeeper.Instant) Mean {
+	demand.forget(now)
+	var total int64
+	for _, told := range demand.told {
+		total += told.work
+	}
+	mean.Total = max(mean.Total, total)
+	return mean
+}
+
+func (demand *Demand) forget(now timekeeper.Instant) {
+	demand.told = slices.DeleteFunc(demand.told, func(told demandTold) bool { return now.Since(told.at) > demandAge })
+}
--- a/internal/assembler/dev_test.go
+++ b/internal/assembler/dev_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -131,3 +132,32 @@
 		So(eris.Is(<-done, errStop), ShouldBeTrue)
 	})
 }
+
+func TestASiteBelowItsCapacityAnswersEverybody(t *testing.T) {
+	// Fifty-six callers come at once, each with four turns of a chat, to a site of
+	// nine planners with eight slots each that has been idle. The digests that
+	// agents exchange are older than the burst. Nobody may be refused: more than
+	// a fifth of the slots stay free.
+	base := startDev(t)
+	const callers, turns = 56, 4
+	statuses := make(chan int, callers*turns)
+	for caller := range callers {
+		go func() {
+			for range turns {
+				status, _, _ := call(t, "POST", base+"/v1/chat/completions",
+					`{"model":"planner","stream":true,"max_tokens":24,"messages":[{"role":"user","content":"rebuild the route of the van"}]}`,
+					"Authorization", "Bearer "+DevKey, "Trefoilseam-Chat", "van-"+strconv.Itoa(caller))
+				statuses <- status
+			}
+		}()
+	}
+	Convey("every turn is answered", t, func() {
+		refused := 0
+		for range callers * turns {
+			if <-statuses != http.StatusOK {
+				refused++
+			}
+		}
+		So(refused, ShouldEqual, 0)
+	})
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -20,6 +20,7 @@
 	if named, ok := minter.Read(call.key); ok && !call.idempotent {
 		return entry.carryMinted(ctx, w, call, named)
 	}
+	defer entry.demand.begin(call)()
 	route := entry.route(call)
 	entry.logPlacement(call, route.Ranked())
 	entry.budgets.earn(call.service)
@@ -92,6 +93,7 @@
 	stream *encoder.Stream, call call, at *contact, attempt uint32,
 ) (classifier.Failure, bool, bool) {
 	offer := call.offer(entry.settings.Name, at.replica, attempt)
+	offer.UnderWay = entry.demand.of(call.service).Load()
 	offer.Strikes = entry.hints.of(offer.GetFingerprint(), entry.settings.Clock.Now()).strikes
 	run := &encoder.Run{
 		RequestId: call.id, Method: call.method, Path: call.path, Headers: call.headers, Body: call.body,
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -67,6 +67,7 @@
 type Entry struct {
 	settings Settings
 	serial   atomic.Uint64
+	demand   demand
 	keys     keyTable
 	budgets  *budgets
 	away     *absent
--- a/internal/reporter/address.go
+++ b/internal/reporter/address.go
@@ -1,7 +1,6 @@
 package reporter
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -46,8 +45,10 @@
 	return engines
 }
 
-// Room returns the live replica of a service with the least load, other than
-// the one that asks: it has just refused.
+// Room returns a live replica of a service with little load, other than the
+// one that asks: the lesser loaded of two at random (Mitzenmacher, "The Power of
+// Two Choices in Randomized Load Balancing", 2001). Rows are a second or more
+// old, so the least loaded of all would get every caller of a burst.
 func (view *View) Room(service, asker string) string {
 	view.mu.Lock()
 	defer view.mu.Unlock()
@@ -55,5 +56,9 @@
 	if len(live) == 0 {
 		return ""
 	}
-	return slices.MinFunc(live, func(a, b Row) int { return cmp.Compare(a.Load, b.Load) }).Name
+	one, other := live[view.random.IntN(len(live))], live[view.random.IntN(len(live))]
+	if other.Load < one.Load {
+		one = other
+	}
+	return one.Name
 }
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -103,6 +103,7 @@
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
+	demand   admitter.Demand
 	queue    map[string]chan verdict
 	places   *placer.Directory
 	born     timekeeper.Instant
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -104,7 +104,7 @@
 	mean := agent.settings.Mean()
 	agent.mu.Lock()
 	load := agent.desk.Load()
-	event.Bound = agent.desk.Allowed(mean)
+	event.Bound = agent.desk.Allowed(agent.demand.Raise(mean, event.At))
 	agent.mu.Unlock()
 	event.Load = load.Work
 	event.Count = int64(load.Running + load.Waiting)
