verifier: where nothing is recorded, nothing is shown

Cause: a report over a time without any record said 'held' six times (seen with dev, whose first half minute lies after the default end of a report). Change: an empty range is a doubt about every promise; a promise that nothing put to the test says so. Measured: the new test fails without the rule.

--- a/internal/verifier/court.go
+++ b/internal/verifier/court.go
@@ -112,6 +112,11 @@
 	return evidence.At >= court.settings.From && evidence.At <= court.settings.Until
 }
 
+// empty reports whether no record falls within the range.
+func (court *court) empty() bool {
+	return !slices.ContainsFunc(court.all, court.inRange)
+}
+
 // each calls look for every record of a kind within the range, in order of time.
 func (court *court) each(kind recorder.Kind, look func(evidence Evidence)) {
 	for _, evidence := range court.all {
--- a/internal/verifier/judge_test.go
+++ b/internal/verifier/judge_test.go
@@ -210,6 +210,13 @@
 			So(verdict.Checked, ShouldBeGreaterThan, 0)
 		}
 	})
+	Convey("where nothing is recorded, nothing is shown", t, func() {
+		later := Settings{From: 70000, Until: 80000}
+		for _, verdict := range Judge(Verify(cleanStory().objects(4)), later).Verdicts {
+			So(verdict.Outcome, ShouldEqual, NotProvable)
+			So(verdict.Doubts, ShouldContain, noRecord)
+		}
+	})
 	for _, test := range tests {
 		Convey(test.name, t, func() {
 			told := cleanStory()
--- a/internal/verifier/report.go
+++ b/internal/verifier/report.go
@@ -164,6 +164,10 @@
 	},
 }
 
+// noRecord is the doubt about every promise where nothing at all is recorded.
+// Without it, a fleet that keeps no record would be shown to have held them all.
+const noRecord = "no record falls into this time"
+
 // Judge gives a verdict on each promise from a verified trail.
 func Judge(trail Trail, settings Settings) Report {
 	settings = settings.withDefaults()
@@ -177,6 +181,9 @@
 	for i, rule := range rules {
 		verdict := Verdict{Number: i + 1, Promise: rule.promise, Rule: rule.text, Outcome: Held}
 		rule.check(court, &verdict)
+		if court.empty() {
+			verdict.doubt(noRecord)
+		}
 		switch {
 		case len(verdict.Breaches) > 0:
 			verdict.Outcome = Broken
--- a/internal/verifier/text.go
+++ b/internal/verifier/text.go
@@ -14,7 +14,7 @@
 	fmt.Fprintf(out, "record of %d incarnations: %d segments, %d records\n", report.Incarnations, report.Segments, report.Records)
 	fmt.Fprintf(out, "judged from %s to %s, clocks may differ by %s\n\n", report.From, report.Until, report.Skew)
 	for _, verdict := range report.Verdicts {
-		fmt.Fprintf(out, "%d. %-12s  %s (%d records checked)\n", verdict.Number, verdict.Outcome, verdict.Promise, verdict.Checked)
+		fmt.Fprintf(out, "%d. %-12s  %s (%s)\n", verdict.Number, verdict.Outcome, verdict.Promise, verdict.put())
 		for i, breach := range verdict.Breaches {
 			if i == shown {
 				fmt.Fprintf(out, "     and %d more\n", len(verdict.Breaches)-shown)
@@ -55,3 +55,11 @@
 		fmt.Fprintln(out, "every chain is whole but for the gaps above")
 	}
 }
+
+// put tells how far the promise was put to the test.
+func (verdict Verdict) put() string {
+	if verdict.Checked == 0 {
+		return "nothing in this time put it to the test"
+	}
+	return fmt.Sprintf("%d records checked", verdict.Checked)
+}
