forwarder: the last stop is where this entry has least under way

Cause: a call that two candidates refused at their bound went where a digest, a second old, saw room; in a burst that was full too, and was taken above its bound. Change: of four replicas at random and the one named, the entry takes the one at which it has the least under way itself.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -52,7 +52,7 @@
 		if !attempts.add(call, failure) {
 			break
 		}
-		route.Refused(refusalOf(failure))
+		route.Refused(entry.refusalOf(call, route, failure))
 	}
 	return giveUp(attempts.failure())
 }
@@ -72,6 +72,7 @@
 	// queued place back at once, and ends a run after its grace for a resume.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	defer entry.demand.beginAt(call, replica.Name)()
 	stream := encoder.NewStream(conn)
 	at := contact{replica: replica, incarnation: peer.Incarnation, since: entry.settings.Clock.Now()}
 	entry.recordOffer(call, at)
@@ -93,7 +94,7 @@
 	stream *encoder.Stream, call call, at *contact, attempt uint32,
 ) (classifier.Failure, bool, bool) {
 	offer := call.offer(entry.settings.Name, at.replica, attempt)
-	offer.UnderWay = entry.demand.of(call.service).Load()
+	offer.UnderWay = entry.demand.of(call.service)
 	offer.Strikes = entry.hints.of(offer.GetFingerprint(), entry.settings.Clock.Now()).strikes
 	run := &encoder.Run{
 		RequestId: call.id, Method: call.method, Path: call.path, Headers: call.headers, Body: call.body,
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -67,7 +67,7 @@
 type Entry struct {
 	settings Settings
 	serial   atomic.Uint64
-	demand   demand
+	demand   *demand
 	keys     keyTable
 	budgets  *budgets
 	away     *absent
@@ -76,7 +76,12 @@
 
 // New returns an entry.
 func New(settings Settings) *Entry {
-	return &Entry{settings: settings.withDefaults(), budgets: newBudgets(), away: newAbsent()}
+	return &Entry{
+		settings: settings.withDefaults(),
+		demand:   newDemand(),
+		budgets:  newBudgets(),
+		away:     newAbsent(),
+	}
 }
 
 // ServeHTTP serves one call.
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -22,13 +22,17 @@
 }
 
 // refusalOf returns what the itinerary reads in a failure.
-func refusalOf(failure classifier.Failure) placer.Refusal {
-	return placer.Refusal{
+func (entry *Entry) refusalOf(call call, route *placer.Itinerary, failure classifier.Failure) placer.Refusal {
+	refusal := placer.Refusal{
 		Moved:   failure.Kind == classifier.Moved,
 		AtBound: failure.Kind == classifier.AtBound,
 		Where:   failure.Where,
 		Room:    failure.Room,
 	}
+	if refusal.AtBound {
+		refusal.Room = entry.roomiest(call, route, failure.Room)
+	}
+	return refusal
 }
 
 // giveUp returns the failure that a caller gets once no candidate is left. It
--- a/internal/placer/itinerary.go
+++ b/internal/placer/itinerary.go
@@ -73,6 +73,11 @@
 	return slices.DeleteFunc(keepers, func(keeper Replica) bool { return keeper.Name == served.Name })
 }
 
+// Visited reports whether a replica was a stop already.
+func (itinerary *Itinerary) Visited(name string) bool {
+	return slices.Contains(itinerary.visited, name)
+}
+
 // Refused takes in the refusal of the last stop.
 func (itinerary *Itinerary) Refused(refusal Refusal) {
 	itinerary.hint = refusal
