dev: by hand with the stand-ins alone

Cause: -stand-ins-only listed replicas without addresses, which an entry showed as listed and could never reach.

--- a/internal/assembler/dev.go
+++ b/internal/assembler/dev.go
@@ -120,10 +120,12 @@
 	if err != nil {
 		return err
 	}
-	dev.platform.SetInstances(instances)
 	if dev.settings.StandInsOnly {
+		// Agents started by hand have addresses of their own, so whoever starts
+		// them puts them on the list.
 		return nil
 	}
+	dev.platform.SetInstances(instances)
 	for i, listen := range []string{dev.settings.Listen, loopback} {
 		if err := dev.startEntry(ctx, "entry-"+strconv.Itoa(i+1), listen); err != nil {
 			return err
