forwarder: a caller that does not read is cut off, under test

Cause: the safeguard (a time for each write) had no test. Change: a scripted agent sends without end to a caller that reads nothing.

--- a/internal/forwarder/entry_test.go
+++ b/internal/forwarder/entry_test.go
@@ -97,7 +97,7 @@
 		Config:      func() resolver.Config { return config },
 		Roster:      func(string) placer.Roster { return placer.NewRoster(replicas) },
 		Locate:      func(string) (string, bool) { return "", false },
-		BodyTimeout: 300 * timekeeper.Millisecond,
+		BodyTimeout: 300 * timekeeper.Millisecond, WriteTimeout: 300 * timekeeper.Millisecond,
 	})
 	server := httptest.NewServer(entry)
 	t.Cleanup(server.Close)
@@ -221,3 +221,44 @@
 	}
 	return fmt.Sprint(response.StatusCode)
 }
+
+func TestACallerThatDoesNotReadIsCutOff(t *testing.T) {
+	// A caller asks for a large answer and reads nothing of it.
+	// Buffers fill from the caller back to the agent, which holds its upstream
+	// still; the entry's write passes its time, the caller's connection is cut,
+	// and the agent sees the stream close: the slot is free again.
+	stopped := make(chan struct{})
+	agent := scripted(t, func(stream *encoder.Stream, offer *encoder.Offer) {
+		_ = stream.Write(encoder.Of(&encoder.Head{RequestId: offer.GetRequestId(), Status: 200}))
+		part := make([]byte, 64<<10)
+		go func() {
+			defer close(stopped)
+			for err := error(nil); err == nil; {
+				_, err = stream.Read()
+			}
+		}()
+		for offset := uint64(0); ; offset += uint64(len(part)) {
+			if stream.Write(encoder.Of(&encoder.Chunk{Offset: offset, Data: part})) != nil {
+				return
+			}
+		}
+	})
+	server := front(t, agent)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "GET /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
+	Convey("the agent is let go", t, func() {
+		late, release := timekeeper.Wall().After(20 * timekeeper.Second)
+		defer release()
+		letGo := false
+		select {
+		case <-stopped:
+			letGo = true
+		case <-late:
+		}
+		So(letGo, ShouldBeTrue)
+	})
+}
