--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -20,6 +20,7 @@
 	if named, ok := minter.Read(call.key); ok && !call.idempotent {
 		return entry.carryMinted(ctx, w, call, named)
 	}
+	defer entry.demand.begin(call)()
 	route := entry.route(call)
 	entry.logPlacement(call, route.Ranked())
 	entry.budgets.earn(call.service)
@@ -51,7 +52,7 @@
 		if !attempts.add(call, failure) {
 			break
 		}
-		route.Refused(refusalOf(failure))
+		route.Refused(entry.refusalOf(call, route, failure))
 	}
 	return giveUp(attempts.failure())
 }
@@ -71,6 +72,7 @@
 	// queued place back at once, and ends a run after its grace for a resume.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	defer entry.demand.beginAt(call, replica.Name)()
 	stream := encoder.NewStream(conn)
 	at := contact{replica: replica, incarnation: peer.Incarnation, since: entry.settings.Clock.Now()}
 	entry.recordOffer(call, at)
@@ -92,6 +94,7 @@
 	stream *encoder.Stream, call call, at *contact, attempt uint32,
 ) (classifier.Failure, bool, bool) {
 	offer := call.offer(entry.settings.Name, at.replica, attempt)
+	offer.UnderWay = entry.demand.of(call.service)
 	offer.Strikes = entry.hints.of(offer.GetFingerprint(), entry.settings.Clock.Now()).strikes
 	run := &encoder.Run{
 		RequestId: call.id, Method: call.method, Path: call.path, Headers: call.headers, Body: call.body,
