--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -81,6 +81,7 @@
 	case lost:
 		return entry.settle(ctx, entry.newRelayed(w, call), at)
 	case !committed:
+		entry.bury(ctx, call, at, failure)
 		return failure, false
 	}
 	return entry.relay(ctx, w, call, at, stream)
--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -103,6 +103,26 @@
 	return failure, done, false
 }
 
+// bury leaves a tombstone for a keyed call whose connection broke before its
+// grant came, so that its key is free for the resend.
+//
+// The failure: the grant is lost on its way. The symptom: the caller is told
+// "not run", sends again at once, and is told that its key is in progress,
+// until the agent has noticed that the first connection is gone. One look-up
+// is enough, since nothing depends on it: without an answer the agent gives
+// the key back by itself, RunWait after the grant at the latest.
+func (entry *Entry) bury(ctx context.Context, call call, at contact, failure classifier.Failure) {
+	if call.idempotent || call.key == "" || failure.Kind != classifier.Unreachable {
+		return
+	}
+	_, _, hangUp, err := entry.ask(ctx, at, &encoder.Lookup{
+		RequestId: call.id, Incarnation: at.incarnation, Team: call.team, Tombstone: true,
+	})
+	if err == nil {
+		hangUp()
+	}
+}
+
 // ask opens a stream, sends the look-up and reads what was found. The stream
 // stays open for the answer until the function that ask returns is called.
 func (entry *Entry) ask(
