loader: all faults of a settings file at once, each with its line

Cause: the decoder stopped at the first bad value, what was missing or out of range had no line, and clashes came to light at the listen call or not at all. Change: settings are read as a document, value by value, as the configuration is. Missing keys are reported at line 1. Checked beside: listen against admin-listen, peers twice or the process itself, log level, port range, upstream against platform, what is advertised.

--- a/internal/loader/process.go
+++ b/internal/loader/process.go
@@ -1,10 +1,8 @@
 package loader
 
 import (
-	"fmt"
-	"net"
-	"net/url"
 	"os"
+	"slices"
 
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 )
@@ -47,77 +45,35 @@
 // ReadEntry reads the settings of an entry.
 func ReadEntry(file string) (Entry, resolver.Faults) {
 	var entry Entry
-	faults := read(file, &entry)
-	if len(faults) == 0 {
-		faults = entry.check(file)
-	}
+	faults := read(file, &entry, func(check *checker) { check.process(entry.Process) })
 	return entry, faults
 }
 
 // ReadAgent reads the settings of an agent.
 func ReadAgent(file string) (Agent, resolver.Faults) {
 	var agent Agent
-	faults := read(file, &agent)
-	if len(faults) > 0 {
-		return agent, faults
-	}
-	faults = agent.check(file)
-	if agent.Service == "" {
-		faults = append(faults, missing(file, "service"))
-	}
-	return agent, append(faults, checkURL(file, "upstream", agent.Upstream)...)
+	faults := read(file, &agent, func(check *checker) {
+		check.process(agent.Process)
+		check.agent(agent)
+	})
+	return agent, faults
 }
 
-func read(file string, out any) resolver.Faults {
+// read fills out from the file, then checks what is in it.
+func read(file string, out any, inspect func(check *checker)) resolver.Faults {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return resolver.Faults{{File: file, Reason: err.Error()}}
 	}
-	return resolver.Decode(file, text, out)
-}
-
-func (process Process) check(file string) resolver.Faults {
-	var faults resolver.Faults
-	if process.Name == "" {
-		faults = append(faults, missing(file, "name"))
-	}
-	if process.Site == "" {
-		faults = append(faults, missing(file, "site"))
-	}
-	faults = append(faults, checkAddress(file, "listen", process.Listen)...)
-	if process.AdminListen != "" {
-		faults = append(faults, checkAddress(file, "admin-listen", process.AdminListen)...)
-	}
-	for _, peer := range process.Peers {
-		faults = append(faults, checkAddress(file, "peers", peer)...)
-	}
-	return append(faults, checkURL(file, "platform", process.Platform)...)
-}
-
-func missing(file, key string) resolver.Fault {
-	return resolver.Fault{File: file, Reason: key + " is missing"}
-}
-
-func checkAddress(file, key, value string) resolver.Faults {
-	if value == "" {
-		return resolver.Faults{missing(file, key)}
-	}
-	host, _, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(host) == nil {
-		reason := fmt.Sprintf("%s is %q; write an IP number and a port, such as \"127.0.0.1:8080\"", key, value)
-		return resolver.Faults{{File: file, Reason: reason}}
-	}
-	return nil
-}
-
-func checkURL(file, key, value string) resolver.Faults {
-	if value == "" {
-		return resolver.Faults{missing(file, key)}
+	doc, faults := resolver.Decode(file, text, out)
+	check := &checker{file: file, doc: doc, faults: faults}
+	if doc.Empty() && len(faults) > 0 {
+		return faults
 	}
-	address, err := url.Parse(value)
-	if err != nil || address.Scheme != "http" || address.Host == "" {
-		reason := fmt.Sprintf("%s is %q; write an address such as \"http://127.0.0.1:7000\"", key, value)
-		return resolver.Faults{{File: file, Reason: reason}}
+	for _, fault := range faults {
+		check.bad = append(check.bad, fault.Line)
 	}
-	return nil
+	inspect(check)
+	slices.SortStableFunc(check.faults, func(a, b resolver.Fault) int { return a.Line - b.Line })
+	return check.faults
 }
--- a/internal/resolver/merge.go
+++ b/internal/resolver/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -159,7 +160,7 @@
 	}
 	sound := newDocument()
 	for _, value := range doc.values {
-		if _, bad := value.check(); !bad {
+		if _, bad := value.check(reflect.TypeFor[Config]()); !bad {
 			sound.set(value)
 		}
 	}
@@ -196,7 +197,7 @@
 		if value.Text == "" && len(value.Path) == 1 || tunable(value.Path) {
 			continue
 		}
-		if _, _, remedy := typeAt(value.Path); remedy != "" {
+		if _, _, remedy := typeAt(reflect.TypeFor[Config](), value.Path); remedy != "" {
 			continue
 		}
 		if !addable(value.Path) {
--- a/internal/resolver/schema.go
+++ b/internal/resolver/schema.go
@@ -16,15 +16,16 @@
 func (doc Document) checkValues() Faults {
 	var faults Faults
 	for _, value := range doc.values {
-		if fault, bad := value.check(); bad {
+		if fault, bad := value.check(reflect.TypeFor[Config]()); bad {
 			faults = append(faults, fault)
 		}
 	}
 	return faults
 }
 
-func (value Value) check() (Fault, bool) {
-	kind, reason, remedy := typeAt(value.Path)
+// check holds the value against the type of its key under root.
+func (value Value) check(root reflect.Type) (Fault, bool) {
+	kind, reason, remedy := typeAt(root, value.Path)
 	if reason != "" {
 		return value.Origin.fault(reason, remedy), true
 	}
@@ -38,10 +39,10 @@
 	return value.Origin.fault(value.Path.String()+" is "+value.Text, wanted(kind)), true
 }
 
-// typeAt returns the type that Config has at a path. Keys match exactly; the
+// typeAt returns the type that root has at a path. Keys match exactly; the
 // decoder alone would take "Weight" for "weight".
-func typeAt(path Path) (at reflect.Type, reason, remedy string) {
-	at = reflect.TypeFor[Config]()
+func typeAt(root reflect.Type, path Path) (at reflect.Type, reason, remedy string) {
+	at = root
 	for i := range path {
 		switch {
 		case at.Kind() == reflect.Map, at.Kind() == reflect.Slice && at.Elem().Kind() == reflect.Struct:
@@ -61,6 +62,12 @@
 
 func fieldOf(table reflect.Type, key string) (reflect.Type, bool) {
 	for field := range table.Fields() {
+		if field.Anonymous {
+			if found, ok := fieldOf(field.Type, key); ok {
+				return found, true
+			}
+			continue
+		}
 		if tag := field.Tag.Get("toml"); tag == key && tag != "-" {
 			return field.Type, true
 		}
@@ -71,6 +78,10 @@
 func keysOf(table reflect.Type) []string {
 	var keys []string
 	for field := range table.Fields() {
+		if field.Anonymous {
+			keys = append(keys, keysOf(field.Type)...)
+			continue
+		}
 		if tag := field.Tag.Get("toml"); tag != "-" {
 			keys = append(keys, tag)
 		}
