assembler: entries and agents share a shell

Cause: entry.go and agent.go repeated their listeners, admin page, metrics, pool, record, start and clean-ups (a pair of six runs of like lines). Change: a shell holds them, with an ordered list of clean-ups that run last made first. Conclusion: no other behaviour changed.

--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -2,38 +2,24 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 
 	"github.com/oklog/run"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilseam/trefoilseam/internal/budgeter"
-	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
-	"github.com/trefoilseam/trefoilseam/internal/measurer"
-	"github.com/trefoilseam/trefoilseam/internal/publisher"
-	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
-	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // Agent is an agent process, ready to run.
 type Agent struct {
+	*shell
 	settings loader.Agent
-	env      Environment
-	listener net.Listener
-	admin    net.Listener
-	watcher  *publisher.Watcher
 	agent    *runner.Agent
-	control  *control
-	metrics  http.Handler
-	meter    *storekeeper.Meter
 }
 
 // AgentStatus is what an agent says about itself.
@@ -52,39 +38,28 @@
 // NewAgent returns an agent that listens and has its first configuration, and
 // a function that releases what it holds. It waits for the configuration.
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
-	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
 	made := &Agent{settings: settings}
-	made.meter = newMeter(env, func() *publisher.Watcher { return made.watcher })
-	env.Platform = made.meter.Wrap(env.Platform)
-	made.env = env
-	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
-	made.metrics = metrics
-	pool, closePool := dialer.NewPool(dialer.Settings{})
-	incarnation := newIncarnation()
-	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
-	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
-	closeAll := func() { closeRecord(); closePool(); closeScope() }
-	made.control = newControl(controlSettings{
-		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
+	made.shell = newShell(ctx, shellSettings{
+		process: settings.Process, env: env, kind: "agent", group: settings.Service,
 		service: settings.Service, self: made.digest,
 	})
-	made.watcher = newWatcher(made.control.environment(), settings.Process, incarnation, pool, made.control.view.Addresses, record.Record)
-	if err := made.ready(ctx); err != nil {
-		closeAll()
+	// An agent has no part in the exchange before it listens.
+	if err := made.ready(ctx, func(context.Context) {}); err != nil {
+		made.release()
 		return nil, nil, err
 	}
 	agent, release, err := runner.New(runner.Settings{
 		Name:        settings.Name,
 		Service:     settings.Service,
 		Site:        settings.Site,
-		Incarnation: incarnation,
+		Incarnation: made.incarnation,
 		Upstream:    settings.Upstream,
-		Clock:       env.Clock,
-		Log:         env.Log,
-		Scope:       scope,
+		Clock:       made.env.Clock,
+		Log:         made.env.Log,
+		Scope:       made.scope,
 		Config:      made.watcher.Current,
-		Record:      record.Record,
-		Table:       env.Platform.Table,
+		Record:      made.record.Record,
+		Table:       made.env.Platform.Table,
 
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
@@ -93,25 +68,13 @@
 		Digests:       made.control.exchanger.Answer,
 	})
 	if err != nil {
-		closeAll()
+		made.release()
 		return nil, nil, err
 	}
 	made.agent = agent
-	record.SetPulse(agent.Sample)
-	return made, func() { release(); closeAll() }, nil
-}
-
-// ready waits for the first configuration, looks around once and listens.
-func (made *Agent) ready(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := made.watcher.Await(ctx); err != nil {
-		return err
-	}
-	if err := made.control.view.Look(ctx); err != nil {
-		made.env.Log.WithError(err).Warn("instance list not read")
-	}
-	return made.bind()
+	made.onRelease(release)
+	made.record.SetPulse(agent.Sample)
+	return made, made.release, nil
 }
 
 // digest returns what the agent says about itself, and where it is reached.
@@ -133,41 +96,13 @@
 	}
 }
 
-func (made *Agent) bind() error {
-	listener, err := listen(made.settings.Listen)
-	if err != nil {
-		return err
-	}
-	made.listener = listener
-	if made.settings.AdminListen == "" {
-		return nil
-	}
-	made.admin, err = listen(made.settings.AdminListen)
-	return eris.Wrap(err, "admin address")
-}
-
-// Address returns where the fleet reaches the agent.
-func (made *Agent) Address() string {
-	return made.listener.Addr().String()
-}
-
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
 	addLoop(group, made.watcher.Run)
 	addLoop(group, made.agent.Keep)
 	made.control.addTo(group)
 	made.addCalls(group)
-	made.env.Log.WithField("address", made.Address()).Info("listening")
-	if made.admin == nil {
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", made.metrics)
-	mux.HandleFunc("GET /store", handler.Show(made.meter.Tallies))
-	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
-	mux.HandleFunc("GET /status", handler.Show(made.Status))
-	addServer(group, made.admin, mux, headerTimeout)
-	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
+	made.addAdmin(group, handler.Show(made.Status))
 }
 
 // addCalls adds the actor that serves calls. Its stop refuses new work at once
--- a/internal/assembler/orders.go
+++ b/internal/assembler/orders.go
@@ -44,7 +44,7 @@
 func (planners planners) planner(service string) *planner.Planner {
 	entry := planners.entry
 	return planner.New(planner.Settings{
-		Holder:  entry.settings.Name + "-" + strconv.FormatUint(planners.incarnation, 36),
+		Holder:  entry.process.Name + "-" + strconv.FormatUint(planners.incarnation, 36),
 		Service: service,
 		Table:   entry.env.Platform.Table,
 		Clock:   entry.env.Clock,
