runner, forwarder, assembler: answers bring the load, failed calls reach the view

Cause: End.now was never set, failed dials and look-ups stayed in the call, and the recorder read the instance list once more at each start. Change: an answer brings a digest when the load changed by a quarter or a second has passed, if the budget is ample; a failed dial, and a lost call that could not be asked for, count one failure in the entry's view; the recorder takes the fleet's size from the view. membership-round sets the pace of rounds, and silence and cool-down follow it. Tried: the ended call counted as load, and a caller who left counted as a failure, each fail a test.

--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -62,12 +62,12 @@
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	incarnation := newIncarnation()
 	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
-	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
-	closeAll := func() { closeRecord(); closePool(); closeScope() }
 	made.control = newControl(controlSettings{
 		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
 		service: settings.Service, self: made.digest,
 	})
+	record, closeRecord := newRecorder(env, settings.Process, origin, made.control.view.Listed)
+	closeAll := func() { closeRecord(); closePool(); closeScope() }
 	made.watcher = newWatcher(made.control.environment(), settings.Process, incarnation, pool, made.control.view.Addresses, record.Record)
 	if err := made.ready(ctx); err != nil {
 		closeAll()
@@ -91,6 +91,7 @@
 		Mean:          made.control.exchanger.Mean,
 		Room:          func() string { return made.control.view.Room(settings.Service, settings.Name) },
 		Digests:       made.control.exchanger.Answer,
+		Tell:          made.control.tell,
 	})
 	if err != nil {
 		closeAll()
--- a/internal/assembler/control.go
+++ b/internal/assembler/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/oklog/run"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilseam/trefoilseam/internal/budgeter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
@@ -45,7 +46,7 @@
 		Clock:     settings.env.Clock,
 		Log:       settings.env.Log,
 		Budget:    made.budget,
-		Rules:     reporter.Rules{Told: settings.self == nil},
+		Rules:     rulesOf(settings),
 		Service:   settings.service,
 		Seed:      settings.incarnation,
 	})
@@ -56,10 +57,19 @@
 		Site:  settings.process.Site,
 		Seeds: settings.process.Peers,
 		Self:  settings.self,
+		Every: settings.process.MembershipRound,
 	})
 	return made
 }
 
+// rulesOf returns the rules of a process's view: its spans follow its rounds,
+// so that silence is as unlikely by chance at any pace.
+func rulesOf(settings controlSettings) reporter.Rules {
+	const roundsOfSilence, roundsToCool = 8, 10
+	round := settings.process.MembershipRound
+	return reporter.Rules{Told: settings.self == nil, Silence: roundsOfSilence * round, Cool: roundsToCool * round}
+}
+
 // counter returns what takes spending to the metrics.
 func counter(scope tally.Scope) func(cause budgeter.Cause, bytes int64) {
 	return func(cause budgeter.Cause, bytes int64) {
@@ -89,6 +99,20 @@
 	return made.budget.Status(made.env.Clock.Now())
 }
 
+// tell counts a digest that rides on an answer, unless loads have to give way.
+func (made *control) tell(digest *encoder.Digest) bool {
+	if made.budget.Level(made.env.Clock.Now()) >= budgeter.Tight {
+		return false
+	}
+	made.heard(digest)
+	return true
+}
+
+// heard counts a digest that came or went with an answer.
+func (made *control) heard(digest *encoder.Digest) {
+	made.budget.Spend(made.env.Clock.Now(), budgeter.Digest, int64(proto.Size(digest)))
+}
+
 // requestSize is what a question to the platform takes beside its answer's
 // body: the request and the headers of both, about.
 const requestSize = 300
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -64,11 +64,11 @@
 	entry.metrics = metrics
 	incarnation := newIncarnation()
 	origin := recorder.Origin{Group: recorder.EntryGroup, Name: settings.Name, Incarnation: incarnation}
-	record, closeRecord := newRecorder(ctx, env, settings.Process, origin)
-	release := func() { closePool(); closeRecord(); closeScope() }
 	entry.control = newControl(controlSettings{
 		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
 	})
+	record, closeRecord := newRecorder(env, settings.Process, origin, entry.control.view.Listed)
+	release := func() { closePool(); closeRecord(); closeScope() }
 	entry.view = entry.control.view
 	entry.watcher = newWatcher(
 		entry.control.environment(), settings.Process, incarnation, pool, entry.view.Addresses, record.Record,
@@ -95,6 +95,7 @@
 		Roster:      entry.view.Roster,
 		Locate:      entry.view.Locate,
 		Learn:       entry.learn,
+		Failed:      entry.view.Fail,
 		Record:      record.Record,
 	})
 	return entry, release, nil
--- a/internal/assembler/record.go
+++ b/internal/assembler/record.go
@@ -1,23 +1,19 @@
 package assembler
 
 import (
-	"context"
-
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 )
 
 // newRecorder starts the record of a process, and returns a function that ends
 // it once nothing more can happen.
+//
+// The size of the fleet, by the list that the process reads anyway, only
+// stretches the time between flushes; until a list was read the record is
+// flushed as a small fleet's.
 func newRecorder(
-	ctx context.Context, env Environment, process loader.Process, origin recorder.Origin,
+	env Environment, process loader.Process, origin recorder.Origin, processes func() int,
 ) (*recorder.Recorder, func()) {
-	// The size of the fleet only stretches the time between flushes; without
-	// the list the record is flushed as a small fleet's.
-	instances, err := env.Platform.Directory.List(ctx)
-	if err != nil {
-		env.Log.WithError(err).Warn("instance list not read")
-	}
 	started := recorder.Event{
 		Instance:    origin.Name,
 		Incarnation: origin.Incarnation,
@@ -27,11 +23,11 @@
 		started.Service = origin.Group
 	}
 	return recorder.New(recorder.Settings{
-		Origin:     origin,
-		Objects:    env.Platform.Objects,
-		Clock:      env.Clock,
-		Log:        env.Log,
-		FlushEvery: recorder.FlushEvery(len(instances)),
+		Origin:    origin,
+		Objects:   env.Platform.Objects,
+		Clock:     env.Clock,
+		Log:       env.Log,
+		Processes: processes,
 	}, started)
 }
 
--- a/internal/assembler/watch.go
+++ b/internal/assembler/watch.go
@@ -54,6 +54,7 @@
 // learn takes in what an agent said about itself: its state for the view, and
 // the revision that it carries for the watcher.
 func (entry *Entry) learn(digest *encoder.Digest) {
+	entry.control.heard(digest)
 	entry.watcher.Hear(digest.GetRevision())
 	entry.view.Learn(digest)
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -63,6 +63,7 @@
 ) (classifier.Failure, bool) {
 	conn, peer, err := entry.settings.Pool.OpenPeer(ctx, replica.Address)
 	if err != nil {
+		entry.failed(ctx, call, replica)
 		return classifier.New(classifier.Unreachable, replica.Name), false
 	}
 	defer func() { _ = conn.Close() }()
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -36,6 +36,9 @@
 	Locate func(instance string) (address string, known bool)
 	// Learn takes in a digest that came with an answer; nil means it is dropped.
 	Learn func(digest *encoder.Digest)
+	// Failed takes a replica that could not be reached, or could not be asked
+	// what became of a call; nil means it is dropped.
+	Failed func(service, instance string)
 	// Record takes events of the fleet's record; nil means they are dropped.
 	Record func(event recorder.Event)
 	// BodyTimeout bounds the arrival of a request body; zero means 10 seconds.
@@ -54,6 +57,9 @@
 	if settings.Learn == nil {
 		settings.Learn = func(*encoder.Digest) {}
 	}
+	if settings.Failed == nil {
+		settings.Failed = func(string, string) {}
+	}
 	if settings.Locate == nil {
 		settings.Locate = func(string) (string, bool) { return "", false }
 	}
--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -75,9 +75,19 @@
 		}
 	}
 	entry.hints.suspect(answer.call.fingerprint(), entry.settings.Clock.Now())
+	entry.failed(ctx, answer.call, at.replica)
 	return answer.broken(unknown)
 }
 
+// failed tells the view of a replica that a call could not reach. A lost
+// connection counts once for all its look-ups, so that one call alone never
+// has a replica held dead; a caller that left proves nothing.
+func (entry *Entry) failed(ctx context.Context, call call, replica placer.Replica) {
+	if ctx.Err() == nil {
+		entry.settings.Failed(call.service, replica.Name)
+	}
+}
+
 // lookUp asks once. The third result is true when no answer came.
 func (entry *Entry) lookUp(ctx context.Context, answer *relayed, at contact) (classifier.Failure, bool, bool) {
 	stream, found, hangUp, err := entry.ask(ctx, at, &encoder.Lookup{
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -26,6 +26,9 @@
 	// FlushEvery is the longest that a record waits for its segment to be
 	// sealed; zero means 5 seconds.
 	FlushEvery timekeeper.Span
+	// Processes returns how many processes write records now, which stretches
+	// the time between flushes; nil means that it isn't known.
+	Processes func() int
 	// SegmentBytes seals a segment early, before compression; zero means 256 KiB.
 	SegmentBytes int
 	// BacklogBytes bounds the segments that wait for the store; zero means 8 MiB.
@@ -70,6 +73,14 @@
 	return settings
 }
 
+// flushEvery returns the time to the next flush, by the size of the fleet now.
+func (settings Settings) flushEvery() timekeeper.Span {
+	if settings.Processes == nil {
+		return settings.FlushEvery
+	}
+	return max(settings.FlushEvery, FlushEvery(settings.Processes()))
+}
+
 func orDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
@@ -131,7 +142,7 @@
 // collect is the one goroutine that owns the chain.
 func (made *Recorder) collect() {
 	chain := NewChain(made.settings.Origin)
-	flush, stopFlush := made.settings.Clock.After(made.settings.FlushEvery)
+	flush, stopFlush := made.settings.Clock.After(made.settings.flushEvery())
 	pulse, stopPulse := made.settings.Clock.After(made.settings.PulseEvery)
 	defer func() { stopFlush(); stopPulse() }()
 	for {
@@ -143,7 +154,7 @@
 			pulse, stopPulse = made.settings.Clock.After(made.settings.PulseEvery)
 		case <-flush:
 			made.seal(chain)
-			flush, stopFlush = made.settings.Clock.After(made.settings.FlushEvery)
+			flush, stopFlush = made.settings.Clock.After(made.settings.flushEvery())
 		case <-made.stopping:
 			made.finish(chain)
 			return
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -48,6 +48,9 @@
 	// Room names a replica of the service with room, for callers that are sent
 	// on; nil means that none is known.
 	Room func() string
+	// Tell counts a digest that is about to ride on an answer, and returns false
+	// when the budget has no room for it; nil means that there is always room.
+	Tell func(digest *encoder.Digest) bool
 	// Draw returns random numbers in [0, 1) for jitter; nil means a source
 	// seeded with the incarnation.
 	Draw func() float64
@@ -73,6 +76,9 @@
 	if settings.Room == nil {
 		settings.Room = func() string { return "" }
 	}
+	if settings.Tell == nil {
+		settings.Tell = func(*encoder.Digest) bool { return true }
+	}
 	if settings.Draw == nil {
 		settings.Draw = rand.New(rand.NewPCG(settings.Incarnation, 0)).Float64
 	}
@@ -113,6 +119,7 @@
 	weighed  map[string]weighing
 	draining bool
 	sequence uint64
+	told     told
 	calls    sync.WaitGroup
 }
 
--- a/internal/runner/answer.go
+++ b/internal/runner/answer.go
@@ -34,6 +34,8 @@
 	end     *encoder.End
 	// opened, if set, is called once the head is there.
 	opened func()
+	// now, if set, returns what the end brings of the agent, or nil.
+	now func() *encoder.Digest
 }
 
 func newAnswer() *answer {
@@ -84,6 +86,11 @@
 
 // close ends the answer. Only the first call counts.
 func (answer *answer) close(requestID string, complete bool, failure classifier.Failure) {
+	// The agent's lock is taken before the answer's, never after it.
+	var now *encoder.Digest
+	if answer.now != nil {
+		now = answer.now()
+	}
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
 	if answer.end != nil {
@@ -94,6 +101,7 @@
 		Complete:  complete,
 		Length:    answer.length(),
 		Digest:    answer.digest.Sum64(),
+		Now:       now,
 	}
 	if !complete {
 		answer.end.Kind = failure.Kind.String()
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -39,6 +39,7 @@
 		cancel:     cancel,
 	}
 	started.answer.opened = func() { agent.opened(started.id) }
+	started.answer.now = func() *encoder.Digest { return agent.atEnd(offer) }
 	agent.mu.Lock()
 	if known := agent.runs[started.id]; known != nil {
 		agent.mu.Unlock()
--- /dev/null
+++ b/internal/runner/told_test.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+func TestAnAnswerBringsTheLoadOnlyWhenItIsNews(t *testing.T) {
+	tests := []struct {
+		name  string
+		told  told
+		after timekeeper.Span
+		load  int64
+		want  bool
+	}{
+		{"the first answer", told{}, 0, 0, true},
+		{"nothing changed", told{1000, 400}, 10, 400, false},
+		{"little changed", told{1000, 400}, 10, 350, false},
+		{"much more", told{1000, 400}, 10, 500, true},
+		{"much less", told{1000, 400}, 10, 300, true},
+		{"an idle agent stays idle", told{1000, 0}, 10, 0, false},
+		{"a second has passed", told{1000, 400}, tellEvery, 400, true},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			due, after := test.told.due(test.told.at.Add(test.after), test.load)
+			So(due, ShouldEqual, test.want)
+			So(after.load == test.load, ShouldEqual, test.want || test.load == test.told.load)
+		})
+	}
+}
+
+func TestTheEndOfAnAnswerTellsTheLoadWithoutTheCall(t *testing.T) {
+	bench := newBench(t)
+	Convey("the call that ends is not part of it, and a full budget keeps it off", t, func() {
+		for i, roomy := range []bool{true, false} {
+			bench.agent.settings.Tell = func(*encoder.Digest) bool { return roomy }
+			bench.agent.told = told{}
+			id := string(rune('a' + i))
+			stream := bench.open(&encoder.Offer{RequestId: id, Service: "orders", Team: "rig", Work: 5, Idempotent: true, RunFollows: true})
+			bench.send(stream, &encoder.Run{RequestId: id, Method: "GET", Path: "/orders"})
+			now := lastFrame(bench, stream).GetNow()
+			So(now != nil, ShouldEqual, roomy)
+			So(now.GetLoad(), ShouldEqual, 0)
+		}
+	})
+}
+
+// lastFrame reads frames up to the end of an answer.
+func lastFrame(bench *bench, stream *encoder.Stream) *encoder.End {
+	for {
+		frame, err := stream.Read()
+		if err != nil {
+			bench.t.Fatal(err)
+		}
+		if frame.GetEnd() != nil {
+			return frame.GetEnd()
+		}
+	}
+}
