--- a/cmd/trefoilseam/status.go
+++ b/cmd/trefoilseam/status.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -98,22 +100,43 @@
 	if err != nil {
 		return members{}, eris.Wrap(err, "instance list")
 	}
-	seen := members{Name: "platform", Members: []reporter.ReplicaStatus{}}
-	for _, instance := range listed {
-		status := reporter.ReplicaStatus{
-			Service: instance.Service, Name: instance.Name, Site: instance.Site, Address: instance.Address,
-			State: "silent", Listed: true, Weight: 1,
-		}
-		if digest, ok := itself(ctx, pool, instance.Address); ok {
-			status.State = reporter.StateName(digest.GetState())
-			status.Incarnation, status.Sequence = digest.GetIncarnation(), digest.GetSequence()
-			status.Revision, status.Load = digest.GetRevision(), digest.GetLoad()
-		}
-		seen.Members = append(seen.Members, status)
+	seen := members{Name: "platform", Members: make([]reporter.ReplicaStatus, len(listed))}
+	queue := make(chan int, len(listed))
+	for i := range listed {
+		queue <- i
+	}
+	close(queue)
+	var workers sync.WaitGroup
+	for range min(askWorkers, len(listed)) {
+		workers.Go(func() {
+			for i := range queue {
+				seen.Members[i] = statusOf(ctx, pool, listed[i])
+			}
+		})
 	}
+	workers.Wait()
 	return seen, nil
 }
 
+// askWorkers bounds how many agents are asked at once. A fleet of 3,100 then
+// takes some hundred rounds, of which only those with a silent agent are long;
+// more at once would be a burst of dials from one machine.
+const askWorkers = 32
+
+// statusOf asks the agent of an instance about itself.
+func statusOf(ctx context.Context, pool *dialer.Pool, instance storekeeper.Instance) reporter.ReplicaStatus {
+	status := reporter.ReplicaStatus{
+		Service: instance.Service, Name: instance.Name, Site: instance.Site, Address: instance.Address,
+		State: "silent", Listed: true, Weight: 1,
+	}
+	if digest, ok := itself(ctx, pool, instance.Address); ok {
+		status.State = reporter.StateName(digest.GetState())
+		status.Incarnation, status.Sequence = digest.GetIncarnation(), digest.GetSequence()
+		status.Revision, status.Load = digest.GetRevision(), digest.GetLoad()
+	}
+	return status
+}
+
 // itself asks an agent what it says about itself.
 func itself(ctx context.Context, pool *dialer.Pool, address string) (*encoder.Digest, bool) {
 	frame, err := publisher.Exchange(ctx, pool, address, &encoder.DigestAsk{Asker: "status"})
@@ -124,14 +147,14 @@
 }
 
 func show(out io.Writer, seen members, asJSON bool) error {
+	slices.SortFunc(seen.Members, func(a, b reporter.ReplicaStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
+	})
 	if asJSON {
 		encode := json.NewEncoder(out)
 		encode.SetIndent("", "  ")
 		return encode.Encode(seen)
 	}
-	slices.SortFunc(seen.Members, func(a, b reporter.ReplicaStatus) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
-	})
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "SERVICE\tREPLICA\tSITE\tSTATE\tWEIGHT\tLOAD\tREVISION\tAGE\tLISTED\tADDRESS")
 	for _, one := range seen.Members {
