--- a/internal/resolver/merge.go
+++ b/internal/resolver/merge.go
@@ -85,8 +85,8 @@
 	if len(faults) > 0 {
 		return Resolved{}, faults
 	}
-	var config Config
-	if err := toml.Unmarshal([]byte(doc.text(false)), &config); err != nil {
+	config, err := doc.config()
+	if err != nil {
 		return Resolved{}, withRemedy(faultsOf(sources.Base.File, err), "run config check")
 	}
 	return Resolved{Config: config, Document: doc}, nil
--- /dev/null
+++ b/internal/resolver/pieces_test.go
@@ -0,0 +1,33 @@
+package resolver
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestTeamsInPiecesAreTheTeamsAsAWhole(t *testing.T) {
+	for _, count := range []int{0, 1, teamsAPiece, teamsAPiece + 1, 5*teamsAPiece - 1} {
+		Convey(fmt.Sprintf("%d teams, each written in two places", count), t, func() {
+			var text strings.Builder
+			text.WriteString("[services.orders]\nkind = \"plain\"\n")
+			for i := range count {
+				fmt.Fprintf(&text, "[teams.\"team %d\"]\nkey-hashes = [\"%064x\"]\n", i, i)
+			}
+			var weights strings.Builder
+			for i := range count {
+				fmt.Fprintf(&weights, "[teams.\"team %d\"]\nweight = %d\n", i, i+1)
+			}
+			bundle := Bundle{Base: text.String(), Overlays: map[string]string{"bole": weights.String()}}
+			resolved, faults := bundle.Sources().Resolve("bole")
+			So(faults, ShouldBeEmpty)
+			var whole Config
+			So(toml.Unmarshal([]byte(resolved.Document.text(false)), &whole), ShouldBeNil)
+			So(resolved.Config, ShouldResemble, whole)
+			So(len(resolved.Config.Teams), ShouldEqual, count)
+		})
+	}
+}
