resolver: the name of the teams' table is a constant

Change: one constant in their place. Checked: linter without findings, tests of resolver and publisher pass.

--- a/internal/resolver/check.go
+++ b/internal/resolver/check.go
@@ -43,11 +43,11 @@
 
 func (check *checker) teams(config Config) {
 	owners := map[string]string{}
-	for _, name := range check.doc.inOrder("teams", slices.Sorted(maps.Keys(config.Teams))) {
+	for _, name := range check.doc.inOrder(teamsKey, slices.Sorted(maps.Keys(config.Teams))) {
 		team := config.Teams[name]
-		path := Path{"teams", name, "key-hashes"}
+		path := Path{teamsKey, name, "key-hashes"}
 		if team.Weight < 0 {
-			check.add(Path{"teams", name, "weight"}, "write 1 or more", "team %s has the weight %d", name, team.Weight)
+			check.add(Path{teamsKey, name, "weight"}, "write 1 or more", "team %s has the weight %d", name, team.Weight)
 		}
 		if len(team.KeyHashes) == 0 {
 			check.add(path, "add key-hashes with the SHA-256 of a key", "nobody can call for team %s", name)
--- a/internal/resolver/document.go
+++ b/internal/resolver/document.go
@@ -20,6 +20,9 @@
 	pathKey   = "path"
 )
 
+// teamsKey is the table of the teams, of which there are thousands.
+const teamsKey = "teams"
+
 // Path leads to a value, such as services, planner, slots. The members of the
 // list of routes are named by their path.
 type Path []string
--- a/internal/resolver/merge.go
+++ b/internal/resolver/merge.go
@@ -47,7 +47,7 @@
 		return false
 	}
 	switch path[0] {
-	case "teams":
+	case teamsKey:
 		return path[2] == "weight"
 	case "services":
 		return slices.Contains([]string{
@@ -60,7 +60,7 @@
 
 // addable reports whether an overlay may add something under the key of the base.
 func addable(path Path) bool {
-	return path[0] == "teams" || path[0] == "services" || path[0] == routesKey
+	return path[0] == teamsKey || path[0] == "services" || path[0] == routesKey
 }
 
 // SiteOf returns the site that an overlay's own key names.
--- a/internal/resolver/pieces.go
+++ b/internal/resolver/pieces.go
@@ -37,7 +37,7 @@
 	rest = newDocument()
 	pieceOf := map[string]int{}
 	for _, value := range doc.values {
-		if len(value.Path) < 2 || value.Path[0] != "teams" {
+		if len(value.Path) < 2 || value.Path[0] != teamsKey {
 			rest.set(value)
 			continue
 		}
