--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -39,7 +39,7 @@
 // a function that releases what it holds. It waits for the configuration.
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	made := &Agent{settings: settings}
-	made.shell = newShell(ctx, shellSettings{
+	made.shell = newShell(shellSettings{
 		process: settings.Process, env: env, kind: "agent", group: settings.Service,
 		service: settings.Service, self: made.digest,
 	})
@@ -66,6 +66,7 @@
 		Mean:          made.control.exchanger.Mean,
 		Room:          func() string { return made.control.view.Room(settings.Service, settings.Name) },
 		Digests:       made.control.exchanger.Answer,
+		Tell:          made.control.tell,
 	})
 	if err != nil {
 		made.release()
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,9 +58,16 @@
 	rig := newRig(t, siteConfig())
 	rig.addPlanner("planner-1", imitator.EngineSettings{Step: 20 * timekeeper.Millisecond})
 	entry := rig.addEntry("entry-1")
+	var got reply
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		got = entry.call(t.Context(), "POST", "/v1/chat/completions", chat(128, "a long answer"))
+	})
+	// Only now, so that no digest has used the bytes up before the call came.
+	rig.eventually("the engine runs", func() bool { return rig.engines["planner-1"].Counts().Runs == 1 })
+	rig.proxies["planner-1"].Set(disturber.Back, disturber.Fault{CutAfter: 600})
+	caller.Wait()
 	Convey("the part is not called whole", t, func() {
-		rig.proxies["planner-1"].Set(disturber.Back, disturber.Fault{CutAfter: 600})
-		got := entry.call(t.Context(), "POST", "/v1/chat/completions", chat(64, "a long answer"))
 		So(got.err, ShouldNotBeNil)
 		So(got.body, ShouldNotContainSubstring, "[DONE]")
 	})
