forwarder: an offer that can't be written is offered once more

Cause: TestACutAtAnyByteRunsAnOrderAtMostOnce failed under load. An entry whose session had been cut wrote its next offer into it (broken pipe, seen with the error put into the detail by hand) and told the caller 'unreachable'. Change: an offer that was not written is made to the same replica once more, over a new session. Nothing has run by then, as the run frame comes later. The test itself is as it was.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -59,8 +59,26 @@
 
 // attempt offers the call to one replica. It returns true when an answer, or
 // the start of one, went to the caller.
+//
+// The failure: a connection breaks between two calls, and the session notices
+// only when the next offer is written. The symptom: a caller is told that a
+// replica can't be reached which one new dial would reach. So an offer that
+// could not be written is offered there once more. That is safe, as the run
+// frame had not been sent, and enough, as the broken session is closed by then.
 func (entry *Entry) attempt(
 	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32,
+) (classifier.Failure, bool) {
+	var unsent bool
+	failure, done := entry.attemptOnce(ctx, w, call, replica, attempt, &unsent)
+	if unsent {
+		failure, done = entry.attemptOnce(ctx, w, call, replica, attempt, &unsent)
+	}
+	return failure, done
+}
+
+// attemptOnce sets unsent when the offer could not be written.
+func (entry *Entry) attemptOnce(
+	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32, unsent *bool,
 ) (classifier.Failure, bool) {
 	conn, peer, err := entry.settings.Pool.OpenPeer(ctx, replica.Address)
 	if err != nil {
@@ -77,6 +95,7 @@
 	at := contact{replica: replica, incarnation: peer.Incarnation, since: entry.settings.Clock.Now()}
 	entry.recordOffer(call, at)
 	failure, committed, lost := entry.commit(stream, call, &at, attempt)
+	*unsent = at.unsent
 	switch {
 	case lost:
 		return entry.settle(ctx, entry.newRelayed(w, call), at)
@@ -105,6 +124,7 @@
 		return classifier.Failure{}, err == nil, err != nil
 	}
 	if err := stream.Write(encoder.Of(offer)); err != nil {
+		at.unsent = true
 		return classifier.New(classifier.Unreachable, at.replica.Name), false, false
 	}
 	incarnation, failure, ok := entry.granted(stream, call)
--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -19,6 +19,8 @@
 	incarnation uint64
 	// since is when the call was offered.
 	since timekeeper.Instant
+	// unsent says that the offer could not be written.
+	unsent bool
 }
 
 // provable is how long after its offer a call that an agent has "never seen"
