--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -37,7 +37,7 @@
 // NewEntry returns an entry that listens and has its first configuration, and
 // a function that releases what it holds. It waits for the configuration.
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
-	entry := &Entry{shell: newShell(ctx, shellSettings{
+	entry := &Entry{shell: newShell(shellSettings{
 		process: settings.Process, env: env, kind: "entry", group: recorder.EntryGroup,
 	})}
 	entry.planners = planners{entry: entry, pool: entry.pool, incarnation: entry.incarnation}
@@ -63,6 +63,7 @@
 		Roster:      entry.view.Roster,
 		Locate:      entry.view.Locate,
 		Learn:       entry.learn,
+		Failed:      entry.view.Fail,
 		Record:      entry.record.Record,
 	})
 	return entry, entry.release, nil
--- a/internal/assembler/shell.go
+++ b/internal/assembler/shell.go
@@ -55,7 +55,7 @@
 }
 
 // newShell returns a shell that neither listens nor has a configuration yet.
-func newShell(ctx context.Context, settings shellSettings) *shell {
+func newShell(settings shellSettings) *shell {
 	process, env := settings.process, settings.env
 	env.Log = env.Log.WithFields(logrus.Fields{"process": settings.kind, "name": process.Name, "site": process.Site})
 	shell := &shell{process: process, incarnation: newIncarnation()}
@@ -68,13 +68,13 @@
 	shell.pool, release = dialer.NewPool(dialer.Settings{})
 	shell.onRelease(release)
 	origin := recorder.Origin{Group: settings.group, Name: process.Name, Incarnation: shell.incarnation}
-	shell.record, release = newRecorder(ctx, env, process, origin)
-	shell.onRelease(release)
 	shell.control = newControl(controlSettings{
 		process: process, incarnation: shell.incarnation, env: env, scope: shell.scope, pool: shell.pool,
 		service: settings.service, self: settings.self,
 	})
 	shell.view = shell.control.view
+	shell.record, release = newRecorder(env, process, origin, shell.view.Listed)
+	shell.onRelease(release)
 	shell.watcher = newWatcher(
 		shell.control.environment(), process, shell.incarnation, shell.pool, shell.view.Addresses, shell.record.Record,
 	)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -82,6 +82,7 @@
 ) (classifier.Failure, bool) {
 	conn, peer, err := entry.settings.Pool.OpenPeer(ctx, replica.Address)
 	if err != nil {
+		entry.failed(ctx, call, replica)
 		return classifier.New(classifier.Unreachable, replica.Name), false
 	}
 	defer func() { _ = conn.Close() }()
--- a/internal/resolver/merge.go
+++ b/internal/resolver/merge.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	switch path[0] {
-	case "teams":
+	case teamsKey:
 		return path[2] == "weight"
 	case "services":
 		return slices.Contains([]string{
@@ -61,7 +61,7 @@
 
 // addable reports whether an overlay may add something under the key of the base.
 func addable(path Path) bool {
-	return path[0] == "teams" || path[0] == "services" || path[0] == routesKey
+	return path[0] == teamsKey || path[0] == "services" || path[0] == routesKey
 }
 
 // SiteOf returns the site that an overlay's own key names.
@@ -86,8 +86,8 @@
 	if len(faults) > 0 {
 		return Resolved{}, faults
 	}
-	var config Config
-	if err := toml.Unmarshal([]byte(doc.text(false)), &config); err != nil {
+	config, err := doc.config()
+	if err != nil {
 		return Resolved{}, withRemedy(faultsOf(sources.Base.File, err), "run config check")
 	}
 	return Resolved{Config: config, Document: doc}, nil
