caller: the test of Send counts under a lock

Cause: go test -race ./pkg/caller failed: the handler's count was read without a lock, and a connection that breaks doesn't order the two. Change: a lock around both; no assertion is changed. Measured: go test -race -count=5 ./pkg/caller, result below the change: passes. Conclusion: the race was the test's alone.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -110,15 +111,20 @@
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
+			var mu sync.Mutex
 			keys := map[string]int{}
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
 				keys[r.Header.Get("Idempotency-Key")]++
+				mu.Unlock()
 				test.answer(w)
 			}))
 			defer server.Close()
 			van := caller.New(caller.Settings{Entries: []string{server.URL}, Tries: 3, Clock: atOnce()})
 			_, err := van.Send(t.Context(), caller.Call{Method: http.MethodPost, Path: "/orders"})
 			So(eris.Is(err, test.want), ShouldBeTrue)
+			mu.Lock()
+			defer mu.Unlock()
 			So(len(keys), ShouldEqual, 1)
 			for key, count := range keys {
 				So(len(key), ShouldEqual, 32)
