--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -2,38 +2,24 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 
 	"github.com/oklog/run"
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilseam/trefoilseam/internal/budgeter"
-	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
-	"github.com/trefoilseam/trefoilseam/internal/measurer"
-	"github.com/trefoilseam/trefoilseam/internal/publisher"
-	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
-	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // Agent is an agent process, ready to run.
 type Agent struct {
+	*shell
 	settings loader.Agent
-	env      Environment
-	listener net.Listener
-	admin    net.Listener
-	watcher  *publisher.Watcher
 	agent    *runner.Agent
-	control  *control
-	metrics  http.Handler
-	meter    *storekeeper.Meter
 }
 
 // AgentStatus is what an agent says about itself.
@@ -52,39 +38,28 @@
 // NewAgent returns an agent that listens and has its first configuration, and
 // a function that releases what it holds. It waits for the configuration.
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
-	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
 	made := &Agent{settings: settings}
-	made.meter = newMeter(env, func() *publisher.Watcher { return made.watcher })
-	env.Platform = made.meter.Wrap(env.Platform)
-	made.env = env
-	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
-	made.metrics = metrics
-	pool, closePool := dialer.NewPool(dialer.Settings{})
-	incarnation := newIncarnation()
-	origin := recorder.Origin{Group: settings.Service, Name: settings.Name, Incarnation: incarnation}
-	made.control = newControl(controlSettings{
-		process: settings.Process, incarnation: incarnation, env: env, scope: scope, pool: pool,
+	made.shell = newShell(shellSettings{
+		process: settings.Process, env: env, kind: "agent", group: settings.Service,
 		service: settings.Service, self: made.digest,
 	})
-	record, closeRecord := newRecorder(env, settings.Process, origin, made.control.view.Listed)
-	closeAll := func() { closeRecord(); closePool(); closeScope() }
-	made.watcher = newWatcher(made.control.environment(), settings.Process, incarnation, pool, made.control.view.Addresses, record.Record)
-	if err := made.ready(ctx); err != nil {
-		closeAll()
+	// An agent has no part in the exchange before it listens.
+	if err := made.ready(ctx, func(context.Context) {}); err != nil {
+		made.release()
 		return nil, nil, err
 	}
 	agent, release, err := runner.New(runner.Settings{
 		Name:        settings.Name,
 		Service:     settings.Service,
 		Site:        settings.Site,
-		Incarnation: incarnation,
+		Incarnation: made.incarnation,
 		Upstream:    settings.Upstream,
-		Clock:       env.Clock,
-		Log:         env.Log,
-		Scope:       scope,
+		Clock:       made.env.Clock,
+		Log:         made.env.Log,
+		Scope:       made.scope,
 		Config:      made.watcher.Current,
-		Record:      record.Record,
-		Table:       env.Platform.Table,
+		Record:      made.record.Record,
+		Table:       made.env.Platform.Table,
 
 		Hear:          made.watcher.Hear,
 		Configuration: made.watcher.Answer,
@@ -94,25 +69,13 @@
 		Tell:          made.control.tell,
 	})
 	if err != nil {
-		closeAll()
+		made.release()
 		return nil, nil, err
 	}
 	made.agent = agent
-	record.SetPulse(agent.Sample)
-	return made, func() { release(); closeAll() }, nil
-}
-
-// ready waits for the first configuration, looks around once and listens.
-func (made *Agent) ready(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	if err := made.watcher.Await(ctx); err != nil {
-		return err
-	}
-	if err := made.control.view.Look(ctx); err != nil {
-		made.env.Log.WithError(err).Warn("instance list not read")
-	}
-	return made.bind()
+	made.onRelease(release)
+	made.record.SetPulse(agent.Sample)
+	return made, made.release, nil
 }
 
 // digest returns what the agent says about itself, and where it is reached.
@@ -134,41 +97,12 @@
 	}
 }
 
-func (made *Agent) bind() error {
-	listener, err := listen(made.settings.Listen)
-	if err != nil {
-		return err
-	}
-	made.listener = listener
-	if made.settings.AdminListen == "" {
-		return nil
-	}
-	made.admin, err = listen(made.settings.AdminListen)
-	return eris.Wrap(err, "admin address")
-}
-
-// Address returns where the fleet reaches the agent.
-func (made *Agent) Address() string {
-	return made.listener.Addr().String()
-}
-
 // AddTo adds the agent's actors to a group.
 func (made *Agent) AddTo(group *run.Group) {
 	addLoop(group, made.watcher.Run)
-	addLoop(group, made.agent.Keep)
 	made.control.addTo(group)
 	made.addCalls(group)
-	made.env.Log.WithField("address", made.Address()).Info("listening")
-	if made.admin == nil {
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", made.metrics)
-	mux.HandleFunc("GET /store", handler.Show(made.meter.Tallies))
-	mux.HandleFunc("GET /config", handler.Show(made.watcher.Status))
-	mux.HandleFunc("GET /status", handler.Show(made.Status))
-	addServer(group, made.admin, mux, headerTimeout)
-	made.env.Log.WithField("address", made.admin.Addr().String()).Info("admin listening")
+	made.addAdmin(group, handler.Show(made.Status))
 }
 
 // addCalls adds the actor that serves calls. Its stop refuses new work at once
@@ -179,6 +113,11 @@
 	group.Add(func() error {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
+		// Claims are written until the drain is over. The failure: the writer ends
+		// with the stop, while granted calls still claim. The symptom: they wait
+		// for a writer that is gone, the drain never ends, and rows that were being
+		// written name an agent that has left.
+		go made.agent.Keep(ctx)
 		go func() { failed <- made.agent.Serve(ctx, made.listener) }()
 		select {
 		case err := <-failed:
@@ -203,12 +142,23 @@
 	err := made.agent.Drain(ctx)
 	took := made.env.Clock.Now().Since(started)
 	made.env.Log.WithFields(logrus.Fields{"took": took.String(), "whole": err == nil}).Info("drained")
+	made.handOver()
 	if err != nil {
 		return err
 	}
 	return made.env.Clock.Sleep(context.Background(), linger)
 }
 
+// handOverTime bounds the last words to the store. A store that is slow must
+// not hold up a stop; what is not said costs callers an "unknown".
+const handOverTime = 2 * timekeeper.Second
+
+func (made *Agent) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime.Duration())
+	defer cancel()
+	made.agent.HandOver(ctx)
+}
+
 // linger is how long a drained agent keeps its connections. A socket that is
 // closed with unread bytes resets its peer, and the peer then loses the end of
 // an answer that it had not read yet; half a second lets the last frames be
