planner: roles, versions, and adapters by demand

Cause: every engine was to hold every adapter, and role and version could not be ordered. Change: orders change-role and version (one engine at a time, under the weight store's rate). Agents count the calls that run or wait by adapter; the holder of the lease reads that with each engine's state. Entries offer a call for an adapter to the engines that hold it.

--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -93,6 +93,7 @@
 		Pool:        pool,
 		Config:      entry.watcher.Current,
 		Roster:      entry.view.Roster,
+		Holders:     entry.view.Holders,
 		Locate:      entry.view.Locate,
 		Learn:       entry.learn,
 		Record:      record.Record,
--- a/internal/assembler/orders.go
+++ b/internal/assembler/orders.go
@@ -31,7 +31,7 @@
 	look := func(ctx context.Context) {
 		config := planners.entry.watcher.Current()
 		for _, name := range config.ServiceNames() {
-			if !started[name] && len(config.Services[name].Adapters) > 0 {
+			if !started[name] && config.Services[name].Ordered() {
 				started[name] = true
 				running.Go(func() { planners.planner(name).Run(ctx) })
 			}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -167,6 +167,7 @@
 		Seek:        call.seek,
 		Incarnation: call.bound,
 		Revision:    call.revision,
+		Adapter:     call.adapter,
 	}
 }
 
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,8 +24,10 @@
 
 // call is one classified request of a caller. It doesn't change once made.
 type call struct {
-	id         string
-	service    string
+	id      string
+	service string
+	// adapter is the adapter that a model call names, or "".
+	adapter    string
 	settings   resolver.Service
 	team       string
 	chat       uint64
@@ -134,6 +137,9 @@
 	}
 	made.service = name
 	made.settings, _ = config.Service(name)
+	if slices.Contains(made.settings.Adapters, request.Model) {
+		made.adapter = request.Model
+	}
 	if int64(len(body)) > made.settings.MaxBody {
 		return call{}, tooLarge(made.settings.MaxBody)
 	}
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -18,7 +18,19 @@
 	if chat == 0 {
 		chat = call.spread()
 	}
-	return placer.NewItinerary(entry.settings.Roster(call.service), chat, entry.away.names(entry.settings.Clock.Now()))
+	return placer.NewItinerary(entry.roster(call), chat, entry.away.names(entry.settings.Clock.Now()))
+}
+
+// roster returns the replicas that may get the call: those that hold its
+// adapter, for an engine without it can't answer. While nobody is known to hold
+// it all are asked, since what is known of engines may be late.
+func (entry *Entry) roster(call call) placer.Roster {
+	if call.adapter != "" && entry.settings.Holders != nil {
+		if holders := entry.settings.Holders(call.service, call.adapter); holders.Len() > 0 {
+			return holders
+		}
+	}
+	return entry.settings.Roster(call.service)
 }
 
 // refusalOf returns what the itinerary reads in a failure.
--- a/internal/imitator/engine_control.go
+++ b/internal/imitator/engine_control.go
@@ -25,9 +25,11 @@
 
 // OrderState is what an engine has been ordered to be.
 type OrderState struct {
-	Fence  uint64   `json:"fence"`
-	Loaded []string `json:"loaded"`
-	Orders []Order  `json:"orders"`
+	Fence   uint64   `json:"fence"`
+	Loaded  []string `json:"loaded"`
+	Role    string   `json:"role"`
+	Version string   `json:"version"`
+	Orders  []Order  `json:"orders"`
 }
 
 // PrefixBlocks is an exported part of a prefix cache.
@@ -36,9 +38,10 @@
 }
 
 type orderBook struct {
-	fence  uint64
-	loaded []string
-	log    []Order
+	fence         uint64
+	loaded        []string
+	role, version string
+	log           []Order
 }
 
 // eventGap is how many cache events are lost out of each thousand.
@@ -114,6 +117,10 @@
 		}
 	case "unload":
 		engine.orders.loaded = slices.DeleteFunc(engine.orders.loaded, func(name string) bool { return name == order.Subject })
+	case "change-role":
+		engine.orders.role = order.Subject
+	case "version":
+		engine.orders.version = order.Subject
 	default:
 		return OrderState{}, classifier.New(classifier.BadRequest, "unknown action "+strings.ToValidUTF8(order.Action, "?"))
 	}
@@ -128,5 +135,8 @@
 }
 
 func (book orderBook) state() OrderState {
-	return OrderState{Fence: book.fence, Loaded: slices.Clone(book.loaded), Orders: slices.Clone(book.log)}
+	return OrderState{
+		Fence: book.fence, Loaded: slices.Clone(book.loaded), Role: book.role, Version: book.version,
+		Orders: slices.Clone(book.log),
+	}
 }
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -1,5 +1,5 @@
 // Package planner gives the orders to engines: which adapters to load and
-// unload.
+// unload, which role to take, and which version of the weights to run.
 //
 // For each service one entry at a time is the planner. It holds a lease, one
 // row of the table service that is changed by compare-and-set, with a fencing
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -10,6 +10,10 @@
 const (
 	Load   = "load"
 	Unload = "unload"
+	// ChangeRole makes an engine do another part of the work.
+	ChangeRole = "change-role"
+	// ChangeVersion makes an engine run other weights.
+	ChangeVersion = "version"
 	// Show changes nothing and returns what the engine holds.
 	Show = "show"
 )
@@ -30,10 +34,27 @@
 	Subject string
 }
 
-// Engine is what an engine was last known to hold.
+// takesWeights reports whether an order takes weights from the weight store,
+// and so is held to its rate.
+func (order Order) takesWeights() bool {
+	return order.Action == Load || order.Action == ChangeVersion
+}
+
+// Engine is what an engine was last known to hold, and what is asked of it.
 type Engine struct {
-	Name   string
-	Loaded []string
+	Name    string
+	Loaded  []string
+	Role    string
+	Version string
+	Demands []Demand
+}
+
+// Wanted is what the engines of a service should be. An empty role or version
+// leaves that of the engines as it is.
+type Wanted struct {
+	Targets []Target
+	Role    string
+	Version string
 }
 
 // Spread decides on how many engines an adapter should be. It is an immutable
@@ -81,15 +102,17 @@
 	Engines int
 }
 
-// Plan returns the orders that bring the engines to their targets: loads first,
+// Plan returns the orders that bring the engines to what is wanted: versions,
+// of one engine at most, since the others must carry its calls while it takes
+// new weights; roles; then loads,
 // on the engines that hold the least; then unloads, from the engines that hold
 // the most, and of every adapter that is no target. A load is never planned
 // for an adapter that is to be unloaded in the same plan, so a plan that is
 // carried out leaves nothing to do.
-func Plan(engines []Engine, targets []Target) []Order {
-	var orders []Order
+func Plan(engines []Engine, want Wanted) []Order {
+	orders := orderStates(engines, want)
 	wanted := map[string]bool{}
-	for _, target := range targets {
+	for _, target := range want.Targets {
 		wanted[target.Adapter] = true
 		orders = append(orders, orderTarget(engines, target)...)
 	}
@@ -105,10 +128,31 @@
 }
 
 func rank(order Order) int {
-	if order.Action == Load {
+	switch order.Action {
+	case ChangeVersion:
 		return 0
+	case ChangeRole:
+		return 1
+	case Load:
+		return 2
 	}
-	return 1
+	return 3
+}
+
+// orderStates returns the orders about roles and versions.
+func orderStates(engines []Engine, want Wanted) []Order {
+	var orders []Order
+	changing := false
+	for _, engine := range engines {
+		if want.Version != "" && engine.Version != want.Version && !changing {
+			changing = true
+			orders = append(orders, Order{Engine: engine.Name, Action: ChangeVersion, Subject: want.Version})
+		}
+		if want.Role != "" && engine.Role != want.Role {
+			orders = append(orders, Order{Engine: engine.Name, Action: ChangeRole, Subject: want.Role})
+		}
+	}
+	return orders
 }
 
 func orderTarget(engines []Engine, target Target) []Order {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -25,12 +25,6 @@
 	Address string
 }
 
-// Wish is on how many engines an adapter's demand would have it.
-type Wish struct {
-	Adapter string
-	Engines int
-}
-
 // Settings set up a planner. All fields without a stated default must be set.
 type Settings struct {
 	// Holder tells this process and incarnation from all others.
@@ -46,9 +40,6 @@
 	Engines func(service string) []Address
 	// Send gives an order to an agent and returns its answer.
 	Send func(ctx context.Context, address string, order *encoder.EngineOrder) (*encoder.EngineOrderDone, error)
-	// Wishes returns the demand for each adapter; nil means that every engine
-	// should hold every adapter of the configuration.
-	Wishes func(service string) []Wish
 }
 
 // Planner plans for one service while it holds the lease. Run is its one loop;
@@ -93,7 +84,7 @@
 		LongestOrder: service.LongestOrder,
 		EnginesCheck: service.ChecksOrders,
 	}
-	return terms, service, ok && len(service.Adapters) > 0
+	return terms, service, ok && service.Ordered()
 }
 
 // Step looks at the lease once, orders what is due, and returns the time to
@@ -164,6 +155,8 @@
 	_, service, _ := planner.terms()
 	planner.mu.Lock()
 	planner.pace = After(service.LoadsPerMinute, now)
+	// What stood before may be minutes old; the engines tell anew.
+	planner.spreads = map[string]Spread{}
 	planner.mu.Unlock()
 	planner.settings.Log.WithFields(logrus.Fields{
 		"service": planner.settings.Service, "fence": lease.Fence, "quiet": lease.Quiet.Since(now).String(),
@@ -193,10 +186,11 @@
 	for _, at := range addresses {
 		done, err := planner.send(ctx, terms, at, Order{Engine: at.Engine, Action: Show})
 		if err == nil && done.GetKind() == "" {
-			engines = append(engines, Engine{Name: at.Engine, Loaded: done.GetLoaded()})
+			engines = append(engines, engineOf(at.Engine, done))
 		}
 	}
-	for _, order := range Plan(engines, planner.targets(service, len(engines))) {
+	wanted := Wanted{Targets: planner.targets(service, engines), Role: service.Role, Version: service.Version}
+	for _, order := range Plan(engines, wanted) {
 		if !planner.due(order, service) {
 			continue
 		}
@@ -207,26 +201,34 @@
 	}
 }
 
-// targets returns where each adapter of the configuration should be.
-func (planner *Planner) targets(service resolver.Service, engines int) []Target {
-	targets := make([]Target, 0, len(service.Adapters))
+// engineOf returns what an agent's answer says about its engine.
+func engineOf(name string, done *encoder.EngineOrderDone) Engine {
+	engine := Engine{Name: name, Loaded: done.GetLoaded(), Role: done.GetRole(), Version: done.GetVersion()}
+	for _, demand := range done.GetDemands() {
+		engine.Demands = append(engine.Demands, Demand{Adapter: demand.GetAdapter(), Calls: int(demand.GetCalls())})
+	}
+	return engine
+}
+
+// targets returns where each adapter of the configuration should be, and
+// forgets adapters that are no longer in it.
+func (planner *Planner) targets(service resolver.Service, engines []Engine) []Target {
 	now := planner.settings.Clock.Now()
+	planner.mu.Lock()
+	defer planner.mu.Unlock()
+	spreads := make(map[string]Spread, len(service.Adapters))
+	targets := make([]Target, 0, len(service.Adapters))
 	for _, adapter := range service.Adapters {
-		targets = append(targets, Target{Adapter: adapter, Engines: engines})
-	}
-	if planner.settings.Wishes == nil {
-		return targets
-	}
-	wishes := planner.settings.Wishes(planner.settings.Service)
-	for i := range targets {
-		spread := planner.spreads[targets[i].Adapter]
-		at := slices.IndexFunc(wishes, func(wish Wish) bool { return wish.Adapter == targets[i].Adapter })
-		if at >= 0 {
-			spread = spread.WithWish(wishes[at].Engines, now)
-			planner.spreads[targets[i].Adapter] = spread
-			targets[i].Engines = spread.Engines
+		calls, holders := demandFor(engines, adapter)
+		spread, known := planner.spreads[adapter]
+		if !known {
+			spread = Spread{Engines: holders}
 		}
+		spread = spread.WithWish(Wished(calls, service.Slots, len(engines)), now)
+		spreads[adapter] = spread
+		targets = append(targets, Target{Adapter: adapter, Engines: spread.Engines})
 	}
+	planner.spreads = spreads
 	return targets
 }
 
@@ -238,7 +240,7 @@
 	if !planner.lease.MayOrder(planner.settings.Holder, now) {
 		return false
 	}
-	if order.Action != Load {
+	if !order.takesWeights() {
 		return true
 	}
 	pace, allowed := planner.pace.Allow(service.LoadsPerMinute, now)
--- a/internal/reporter/view.go
+++ b/internal/reporter/view.go
@@ -49,8 +49,10 @@
 	rosters map[string]placer.Roster
 	// replicas are what each roster was made of.
 	replicas map[string][]placer.Replica
-	random   *rand.Rand
-	listed   int64
+	// holders are the rosters of those that hold an adapter, by service.
+	holders map[string]holders
+	random  *rand.Rand
+	listed  int64
 }
 
 // NewView returns a view that knows of no replica.
@@ -60,6 +62,7 @@
 		tables:   map[string]*Table{},
 		rosters:  map[string]placer.Roster{},
 		replicas: map[string][]placer.Replica{},
+		holders:  map[string]holders{},
 		random:   rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 	}
 }
@@ -198,4 +201,5 @@
 		view.replicas[service] = replicas
 		view.rosters[service] = placer.NewRoster(replicas)
 	}
+	view.holders[service] = view.holders[service].anew(live, replicas)
 }
--- a/internal/reporter/view_test.go
+++ b/internal/reporter/view_test.go
@@ -39,3 +39,27 @@
 		})
 	}
 }
+
+func TestHoldersAreThoseThatHoldTheAdapter(t *testing.T) {
+	// A call for an adapter at an engine without it would fail there. What an
+	// engine holds is news: it changes seldom, and a later digest corrects it.
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	view := NewView(Settings{Clock: timekeeper.NewManual(start).Clock(), Log: log, Budget: budgeter.New(budgeter.Settings{})})
+	learn := func(name string, sequence uint64, loaded ...string) {
+		digest := said(name, 10, sequence, live)
+		digest.Service, digest.Loaded = "planner", loaded
+		view.Learn(digest)
+	}
+	Convey("the roster follows what the engines hold", t, func() {
+		learn("r0", 1, "vans")
+		learn("r1", 1)
+		So(view.Holders("planner", "vans").Len(), ShouldEqual, 1)
+		learn("r1", 2, "menus", "vans")
+		So(view.Holders("planner", "vans").Len(), ShouldEqual, 2)
+		learn("r0", 2)
+		learn("r1", 3)
+		So(view.Holders("planner", "vans").Len(), ShouldEqual, 0)
+		So(view.holders["planner"], ShouldBeEmpty)
+	})
+}
--- a/internal/resolver/config.go
+++ b/internal/resolver/config.go
@@ -96,12 +96,23 @@
 	ChecksOrders bool `toml:"checks-orders"`
 	// Adapters are the adapters that orders may load on the engines.
 	Adapters []string `toml:"adapters"`
+	// Role is what the engines are ordered to do, such as "prefill"; empty
+	// leaves them as they are.
+	Role string `toml:"role"`
+	// Version is the version of the weights that the engines are ordered to run;
+	// empty leaves them as they are.
+	Version string `toml:"version"`
 	// LongestOrder is how long an engine takes for an order; zero means 30 seconds.
 	LongestOrder timekeeper.Span `toml:"longest-order"`
 	// LoadsPerMinute is the service's share of the weight store's rate; zero means 6.
 	LoadsPerMinute int `toml:"loads-a-minute"`
 }
 
+// Ordered reports whether the service's engines are given orders.
+func (service Service) Ordered() bool {
+	return len(service.Adapters) > 0 || service.Role != "" || service.Version != ""
+}
+
 // Route leads the calls under a path to a service.
 type Route struct {
 	// Path is a prefix that ends at a segment's end.
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -96,6 +96,7 @@
 	strikes  *strikes
 	askers   askers
 	orders   orders
+	demand   demand
 
 	// service is as in the configuration of revision; mu guards both.
 	service  resolver.Service
@@ -236,6 +237,7 @@
 		Revision:    agent.settings.Config().Revision,
 		Sequence:    agent.sequence,
 		Site:        agent.settings.Site,
+		Loaded:      agent.demand.loaded,
 	}
 }
 
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -133,6 +133,8 @@
 		return classifier.New(classifier.Draining, "").WithRetryAfter(timekeeper.Second), true
 	case agent.strikes.ledger.Down():
 		return agent.engineAway(), true
+	case agent.demand.lacks(offer.GetAdapter()):
+		return adapterAway(), true
 	case agent.runs[offer.GetRequestId()] != nil || agent.desk.Holds(offer.GetRequestId()):
 		return classifier.New(classifier.Tombstoned, "the request id is known already"), true
 	}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -34,7 +34,9 @@
 
 // engineState is what the engine answers.
 type engineState struct {
-	Loaded []string `json:"loaded"`
+	Loaded  []string `json:"loaded"`
+	Role    string   `json:"role"`
+	Version string   `json:"version"`
 }
 
 func (agent *Agent) check(order *encoder.EngineOrder) (classifier.Failure, bool) {
@@ -67,7 +69,8 @@
 	if !ok {
 		done.Kind, done.Detail = failure.Kind.String(), failure.Detail
 	}
-	done.Loaded = state.Loaded
+	done.Loaded, done.Role, done.Version = state.Loaded, state.Role, state.Version
+	done.Demands = agent.demands(state, ok)
 	agent.orders.mu.Lock()
 	done.HighestFence = agent.orders.gate.Highest
 	agent.orders.mu.Unlock()
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -48,6 +48,7 @@
 	}
 	decision := agent.desk.Offer(agent.ticket(offer, arrived), mean)
 	agent.noteLoad(offer, decision)
+	agent.noteDemand(offer, decision)
 	for _, ticket := range decision.Displaced {
 		agent.tell(ticket.ID, verdict{failure: agent.desk.PushedOut()})
 	}
@@ -93,6 +94,7 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.queue, id)
+	delete(agent.demand.calls, id)
 	agent.keys.book.Abandon(id)
 	agent.leaveGate(id)
 	agent.wake(agent.desk.Finish(id, now))
