--- /dev/null
+++ b/test/integration/restart_test.go
@@ -0,0 +1,101 @@
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/internal/imitator"
+)
+
+// peersLine names processes to ask while the store is down.
+func peersLine(procs ...*process) string {
+	names := make([]string, len(procs))
+	for i, proc := range procs {
+		names[i] = fmt.Sprintf("%q", proc.address)
+	}
+	return "peers = [" + strings.Join(names, ", ") + "]\n"
+}
+
+// together starts processes side by side.
+func together(starts ...func() *process) []*process {
+	started := make([]*process, len(starts))
+	var starting sync.WaitGroup
+	for i, start := range starts {
+		starting.Go(func() { started[i] = start() })
+	}
+	starting.Wait()
+	return started
+}
+
+func TestEverybodyIsRestartedInAnOutage(t *testing.T) {
+	t.Parallel()
+	// Callers are served again as soon as a process has started, under the
+	// revision from before the outage; nobody serves under a lower one.
+	// A change is accepted, the store goes down, and then all entries are killed
+	// at once and started anew, and after them the agents, one and then two.
+	// None can read the store; each asks the processes that it is told of.
+	rig := newRig(t, quickConfig())
+	upstreams := map[string]string{}
+	agents := []*process{}
+	for _, name := range []string{"orders-1", "orders-2", "orders-3"} {
+		service := imitator.NewService(imitator.ServiceSettings{Name: name, Ledger: rig.ledger, Clock: rig.clock})
+		upstreams[name] = rig.serve(service)
+		agents = append(agents, rig.addAgent("orders", name, upstreams[name]))
+	}
+	entrySettings := func(name string) string {
+		return fmt.Sprintf("name = %q\nsite = \"bole\"\nlisten = \"127.0.0.1:0\"\nadmin-listen = \"127.0.0.1:0\"\nplatform = %q\n",
+			name, rig.base) + peersLine(agents...)
+	}
+	entries := []*process{rig.addEntry("entry-1"), rig.addEntry("entry-2")}
+	text, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "b.toml", 4), "-edited-from", "1", "-wait", "-timeout", "10s")
+	if code != 0 {
+		t.Fatal(text)
+	}
+	rig.eventuallyAt(2, entries...)
+	serves := func(entry *process) func() bool {
+		return func() bool { return entry.call(t.Context(), "GET", "/orders", "").status == 200 }
+	}
+	Convey("calls are served in the outage", t, func() {
+		rig.platform.SetFaults(imitator.PlatformFaults{Down: true})
+		So(entries[0].call(t.Context(), "POST", "/orders", "{}").status, ShouldEqual, 200)
+	})
+	Convey("all entries serve calls again", t, func() {
+		entries[0].kill()
+		entries[1].kill()
+		entries = together(
+			func() *process { return rig.start("entry", entrySettings("entry-1")) },
+			func() *process { return rig.start("entry", entrySettings("entry-2")) })
+		for _, entry := range entries {
+			So(entry.configOf(t.Context()).Revision, ShouldEqual, 2)
+			rig.eventually("calls through an entry that started in the outage", serves(entry))
+		}
+	})
+	again := func(i int, peers ...*process) func() *process {
+		name := fmt.Sprint("orders-", i+1)
+		agents[i].kill()
+		settings := strings.Replace(rig.agentSettings("orders", name, upstreams[name]),
+			`listen = "127.0.0.1:0"`, fmt.Sprintf("listen = %q", agents[i].address), 1)
+		return func() *process { return rig.start("agent", settings+peersLine(peers...)) }
+	}
+	Convey("each agent serves calls again", t, func() {
+		agents[0] = again(0, agents[1], agents[2])()
+		copy(agents[1:], together(again(1, agents[0]), again(2, agents[0])))
+		for _, agent := range agents {
+			So(agent.configOf(t.Context()).Revision, ShouldEqual, 2)
+			rig.eventually("calls at an agent that started in the outage", func() bool {
+				return serves(entries[0])() && len(agent.logged("admission")) > 0
+			})
+		}
+	})
+	Convey("a change after the outage is in force at all of them", t, func() {
+		rig.platform.SetFaults(imitator.PlatformFaults{})
+		text, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "c.toml", 6), "-edited-from", "2", "-wait", "-timeout", "20s")
+		So(text, ShouldContainSubstring, "in force: revision 3")
+		So(code, ShouldEqual, 0)
+		rig.eventuallyAt(3, append(agents, entries...)...)
+	})
+}
