assembler: a stop that cuts calls off exits with 1 and says how many

Cause: a group ends with its first error, which in a stop is the signal's. The error of the drain, that calls were in flight, was dropped and the exit code 0. Change: the agent keeps what its stop cut off; the command asks for it when the group has ended. Measured: TestAStopThatCutsCallsOffSaysSo, real processes, two streams longer than the longest drain: exit code 1, "2 calls in flight". Conclusion: the platform sees a stop that was not clean. "dev" still exits 0.

--- a/cmd/trefoilseam/process.go
+++ b/cmd/trefoilseam/process.go
@@ -62,8 +62,28 @@
 	name, help string
 	read       func(file string) (S, resolver.Faults)
 	common     func(settings S) loader.Process
-	// build returns what adds the process's actors to a group, and its clean-up.
-	build func(ctx context.Context, settings S, env assembler.Environment) (func(*run.Group), func(), error)
+	// build returns the process and its clean-up.
+	build func(ctx context.Context, settings S, env assembler.Environment) (built, func(), error)
+}
+
+// built is a process that is ready to run.
+type built struct {
+	addTo func(group *run.Group)
+	// cut tells, once the group has ended, what the stop cut off; nil means that
+	// the process has nothing to tell.
+	cut func() error
+}
+
+// run runs the process. A group ends with the error of the actor that ended
+// first, which in a stop is the signal; what the stop cut off comes later.
+func (process built) run() error {
+	var group run.Group
+	process.addTo(&group)
+	err := runGroup(&group)
+	if err == nil && process.cut != nil {
+		return process.cut()
+	}
+	return err
 }
 
 func entryCommand() *ffcli.Command {
@@ -72,12 +92,12 @@
 		help:   "run an entry: the front that callers reach",
 		read:   loader.ReadEntry,
 		common: func(settings loader.Entry) loader.Process { return settings.Process },
-		build: func(ctx context.Context, settings loader.Entry, env assembler.Environment) (func(*run.Group), func(), error) {
+		build: func(ctx context.Context, settings loader.Entry, env assembler.Environment) (built, func(), error) {
 			entry, release, err := assembler.NewEntry(ctx, settings, env)
 			if err != nil {
-				return nil, nil, err
+				return built{}, nil, err
 			}
-			return entry.AddTo, release, nil
+			return built{addTo: entry.AddTo}, release, nil
 		},
 	})
 }
@@ -88,12 +108,12 @@
 		help:   "run an agent: the process beside one upstream",
 		read:   loader.ReadAgent,
 		common: func(settings loader.Agent) loader.Process { return settings.Process },
-		build: func(ctx context.Context, settings loader.Agent, env assembler.Environment) (func(*run.Group), func(), error) {
+		build: func(ctx context.Context, settings loader.Agent, env assembler.Environment) (built, func(), error) {
 			agent, release, err := assembler.NewAgent(ctx, settings, env)
 			if err != nil {
-				return nil, nil, err
+				return built{}, nil, err
 			}
-			return agent.AddTo, release, nil
+			return built{addTo: agent.AddTo, cut: agent.Cut}, release, nil
 		},
 	})
 }
@@ -125,12 +145,10 @@
 		return err
 	}
 	defer closePlatform()
-	addTo, release, err := kind.build(ctx, settings, env)
+	process, release, err := kind.build(ctx, settings, env)
 	if err != nil {
 		return err
 	}
 	defer release()
-	var group run.Group
-	addTo(&group)
-	return runGroup(&group)
+	return process.run()
 }
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -34,6 +34,9 @@
 	control  *control
 	metrics  http.Handler
 	meter    *storekeeper.Meter
+	// cut is what a stop cut off. The actor that drains writes it before the
+	// group ends, and Cut reads it after.
+	cut error
 }
 
 // AgentStatus is what an agent says about itself.
@@ -185,11 +188,18 @@
 		case <-stop:
 		}
 		err := made.drain()
+		made.cut = err
 		_ = made.listener.Close()
 		return err
 	}, func(error) { close(stop) })
 }
 
+// Cut returns an error that says how many calls the stop cut off, or nil when
+// all had ended. It may be asked once the agent's group has ended.
+func (made *Agent) Cut() error {
+	return made.cut
+}
+
 func (made *Agent) drain() error {
 	service, _ := made.watcher.Current().Service(made.settings.Service)
 	ctx, cancel := context.WithTimeout(context.Background(), service.LongestDrain.Duration())
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -92,3 +92,31 @@
 		So(granted, ShouldEqual, 0)
 	})
 }
+
+func TestAStopThatCutsCallsOffSaysSo(t *testing.T) {
+	t.Parallel()
+	// The callers' streams are cut, which they can tell from whole ones.
+	// Two streams are longer than the service's longest drain. The agent waits
+	// that long, cuts them off, and its platform sees by the exit code and the
+	// last line that the stop was not clean.
+	bundle := siteConfig()
+	bundle.Base = strings.Replace(bundle.Base, `kind = "model"`, "kind = \"model\"\nlongest-drain = \"300ms\"", 1)
+	rig := newRig(t, bundle)
+	agent := rig.addPlanner("planner-1", imitator.EngineSettings{Step: 50 * timekeeper.Millisecond})
+	entry := rig.addEntry("entry-1")
+	got := [2]reply{}
+	var callers sync.WaitGroup
+	for i := range got {
+		callers.Go(func() { got[i] = entry.call(t.Context(), "POST", "/v1/chat/completions", chat(1000, "a long route")) })
+	}
+	rig.eventually("the engine runs both", func() bool { return rig.engines["planner-1"].Counts().Runs == 2 })
+	code := agent.stop()
+	callers.Wait()
+	Convey("the agent exits with 1 and says how many calls it cut off", t, func() {
+		So(code, ShouldEqual, 1)
+		So(agent.logged("trefoilseam: the longest drain has passed with 2 calls in flight"), ShouldHaveLength, 1)
+		for _, reply := range got {
+			So(reply.body, ShouldNotEndWith, wholeStream)
+		}
+	})
+}
