--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -57,10 +57,10 @@
 func NewAgent(ctx context.Context, settings loader.Agent, env Environment) (*Agent, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "agent", "name": settings.Name, "site": settings.Site})
 	made := &Agent{settings: settings}
-	made.meter = newMeter(env, func() *publisher.Watcher { return made.watcher })
+	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
+	made.meter = newMeter(env, scope, func() *publisher.Watcher { return made.watcher })
 	env.Platform = made.meter.Wrap(env.Platform)
 	made.env = env
-	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	made.metrics = metrics
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	incarnation := newIncarnation()
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -56,10 +56,10 @@
 func NewEntry(ctx context.Context, settings loader.Entry, env Environment) (*Entry, func(), error) {
 	env.Log = env.Log.WithFields(logrus.Fields{"process": "entry", "name": settings.Name, "site": settings.Site})
 	entry := &Entry{settings: settings}
-	entry.meter = newMeter(env, func() *publisher.Watcher { return entry.watcher })
+	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
+	entry.meter = newMeter(env, scope, func() *publisher.Watcher { return entry.watcher })
 	env.Platform = entry.meter.Wrap(env.Platform)
 	entry.env = env
-	scope, metrics, closeScope := measurer.New(settings.Name, env.Log)
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	entry.metrics = metrics
 	incarnation := newIncarnation()
--- a/internal/assembler/watch.go
+++ b/internal/assembler/watch.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
@@ -36,10 +38,13 @@
 
 // newMeter returns the meter before a process's platform. Its rates follow the
 // configuration, once there is one.
-func newMeter(env Environment, watcher func() *publisher.Watcher) *storekeeper.Meter {
+func newMeter(env Environment, scope tally.Scope, watcher func() *publisher.Watcher) *storekeeper.Meter {
 	return storekeeper.NewMeter(storekeeper.MeterSettings{
 		Clock: env.Clock,
 		Seed:  newIncarnation(),
+		Count: func(cause storekeeper.Cause, use storekeeper.Use) {
+			scope.Tagged(map[string]string{"cause": string(cause), "use": string(use)}).Counter("store-calls").Inc(1)
+		},
 		Rates: func() storekeeper.Rates {
 			var limits resolver.Limits
 			if known := watcher(); known != nil {
--- a/internal/publisher/fleet_test.go
+++ b/internal/publisher/fleet_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -31,6 +33,7 @@
 	incarnation int
 	serving     bool
 	start       Start
+	budget      storekeeper.Budget
 	served      uint64 // highest revision that any incarnation served with
 }
 
@@ -86,13 +89,12 @@
 
 func (fleet *fleet) look(i int) {
 	proc := &fleet.procs[i]
-	if fleet.down || fleet.cut[i] {
+	if !fleet.reaches(i) {
 		proc.standing = proc.standing.Miss()
 		fleet.askPeers(i)
 		fleet.planNext(i)
 		return
 	}
-	fleet.reads++
 	head, incarnation := fleet.head, proc.incarnation
 	fleet.at(fleet.slow, func() {
 		if proc.incarnation != incarnation {
@@ -100,12 +102,11 @@
 		}
 		wanted := false
 		proc.standing, wanted = proc.standing.Read(head, fleet.now)
-		if !wanted {
+		if !wanted || !fleet.reaches(i) {
 			fleet.serve(i)
 			fleet.planNext(i)
 			return
 		}
-		fleet.reads++
 		fleet.at(fleet.slow, func() {
 			if proc.incarnation == incarnation {
 				fleet.take(i, head)
@@ -116,6 +117,25 @@
 	})
 }
 
+// reaches makes one read for a process through its meter, and reports whether
+// the store answers. After failures the meter sends nothing for a while, also
+// when the store is back.
+func (fleet *fleet) reaches(i int) bool {
+	proc := &fleet.procs[i]
+	rates := storekeeper.Rates{Reads: resolver.DefaultStoreReads, Writes: resolver.DefaultStoreWrites}
+	budget, allowed := proc.budget.Allow(false, rates, fleet.now)
+	proc.budget = budget
+	if !allowed {
+		return false
+	}
+	answers := !fleet.down && !fleet.cut[i]
+	proc.budget = proc.budget.Settle(answers, fleet.draws.Float64(), fleet.now)
+	if answers {
+		fleet.reads++
+	}
+	return answers
+}
+
 func (fleet *fleet) planNext(i int) {
 	fleet.plan(i, fleet.procs[i].standing.Wait(fleet.every, fleet.draws.Float64()))
 }
@@ -191,15 +211,15 @@
 
 // lookOnce is a look that plans no other.
 func (fleet *fleet) lookOnce(i int) {
-	if fleet.down || fleet.cut[i] {
+	head, body := fleet.reaches(i), fleet.reaches(i)
+	if !head || !body {
 		fleet.askPeers(i)
 		return
 	}
-	fleet.reads += 2
-	head, incarnation := fleet.head, fleet.procs[i].incarnation
+	revision, incarnation := fleet.head, fleet.procs[i].incarnation
 	fleet.at(2*fleet.slow, func() {
 		if fleet.procs[i].incarnation == incarnation {
-			fleet.take(i, head)
+			fleet.take(i, revision)
 		}
 	})
 }
@@ -359,3 +379,21 @@
 	fleet.advance(rest * timekeeper.Second)
 	return float64(fleet.reads-before) / rest
 }
+
+func TestALongOutageDelaysNoChangeAfterIt(t *testing.T) {
+	// Operators fix what caused an outage by a change, at once when the store is
+	// back. Every meter is then in its longest pause. The change must be in force
+	// everywhere within the bound all the same.
+	const schedules, size = 200, 12
+	for seed := range uint64(schedules) {
+		fleet := newFleet(seed, size, 6*timekeeper.Second)
+		fleet.down = true
+		fleet.advance(5 * timekeeper.Minute)
+		fleet.down = false
+		fleet.head++
+		fleet.advance(bound)
+		if !fleet.everywhere() || fleet.problem != "" {
+			t.Fatalf("schedule %d: not in force everywhere after %s: %+v %s", seed, bound, fleet.procs, fleet.problem)
+		}
+	}
+}
--- a/internal/storekeeper/meter.go
+++ b/internal/storekeeper/meter.go
@@ -23,12 +23,40 @@
 	Failed int `json:"failed"`
 }
 
+// Use is what became of a call, as the metrics name it.
+type Use string
+
+// The uses. A call that failed was counted as read or written before.
+const (
+	Read    Use = "read"
+	Written Use = "written"
+	Refused Use = "refused"
+	Failed  Use = "failed"
+)
+
+// with returns the tally with one more use.
+func (tally Tally) with(use Use) Tally {
+	switch use {
+	case Read:
+		tally.Reads++
+	case Written:
+		tally.Writes++
+	case Refused:
+		tally.Refused++
+	case Failed:
+		tally.Failed++
+	}
+	return tally
+}
+
 // MeterSettings set up a meter. Clock must be set.
 type MeterSettings struct {
 	Clock timekeeper.Clock
 	Seed  uint64
 	// Rates returns the bounds of each cause; nil means none.
 	Rates func() Rates
+	// Count takes each use for the metrics; nil means it is dropped.
+	Count func(cause Cause, use Use)
 }
 
 // Meter stands between a process and its platform. It counts every read and
@@ -49,6 +77,9 @@
 		const unbounded = 1 << 30
 		settings.Rates = func() Rates { return Rates{Reads: unbounded, Writes: unbounded} }
 	}
+	if settings.Count == nil {
+		settings.Count = func(Cause, Use) {}
+	}
 	return &Meter{
 		settings: settings,
 		draws:    rand.New(rand.NewPCG(settings.Seed, 4)),
@@ -141,28 +172,30 @@
 	budget, allowed := meter.budgets[cause].Allow(write, rates, now)
 	allowed = allowed || !cause.background()
 	meter.budgets[cause] = budget
-	tally := meter.tallies[cause]
 	switch {
 	case !allowed:
-		tally.Refused++
+		meter.count(cause, Refused)
 	case write:
-		tally.Writes++
+		meter.count(cause, Written)
 	default:
-		tally.Reads++
+		meter.count(cause, Read)
 	}
-	meter.tallies[cause] = tally
 	return allowed
 }
 
+// count notes one use; the lock must be held.
+func (meter *Meter) count(cause Cause, use Use) {
+	meter.tallies[cause] = meter.tallies[cause].with(use)
+	meter.settings.Count(cause, use)
+}
+
 func (meter *Meter) settle(cause Cause, err error) {
 	now := meter.settings.Clock.Now()
 	answered := !eris.Is(err, ErrUnknown) && !eris.Is(err, ErrBusy)
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
 	if !answered {
-		tally := meter.tallies[cause]
-		tally.Failed++
-		meter.tallies[cause] = tally
+		meter.count(cause, Failed)
 	}
 	if cause.background() {
 		meter.budgets[cause] = meter.budgets[cause].Settle(answered, meter.draws.Float64(), now)
--- a/internal/storekeeper/meter_test.go
+++ b/internal/storekeeper/meter_test.go
@@ -33,7 +33,11 @@
 	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
 	var failure error
 	sent := 0
-	meter := NewMeter(MeterSettings{Clock: clock.Clock(), Rates: func() Rates { return Rates{Reads: 3, Writes: 2} }})
+	counted := map[Cause]Tally{}
+	meter := NewMeter(MeterSettings{
+		Clock: clock.Clock(), Rates: func() Rates { return Rates{Reads: 3, Writes: 2} },
+		Count: func(cause Cause, use Use) { counted[cause] = counted[cause].with(use) },
+	})
 	platform := meter.Wrap(stub(func() error { sent++; return failure }))
 	ctx := context.Background()
 	Convey("a cause over its rate is held back, another is not", t, func() {
@@ -55,6 +59,7 @@
 			ForInstances: {Reads: 1},
 		})
 		So(sent, ShouldEqual, 9)
+		So(counted, ShouldResemble, meter.Tallies())
 	})
 	Convey("the rate is back after a second", t, func() {
 		clock.Advance(timekeeper.Second)
--- a/internal/striker/table.go
+++ b/internal/striker/table.go
@@ -53,7 +53,18 @@
 }
 
 // Add adds a crash at an instance to the row.
+//
+// The load: an engine crashes with its whole batch in flight, and all of it is
+// struck at once. Hardly any of it has a row, so the row is written first and
+// read only when that met one: one crash of 64 calls would else read 64 rows
+// that aren't there.
 func (book Book) Add(ctx context.Context, strike Strike, instance string) error {
+	fresh := strike
+	fresh.Count, fresh.Instances = 0, nil
+	err := book.write(ctx, fresh.More(instance, strike.Expires), 0)
+	if !eris.Is(err, storekeeper.ErrConflict) && !eris.Is(err, storekeeper.ErrUnknown) {
+		return err
+	}
 	return book.change(ctx, strike.Fingerprint, func(row Strike, found bool) (Strike, bool) {
 		if !found {
 			row = strike
@@ -117,12 +128,7 @@
 		if !needed {
 			return nil
 		}
-		value, failed := json.Marshal(changed)
-		if failed != nil {
-			return eris.Wrap(failed, "encode strike")
-		}
-		write := storekeeper.Write{Table: Table, Key: RowKey(fingerprint), Value: value, Expect: version}
-		err = book.table.Commit(ctx, []storekeeper.Write{write})
+		err = book.write(ctx, changed, version)
 		if err == nil || eris.Is(err, storekeeper.ErrBusy) {
 			return err
 		}
@@ -130,6 +136,18 @@
 	return err
 }
 
+func (book Book) write(ctx context.Context, strike Strike, expect uint64) error {
+	if book.table.Commit == nil {
+		return storekeeper.ErrUnknown
+	}
+	value, err := json.Marshal(strike)
+	if err != nil {
+		return eris.Wrap(err, "encode strike")
+	}
+	write := storekeeper.Write{Table: Table, Key: RowKey(strike.Fingerprint), Value: value, Expect: expect}
+	return book.table.Commit(ctx, []storekeeper.Write{write})
+}
+
 // Lift removes a strike; it returns false when there was none.
 func (book Book) Lift(ctx context.Context, fingerprint uint64) (bool, error) {
 	for range tries {
