--- a/internal/assembler/budget_test.go
+++ b/internal/assembler/budget_test.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// claims returns the rows of a burst of orders.
-func claims(name string, count int, now timekeeper.Instant) []claimer.Row {
+// burst returns the rows of a burst of orders.
+func burst(name string, count int, now timekeeper.Instant) []claimer.Row {
 	rows := make([]claimer.Row, count)
 	for i := range rows {
 		rows[i] = claimer.Row{Key: fmt.Sprintf("%s-%d", name, i), Expires: now.Add(timekeeper.Hour)}
@@ -100,7 +100,7 @@
 		{"a poll", storekeeper.ForConfig, func(one spender, _ string) { _ = one.watcher.Look(t.Context()) }, 1, 0},
 		{"the instance list", storekeeper.ForInstances, func(one spender, _ string) { _ = one.view.Look(t.Context()) }, 1, 0},
 		{"64 orders that come together", storekeeper.ForClaims, func(one spender, name string) {
-			one.committer.Commit(t.Context(), claims(name, orders, clock.Clock().Now()))
+			one.committer.Commit(t.Context(), burst(name, orders, clock.Clock().Now()))
 		}, 0, 1},
 		{"a crash with eight calls in flight", storekeeper.ForStrikes, func(one spender, name string) {
 			for i := range uint64(struck) {
--- a/internal/runner/demand.go
+++ b/internal/runner/adapters.go
@@ -9,10 +9,10 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// demand is what is asked of the engine by adapter, and what it holds. It is
+// adapters are what is asked of the engine by adapter, and what it holds. It is
 // guarded by Agent.mu. Only calls that the desk has taken are in it, so the
 // slots and the queue bound it, whatever callers name.
-type demand struct {
+type adapters struct {
 	// calls are the adapters of the calls that run or wait, by request.
 	calls map[string]string
 	// loaded is what the engine last said that it holds; known is set once it has.
@@ -21,8 +21,8 @@
 }
 
 // lacks reports whether the engine is known not to hold the adapter.
-func (demand *demand) lacks(adapter string) bool {
-	return adapter != "" && demand.known && !slices.Contains(demand.loaded, adapter)
+func (adapters *adapters) lacks(adapter string) bool {
+	return adapter != "" && adapters.known && !slices.Contains(adapters.loaded, adapter)
 }
 
 // adapterAway refuses a call whose adapter was unloaded while the entry still
@@ -31,15 +31,15 @@
 	return classifier.New(classifier.NotReady, "the upstream does not hold the adapter").WithRetryAfter(timekeeper.Second)
 }
 
-// noteDemand takes in a call that the desk has taken; Agent.mu must be held.
-func (agent *Agent) noteDemand(offer *encoder.Offer, decision admitter.Decision) {
+// noteAdapter takes in a call that the desk has taken; Agent.mu must be held.
+func (agent *Agent) noteAdapter(offer *encoder.Offer, decision admitter.Decision) {
 	if decision.Outcome == admitter.Refused || !slices.Contains(agent.service.Adapters, offer.GetAdapter()) {
 		return
 	}
-	if agent.demand.calls == nil {
-		agent.demand.calls = map[string]string{}
+	if agent.adapters.calls == nil {
+		agent.adapters.calls = map[string]string{}
 	}
-	agent.demand.calls[offer.GetRequestId()] = offer.GetAdapter()
+	agent.adapters.calls[offer.GetRequestId()] = offer.GetAdapter()
 }
 
 // demands returns the calls for each adapter of the configuration, and notes
@@ -48,12 +48,12 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	if said {
-		agent.demand.loaded, agent.demand.known = slices.Sorted(slices.Values(state.Loaded)), true
+		agent.adapters.loaded, agent.adapters.known = slices.Sorted(slices.Values(state.Loaded)), true
 	}
 	demands := make([]*encoder.Demand, 0, len(agent.service.Adapters))
 	for _, adapter := range agent.service.Adapters {
 		demand := &encoder.Demand{Adapter: adapter}
-		for _, called := range agent.demand.calls {
+		for _, called := range agent.adapters.calls {
 			if called == adapter {
 				demand.Calls++
 			}
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -96,7 +96,7 @@
 	strikes  *strikes
 	askers   askers
 	orders   orders
-	demand   demand
+	adapters adapters
 
 	// service is as in the configuration of revision; mu guards both.
 	service  resolver.Service
@@ -104,6 +104,7 @@
 
 	mu       sync.Mutex
 	desk     *admitter.Desk
+	demand   admitter.Demand
 	queue    map[string]chan verdict
 	places   *placer.Directory
 	born     timekeeper.Instant
@@ -237,7 +238,7 @@
 		Revision:    agent.settings.Config().Revision,
 		Sequence:    agent.sequence,
 		Site:        agent.settings.Site,
-		Loaded:      agent.demand.loaded,
+		Loaded:      agent.adapters.loaded,
 	}
 }
 
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -141,7 +141,7 @@
 			offer(string(rune('a'+i)), adapter)
 		}
 		So(show().GetDemands()[0].GetCalls(), ShouldEqual, 2)
-		So(bench.agent.demand.calls, ShouldHaveLength, 2)
+		So(bench.agent.adapters.calls, ShouldHaveLength, 2)
 		So(bench.agent.Digest().GetLoaded(), ShouldResemble, []string{"vans"})
 		Convey("an adapter that the engine is known not to hold is refused, and nothing ran", func() {
 			decision, _ := bench.agent.decide(&encoder.Offer{RequestId: "x", Service: "orders", Adapter: "menus"}, 1)
@@ -151,7 +151,7 @@
 		Convey("a call that is over leaves nothing behind", func() {
 			bench.agent.release("a")
 			bench.agent.release("b")
-			So(bench.agent.demand.calls, ShouldBeEmpty)
+			So(bench.agent.adapters.calls, ShouldBeEmpty)
 		})
 	})
 }
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -37,6 +37,8 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	agent.adopt()
+	agent.demand.Note(offer.GetEntry(), offer.GetUnderWay(), arrived)
+	mean = agent.demand.Raise(mean, arrived)
 	if failure, ok := agent.bound(offer); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
@@ -48,7 +50,7 @@
 	}
 	decision := agent.desk.Offer(agent.ticket(offer, arrived), mean)
 	agent.noteLoad(offer, decision)
-	agent.noteDemand(offer, decision)
+	agent.noteAdapter(offer, decision)
 	for _, ticket := range decision.Displaced {
 		agent.tell(ticket.ID, verdict{failure: agent.desk.PushedOut()})
 	}
@@ -94,7 +96,7 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.queue, id)
-	delete(agent.demand.calls, id)
+	delete(agent.adapters.calls, id)
 	agent.keys.book.Abandon(id)
 	agent.leaveGate(id)
 	agent.wake(agent.desk.Finish(id, now))
--- a/test/integration/restart_test.go
+++ b/test/integration/restart_test.go
@@ -59,9 +59,12 @@
 	serves := func(entry *process) func() bool {
 		return func() bool { return entry.call(t.Context(), "GET", "/orders", "").status == 200 }
 	}
-	Convey("calls are served in the outage", t, func() {
+	Convey("calls are served in the outage, and apply says that nothing was changed", t, func() {
 		rig.platform.SetFaults(imitator.PlatformFaults{Down: true})
 		So(entries[0].call(t.Context(), "POST", "/orders", "{}").status, ShouldEqual, 200)
+		text, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "c.toml", 5), "-edited-from", "2", "-timeout", "2s")
+		So(code, ShouldEqual, 1)
+		So(text, ShouldContainSubstring, "not accepted")
 	})
 	Convey("all entries serve calls again", t, func() {
 		entries[0].kill()
