integration: the apply in an outage runs beside the restarts

Cause: it takes ten seconds, in which the test waited. Change: it runs while the processes are restarted and is judged at the end.

--- a/test/integration/restart_test.go
+++ b/test/integration/restart_test.go
@@ -56,15 +56,18 @@
 		t.Fatal(text)
 	}
 	rig.eventuallyAt(2, entries...)
+	told := make(chan outcome, 1)
 	serves := func(entry *process) func() bool {
 		return func() bool { return entry.call(t.Context(), "GET", "/orders", "").status == 200 }
 	}
-	Convey("calls are served in the outage, and apply says that nothing was changed", t, func() {
+	Convey("calls are served in the outage, while an operator tries a change", t, func() {
 		rig.platform.SetFaults(imitator.PlatformFaults{Down: true})
 		So(entries[0].call(t.Context(), "POST", "/orders", "{}").status, ShouldEqual, 200)
-		text, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "c.toml", 5), "-edited-from", "2", "-timeout", "2s")
-		So(code, ShouldEqual, 1)
-		So(text, ShouldContainSubstring, "not accepted")
+		file := baseFile(t, "c.toml", 5)
+		go func() {
+			text, code := configure(t, "apply", "-platform", rig.base, "-base", file, "-edited-from", "2")
+			told <- outcome{text: text, code: code}
+		}()
 	})
 	Convey("all entries serve calls again", t, func() {
 		entries[0].kill()
@@ -95,6 +98,9 @@
 		}
 	})
 	Convey("a change after the outage is in force at all of them", t, func() {
+		inOutage := <-told
+		So(inOutage.code, ShouldEqual, 1)
+		So(inOutage.text, ShouldContainSubstring, "not accepted")
 		rig.platform.SetFaults(imitator.PlatformFaults{})
 		text, code := configure(t, "apply", "-platform", rig.base, "-base", baseFile(t, "c.toml", 6), "-edited-from", "2", "-wait", "-timeout", "20s")
 		So(text, ShouldContainSubstring, "in force: revision 3")
