--- a/internal/assembler/watch.go
+++ b/internal/assembler/watch.go
@@ -59,6 +59,7 @@
 // learn takes in what an agent said about itself: its state for the view, and
 // the revision that it carries for the watcher.
 func (entry *Entry) learn(digest *encoder.Digest) {
+	entry.control.heard(digest)
 	entry.watcher.Hear(digest.GetRevision())
 	entry.view.Learn(digest)
 }
