--- a/internal/assembler/shell.go
+++ b/internal/assembler/shell.go
@@ -59,11 +59,11 @@
 	process, env := settings.process, settings.env
 	env.Log = env.Log.WithFields(logrus.Fields{"process": settings.kind, "name": process.Name, "site": process.Site})
 	shell := &shell{process: process, incarnation: newIncarnation()}
-	shell.meter = newMeter(env, func() *publisher.Watcher { return shell.watcher })
-	env.Platform = shell.meter.Wrap(env.Platform)
-	shell.env = env
 	var release func()
 	shell.scope, shell.metrics, release = measurer.New(process.Name, env.Log)
+	shell.meter = newMeter(env, shell.scope, func() *publisher.Watcher { return shell.watcher })
+	env.Platform = shell.meter.Wrap(env.Platform)
+	shell.env = env
 	shell.onRelease(release)
 	shell.pool, release = dialer.NewPool(dialer.Settings{})
 	shell.onRelease(release)
--- a/internal/reporter/view.go
+++ b/internal/reporter/view.go
@@ -49,7 +49,9 @@
 	rosters map[string]placer.Roster
 	// replicas are what each roster was made of.
 	replicas map[string][]placer.Replica
-	random   *rand.Rand
+	// holders are the rosters of those that hold an adapter, by service.
+	holders map[string]holders
+	random  *rand.Rand
 	// listed is the size of the newest list in bytes, instances its length.
 	listed    int64
 	instances int
@@ -62,6 +64,7 @@
 		tables:   map[string]*Table{},
 		rosters:  map[string]placer.Roster{},
 		replicas: map[string][]placer.Replica{},
+		holders:  map[string]holders{},
 		random:   rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 	}
 }
@@ -216,4 +219,5 @@
 		view.replicas[service] = replicas
 		view.rosters[service] = placer.NewRoster(replicas)
 	}
+	view.holders[service] = view.holders[service].anew(live, replicas)
 }
