placer: a replica fetches the prefix of a call that it took

Cause: a replica that joined stayed empty while its runner-up evicted for want of memory, and a chat that spilled at the bound read its whole prompt anew. Change: Directory.Source names the one replica to ask: where the pointer says, the home after a spill, the runner-up while the home settles. A home moves the prefix, a spill copies it. A leave tries the runners-up where the home has no room, and leaves a pointer.

--- a/internal/placer/directory.go
+++ b/internal/placer/directory.go
@@ -91,6 +91,8 @@
 	// Settling says that the replica started lately, so chats that it doesn't
 	// know may have run at the runner-up before.
 	Settling bool
+	// Fetches says that the replica can fetch a prefix from another.
+	Fetches bool
 }
 
 // Moved decides whether the offer is better sent on to where its prefix is.
@@ -102,7 +104,8 @@
 //   - A chat known to have run elsewhere goes there, on the first attempt only.
 //     When that replica is gone or full, the second visit finds it accepted.
 //   - A replica that has just become home doesn't know its chats. The runner-up
-//     was their home before, so the offer goes there, while it settles.
+//     was their home before, so the offer goes there, while it settles. One that
+//     can fetch the prefix takes the offer instead (see Source).
 //   - A runner-up that is asked so and doesn't know the chat either sends it
 //     back, so that new chats start at their new home.
 //
@@ -122,14 +125,57 @@
 	case where != "":
 		return where != directory.settings.Self && home
 	}
-	return home && visit.Settling
+	return home && visit.Settling && !visit.Fetches
+}
+
+// Source returns the replica that a taken offer's prefix is best fetched from,
+// or "" when there is none to ask.
+//
+// It is made for two loads. A replica that joins stays empty while the former
+// home keeps its chats and evicts others for want of memory; so it asks the
+// runner-up. And a chat that spilled at the bound reads a long prompt anew
+// though its home has it; so it asks the home. One replica is asked, once, and
+// its word costs a message where it knows nothing.
+func (directory *Directory) Source(visit Visit) string {
+	const needed = 2
+	if !visit.Fetches || visit.Chat == 0 || len(visit.Ranked) < needed {
+		return ""
+	}
+	where := directory.Where(visit.Chat)
+	home := visit.Ranked[0] == directory.settings.Self
+	switch {
+	case where == directory.settings.Self:
+		return ""
+	case where != "":
+		return where
+	case !home:
+		return visit.Ranked[0]
+	case visit.Settling:
+		return visit.Ranked[1]
+	}
+	return ""
+}
+
+// Fits reports whether the replica's cache takes so many tokens more without
+// losing another chat.
+func (directory *Directory) Fits(tokens int64) bool {
+	return directory.settings.CacheTokens == 0 || directory.tokens+tokens <= directory.settings.CacheTokens
+}
+
+// Left forgets that the chat's prefix is here: it went to the replica that
+// fetched it, and the copy here is the next to be evicted.
+func (directory *Directory) Left(chat uint64, where string) {
+	directory.tokens -= directory.own.drop(chat).tokens
+	directory.Note(chat, where, 0)
 }
 
 // Move says what a leaving replica gives away of a chat.
 type Move struct {
-	Chat uint64
-	// To is the chat's home among the rest.
-	To Replica
+	Chat   uint64
+	Tokens int64
+	// To are the chat's home among the rest and the runners-up, which take the
+	// prefix when the home has no room for it.
+	To []Replica
 	// Where is the replica that has the prefix; "" means the leaving one, so
 	// that the prefix itself goes along.
 	Where string
@@ -144,11 +190,11 @@
 	for _, kept := range []shelf{directory.own, directory.away} {
 		for element := kept.byUsage.Front(); element != nil && len(moves) < limit; element = element.Next() {
 			pointer := element.Value.(pointer)
-			ranked := rest.Rank(pointer.chat, 1)
+			ranked := rest.Rank(pointer.chat, MaxOffers)
 			if len(ranked) == 0 {
 				return nil
 			}
-			move := Move{Chat: pointer.chat, To: ranked[0]}
+			move := Move{Chat: pointer.chat, Tokens: pointer.tokens, To: ranked}
 			if pointer.where != directory.settings.Self {
 				move.Where = pointer.where
 			}
--- a/test/load/fleet_test.go
+++ b/test/load/fleet_test.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// demote makes the chat's prefix the next to be evicted.
+func (cache *cache) demote(chat uint64) {
+	if element := cache.byChat[chat]; element != nil {
+		cache.byUsage.MoveToBack(element)
+	}
+}
+
 func (cache *cache) drop(chat uint64) {
 	if element := cache.byChat[chat]; element != nil {
 		cache.used -= element.Value.(prefix).tokens
@@ -76,6 +83,8 @@
 	made     int64
 	arrived  timekeeper.Instant
 	deadline timekeeper.Span
+	// fetched is the prefix that came from another replica, in tokens.
+	fetched int64
 }
 
 func (request request) work() int64 { return request.prompt + request.made }
@@ -86,6 +95,8 @@
 	limits admitter.Limits
 	order  func(fleet *fleet, request request) []string
 	plain  bool
+	// fetch lets a replica fetch the prefix of a call that it took.
+	fetch bool
 	// report is how often agents learn the load of the whole service; zero
 	// means that they always know it.
 	report timekeeper.Span
@@ -139,6 +150,7 @@
 	waiting  map[string]request
 	results  map[string]*result
 	cached   int64
+	fetched  int64
 	prompted int64
 	// worst is the most that a replica held at an admission, over the mean.
 	worst float64
@@ -216,14 +228,20 @@
 		return
 	}
 	for _, move := range gone.known.Handover(fleet.roster, placer.DirectorySize) {
-		to := fleet.members[move.To.Name]
+		home := fleet.members[move.To[0].Name]
 		if move.Where != "" {
-			to.known.Note(move.Chat, move.Where, 0)
+			home.known.Note(move.Chat, move.Where, 0)
 			continue
 		}
-		if tokens := gone.cache.tokens(move.Chat); tokens > 0 && to.cache.used+tokens <= to.cache.room {
-			to.cache.put(move.Chat, tokens)
-			to.known.Note(move.Chat, to.name, tokens)
+		tokens := gone.cache.tokens(move.Chat)
+		for _, replica := range move.To {
+			to := fleet.members[replica.Name]
+			if tokens > 0 && to.cache.used+tokens <= to.cache.room {
+				to.cache.put(move.Chat, tokens)
+				to.known.Note(move.Chat, to.name, tokens)
+				home.known.Note(move.Chat, to.name, tokens)
+				break
+			}
 		}
 	}
 }
@@ -265,7 +283,7 @@
 	fleet.results[request.id] = &result{request: request, wait: request.deadline}
 	if fleet.policy.order != nil {
 		for i, name := range fleet.policy.order(fleet, request) {
-			if i == placer.MaxOffers || fleet.offer(request, name, i).Outcome != admitter.Refused {
+			if i == placer.MaxOffers || fleet.offer(request, name, placer.Visit{Attempt: i}).Outcome != admitter.Refused {
 				return
 			}
 		}
@@ -303,13 +321,13 @@
 	if where := member.known.Where(visit.Chat); where != name {
 		refusal.Where = where
 	}
-	visit.Settling = fleet.now.Since(member.born) < fleet.settle
+	visit.Settling, visit.Fetches = fleet.now.Since(member.born) < fleet.settle, fleet.policy.fetch
 	if member.known.Moved(visit) {
 		fleet.results[request.id].offers++
 		refusal.Moved = true
 		return refusal, false
 	}
-	decision := fleet.offer(request, name, visit.Attempt)
+	decision := fleet.offer(request, name, visit)
 	if decision.Failure.Kind == classifier.AtBound {
 		refusal.AtBound = true
 		refusal.Room = fleet.least()
@@ -317,8 +335,28 @@
 	return refusal, decision.Outcome != admitter.Refused
 }
 
+// fetch brings the prefix of a request that was taken from where it is.
+func (fleet *fleet) fetch(member *member, visit placer.Visit) int64 {
+	from := fleet.members[member.known.Source(visit)]
+	if from != nil && from.cache.tokens(visit.Chat) == 0 {
+		// The pointer is followed once.
+		from = fleet.members[from.known.Where(visit.Chat)]
+	}
+	if from == nil || from == member || from.cache.tokens(visit.Chat) == 0 {
+		return 0
+	}
+	tokens := from.cache.tokens(visit.Chat)
+	if visit.Ranked[0] == member.name {
+		from.cache.demote(visit.Chat)
+		from.known.Left(visit.Chat, member.name)
+	}
+	member.cache.put(visit.Chat, tokens)
+	fleet.fetched += tokens
+	return tokens
+}
+
 // offer brings a request to a replica's desk.
-func (fleet *fleet) offer(request request, name string, attempt int) admitter.Decision {
+func (fleet *fleet) offer(request request, name string, visit placer.Visit) admitter.Decision {
 	member := fleet.members[name]
 	if member == nil {
 		return admitter.Decision{Outcome: admitter.Refused}
@@ -328,8 +366,8 @@
 		ID: request.id, Team: request.team, Weight: request.weight, Class: request.class, Work: request.work(),
 		Arrived: fleet.now, Deadline: fleet.now.Add(request.deadline),
 	}
-	ticket.Last = attempt >= placer.MaxOffers-1
-	ticket.Cold = member.known.Cold(request.chat, attempt)
+	ticket.Last = visit.Attempt >= placer.MaxOffers-1
+	ticket.Cold = member.known.Cold(request.chat, visit.Attempt)
 	if fleet.policy.plain {
 		ticket.Team, ticket.Class, ticket.Deadline = "", 3, 0
 	}
@@ -342,6 +380,7 @@
 	if decision.Outcome != admitter.Refused {
 		share := float64(total+request.work()) / float64(len(fleet.members))
 		fleet.worst = max(fleet.worst, float64(held)/share)
+		request.fetched = fleet.fetch(member, visit)
 		member.known.Note(request.chat, name, request.work())
 		fleet.waiting[request.id] = request
 	}
@@ -358,11 +397,12 @@
 func (fleet *fleet) start(member *member, id string) {
 	request := fleet.waiting[id]
 	delete(fleet.waiting, id)
-	const prefillRate, decodeSpan = 20, 5
+	// A prefix is fetched five times as fast as it is computed.
+	const prefillRate, fetchRate, decodeSpan = 20, 100, 5
 	hit := min(member.cache.tokens(request.chat), request.prompt)
 	fleet.cached += hit
 	fleet.prompted += request.prompt
-	prefill := timekeeper.Span(float64(request.prompt-hit) / prefillRate * member.slow)
+	prefill := timekeeper.Span(float64(request.prompt-hit)/prefillRate*member.slow + float64(request.fetched)/fetchRate)
 	took := prefill + timekeeper.Span(float64(request.made*decodeSpan)*member.slow)
 	done := fleet.results[id]
 	done.wait = fleet.now.Since(request.arrived) + prefill
--- a/test/load/policies_test.go
+++ b/test/load/policies_test.go
@@ -11,7 +11,7 @@
 
 // own is the system's way with a load factor.
 func own(factor float64) policy {
-	return policy{name: "trefoilseam", limits: admitter.Limits{
+	return policy{name: "trefoilseam", fetch: true, limits: admitter.Limits{
 		Slots: slots, QueueLength: queueLength, UrgentSlots: 1, LoadFactor: factor,
 		Backoff: admitter.Backoff{Draw: rand.New(rand.NewPCG(3, 5)).Float64},
 	}}
--- a/test/load/reuse_test.go
+++ b/test/load/reuse_test.go
@@ -58,10 +58,9 @@
 }
 
 // BenchmarkReuseThroughChurn is nine planners whose replicas come and go all
-// along. The goal is 0.97 of the oracle; the bounds are what held when they
-// were set, and docs/decisions/placement.md tells what stands between.
+// along. The goal is 0.97 of the oracle, through crashes and flaps too.
 func BenchmarkReuseThroughChurn(b *testing.B) {
-	const leastOfOracle, leastOfRendezvous, leastPlanned, leastBound = 0.91, 1.05, 0.96, 0.68
+	const leastOfOracle, leastOfRendezvous, leastPlanned, leastBound = 0.97, 1.12, 0.99, 0.93
 	for b.Loop() {
 		best := entoto(oracle(), false).reuse()
 		plain := entoto(rendezvous(), false).reuse()
@@ -77,6 +76,7 @@
 		b.ReportMetric(planned, "planned-of-oracle")
 		b.ReportMetric(bound.reuse()/best, "reuse-of-oracle-at-1.25")
 		b.ReportMetric(best, "oracle-reuse")
+		b.ReportMetric(float64(ours.fetched)/float64(ours.prompted), "fetched-share")
 		b.ReportMetric(offersPerCall(ours), "offers-per-call")
 		b.ReportMetric(refusedShare(ours), "not-served")
 		if ours.reuse() < leastOfOracle*best || ours.reuse() < leastOfRendezvous*plain ||
--- a/test/load/skew_test.go
+++ b/test/load/skew_test.go
@@ -63,7 +63,7 @@
 
 // BenchmarkSkew is a dozen replicas under skewed teams with surges.
 func BenchmarkSkew(b *testing.B) {
-	const rate, factor, leastCaptions, leastReuse, mostRefused = 75, 1.25, 5, 0.9, 0.01
+	const rate, factor, leastCaptions, leastReuse, mostRefused = 75, 1.25, 5, 0.97, 0.01
 	for b.Loop() {
 		plain := ferdigliste(rendezvous(), rate)
 		for _, policy := range baselines() {
@@ -72,9 +72,14 @@
 				policy.name, run.worst, captionWait(run), run.reuse(), refusedShare(run))
 		}
 		for _, c := range []float64{1.05, 1.1, 1.25, 1.5, 2, 3, 0} {
-			run := ferdigliste(own(c), rate)
-			b.Logf("c=%.2f: worst %.2f, caption p99 %s, reuse %.3f, offers %.2f, not served %.4f",
-				c, run.worst, captionWait(run), run.reuse(), offersPerCall(run), refusedShare(run))
+			without := own(c)
+			without.fetch = false
+			run := ferdigliste(without, rate)
+			b.Logf("c=%.2f without fetching: caption p99 %s, reuse %.3f", c, captionWait(run), run.reuse())
+			run = ferdigliste(own(c), rate)
+			b.Logf("c=%.2f: worst %.2f, caption p99 %s, reuse %.3f, offers %.2f, fetched %.3f, not served %.4f",
+				c, run.worst, captionWait(run), run.reuse(), offersPerCall(run),
+				float64(run.fetched)/float64(run.prompted), refusedShare(run))
 		}
 		for _, report := range []timekeeper.Span{timekeeper.Second / 4, timekeeper.Second, 4 * timekeeper.Second} {
 			late := own(factor)
