--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -10,6 +10,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
+	"github.com/trefoilseam/trefoilseam/internal/placer"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/runner"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -70,6 +71,8 @@
 		Room:          func() string { return made.control.view.Room(settings.Service, settings.Name) },
 		Digests:       made.control.exchanger.Answer,
 		Tell:          made.control.tell,
+		Peers:         func() placer.Roster { return made.control.view.Roster(settings.Service) },
+		Open:          made.pool.Open,
 	})
 	if err != nil {
 		made.release()
--- a/test/load/fleet_test.go
+++ b/test/load/fleet_test.go
@@ -1,8 +1,8 @@
 package load
 
 import (
+	"cmp"
 	"container/heap"
-	"container/list"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -14,46 +14,6 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// cache is a bounded cache of chats' prefixes, in tokens.
-type cache struct {
-	room, used int64
-	byChat     map[uint64]*list.Element
-	byUsage    *list.List
-}
-
-type prefix struct {
-	chat   uint64
-	tokens int64
-}
-
-func newCache(room int64) *cache {
-	return &cache{room: room, byChat: map[uint64]*list.Element{}, byUsage: list.New()}
-}
-
-func (cache *cache) tokens(chat uint64) int64 {
-	if element := cache.byChat[chat]; element != nil {
-		return element.Value.(prefix).tokens
-	}
-	return 0
-}
-
-func (cache *cache) put(chat uint64, tokens int64) {
-	cache.drop(chat)
-	cache.byChat[chat] = cache.byUsage.PushFront(prefix{chat, tokens})
-	cache.used += tokens
-	for cache.used > cache.room {
-		cache.drop(cache.byUsage.Back().Value.(prefix).chat)
-	}
-}
-
-func (cache *cache) drop(chat uint64) {
-	if element := cache.byChat[chat]; element != nil {
-		cache.used -= element.Value.(prefix).tokens
-		cache.byUsage.Remove(element)
-		delete(cache.byChat, chat)
-	}
-}
-
 // member is one replica of the fleet.
 type member struct {
 	name  string
@@ -63,19 +23,25 @@
 	born  timekeeper.Instant
 	life  int
 	slow  float64
+	// busy counts the calls of each chat that wait or run here.
+	busy map[uint64]int
 }
 
 // request is one call of a workload.
 type request struct {
-	id       string
-	team     string
-	weight   int
-	chat     uint64
+	id     string
+	team   string
+	weight int
+	chat   uint64
+	// body is the fingerprint by which a call without a chat is placed.
+	body     uint64
 	class    uint8
 	prompt   int64
 	made     int64
 	arrived  timekeeper.Instant
 	deadline timekeeper.Span
+	// fetched is the prefix that came from another replica, in tokens.
+	fetched int64
 }
 
 func (request request) work() int64 { return request.prompt + request.made }
@@ -86,6 +52,8 @@
 	limits admitter.Limits
 	order  func(fleet *fleet, request request) []string
 	plain  bool
+	// fetch lets a replica fetch the prefix of a call that it took.
+	fetch bool
 	// report is how often agents learn the load of the whole service; zero
 	// means that they always know it.
 	report timekeeper.Span
@@ -130,6 +98,12 @@
 	room    int64
 	members map[string]*member
 	roster  placer.Roster
+	// far is the roster of every other entry, which learns of a change so much
+	// later; zero means that all entries learn together.
+	far    placer.Roster
+	farLag timekeeper.Span
+	// believed is the room that agents take their engine's cache to have.
+	believed int64
 	// lag is how late entries learn of a change; settle is the agents' time.
 	lag, settle timekeeper.Span
 	// told is the total that agents were told last, at toldAt.
@@ -139,6 +113,7 @@
 	waiting  map[string]request
 	results  map[string]*result
 	cached   int64
+	fetched  int64
 	prompted int64
 	// worst is the most that a replica held at an admission, over the mean.
 	worst float64
@@ -147,7 +122,7 @@
 func newFleet(policy policy, replicas int, room int64) *fleet {
 	fleet := &fleet{
 		policy: policy, random: rand.New(rand.NewPCG(11, 13)), room: room,
-		members: map[string]*member{}, budget: retrier.NewBudget(retrier.Settings{}),
+		believed: room, members: map[string]*member{}, budget: retrier.NewBudget(retrier.Settings{}),
 		waiting: map[string]request{}, results: map[string]*result{}, settle: 10 * timekeeper.Minute,
 	}
 	for i := range replicas {
@@ -187,13 +162,23 @@
 		replicas = append(replicas, placer.Replica{Name: name})
 	}
 	fleet.roster = placer.NewRoster(replicas)
+	told := fleet.roster
+	fleet.at(fleet.now.Add(fleet.farLag), func() { fleet.far = told })
+}
+
+// entry returns the roster of the entry that a call comes through.
+func (fleet *fleet) entry() placer.Roster {
+	if fleet.farLag == 0 || fleet.random.IntN(2) == 0 {
+		return fleet.roster
+	}
+	return fleet.far
 }
 
 func (fleet *fleet) join(name string) {
 	fleet.turn++
 	fleet.members[name] = &member{
 		name: name, desk: admitter.NewDesk(fleet.policy.limits), cache: newCache(fleet.room),
-		known: placer.NewDirectory(placer.DirectorySettings{Self: name, CacheTokens: fleet.room}), born: fleet.now, life: fleet.turn, slow: 1,
+		known: placer.NewDirectory(placer.DirectorySettings{Self: name, CacheTokens: fleet.believed}), born: fleet.now, life: fleet.turn, slow: 1, busy: map[uint64]int{},
 	}
 	fleet.at(fleet.now.Add(fleet.lag), fleet.look)
 }
@@ -216,14 +201,20 @@
 		return
 	}
 	for _, move := range gone.known.Handover(fleet.roster, placer.DirectorySize) {
-		to := fleet.members[move.To.Name]
+		home := fleet.members[move.To[0].Name]
 		if move.Where != "" {
-			to.known.Note(move.Chat, move.Where, 0)
+			home.known.Note(move.Chat, move.Where, 0)
 			continue
 		}
-		if tokens := gone.cache.tokens(move.Chat); tokens > 0 && to.cache.used+tokens <= to.cache.room {
-			to.cache.put(move.Chat, tokens)
-			to.known.Note(move.Chat, to.name, tokens)
+		tokens := gone.cache.tokens(move.Chat)
+		for _, replica := range move.To {
+			to := fleet.members[replica.Name]
+			if tokens > 0 && to.cache.used+tokens <= to.cache.room {
+				to.cache.put(move.Chat, tokens)
+				to.known.Note(move.Chat, to.name, tokens)
+				home.known.Note(move.Chat, to.name, tokens)
+				break
+			}
 		}
 	}
 }
@@ -265,14 +256,14 @@
 	fleet.results[request.id] = &result{request: request, wait: request.deadline}
 	if fleet.policy.order != nil {
 		for i, name := range fleet.policy.order(fleet, request) {
-			if i == placer.MaxOffers || fleet.offer(request, name, i).Outcome != admitter.Refused {
+			if i == placer.MaxOffers || fleet.offer(request, name, placer.Visit{Attempt: i}).Outcome != admitter.Refused {
 				return
 			}
 		}
 		return
 	}
 	fleet.budget.Earn()
-	itinerary := placer.NewItinerary(fleet.roster, request.chat, nil)
+	itinerary := placer.NewItinerary(fleet.entry(), cmp.Or(request.chat, request.body), nil)
 	for attempt := 0; ; attempt++ {
 		stop, ok := itinerary.Next()
 		if !ok || attempt > 0 && !stop.Free && !fleet.budget.Spend() {
@@ -303,13 +294,13 @@
 	if where := member.known.Where(visit.Chat); where != name {
 		refusal.Where = where
 	}
-	visit.Settling = fleet.now.Since(member.born) < fleet.settle
+	visit.Settling, visit.Fetches = fleet.now.Since(member.born) < fleet.settle, fleet.policy.fetch
 	if member.known.Moved(visit) {
 		fleet.results[request.id].offers++
 		refusal.Moved = true
 		return refusal, false
 	}
-	decision := fleet.offer(request, name, visit.Attempt)
+	decision := fleet.offer(request, name, visit)
 	if decision.Failure.Kind == classifier.AtBound {
 		refusal.AtBound = true
 		refusal.Room = fleet.least()
@@ -317,8 +308,31 @@
 	return refusal, decision.Outcome != admitter.Refused
 }
 
+// fetch brings the prefix of a request that was taken from where it is.
+func (fleet *fleet) fetch(member *member, visit placer.Visit) int64 {
+	from := fleet.members[member.known.Source(visit)]
+	if from != nil && from.cache.tokens(visit.Chat) == 0 {
+		if from.busy[visit.Chat] == 0 {
+			from.known.Gone(visit.Chat)
+		}
+		// The pointer is followed once.
+		from = fleet.members[from.known.Where(visit.Chat)]
+	}
+	if from == nil || from == member || from.cache.tokens(visit.Chat) == 0 {
+		return 0
+	}
+	tokens := from.cache.tokens(visit.Chat)
+	if visit.Ranked[0] == member.name {
+		from.cache.demote(visit.Chat)
+		from.known.Left(visit.Chat, member.name)
+	}
+	member.cache.put(visit.Chat, tokens)
+	fleet.fetched += tokens
+	return tokens
+}
+
 // offer brings a request to a replica's desk.
-func (fleet *fleet) offer(request request, name string, attempt int) admitter.Decision {
+func (fleet *fleet) offer(request request, name string, visit placer.Visit) admitter.Decision {
 	member := fleet.members[name]
 	if member == nil {
 		return admitter.Decision{Outcome: admitter.Refused}
@@ -328,8 +342,8 @@
 		ID: request.id, Team: request.team, Weight: request.weight, Class: request.class, Work: request.work(),
 		Arrived: fleet.now, Deadline: fleet.now.Add(request.deadline),
 	}
-	ticket.Last = attempt >= placer.MaxOffers-1
-	ticket.Cold = member.known.Cold(request.chat, attempt)
+	ticket.Last = visit.Attempt >= placer.MaxOffers-1
+	ticket.Cold = member.known.Cold(request.chat, visit.Attempt)
 	if fleet.policy.plain {
 		ticket.Team, ticket.Class, ticket.Deadline = "", 3, 0
 	}
@@ -342,10 +356,13 @@
 	if decision.Outcome != admitter.Refused {
 		share := float64(total+request.work()) / float64(len(fleet.members))
 		fleet.worst = max(fleet.worst, float64(held)/share)
+		request.fetched = fleet.fetch(member, visit)
 		member.known.Note(request.chat, name, request.work())
 		fleet.waiting[request.id] = request
+		member.busy[request.chat]++
 	}
 	for _, displaced := range decision.Displaced {
+		member.busy[fleet.waiting[displaced.ID].chat]--
 		delete(fleet.waiting, displaced.ID)
 	}
 	if decision.Outcome == admitter.Granted {
@@ -358,11 +375,12 @@
 func (fleet *fleet) start(member *member, id string) {
 	request := fleet.waiting[id]
 	delete(fleet.waiting, id)
-	const prefillRate, decodeSpan = 20, 5
+	// A prefix is fetched five times as fast as it is computed.
+	const prefillRate, fetchRate, decodeSpan = 20, 100, 5
 	hit := min(member.cache.tokens(request.chat), request.prompt)
 	fleet.cached += hit
 	fleet.prompted += request.prompt
-	prefill := timekeeper.Span(float64(request.prompt-hit) / prefillRate * member.slow)
+	prefill := timekeeper.Span(float64(request.prompt-hit)/prefillRate*member.slow + float64(request.fetched)/fetchRate)
 	took := prefill + timekeeper.Span(float64(request.made*decodeSpan)*member.slow)
 	done := fleet.results[id]
 	done.wait = fleet.now.Since(request.arrived) + prefill
@@ -373,6 +391,7 @@
 			return
 		}
 		member.cache.put(request.chat, request.work())
+		member.busy[request.chat]--
 		done.served = done.wait <= request.deadline
 		for _, granted := range member.desk.Finish(id, fleet.now) {
 			fleet.start(member, granted.ID)
--- a/test/load/policies_test.go
+++ b/test/load/policies_test.go
@@ -11,12 +11,19 @@
 
 // own is the system's way with a load factor.
 func own(factor float64) policy {
-	return policy{name: "trefoilseam", limits: admitter.Limits{
+	return policy{name: "trefoilseam", fetch: true, limits: admitter.Limits{
 		Slots: slots, QueueLength: queueLength, UrgentSlots: 1, LoadFactor: factor,
 		Backoff: admitter.Backoff{Draw: rand.New(rand.NewPCG(3, 5)).Float64},
 	}}
 }
 
+// withoutFetching is the system's way where engines can't export a prefix.
+func withoutFetching(factor float64) policy {
+	made := own(factor)
+	made.fetch = false
+	return made
+}
+
 func plain(name string, order func(fleet *fleet, request request) []string) policy {
 	limits := admitter.Limits{Slots: slots, QueueLength: queueLength}
 	return policy{name: name, limits: limits, order: order, plain: true}
