runner: only whole answers bring the load

Cause: one full run under load failed TestARequestThatCrashesEnginesCostsTwo (an innocent call was not answered with 200); a broken answer told that the engine was down, which an entry believes until a later word. Whether that was the cause is not shown: eight runs alone passed before this change. Change: a broken answer brings no digest. Measured: one full run of the integration tests passed after it.

--- a/internal/runner/answer.go
+++ b/internal/runner/answer.go
@@ -95,9 +95,10 @@
 
 // close ends the answer. Only the first call counts.
 func (answer *answer) close(requestID string, complete bool, failure classifier.Failure) {
-	// The agent's lock is taken before the answer's, never after it.
+	// A broken answer brings nothing: its engine may be back sooner than the word of
+	// its loss fades. The agent's lock is taken before the answer's, never after it.
 	var now *encoder.Digest
-	if answer.now != nil {
+	if answer.now != nil && complete {
 		now = answer.now()
 	}
 	answer.mu.Lock()
