--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -61,6 +61,7 @@
 		Pool:        entry.pool,
 		Config:      entry.watcher.Current,
 		Roster:      entry.view.Roster,
+		Holders:     entry.view.Holders,
 		Locate:      entry.view.Locate,
 		Learn:       entry.learn,
 		Failed:      entry.view.Fail,
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -102,6 +102,7 @@
 	strikes  *strikes
 	askers   askers
 	orders   orders
+	adapters adapters
 
 	// service is as in the configuration of revision; mu guards both.
 	service  resolver.Service
@@ -244,6 +245,7 @@
 		Revision:    agent.settings.Config().Revision,
 		Sequence:    agent.sequence,
 		Site:        agent.settings.Site,
+		Loaded:      agent.adapters.loaded,
 	}
 }
 
