--- a/test/integration/placement_test.go
+++ b/test/integration/placement_test.go
@@ -42,6 +42,7 @@
 }
 
 func TestAPlannedLeaveLosesNoPrefix(t *testing.T) {
+	t.Parallel()
 	// No caller notices that a replica was replaced: every chat, also those of
 	// the replica that left, finds its prefix cached.
 	// Four planners hold 24 chats. One stops gracefully and hands the prefixes of
@@ -88,6 +89,7 @@
 }
 
 func TestChatsFindTheirPrefixAfterAReplicaIsReplaced(t *testing.T) {
+	t.Parallel()
 	// The engines here can't export a prefix.
 	// Callers of a replaced replica's chats wait for their prompt to be read
 	// again, once; all other callers notice nothing.
--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -50,6 +51,13 @@
 		fmt.Fprintln(os.Stderr, string(out))
 		return 1
 	}
+	// Most tests wait for processes and use little of a core, so more of them
+	// than there are cores run side by side. The command line may say otherwise.
+	const sideBySide = "24"
+	if err := flag.Set("test.parallel", sideBySide); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	return m.Run()
 }
 
@@ -85,7 +93,7 @@
 // rig is one site: stand-ins in the test process, entries and agents as real
 // processes, and a fault-injecting proxy before each agent.
 type rig struct {
-	t         *testing.T
+	t         testing.TB
 	clock     timekeeper.Clock
 	platform  *imitator.Platform
 	base      string
@@ -93,12 +101,13 @@
 	engines   map[string]*imitator.Engine
 	proxies   map[string]*disturber.Proxy
 	agents    map[string]*process
+	upstreams map[string]string
 	instances []storekeeper.Instance
 }
 
 // noteSources reads the command's files, so that go test runs anew when they
 // have changed. Only what a test itself opens counts for that.
-func noteSources(t *testing.T) {
+func noteSources(t testing.TB) {
 	t.Helper()
 	sources, err := filepath.Glob("../../cmd/trefoilseam/*.go")
 	if err != nil || len(sources) == 0 {
@@ -112,17 +121,18 @@
 }
 
 // newRig returns a rig with a platform that holds the configuration.
-func newRig(t *testing.T, bundle resolver.Bundle) *rig {
+func newRig(t testing.TB, bundle resolver.Bundle) *rig {
 	t.Helper()
 	noteSources(t)
 	rig := &rig{
-		t:        t,
-		clock:    timekeeper.Wall(),
-		ledger:   imitator.NewLedger(),
-		engines:  map[string]*imitator.Engine{},
-		proxies:  map[string]*disturber.Proxy{},
-		agents:   map[string]*process{},
-		platform: imitator.NewPlatform(timekeeper.Wall()),
+		t:         t,
+		clock:     timekeeper.Wall(),
+		ledger:    imitator.NewLedger(),
+		engines:   map[string]*imitator.Engine{},
+		proxies:   map[string]*disturber.Proxy{},
+		agents:    map[string]*process{},
+		upstreams: map[string]string{},
+		platform:  imitator.NewPlatform(timekeeper.Wall()),
 	}
 	rig.base = rig.serve(rig.platform.Handler())
 	if _, err := publisher.Accept(t.Context(), rig.platform.Seams(), bundle, 0, "rig"); err != nil {
@@ -166,6 +176,7 @@
 	rig.t.Cleanup(closeProxy)
 	rig.proxies[name] = proxy
 	rig.agents[name] = agent
+	rig.upstreams[name] = upstream
 	rig.instances = append(rig.instances, storekeeper.Instance{
 		Name: name, Service: service, Address: proxy.Address(), Site: "bole",
 	})
@@ -186,7 +197,7 @@
 
 // process is one real process of the system.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	command *exec.Cmd
 	address string
 	admin   string
@@ -283,6 +294,11 @@
 // stop asks for a graceful stop and returns the exit code.
 func (proc *process) stop() int {
 	proc.signal(syscall.SIGTERM)
+	return proc.ended()
+}
+
+// ended waits for the end of the process and returns its exit code.
+func (proc *process) ended() int {
 	<-proc.done
 	_ = proc.command.Wait()
 	return proc.command.ProcessState.ExitCode()
