runner: strikes are written before the caller is told

Cause: a strike was saved, and one was taken back, after the caller had its answer; a resend at once, through another entry, met a table that did not know yet. Under load an innocent request was refused (422), or two requests stood barred. Ruled out: End.now on broken answers (does not come with them). Change: the run's end is told after the strike is on record, at most 500 ms later; only requests with strikes wait.

--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -72,9 +72,10 @@
 	agent.noteChat(offer.GetChat(), offer.GetWork())
 	go func() {
 		defer cancel()
-		agent.upstream.call(ctx, agent.settings, offer, commit, started)
+		whole, failure := agent.upstream.call(ctx, agent.settings, offer, commit, started)
+		agent.landed(started, ctx.Err() != nil, whole, failure)
+		started.answer.close(started.id, whole, failure)
 		agent.recordEnd(offer, started.answer)
-		agent.landed(started, ctx.Err() != nil)
 		agent.hold(ctx)
 		agent.finish(started)
 	}()
--- a/internal/runner/strikes.go
+++ b/internal/runner/strikes.go
@@ -202,26 +202,49 @@
 	})
 }
 
-// landed notes how a run ended, before its slot is given to the next.
-func (agent *Agent) landed(ended *run, canceled bool) {
-	ended.answer.mu.Lock()
-	end := ended.answer.end
-	ended.answer.mu.Unlock()
-	kind := classifier.KindOf(end.GetKind())
+// landed notes how a run ended, before the caller is told and before its slot
+// is given to the next.
+func (agent *Agent) landed(ended *run, canceled, whole bool, failure classifier.Failure) {
 	switch {
-	case kind == classifier.NotReady:
+	case whole:
+		agent.cleared(ended, true)
+	case failure.Kind == classifier.NotReady:
 		agent.mu.Lock()
 		agent.strikes.ledger.Away(agent.settings.Clock.Now())
 		agent.keys.book.NotRun(ended.id)
 		agent.mu.Unlock()
 		agent.cleared(ended, false)
-	case end.GetComplete() || canceled || end.GetDetail() == noTerminal:
-		agent.cleared(ended, end.GetComplete())
+	case canceled || failure.Detail == noTerminal:
+		agent.cleared(ended, false)
 	default:
 		agent.broke(ended)
 	}
 }
 
+// strikeWait bounds how long a caller's answer waits for a strike to be written
+// or taken back; a store that is slower than that is treated as down.
+const strikeWait = 500 * timekeeper.Millisecond
+
+// beforeTold writes to the table of strikes before the caller is told how its
+// request ended. The failure: the caller resends at once, through any entry, and
+// the table doesn't know yet. The symptom: a bad request that shares its second
+// engine with others, who are then struck twice and refused; or an innocent one
+// that is still barred. Only requests with strikes come here, so no other answer
+// waits.
+func (agent *Agent) beforeTold(write func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		write()
+	}()
+	late, release := agent.settings.Clock.After(strikeWait)
+	defer release()
+	select {
+	case <-done:
+	case <-late:
+	}
+}
+
 // cleared takes strikes back from a request that ended without a crash.
 func (agent *Agent) cleared(ended *run, whole bool) {
 	agent.mu.Lock()
@@ -230,7 +253,7 @@
 	if !changed {
 		return
 	}
-	go func() {
+	agent.beforeTold(func() {
 		var err error
 		if whole {
 			_, err = agent.strikes.book.Lift(context.Background(), flight.Fingerprint)
@@ -240,7 +263,7 @@
 		if err != nil {
 			agent.settings.Log.WithError(err).Warn("strike not taken back")
 		}
-	}()
+	})
 }
 
 // broke strikes a request whose connection the engine broke.
@@ -262,7 +285,7 @@
 	if strike.Saved {
 		return
 	}
-	go agent.saveStrike(strike)
+	agent.beforeTold(func() { agent.saveStrike(strike) })
 }
 
 func (agent *Agent) saveStrike(strike striker.Strike) {
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -44,35 +44,31 @@
 // call runs the request and fills the answer until its end.
 func (up *upstream) call(
 	ctx context.Context, settings Settings, offer *encoder.Offer, commit *encoder.Run, started *run,
-) {
-	id, answer := started.id, started.answer
+) (whole bool, failure classifier.Failure) {
 	response, err := up.send(ctx, offer, commit)
 	if err != nil {
-		answer.close(id, false, failedToSend(err))
-		return
+		return false, failedToSend(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	stream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-	answer.open(&encoder.Head{
-		RequestId:   id,
+	started.answer.open(&encoder.Head{
+		RequestId:   started.id,
 		Incarnation: settings.Incarnation,
 		Status:      uint32(response.StatusCode),
 		Headers:     up.headers(settings, response.Header),
 		Stream:      stream,
 	})
 	ending := terminal{needed: stream && up.service.Kind == resolver.KindModel}
-	if err := copyBody(ctx, up.marked(response.Body, ending.needed, settings, started), answer, &ending); err != nil {
-		answer.close(id, false, classifier.New(classifier.AnswerCut, err.Error()))
-		return
+	if err := copyBody(ctx, up.marked(response.Body, ending.needed, settings, started), started.answer, &ending); err != nil {
+		return false, classifier.New(classifier.AnswerCut, err.Error())
 	}
-	// HTTP 200 is not completion ("Why the Next Model Request Still Queues
-	// After HTTP 200", section 4): a
-	// stream is whole only when the protocol's own terminal was seen.
+	// HTTP 200 is not completion ("Why the Next Model Request Still Queues After
+	// HTTP 200", section 4): a stream is whole only when the protocol's own
+	// terminal was seen.
 	if !ending.seen() {
-		answer.close(id, false, classifier.New(classifier.AnswerCut, noTerminal))
-		return
+		return false, classifier.New(classifier.AnswerCut, noTerminal)
 	}
-	answer.close(id, true, classifier.Failure{})
+	return true, classifier.Failure{}
 }
 
 func (up *upstream) send(ctx context.Context, offer *encoder.Offer, commit *encoder.Run) (*http.Response, error) {
