forwarder: an offer made again is not buried first

Cause: an offer that could not be written left a tombstone and was then offered again under the same request id, which met the tombstone: 'tombstoned', twice in a row, for a caller whose replica was reachable (trace of cut-0-286). Change: the tombstone is left after the last try only.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -68,22 +68,23 @@
 func (entry *Entry) attempt(
 	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32,
 ) (classifier.Failure, bool) {
-	var unsent bool
-	failure, done := entry.attemptOnce(ctx, w, call, replica, attempt, &unsent)
+	failure, done, unsent := entry.attemptOnce(ctx, w, call, replica, attempt, false)
 	if unsent {
-		failure, done = entry.attemptOnce(ctx, w, call, replica, attempt, &unsent)
+		failure, done, _ = entry.attemptOnce(ctx, w, call, replica, attempt, true)
 	}
 	return failure, done
 }
 
-// attemptOnce sets unsent when the offer could not be written.
+// attemptOnce is one attempt over one connection. The third result is true when
+// the offer could not be written and may be made again; it is under the same
+// request id then, so no tombstone is left for it before the last try.
 func (entry *Entry) attemptOnce(
-	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32, unsent *bool,
-) (classifier.Failure, bool) {
+	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32, last bool,
+) (failure classifier.Failure, done, unsent bool) {
 	conn, peer, err := entry.settings.Pool.OpenPeer(ctx, replica.Address)
 	if err != nil {
 		entry.failed(ctx, call, replica)
-		return classifier.New(classifier.Unreachable, replica.Name), false
+		return classifier.New(classifier.Unreachable, replica.Name), false, false
 	}
 	defer func() { _ = conn.Close() }()
 	// The caller's leaving must reach the agent, or the engine works for
@@ -96,15 +97,18 @@
 	at := contact{replica: replica, incarnation: peer.Incarnation, since: entry.settings.Clock.Now()}
 	entry.recordOffer(call, at)
 	failure, committed, lost := entry.commit(stream, call, &at, attempt)
-	*unsent = at.unsent
 	switch {
 	case lost:
-		return entry.settle(ctx, entry.newRelayed(w, call), at)
+		failure, done = entry.settle(ctx, entry.newRelayed(w, call), at)
+		return failure, done, false
+	case !committed && at.unsent && !last:
+		return failure, false, true
 	case !committed:
 		entry.bury(ctx, call, at, failure)
-		return failure, false
+		return failure, false, false
 	}
-	return entry.relay(ctx, w, call, at, stream)
+	failure, done = entry.relay(ctx, w, call, at, stream)
+	return failure, done, false
 }
 
 // commit brings the call to the point where it is committed: offered, granted
