forwarder: 'not run' is not said of a key that was taken

Change: before a replica's refusal of a keyed call is told, the entry reads the claim, which is written before anything runs: held by another request, the answer is key-in-progress, unknown; absent or this request's own, 'no' stands. Cost: one read a refused call with a key. Left: with the store down the refusal speaks of the one sending, as documented.

--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -6,6 +6,7 @@
 	"github.com/oklog/run"
 
 	"github.com/trefoilseam/trefoilseam/internal/budgeter"
+	"github.com/trefoilseam/trefoilseam/internal/claimer"
 	"github.com/trefoilseam/trefoilseam/internal/forwarder"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
@@ -63,6 +64,7 @@
 		Roster:      entry.view.Roster,
 		Holders:     entry.view.Holders,
 		Locate:      entry.view.Locate,
+		Claimed:     entry.claimed,
 		Learn:       entry.learn,
 		Failed:      entry.view.Fail,
 		Record:      entry.record.Record,
@@ -70,6 +72,12 @@
 	return entry, entry.release, nil
 }
 
+// claimed returns the request that has claimed a key.
+func (entry *Entry) claimed(ctx context.Context, rowKey string) (request string, found bool, err error) {
+	row, found, err := claimer.Find(ctx, entry.env.Platform.Table, rowKey)
+	return row.Owner.Request, found, err
+}
+
 // Status returns what the entry says about itself.
 func (entry *Entry) Status() EntryStatus {
 	config := entry.watcher.Current()
--- /dev/null
+++ b/internal/claimer/find.go
@@ -0,0 +1,23 @@
+package claimer
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
+)
+
+// Find returns the claim of a row key, made by RowKey. The second result is
+// false when nobody has claimed the key.
+func Find(ctx context.Context, table storekeeper.Table, key string) (Row, bool, error) {
+	stored, err := table.Get(ctx, Table, key)
+	if eris.Is(err, storekeeper.ErrAbsent) {
+		return Row{}, false, nil
+	}
+	if err != nil {
+		return Row{}, false, err
+	}
+	row, err := decode(stored)
+	return row, err == nil, err
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -36,6 +37,9 @@
 	// Locate returns the address of a replica that is listed, also of one that
 	// gets no new work.
 	Locate func(instance string) (address string, known bool)
+	// Claimed returns the request that has claimed a key, by the key of its row;
+	// nil means that no key is ever claimed.
+	Claimed func(ctx context.Context, rowKey string) (request string, found bool, err error)
 	// Learn takes in a digest that came with an answer; nil means it is dropped.
 	Learn func(digest *encoder.Digest)
 	// Failed takes a replica that could not be reached, or could not be asked
@@ -56,6 +60,9 @@
 	if settings.WriteTimeout == 0 {
 		settings.WriteTimeout = 20 * timekeeper.Second
 	}
+	if settings.Claimed == nil {
+		settings.Claimed = func(context.Context, string) (string, bool, error) { return "", false, nil }
+	}
 	if settings.Learn == nil {
 		settings.Learn = func(*encoder.Digest) {}
 	}
@@ -113,7 +120,7 @@
 		return
 	}
 	if err := entry.carry(r.Context(), w, call); err != nil {
-		entry.refuse(w, id, err)
+		entry.refuse(w, id, entry.ofKey(r.Context(), call, err))
 	}
 }
 
--- a/internal/forwarder/entry_test.go
+++ b/internal/forwarder/entry_test.go
@@ -73,6 +73,12 @@
 
 // front returns an entry before the given agents, as a server.
 func front(t *testing.T, agents ...string) *httptest.Server {
+	t.Helper()
+	return frontWith(t, func(*Settings) {}, agents...)
+}
+
+// frontWith is front with settings that a test changes.
+func frontWith(t *testing.T, change func(settings *Settings), agents ...string) *httptest.Server {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -92,14 +98,15 @@
 	}
 	pool, closePool := dialer.NewPool(dialer.Settings{})
 	t.Cleanup(closePool)
-	entry := New(Settings{
+	settings := Settings{
 		Name: "entry-1", Clock: timekeeper.Wall(), Log: log, Scope: tally.NoopScope, Pool: pool,
 		Config:      func() resolver.Config { return config },
 		Roster:      func(string) placer.Roster { return placer.NewRoster(replicas) },
 		Locate:      func(string) (string, bool) { return "", false },
 		BodyTimeout: 300 * timekeeper.Millisecond, WriteTimeout: 300 * timekeeper.Millisecond,
-	})
-	server := httptest.NewServer(entry)
+	}
+	change(&settings)
+	server := httptest.NewServer(New(settings))
 	t.Cleanup(server.Close)
 	return server
 }
@@ -262,3 +269,43 @@
 		So(letGo, ShouldBeTrue)
 	})
 }
+
+func TestNotRunIsNotSaidOfAKeyThatWasTaken(t *testing.T) {
+	// A caller's order has run and its answer was lost. It sends the order again
+	// under its key; the only replica that it reaches is full and refuses before
+	// it looks at keys. "Not run" would be true of this sending and false of the
+	// order. The claim tells: it is written before anything runs.
+	tests := []struct {
+		name, holder string
+		found        bool
+		err          error
+		status       int
+		ran          string
+	}{
+		{"another request has the key", "entry-9-1-1", true, nil, http.StatusConflict, "unknown"},
+		{"nobody has the key", "", false, nil, http.StatusServiceUnavailable, "no"},
+		{"this request itself has it, and did not run", "", true, nil, http.StatusServiceUnavailable, "no"},
+		{"the store can't be read", "", false, io.ErrUnexpectedEOF, http.StatusServiceUnavailable, "no"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			var own string
+			agent := scripted(t, func(stream *encoder.Stream, offer *encoder.Offer) {
+				own = offer.GetRequestId()
+				_ = stream.Write(encoder.Of(&encoder.Refused{RequestId: own, Kind: "overloaded", RetryAfter: 1000}))
+			})
+			server := frontWith(t, func(settings *Settings) {
+				settings.Claimed = func(context.Context, string) (string, bool, error) {
+					if test.holder == "" {
+						return own, test.found, test.err
+					}
+					return test.holder, test.found, test.err
+				}
+			}, agent)
+			got := exchange(t, server, "POST /orders HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer "+
+				testKey+"\r\nIdempotency-Key: lunch-1\r\nContent-Length: 2\r\n\r\n{}", false)
+			So(got, ShouldStartWith, fmt.Sprint(test.status))
+			So(got, ShouldContainSubstring, `"ran":"`+test.ran+`"`)
+		})
+	}
+}
