forwarder: a call's reckoned work is bounded

Change: what a call is reckoned to generate is at most 131,072 tokens. With it: one log line 'answered' with the choice; dev's planner with load-factor 2 and fetching; the engine stand-in resumes streams and tells cache events a second late.

--- a/internal/assembler/dev.go
+++ b/internal/assembler/dev.go
@@ -67,6 +67,9 @@
 kind = "model"
 models = ["planner"]
 cached-header = %q
+cache-path = "/cache"
+# Long chats come back, so reuse weighs more than an even spread.
+load-factor = 2
 
 [services.orders]
 kind = "plain"
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -60,6 +60,10 @@
 	completionsPath = "/v1/chat/completions"
 	// bytesPerToken is the estimate for text that has not been tokenized.
 	bytesPerToken = 4
+	// mostTokens bounds what a call is reckoned to generate. A caller may ask for
+	// any number; without the bound one call could make a service's load look
+	// endless, or negative, and with it every replica's share.
+	mostTokens = 1 << 17
 	// plainWork is the estimated work of a call to a plain service.
 	plainWork = 1
 	// normalUrgency is the urgency of a call without a Priority (RFC 9218, section 4.1).
@@ -145,7 +149,7 @@
 	}
 	made.body = body
 	made.idempotent = true
-	made.work = int64(len(body))/bytesPerToken + max(0, request.MaxTokens)
+	made.work = int64(len(body))/bytesPerToken + min(max(0, request.MaxTokens), mostTokens)
 	made.chat = chatHash(made.team, chatName(r, made.settings.ChatField, body))
 	return made, nil
 }
--- a/internal/forwarder/relay.go
+++ b/internal/forwarder/relay.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
@@ -168,6 +169,14 @@
 	answer.entry.hints.clear(answer.call.fingerprint())
 	answer.entry.settings.Scope.Counter("answers").Inc(1)
 	answer.record(classifier.Failure{}, true)
+	answer.entry.settings.Log.WithFields(logrus.Fields{
+		"request-id": answer.call.id,
+		"service":    answer.call.service,
+		"chat":       answer.call.chat,
+		"choice":     answer.entry.upstreamOf(answer.head).Name,
+		"status":     answer.head.GetStatus(),
+		"length":     answer.length,
+	}).Info("answered")
 	return classifier.Failure{}, true
 }
 
--- a/internal/imitator/engine.go
+++ b/internal/imitator/engine.go
@@ -25,6 +25,8 @@
 	LateCancel timekeeper.Span
 	// LoadLag is how old the reported load is; zero means one second.
 	LoadLag timekeeper.Span
+	// EventLag is how late a cache event is told; zero means one second.
+	EventLag timekeeper.Span
 	// Poison is a word that crashes the engine when a prompt holds it.
 	Poison string
 	// Restart is how long the engine is away after a crash; zero means one second.
@@ -39,6 +41,7 @@
 	setDefault(&settings.Prefill, 512)
 	setDefault(&settings.CacheTokens, 65536)
 	setDefault(&settings.LoadLag, timekeeper.Second)
+	setDefault(&settings.EventLag, timekeeper.Second)
 	setDefault(&settings.Restart, timekeeper.Second)
 	return settings
 }
@@ -65,17 +68,20 @@
 type Engine struct {
 	settings EngineSettings
 
-	mu      sync.Mutex
-	batch   *batch
-	live    map[string]*sequence
-	counts  EngineCounts
-	crashed chan struct{}
-	awayTo  timekeeper.Instant
-	reports []loadReport
-	orders  orderBook
-	events  []CacheEvent
-	eventNo uint64
-	wake    chan struct{}
+	mu    sync.Mutex
+	batch *batch
+	live  map[string]*sequence
+	kept  map[string]*sequence
+	// keptOrder has the ids of kept, oldest first.
+	keptOrder []string
+	counts    EngineCounts
+	crashed   chan struct{}
+	awayTo    timekeeper.Instant
+	reports   []loadReport
+	orders    orderBook
+	events    []CacheEvent
+	eventNo   uint64
+	wake      chan struct{}
 }
 
 type loadReport struct {
@@ -100,6 +106,7 @@
 	cache := newPrefixCache(engine.settings.CacheTokens)
 	engine.batch = &batch{most: engine.settings.Batch, prefill: engine.settings.Prefill, cache: cache}
 	engine.live = map[string]*sequence{}
+	engine.kept, engine.keptOrder = nil, nil
 	engine.crashed = make(chan struct{})
 }
 
@@ -193,6 +200,7 @@
 	}
 	engine.batch.add(seq)
 	engine.live[seq.id] = seq
+	engine.keep(seq)
 	select {
 	case engine.wake <- struct{}{}:
 	default:
@@ -222,6 +230,7 @@
 func (engine *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", engine.complete)
+	mux.HandleFunc("GET /v1/streams/{id}", engine.resume)
 	mux.HandleFunc("DELETE /v1/streams/{id}", engine.cancel)
 	engine.addControl(mux)
 	return mux
--- a/internal/imitator/engine_control.go
+++ b/internal/imitator/engine_control.go
@@ -7,6 +7,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/handler"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // CacheEvent says that a block entered or left an engine's prefix cache.
@@ -14,6 +15,7 @@
 	Sequence uint64 `json:"sequence"`
 	Block    uint64 `json:"block"`
 	Evicted  bool   `json:"evicted"`
+	at       timekeeper.Instant
 }
 
 // Order tells an engine to load something or to change its role.
@@ -55,7 +57,9 @@
 		if engine.eventNo%1000 < eventGap {
 			continue
 		}
-		engine.events = append(engine.events, CacheEvent{Sequence: engine.eventNo, Block: block, Evicted: true})
+		engine.events = append(engine.events, CacheEvent{
+			Sequence: engine.eventNo, Block: block, Evicted: true, at: engine.settings.Clock.Now(),
+		})
 	}
 	engine.batch.cache.evicted = nil
 }
@@ -83,8 +87,13 @@
 func (engine *Engine) takeEvents() []CacheEvent {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	events := engine.events
-	engine.events = nil
+	told := engine.settings.Clock.Now().Add(-engine.settings.EventLag)
+	due := 0
+	for due < len(engine.events) && engine.events[due].at <= told {
+		due++
+	}
+	events := engine.events[:due]
+	engine.events = engine.events[due:]
 	return events
 }
 
--- a/internal/imitator/engine_http.go
+++ b/internal/imitator/engine_http.go
@@ -168,32 +168,39 @@
 func (engine *Engine) stream(
 	w http.ResponseWriter, r *http.Request, request chatRequest, seq *sequence, crashed <-chan struct{},
 ) (bool, error) {
-	control := http.NewResponseController(w)
 	for {
 		word, more, err := engine.next(r, seq, crashed)
 		if err != nil {
 			return false, err
 		}
 		if !more {
-			_, err = fmt.Fprint(w, "data: [DONE]\n\n")
+			_, err = fmt.Fprint(w, doneEvent)
 			return err == nil, err
 		}
-		part, err := json.Marshal(chatAnswer{
-			ID: seq.id, Object: "chat.completion.chunk", Model: request.Model,
-			Choices: []chatChoice{{Delta: &chatDelta{Content: word + " "}}},
-		})
-		if err != nil {
-			return false, err
-		}
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", part); err != nil {
-			return false, err
-		}
-		if err := control.Flush(); err != nil {
+		if err := writeWord(w, seq.id, request.Model, word); err != nil {
 			return false, err
 		}
 	}
 }
 
+// doneEvent ends a whole stream.
+const doneEvent = "data: [DONE]\n\n"
+
+// writeWord writes one word of an answer as an event and flushes it.
+func writeWord(w http.ResponseWriter, id, model, word string) error {
+	part, err := json.Marshal(chatAnswer{
+		ID: id, Object: "chat.completion.chunk", Model: model,
+		Choices: []chatChoice{{Delta: &chatDelta{Content: word + " "}}},
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", part); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
+
 func (engine *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
