--- a/internal/forwarder/call_fuzz_test.go
+++ b/internal/forwarder/call_fuzz_test.go
@@ -26,7 +26,7 @@
 	}}
 	entry := New(Settings{Name: "entry-1", Clock: timekeeper.Wall()})
 	f.Fuzz(func(t *testing.T, body string) {
-		request := httptest.NewRequest(http.MethodPost, completionsPath, strings.NewReader(body))
+		request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, completionsPath, strings.NewReader(body))
 		made, err := entry.classifyModel(httptest.NewRecorder(), request, config, call{team: "test"})
 		switch {
 		case err != nil && classifier.AnswerOf(classifier.Of(err).Kind).Ran != classifier.RanNo:
