--- a/internal/assembler/path_bench_test.go
+++ b/internal/assembler/path_bench_test.go
@@ -143,7 +143,7 @@
 		return 0, 0
 	}
 	request.Header.Set("Authorization", "Bearer "+DevKey)
-	started := wallTime()
+	started := b.Elapsed()
 	response, err := client.Do(request)
 	if err != nil {
 		b.Error(err)
@@ -151,16 +151,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.ReadFull(response.Body, make([]byte, 1))
-	first = wallTime().Sub(started)
+	first = b.Elapsed() - started
 	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
 		b.Errorf("status %d: %v", response.StatusCode, err)
 	}
-	return wallTime().Sub(started), first
-}
-
-// wallTime reads the machine's clock to the nanosecond, which only a benchmark needs.
-func wallTime() time.Time {
-	return time.Now() //nolint:forbidigo // timekeeper counts milliseconds.
+	return b.Elapsed() - started, first
 }
 
 // BenchmarkPath compares a call through entry and agent with the same call to
--- a/internal/runner/fetch_test.go
+++ b/internal/runner/fetch_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -81,9 +80,7 @@
 	if ranked[0] == at {
 		offer.Attempt = 0
 	}
-	body, _ := json.Marshal(map[string]any{
-		"max_tokens": 1, "messages": []map[string]string{{"role": "user", "content": "one two three four five six seven eight"}},
-	})
+	body := []byte(`{"max_tokens":1,"messages":[{"role":"user","content":"one two three four five six seven eight"}]}`)
 	go func() {
 		_ = stream.Write(encoder.Of(offer), encoder.Of(&encoder.Run{
 			RequestId: offer.GetRequestId(), Method: http.MethodPost, Path: "/v1/chat/completions", Body: body,
--- a/test/load/fleet_test.go
+++ b/test/load/fleet_test.go
@@ -27,23 +27,6 @@
 	busy map[uint64]int
 }
 
-// request is one call of a workload.
-type request struct {
-	id     string
-	team   string
-	weight int
-	chat   uint64
-	// body is the fingerprint by which a call without a chat is placed.
-	body     uint64
-	class    uint8
-	prompt   int64
-	made     int64
-	arrived  timekeeper.Instant
-	deadline timekeeper.Span
-	// fetched is the prefix that came from another replica, in tokens.
-	fetched int64
-}
-
 func (request request) work() int64 { return request.prompt + request.made }
 
 // policy is a way to choose replicas. Order is nil for the system's own way.
