assembler: a stopping entry is not ready before it closes its door

Cause: an entry that was told to stop closed its listener at once, and a balancer that looks every few seconds turned callers away by a planned stop; its page of status stopped with it. Change: /ready of the admin address (200, then 503), stop-delay in an entry's settings, and the front stops before the rest. Measured: TestAnEntryThatStopsLetsItsBalancerKnowFirst: 503 at /ready while an order is still answered, then the door is closed; exit as before.

--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -144,6 +144,7 @@
 }
 
 func (made *Agent) drain() error {
+	made.readiness.leaving.Store(true)
 	service, _ := made.watcher.Current().Service(made.settings.Service)
 	ctx, cancel := context.WithTimeout(context.Background(), service.LongestDrain.Duration())
 	defer cancel()
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -13,6 +13,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // Entry is an entry process, ready to run.
@@ -20,6 +21,8 @@
 	*shell
 	front     *forwarder.Entry
 	announcer *announcer
+	// stopDelay is how long a stopping entry still takes callers.
+	stopDelay timekeeper.Span
 	planners  planners
 }
 
@@ -41,6 +44,7 @@
 	entry := &Entry{shell: newShell(shellSettings{
 		process: settings.Process, env: env, kind: "entry", group: recorder.EntryGroup,
 	})}
+	entry.stopDelay = settings.StopDelay
 	entry.planners = planners{entry: entry, pool: entry.pool, incarnation: entry.incarnation}
 	entry.announcer = &announcer{
 		name: settings.Name, pool: entry.pool, peers: entry.view.Addresses,
@@ -95,12 +99,18 @@
 	return status
 }
 
-// AddTo adds the entry's actors to a group.
+// AddTo adds the entry's actors to a group. Its front stops first; the rest,
+// the page of status among it, stays until the last call has ended.
 func (entry *Entry) AddTo(group *run.Group) {
-	addLoop(group, entry.watcher.Run)
-	addLoop(group, entry.planners.run)
-	addLoop(group, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
-	entry.control.addTo(group)
-	addServer(group, entry.listener, entry.front, resolver.DefaultLongestCall.Duration())
-	entry.addAdmin(group, handler.Show(entry.Status))
+	var order stages
+	front, rest := order.add(), order.add()
+	entry.readiness.addFront(
+		front, entry.listener, entry.front, entry.env.Clock, entry.stopDelay, resolver.DefaultLongestCall,
+	)
+	addLoop(rest, entry.watcher.Run)
+	addLoop(rest, entry.planners.run)
+	addLoop(rest, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
+	entry.control.addTo(rest)
+	entry.addAdmin(rest, handler.Show(entry.Status))
+	order.addTo(group)
 }
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -60,23 +60,16 @@
 
 // addServer adds an HTTP server. Its stop waits for calls in flight up to longest.
 func addServer(group *run.Group, listener net.Listener, handler http.Handler, longest time.Duration) {
-	server := &http.Server{
+	// A server whose readiness nobody asks for stops without delay.
+	new(readiness).addFront(group, listener, handler, timekeeper.Wall(), 0, timekeeper.Span(longest/time.Millisecond))
+}
+
+// newServer returns a server with the limits that all share.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimit,
 	}
-	stopped := make(chan error, 1)
-	group.Add(func() error {
-		if err := server.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
-			return eris.Wrap(err, "serve")
-		}
-		return <-stopped
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), longest)
-		go func() {
-			defer cancel()
-			stopped <- server.Shutdown(ctx)
-		}()
-	})
 }
--- a/internal/assembler/shell.go
+++ b/internal/assembler/shell.go
@@ -37,8 +37,9 @@
 	view    *reporter.View
 	watcher *publisher.Watcher
 
-	listener net.Listener
-	admin    net.Listener
+	listener  net.Listener
+	admin     net.Listener
+	readiness readiness
 	// cleanups release what the process holds; the last made goes first.
 	cleanups []func()
 }
@@ -139,6 +140,7 @@
 	mux.HandleFunc("GET /store", handler.Show(shell.meter.Tallies))
 	mux.HandleFunc("GET /config", handler.Show(shell.watcher.Status))
 	mux.HandleFunc("GET /status", status)
+	mux.Handle("GET /ready", &shell.readiness)
 	addServer(group, shell.admin, mux, headerTimeout)
 	shell.env.Log.WithField("address", shell.admin.Addr().String()).Info("admin listening")
 }
--- a/internal/loader/process.go
+++ b/internal/loader/process.go
@@ -33,6 +33,9 @@
 // Entry is the settings file of an entry.
 type Entry struct {
 	Process
+	// StopDelay is how long an entry that stops says "not ready" and still takes
+	// callers; zero means not at all.
+	StopDelay timekeeper.Span `toml:"stop-delay"`
 }
 
 // Agent is the settings file of an agent.
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"syscall"
@@ -143,3 +144,24 @@
 		So(code, ShouldEqual, 0)
 	})
 }
+
+func TestAnEntryThatStopsLetsItsBalancerKnowFirst(t *testing.T) {
+	t.Parallel()
+	// A balancer looks at /ready now and then and sends callers where it is 200.
+	// A stopping entry says "not ready" first and still takes callers for its stop
+	// delay; then it closes its door and ends what is in flight.
+	rig := newRig(t, siteConfig())
+	rig.addOrders("orders-1", 0)
+	entry := rig.start("entry", fmt.Sprintf("name = \"entry-1\"\nsite = \"bole\"\nlisten = \"127.0.0.1:0\"\n"+
+		"admin-listen = \"127.0.0.1:0\"\nplatform = %q\nstop-delay = \"1s\"\n", rig.base))
+	admin := &process{t: t, address: entry.admin}
+	Convey("not ready, and callers are still served", t, func() {
+		rig.eventually("the entry serves", func() bool { return entry.call(t.Context(), "GET", "/orders", "").status == 200 })
+		So(admin.call(t.Context(), "GET", "/ready", "").status, ShouldEqual, 200)
+		entry.signal(syscall.SIGTERM)
+		rig.eventually("the entry is not ready", func() bool { return admin.call(t.Context(), "GET", "/ready", "").status == 503 })
+		So(entry.call(t.Context(), "POST", "/orders", "{}").status, ShouldEqual, 200)
+		<-entry.done
+		So(entry.call(t.Context(), "GET", "/orders", "").err, ShouldNotBeNil)
+	})
+}
