--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -53,7 +53,7 @@
 	}
 	// Most tests wait for processes and use little of a core, so more of them
 	// than there are cores run side by side. The command line may say otherwise.
-	const sideBySide = "24"
+	const sideBySide = "12"
 	if err := flag.Set("test.parallel", sideBySide); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
