--- a/test/integration/rig_test.go
+++ b/test/integration/rig_test.go
@@ -51,8 +51,8 @@
 		fmt.Fprintln(os.Stderr, string(out))
 		return 1
 	}
-	// Most tests wait for processes and use little of a core, so more of them
-	// than there are cores run side by side. The command line may say otherwise.
+	// Most tests wait for processes and use little of a core, so as many run side
+	// by side on any machine. The command line may say otherwise.
 	const sideBySide = "12"
 	if err := flag.Set("test.parallel", sideBySide); err != nil {
 		fmt.Fprintln(os.Stderr, err)
