--- a/test/load/reuse_test.go
+++ b/test/load/reuse_test.go
@@ -67,7 +67,7 @@
 	for b.Loop() {
 		best := entoto(oracle(), false).reuse()
 		plain := entoto(rendezvous(), false).reuse()
-		for _, policy := range baselines() {
+		for _, policy := range append(baselines(), weighed()...) {
 			b.ReportMetric(entoto(policy, false).reuse()/best, policy.name+"-of-oracle")
 		}
 		// At a factor of 2 reuse is near its best, and the busiest of nine still
