placer: the only replica left is offered once more

While replicas are replaced the mean still counts those that are gone, and a call with fewer than three candidates never came to its last stop, which alone takes a free slot above an old mean. Change: when no stop is left, the replica that refused at its bound is offered once more as the last one.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -29,6 +29,10 @@
 	for i := uint32(0); ; i++ {
 		call.left = deadline.Since(entry.settings.Clock.Now())
 		stop, ok := route.Next()
+		if !ok {
+			stop, ok = route.Again()
+			i = placer.MaxOffers - 1
+		}
 		if !ok || call.left <= 0 || (i > 0 && !stop.Free && !entry.budgets.spend(call.service)) {
 			break
 		}
--- a/internal/placer/itinerary.go
+++ b/internal/placer/itinerary.go
@@ -41,6 +41,8 @@
 	// home is set when the home sent the offer on and is to be asked again.
 	home bool
 	hint Refusal
+	// bounded is the replica that refused at its bound last.
+	bounded string
 }
 
 // NewItinerary returns the itinerary of a chat. It passes by the replicas that
@@ -81,6 +83,9 @@
 // Refused takes in the refusal of the last stop.
 func (itinerary *Itinerary) Refused(refusal Refusal) {
 	itinerary.hint = refusal
+	if refusal.AtBound && len(itinerary.visited) > 0 {
+		itinerary.bounded = itinerary.visited[len(itinerary.visited)-1]
+	}
 	if refusal.Moved && len(itinerary.visited) == 1 {
 		itinerary.home = true
 	}
@@ -99,6 +104,24 @@
 	return stop, ok
 }
 
+// Again returns the replica that refused at its bound once more, as the last
+// stop, when no other is left before the itinerary is at its full length.
+//
+// The failure: a service of three has one replica stopped and one not yet known,
+// and the mean still counts all three. The symptom: the one that is left is over
+// its share of nothing, and callers are refused while its slots are free. Offered
+// as the last stop it gives a free slot, as it does to a call that three refused.
+func (itinerary *Itinerary) Again() (Stop, bool) {
+	if itinerary.bounded == "" || len(itinerary.visited) >= MaxOffers {
+		return Stop{}, false
+	}
+	replica, ok := itinerary.roster.Find(itinerary.bounded)
+	for len(itinerary.visited) < MaxOffers {
+		itinerary.visited = append(itinerary.visited, replica.Name)
+	}
+	return Stop{Replica: replica, Free: true}, ok
+}
+
 func (itinerary *Itinerary) choose() (Stop, bool) {
 	first := len(itinerary.visited) == 0
 	if !first {
