timekeeper: a steady clock and deadlines that don't follow the time of day

Cause: deadlines taken from the time of day move when it is set. Change: Steady goes on evenly from its start; In gives moments for deadlines of connections. Conclusion: what needs an age or a deadline on the platform takes it from Steady.

--- a/pkg/timekeeper/clock.go
+++ b/pkg/timekeeper/clock.go
@@ -46,7 +46,27 @@
 }
 
 func wallAfter(span Span) (fired <-chan Instant, release func()) {
+	return afterOn(wallNow, span)
+}
+
+// Steady returns a clock that begins at the time of day and then goes on evenly:
+// it does not follow when the time of day is set. Deadlines and ages are to be
+// taken from it.
+func Steady() Clock {
+	start := time.Now()
+	base := FromTime(start)
+	now := func() Instant { return base.Add(Span(time.Since(start) / time.Millisecond)) }
+	return Clock{Now: now, After: func(span Span) (<-chan Instant, func()) { return afterOn(now, span) }}
+}
+
+func afterOn(now func() Instant, span Span) (fired <-chan Instant, release func()) {
 	out := make(chan Instant, 1)
-	timer := time.AfterFunc(span.Duration(), func() { out <- wallNow() })
+	timer := time.AfterFunc(span.Duration(), func() { out <- now() })
 	return out, func() { timer.Stop() }
 }
+
+// In returns the moment that lies span from now, for deadlines of connections,
+// which the runtime keeps evenly whatever happens to the time of day.
+func In(span Span) time.Time {
+	return time.Now().Add(span.Duration())
+}
