router: routes by host and longest prefix, teams by key

Cause: on the users' platform the operator writes routes of hosts, kinds and teams that the site's own configuration doesn't have. Conclusion: an entry replaces it whole, so no request sees half of a change.

--- /dev/null
+++ b/internal/router/configuration.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Engine is what the operator says about the model engines of a service.
+type Engine struct {
+	Slots int
+	// MemoryTokens is how many tokens running requests and cached prompt parts
+	// may hold together.
+	MemoryTokens int
+}
+
+// Service is a set of equal replicas.
+type Service struct {
+	Name string
+	// Connections is how many connections a replica accepts from all entries.
+	Connections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Team is who holds a key.
+type Team struct {
+	Name string
+	// Urgency goes before the route's; nil means that the route's counts.
+	Urgency *int
+}
+
+// Limits bound what a caller may send. A value of zero means no limit.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  timekeeper.Span
+	IdleTime    timekeeper.Span
+}
+
+// Content is what a Configuration is made of.
+type Content struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	// Keyed reports whether requests need a key, except on public routes.
+	Keyed bool
+	// Teams maps a key to the team that holds it.
+	Teams map[string]Team
+}
+
+// Configuration is an accepted configuration, ready for look-ups.
+type Configuration struct {
+	content  Content
+	hosts    map[string][]Route
+	services map[string]Service
+}
+
+// New returns the configuration with the content. The content must not be
+// changed afterwards.
+func New(content Content) *Configuration {
+	config := &Configuration{
+		content:  content,
+		hosts:    make(map[string][]Route),
+		services: make(map[string]Service, len(content.Services)),
+	}
+	for _, route := range content.Routes {
+		host := strings.ToLower(route.Host)
+		config.hosts[host] = append(config.hosts[host], route)
+	}
+	for _, routes := range config.hosts {
+		slices.SortStableFunc(routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, service := range content.Services {
+		config.services[service.Name] = service
+	}
+	return config
+}
+
+// Version returns the version; later configurations have higher ones.
+func (config *Configuration) Version() uint64 { return config.content.Version }
+
+// Limits returns what bounds a caller's request.
+func (config *Configuration) Limits() Limits { return config.content.Limits }
+
+// Routes returns how many routes there are.
+func (config *Configuration) Routes() int { return len(config.content.Routes) }
+
+// Teams returns how many keys there are.
+func (config *Configuration) Teams() int { return len(config.content.Teams) }
+
+// Services returns the services.
+func (config *Configuration) Services() []Service { return config.content.Services }
+
+// Service returns a service by its name.
+func (config *Configuration) Service(name string) (Service, bool) {
+	service, found := config.services[name]
+	return service, found
+}
+
+// Route returns the route of a request: of those of its host, the one with the
+// longest prefix of the path. A port after the host doesn't count.
+func (config *Configuration) Route(host, path string) (Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range config.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Access is the outcome of a check of a key.
+type Access struct {
+	Allowed bool
+	Team    Team
+}
+
+// Access decides whether a key opens a route, and for which team.
+func (config *Configuration) Access(route Route, key string) Access {
+	team, known := config.content.Teams[key]
+	if known && key != "" {
+		return Access{Allowed: true, Team: team}
+	}
+	return Access{Allowed: route.Public || !config.content.Keyed}
+}
+
+// Urgency returns the urgency of a request: the team's if it has one.
+func (route Route) UrgencyFor(team Team) int {
+	if team.Urgency != nil {
+		return *team.Urgency
+	}
+	return route.Urgency
+}
--- /dev/null
+++ b/internal/router/route.go
@@ -0,0 +1,87 @@
+package router
+
+import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// Safe requests may run any number of times.
+	Safe Kind = iota + 1
+	// Once requests run at most once.
+	Once
+	// Stream requests answer with a series of events and run at most once,
+	// unless the route says that they may be resumed.
+	Stream
+)
+
+// String returns the kind's name in logs and metrics.
+func (kind Kind) String() string {
+	switch kind {
+	case Safe:
+		return "safe"
+	case Once:
+		return "once"
+	case Stream:
+		return "stream"
+	}
+	return "unknown"
+}
+
+// Destination is one of the services that a route may go to.
+type Destination struct {
+	Service string
+	// Weight is the service's share of the route's requests, relative to the
+	// other destinations.
+	Weight int
+}
+
+// Route is a part of a host's paths and what the operator wants of it.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout timekeeper.Span
+	// Target is the time to the whole answer, or to a stream's first event,
+	// that the operator aims at.
+	Target timekeeper.Span
+	// GapTarget is the longest pause between events of a stream that is on time.
+	GapTarget timekeeper.Span
+	// Urgency orders requests: zero is the most urgent.
+	Urgency int
+	// Replicas is the most replicas that may run one request of a caller.
+	Replicas     int
+	Destinations []Destination
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another replica.
+	Resumable bool
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (route Route) Idempotent() bool {
+	return route.Kind == Safe || (route.Kind == Stream && route.Resumable)
+}
+
+// Service returns the destination for a draw from [0, 1); "" when there is none.
+func (route Route) Service(draw float64) string {
+	total := 0
+	for _, destination := range route.Destinations {
+		total += destination.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	left := int(draw * float64(total))
+	for _, destination := range route.Destinations {
+		left -= destination.Weight
+		if left < 0 {
+			return destination.Service
+		}
+	}
+	return route.Destinations[len(route.Destinations)-1].Service
+}
