balancer: which replica gets a request that an entry sends itself

Cause: plain services have no agent, and agents only report on the platform; the entry decides. Change: expected time by uncached tokens, waiting tokens, crowd and doubt; a bound on a replica's share; rendezvous among near equals.

--- /dev/null
+++ b/internal/balancer/choose.go
@@ -0,0 +1,222 @@
+package balancer
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// readRate is how many prompt tokens an engine reads in a millisecond. The
+	// engines in use read 38 to 44; the value only has to weigh reading against
+	// waiting.
+	readRate = 40.0
+	// crowdCost is what each request at an engine adds to the expected time of
+	// the next one, in milliseconds. Each running request makes a step longer and
+	// shares the chunks in which prompts are read.
+	crowdCost = 4.0
+	// plainCost is what each request in a slot of a plain replica adds, in
+	// milliseconds; one that waits adds waitCost. Plain calls take tens of
+	// milliseconds.
+	plainCost = 4.0
+	waitCost  = 30.0
+	// distanceCost is what another data centre adds, in milliseconds: the round
+	// trip, and bytes that the operator pays for. It decides among equals only.
+	distanceCost = 3.0
+	// near is the difference in expected time below which replicas count as
+	// equal, in milliseconds. It is the noise of what entries believe of each
+	// other's requests: a request or two.
+	near = 6.0
+	// spare is what a replica may hold beyond the bound on its share, so that
+	// few requests at few replicas may lie unevenly. The operators allow three;
+	// what peers have begun since their last digest takes the rest.
+	spare = 1.0
+	// margin takes a part off the bound, for what peers have begun since their
+	// last digest.
+	margin = 0.85
+	// plainDepth is how many requests may wait at a plain replica for each slot.
+	// At tens of milliseconds a call the last of them still begins in time;
+	// replicas refuse beyond four.
+	plainDepth = 2
+	// reportLife is how long a replica's own count of its requests is believed: a
+	// plain call takes tens of milliseconds, so the count is another one after.
+	reportLife = 40 * timekeeper.Millisecond
+)
+
+// Ask is a request that needs a replica.
+type Ask struct {
+	Service string
+	// Parts is the prompt, root first; nil for plain services.
+	Parts []Part
+	// Excluded are incarnations that have had the request.
+	Excluded []string
+}
+
+// Reason says why there is no choice.
+type Reason string
+
+// The reasons. The zero value means that there is a choice.
+const (
+	NoReplicas   Reason = "no-replicas"
+	AllUnreached Reason = "all-unreachable"
+	AllFull      Reason = "all-full"
+	AllTried     Reason = "all-tried"
+	noReason     Reason = ""
+)
+
+// candidate is a replica with its expected time.
+type candidate struct {
+	*replica
+	uncached int
+	cost     float64
+}
+
+// Choose gives the request to a replica, and counts it there at once. Without a
+// choice the placement is nil and the reason says why.
+//
+// The load: many requests that share long prompt parts, a few hot ones among
+// them, beside short ones that want their first token soon. The harm: 9,200
+// tokens that are read from nothing hold up all others at an engine for a fifth
+// of a second, so a request goes where its prompt is cached, unless the wait
+// there is longer than reading it elsewhere.
+func (fleet *Fleet) Choose(ask Ask, now timekeeper.Instant) (*Placement, Reason) {
+	candidates, reason := fleet.candidates(ask, now)
+	if reason != noReason {
+		return nil, reason
+	}
+	best := slices.MinFunc(candidates, func(a, b candidate) int { return compare(a.cost, b.cost) })
+	equals := slices.DeleteFunc(candidates, func(c candidate) bool { return c.cost > best.cost+near })
+	chosen := fleet.pick(equals, ask)
+	chosen.running++
+	chosen.unread += chosen.uncached
+	if len(ask.Parts) > 0 {
+		fleet.cacheOf(chosen.replica).touch(ask.Parts, now)
+	}
+	return &Placement{
+		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.cost), parts: ask.Parts,
+	}, noReason
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// candidates returns the replicas that may get the request.
+func (fleet *Fleet) candidates(ask Ask, now timekeeper.Instant) ([]candidate, Reason) {
+	members := fleet.services[ask.Service]
+	listed, untried, reached := 0, 0, 0
+	open := make([]candidate, 0, len(members))
+	for _, member := range members {
+		if member.Leaving {
+			continue
+		}
+		listed++
+		if slices.Contains(ask.Excluded, member.ID) {
+			continue
+		}
+		untried++
+		if !member.doubt.open(now) {
+			continue
+		}
+		reached++
+		open = append(open, fleet.weigh(member, ask, now))
+	}
+	switch {
+	case listed == 0:
+		return nil, NoReplicas
+	case untried == 0:
+		return nil, AllTried
+	case reached == 0:
+		return nil, AllUnreached
+	}
+	return fleet.bounded(open, now)
+}
+
+// weigh returns a replica with its expected time.
+func (fleet *Fleet) weigh(member *replica, ask Ask, now timekeeper.Instant) candidate {
+	held := float64(fleet.heldAt(member, now))
+	cost := member.doubt.penalty(now)
+	if member.DataCentre != fleet.settings.DataCentre {
+		cost += distanceCost
+	}
+	if len(ask.Parts) == 0 {
+		cost += held*plainCost + max(0, held-float64(member.Slots)+1)*waitCost
+		return candidate{replica: member, cost: cost}
+	}
+	uncached := fleet.cacheOf(member).uncached(ask.Parts)
+	waiting := float64(member.unread + fleet.peersAt(member.ID, now).Unread)
+	cost += (waiting+float64(uncached))/readRate + held*crowdCost
+	return candidate{replica: member, uncached: uncached, cost: cost}
+}
+
+// bounded takes out replicas that hold more than their share.
+//
+// The load: one key, one team or one data centre that gets much of the traffic.
+// The harm: one engine is crushed while others idle. The bound is a multiple of
+// the service's mean, set by the operator, plus what few requests may lie
+// unevenly. Replicas that can't get work count neither as places nor in the mean.
+func (fleet *Fleet) bounded(open []candidate, now timekeeper.Instant) ([]candidate, Reason) {
+	total := 0
+	for _, member := range open {
+		total += fleet.heldAt(member.replica, now)
+	}
+	share := margin*fleet.settings.Bound*float64(total)/float64(len(open)) + spare
+	kept := slices.DeleteFunc(open, func(c candidate) bool {
+		held := fleet.heldAt(c.replica, now)
+		return float64(held) > share || full(c, held)
+	})
+	if len(kept) == 0 {
+		return nil, AllFull
+	}
+	return kept, noReason
+}
+
+// heldAt returns how many requests a replica is believed to hold: what this
+// entry and its peers have there, or what the replica said a moment ago.
+func (fleet *Fleet) heldAt(member *replica, now timekeeper.Instant) int {
+	held := member.running + fleet.peersAt(member.ID, now).Running
+	if member.report.at != 0 && now.Since(member.report.at) <= reportLife {
+		held = max(held, member.report.running+member.report.waiting)
+	}
+	return held
+}
+
+// full reports whether a replica has no place for another request.
+func full(c candidate, held int) bool {
+	if c.Slots <= 0 {
+		return false
+	}
+	if c.cache != nil {
+		return held >= 2*c.Slots
+	}
+	return held >= c.Slots*(1+plainDepth)
+}
+
+// pick chooses among equals: for prompts by rendezvous of the deepest part that
+// other requests share, so that all entries agree; else at random, so that
+// entries don't herd.
+func (fleet *Fleet) pick(equals []candidate, ask Ask) candidate {
+	if len(ask.Parts) < 2 {
+		return equals[fleet.draws.IntN(len(equals))]
+	}
+	shared := ask.Parts[len(ask.Parts)-2].ID
+	return slices.MaxFunc(equals, func(a, b candidate) int {
+		return compare(rendezvous(shared, a.ID), rendezvous(shared, b.ID))
+	})
+}
+
+// rendezvous returns the rank of a replica for a prompt part, from [0, 1).
+func rendezvous(part uint64, id string) float64 {
+	digest := xxhash.NewWithSeed(part)
+	_, _ = digest.WriteString(id)
+	return float64(digest.Sum64()>>11) / math.Exp2(53)
+}
--- /dev/null
+++ b/internal/balancer/doubt.go
@@ -0,0 +1,69 @@
+package balancer
+
+import (
+	"math"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// firstPause and longestPause bound how long a replica that can't be reached
+	// gets nothing. A replica that crashed is back after some seconds; one
+	// refused connection a second is what finding that out costs.
+	firstPause   = 300 * timekeeper.Millisecond
+	longestPause = 1200 * timekeeper.Millisecond
+	// failureMemory is the half-life of seen failures. A replica that fails part
+	// of its requests gets its work back over a few of these.
+	failureMemory = 2 * timekeeper.Second
+	// failurePenalty is what one remembered failure adds to the expected time. A
+	// failed request costs its caller about a second: it comes back once.
+	failurePenalty = 150 * timekeeper.Millisecond
+	// mostFailures bounds the memory, so that a replica is forgiven in the end.
+	mostFailures = 12.0
+)
+
+// doubt is why a replica may get no work, or less.
+type doubt struct {
+	// until is when a replica that can't be reached may be tried again.
+	until timekeeper.Instant
+	pause timekeeper.Span
+	// failures are remembered with a half-life.
+	failures float64
+	at       timekeeper.Instant
+}
+
+// unreachable notes a refused or silent connection.
+func (doubt *doubt) unreachable(now timekeeper.Instant) {
+	if now < doubt.until {
+		return
+	}
+	doubt.pause = min(max(firstPause, 2*doubt.pause), longestPause)
+	doubt.until = now.Add(doubt.pause)
+}
+
+// failed notes a request that the replica failed.
+func (doubt *doubt) failed(now timekeeper.Instant) {
+	doubt.failures = min(doubt.remembered(now)+1, mostFailures)
+	doubt.at = now
+}
+
+// served notes a request that the replica answered.
+func (doubt *doubt) served() {
+	doubt.until, doubt.pause = 0, 0
+}
+
+func (doubt *doubt) remembered(now timekeeper.Instant) float64 {
+	if doubt.failures == 0 {
+		return 0
+	}
+	return doubt.failures * math.Exp2(-float64(now.Since(doubt.at))/float64(failureMemory))
+}
+
+// open reports whether the replica may get work at all.
+func (doubt *doubt) open(now timekeeper.Instant) bool {
+	return now >= doubt.until
+}
+
+func (doubt *doubt) penalty(now timekeeper.Instant) float64 {
+	return doubt.remembered(now) * float64(failurePenalty)
+}
--- /dev/null
+++ b/internal/balancer/fleet.go
@@ -0,0 +1,198 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Settings set up a fleet.
+type Settings struct {
+	// DataCentre is where the entry stands.
+	DataCentre string
+	// Seed seeds the choice among equals.
+	Seed uint64
+	// Bound is how many times the mean of its service a replica may hold; zero
+	// means 2. See bounded.
+	Bound float64
+}
+
+// Fleet is what an entry believes of all replicas. It must be made by New.
+type Fleet struct {
+	settings Settings
+	draws    *rand.Rand
+	replicas map[string]*replica
+	services map[string][]*replica
+	engines  map[string]int
+	peers    map[string]peerDigest
+}
+
+// New returns a fleet without replicas.
+func New(settings Settings) *Fleet {
+	if settings.Bound == 0 {
+		settings.Bound = 2
+	}
+	return &Fleet{
+		settings: settings,
+		draws:    rand.New(rand.NewPCG(settings.Seed, 11)),
+		replicas: map[string]*replica{},
+		services: map[string][]*replica{},
+		engines:  map[string]int{},
+		peers:    map[string]peerDigest{},
+	}
+}
+
+// SetEngine says how many tokens an engine of a service holds in memory; zero
+// means that the service is a plain one.
+func (fleet *Fleet) SetEngine(service string, memoryTokens int) {
+	fleet.engines[service] = memoryTokens
+}
+
+// Change is a replica that has joined, left or begun to leave.
+type Change struct {
+	Replica Replica
+	Gone    bool
+}
+
+// SetReplicas takes in the platform's list and returns what changed by it. What
+// is known of an incarnation stays while it is listed.
+func (fleet *Fleet) SetReplicas(list []Replica) []Change {
+	var changes []Change
+	listed := make(map[string]bool, len(list))
+	for _, listing := range list {
+		listed[listing.ID] = true
+		known, found := fleet.replicas[listing.ID]
+		if found && known.Replica == listing {
+			continue
+		}
+		changes = append(changes, Change{Replica: listing})
+		if found {
+			known.Replica = listing
+			continue
+		}
+		fleet.replicas[listing.ID] = &replica{Replica: listing}
+	}
+	for id, known := range fleet.replicas {
+		if !listed[id] {
+			changes = append(changes, Change{Replica: known.Replica, Gone: true})
+			delete(fleet.replicas, id)
+		}
+	}
+	if len(changes) > 0 {
+		fleet.group()
+	}
+	return changes
+}
+
+// group sorts the replicas by service, in an order that all entries share.
+func (fleet *Fleet) group() {
+	clear(fleet.services)
+	for _, known := range fleet.replicas {
+		fleet.services[known.Service] = append(fleet.services[known.Service], known)
+	}
+	for _, members := range fleet.services {
+		slices.SortFunc(members, func(a, b *replica) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+// Replica returns what the platform lists about an incarnation.
+func (fleet *Fleet) Replica(id string) (Replica, bool) {
+	known, found := fleet.replicas[id]
+	if !found {
+		return Replica{}, false
+	}
+	return known.Replica, true
+}
+
+// Count returns how many replicas of a service may get work.
+func (fleet *Fleet) Count(service string) int {
+	count := 0
+	for _, known := range fleet.services[service] {
+		if !known.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// cacheOf returns the guess of what a replica has cached.
+func (fleet *Fleet) cacheOf(known *replica) *prefixCache {
+	if known.cache == nil {
+		known.cache = newPrefixCache(fleet.engines[known.Service])
+	}
+	return known.cache
+}
+
+// Placement is a request that was given to a replica. It must be ended once.
+type Placement struct {
+	Replica Replica
+	// Uncached is how many tokens the replica is expected to read.
+	Uncached int
+	// Expected is the expected time until the first part of the answer.
+	Expected timekeeper.Span
+	parts    []Part
+	began    bool
+}
+
+// Began notes the first part of an answer: the prompt has been read.
+func (fleet *Fleet) Began(placement *Placement) {
+	if placement.began {
+		return
+	}
+	placement.began = true
+	if known, found := fleet.replicas[placement.Replica.ID]; found {
+		known.unread -= placement.Uncached
+	}
+}
+
+// Ending says how a request at a replica ended.
+type Ending uint8
+
+const (
+	// Served means that the replica gave a whole answer.
+	Served Ending = iota + 1
+	// Failed means that it broke off or gave an error.
+	Failed
+	// Refused means that the replica said that it did not run the request.
+	Refused
+	// Unreachable means that no connection could be opened.
+	Unreachable
+	// Abandoned means that the caller left, or the time was up.
+	Abandoned
+)
+
+// End notes how a request ended.
+func (fleet *Fleet) End(placement *Placement, ending Ending, now timekeeper.Instant) {
+	fleet.Began(placement)
+	known, found := fleet.replicas[placement.Replica.ID]
+	if !found {
+		return
+	}
+	known.running--
+	switch ending {
+	case Served:
+		known.doubt.served()
+	case Failed:
+		known.doubt.failed(now)
+	case Unreachable:
+		known.doubt.unreachable(now)
+		known.doubt.failed(now)
+	case Refused, Abandoned:
+	}
+}
+
+// Suspect notes that a replica can't be reached, as this entry or a peer saw.
+func (fleet *Fleet) Suspect(id string, now timekeeper.Instant) {
+	if known, found := fleet.replicas[id]; found {
+		known.doubt.unreachable(now)
+	}
+}
+
+// Report takes in what a replica said of itself with an answer.
+func (fleet *Fleet) Report(id string, report LoadReport, now timekeeper.Instant) {
+	if known, found := fleet.replicas[id]; found {
+		known.report = loadReport{report.Running, report.Waiting, report.Slots, now}
+	}
+}
