relayer: an entry's side of a call without an agent

Cause: the platform's plain services have no agent beside them. Change: route, team, replica, answer; resumable streams go on within one answer; what may run once is sent again only after proof that it did not run. The time to come back may have fractions.

--- a/internal/classifier/failure.go
+++ b/internal/classifier/failure.go
@@ -62,6 +62,12 @@
 // Write answers a request with the problem details of the failure. It must be
 // called before any part of the answer was written.
 func Write(w http.ResponseWriter, failure Failure, requestID string) {
+	WriteWithRetry(w, failure, requestID, strconv.FormatInt(RetrySeconds(failure.RetryAfter), 10))
+}
+
+// WriteWithRetry is Write for callers who read the time to come back in another
+// form than whole seconds.
+func WriteWithRetry(w http.ResponseWriter, failure Failure, requestID, retryAfter string) {
 	answer := AnswerOf(failure.Kind)
 	body, err := json.Marshal(Problem{
 		Type:      "urn:trefoilseam:" + answer.Name,
@@ -78,7 +84,7 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/problem+json")
 	if answer.Retry {
-		header.Set("Retry-After", strconv.FormatInt(RetrySeconds(failure.RetryAfter), 10))
+		header.Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(body)
--- /dev/null
+++ b/internal/relayer/attempt.go
@@ -0,0 +1,226 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/router"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// verdict says what one replica did with a request.
+type verdict uint8
+
+const (
+	// answered: the caller has a whole answer.
+	answered verdict = iota + 1
+	// unsent: no byte of the request left; it has not run.
+	unsent
+	// refused: the replica said that it did not run the request.
+	refused
+	// broken: the request may have run, and there is no whole answer.
+	broken
+)
+
+// attemptResult is how one attempt ended.
+type attemptResult struct {
+	verdict verdict
+	replica balancer.Replica
+	// failed reports whether the replica is to blame.
+	failed bool
+	cause  error
+}
+
+func (result attemptResult) why() string {
+	if result.cause == nil {
+		return ""
+	}
+	return result.cause.Error()
+}
+
+// attempt sends the request to one replica and relays its answer.
+func (task *task) attempt(ctx context.Context, placement *balancer.Placement) attemptResult {
+	task.placement, task.replica = placement, placement.Replica.ID
+	if len(task.call.Parts) > 0 {
+		task.entry.settings.Placed(placement.Replica.ID, task.call.Parts)
+	}
+	result := attemptResult{replica: placement.Replica}
+	answer, err := task.entry.settings.Pool.Do(ctx, task.target(placement.Replica), task.request(placement.Replica))
+	if err != nil {
+		return task.unanswered(result, err)
+	}
+	defer answer.Finish(false)
+	head := task.entry.settings.Dialect.ReadHead(answer.StatusCode, answer.Header)
+	if head.Load != nil {
+		task.report(placement.Replica.ID, *head.Load)
+	}
+	return task.judge(ctx, result, answer, head)
+}
+
+// target returns where the exchange goes. Entries share the connections that a
+// replica accepts; each takes at most a sixth, which six entries can take at once.
+func (task *task) target(replica balancer.Replica) connector.Target {
+	target := connector.Target{Key: replica.ID, Address: replica.Address}
+	if service, found := task.config.Service(task.service); found && service.Connections > 0 {
+		target.Connections = max(1, service.Connections/max(connectionSharers, task.entry.settings.Sharers()))
+	}
+	return target
+}
+
+// connectionSharers is among how many entries the connections of a replica are
+// shared at least.
+const connectionSharers = 6
+
+func (task *task) request(replica balancer.Replica) connector.Request {
+	urgency := -1
+	if service, found := task.config.Service(task.service); found && service.Engine != nil {
+		urgency = task.route.UrgencyFor(task.team)
+	}
+	left := max(task.until.Since(task.entry.settings.Clock.Now()), timekeeper.Millisecond)
+	header := task.entry.settings.Dialect.Dispatch(task.r, Dispatch{
+		Call: task.call, Left: left, Replica: replica.ID, Team: task.team.Name, Urgency: urgency, After: task.lastEvent,
+	})
+	return connector.Request{
+		Method: task.r.Method, Path: task.r.RequestURI, Host: task.r.Host, Header: header, Body: task.body,
+		Ours: func(head http.Header) bool {
+			id := task.entry.settings.Dialect.ReadHead(0, head).ID
+			return id == "" || id == task.call.ID
+		},
+	}
+}
+
+// unanswered sorts a failure before the head of an answer.
+func (task *task) unanswered(result attemptResult, err error) attemptResult {
+	result.cause = err
+	result.failed = true
+	var failure connector.Failure
+	if eris.As(err, &failure) && failure.Progress == connector.Unsent {
+		result.verdict = unsent
+		return result
+	}
+	result.verdict = broken
+	return result
+}
+
+func (task *task) report(replica string, load balancer.LoadReport) {
+	now := task.entry.settings.Clock.Now()
+	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Report(replica, load, now) })
+}
+
+var (
+	errNotRun    = eris.New("the replica did not run the request")
+	errUnsigned  = eris.New("the answer is not the replica's")
+	errPromise   = eris.New("the replica's status promises what it can't know")
+	errServer    = eris.New("the replica failed the request")
+	errNotStream = eris.New("the answer that goes on is not a stream")
+)
+
+// judge decides what to do with the head of an answer.
+func (task *task) judge(ctx context.Context, result attemptResult, answer *connector.Answer, head Head) attemptResult {
+	status := answer.StatusCode
+	switch {
+	case head.NotRun:
+		drain(answer)
+		result.verdict, result.cause = refused, errNotRun
+		return result
+	case !head.Signed || head.Encoded || head.ID != task.call.ID:
+		result.verdict, result.cause, result.failed = broken, errUnsigned, true
+		return result
+	case promises(status):
+		result.verdict, result.cause, result.failed = broken, errPromise, true
+		return result
+	case status >= http.StatusInternalServerError && task.mayGoOn():
+		drain(answer)
+		result.verdict, result.cause, result.failed = broken, errServer, true
+		return result
+	}
+	if task.route.Kind == router.Stream && status < http.StatusMultipleChoices && isStream(answer.Header) {
+		return task.relayStream(ctx, result, answer)
+	}
+	if task.begun {
+		result.verdict, result.cause, result.failed = broken, errNotStream, true
+		return result
+	}
+	return task.relayWhole(result, answer)
+}
+
+// mayGoOn reports whether a failure of the replica would go on elsewhere.
+func (task *task) mayGoOn() bool {
+	return task.begun || (task.route.Idempotent() && task.runs+1 < task.route.Replicas)
+}
+
+// promises reports whether a status promises that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func isStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
+// note tells the fleet how an attempt ended.
+func (task *task) note(placement *balancer.Placement, result attemptResult) {
+	ending := balancer.Served
+	gone := task.r.Context().Err() != nil
+	switch {
+	case gone && result.verdict != answered:
+		ending = balancer.Abandoned
+	case result.verdict == unsent && eris.Is(result.cause, connector.ErrUnreachable):
+		ending = balancer.Unreachable
+	case result.verdict == unsent || result.verdict == refused:
+		ending = balancer.Refused
+	case result.failed:
+		ending = balancer.Failed
+	}
+	now := task.entry.settings.Clock.Now()
+	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, ending, now) })
+	if result.verdict == answered && !result.failed {
+		task.entry.strikes.clear(task.print)
+		return
+	}
+	task.logAttempt(result)
+	if gone {
+		return
+	}
+	task.investigate(result)
+}
+
+// investigate finds out at once whether a replica that failed a request is down,
+// so that the next requests don't have to.
+func (task *task) investigate(result attemptResult) {
+	if result.verdict == unsent && eris.Is(result.cause, connector.ErrUnreachable) {
+		task.entry.suspect(result.replica, result.why())
+		return
+	}
+	if result.verdict != broken || !result.failed || eris.Is(result.cause, errServer) {
+		return
+	}
+	print, replica := task.print, result.replica
+	go func() {
+		if task.entry.confirm(replica) {
+			task.entry.strikes.add(print, replica.ID, task.entry.settings.Clock.Now())
+		}
+	}()
+}
+
+func (task *task) logAttempt(result attemptResult) {
+	task.entry.settings.Log.WithFields(logrus.Fields{
+		"request-id": task.call.ID, "replica": result.replica.ID, "service": result.replica.Service,
+		"verdict": result.verdict.String(), "cause": result.why(),
+	}).Info("attempt failed")
+}
+
+// String returns the verdict's name in logs.
+func (verdict verdict) String() string {
+	return [...]string{"", "answered", "unsent", "refused", "broken"}[verdict]
+}
--- /dev/null
+++ b/internal/relayer/entry.go
@@ -0,0 +1,183 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/retrier"
+	"github.com/trefoilseam/trefoilseam/internal/router"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Retries bounds what the fleet sends again to one service.
+type Retries struct {
+	Window timekeeper.Span
+	Ratio  float64
+	Extra  float64
+}
+
+// Settings set up an entry. All fields but Placed must be set.
+type Settings struct {
+	Clock   timekeeper.Clock
+	Log     logrus.FieldLogger
+	Scope   tally.Scope
+	Fleet   *balancer.Guarded
+	Pool    *connector.Pool
+	Dialect Dialect
+	// Config returns the configuration in force, or nil while none is known.
+	Config  func() *router.Configuration
+	Retries Retries
+	// Sharers returns among how many entries the retries are shared.
+	Sharers func() int
+	// BodyMemory bounds the request bodies that are held at once, in bytes.
+	BodyMemory int64
+	// Placed is told of prompt parts that were sent to a replica.
+	Placed func(replica string, parts []balancer.Part)
+	// Unreachable is told of a replica that takes no connections.
+	Unreachable func(replica string)
+	Seed        uint64
+}
+
+// Entry answers callers. It is an http.Handler.
+type Entry struct {
+	settings Settings
+	meters   meters
+	stopping atomic.Bool
+	bodies   atomic.Int64
+
+	mu      sync.Mutex
+	draws   *rand.Rand
+	budgets map[string]*retrier.Window
+	strikes *strikes
+}
+
+// New returns an entry.
+func New(settings Settings) *Entry {
+	if settings.Placed == nil {
+		settings.Placed = func(string, []balancer.Part) {}
+	}
+	if settings.Unreachable == nil {
+		settings.Unreachable = func(string) {}
+	}
+	return &Entry{
+		settings: settings,
+		meters:   newMeters(settings.Scope),
+		draws:    rand.New(rand.NewPCG(settings.Seed, 17)),
+		budgets:  map[string]*retrier.Window{},
+		strikes:  newStrikes(),
+	}
+}
+
+// Stop makes the entry ask callers to leave: each answer ends its connection.
+func (entry *Entry) Stop() { entry.stopping.Store(true) }
+
+// ServeHTTP answers one request.
+func (entry *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if entry.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	arrived := entry.settings.Clock.Now()
+	call, err := entry.settings.Dialect.ReadCall(r)
+	if err != nil {
+		entry.refuseEarly(w, call, classifier.New(classifier.BadRequest, err.Error()))
+		return
+	}
+	config := entry.settings.Config()
+	if config == nil {
+		failure := classifier.New(classifier.NotReady, "no configuration is known yet")
+		entry.refuseEarly(w, call, failure.WithRetryAfter(timekeeper.Second))
+		return
+	}
+	route, found := config.Route(r.Host, r.URL.Path)
+	if !found {
+		entry.refuseEarly(w, call, classifier.New(classifier.NotFound, "version "+formatVersion(config.Version())))
+		return
+	}
+	access := config.Access(route, call.Key)
+	if !access.Allowed {
+		entry.refuseEarly(w, call, classifier.New(classifier.Unauthorized, "version "+formatVersion(config.Version())))
+		return
+	}
+	task := &task{
+		entry: entry, w: w, r: r, call: call, route: route, team: access.Team, config: config, arrived: arrived,
+	}
+	task.run()
+}
+
+// refuseEarly answers a request that got no route.
+func (entry *Entry) refuseEarly(w http.ResponseWriter, call Call, failure classifier.Failure) {
+	entry.meters.refused(failure.Kind)
+	entry.settings.Log.WithFields(logrus.Fields{
+		"request-id": call.ID, "kind": failure.Kind.String(), "detail": failure.Detail,
+	}).Info("request refused")
+	entry.settings.Dialect.Refuse(w, failure, call.ID)
+}
+
+func (entry *Entry) draw() float64 {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	return entry.draws.Float64()
+}
+
+// budget works on the retries of a service under the lock.
+func (entry *Entry) budget(service string, work func(window *retrier.Window, now timekeeper.Instant)) {
+	now := entry.settings.Clock.Now()
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	window, found := entry.budgets[service]
+	if !found {
+		window = retrier.NewWindow(retrier.WindowSettings{
+			Span: entry.settings.Retries.Window, Ratio: entry.settings.Retries.Ratio, Extra: entry.settings.Retries.Extra,
+		})
+		entry.budgets[service] = window
+	}
+	work(window, now)
+}
+
+func (entry *Entry) earn(service string) {
+	entry.budget(service, func(window *retrier.Window, now timekeeper.Instant) { window.Earn(now) })
+}
+
+// spend takes one retry and reports whether there was one.
+func (entry *Entry) spend(service string) bool {
+	sharers := entry.settings.Sharers()
+	allowed := false
+	entry.budget(service, func(window *retrier.Window, now timekeeper.Instant) { allowed = window.Spend(sharers, now) })
+	return allowed
+}
+
+// confirm learns whether a replica that broke off still takes connections, and
+// tells the fleet when it doesn't.
+func (entry *Entry) confirm(replica balancer.Replica) (gone bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmSpan.Duration())
+	defer cancel()
+	if entry.settings.Pool.Reach(ctx, replica.Address) == nil {
+		return false
+	}
+	entry.suspect(replica, "no connection after it broke off")
+	return true
+}
+
+// confirmSpan bounds a look whether a replica is there; a refused connection
+// comes back within a round trip.
+const confirmSpan = 400 * timekeeper.Millisecond
+
+// suspect takes a replica out of service for a while.
+func (entry *Entry) suspect(replica balancer.Replica, why string) {
+	now := entry.settings.Clock.Now()
+	entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Suspect(replica.ID, now) })
+	entry.settings.Pool.Retire(replica.ID)
+	entry.settings.Unreachable(replica.ID)
+	entry.settings.Log.WithFields(logrus.Fields{
+		"replica": replica.ID, "service": replica.Service, "address": replica.Address, "reason": why,
+	}).Warn("replica suspected")
+}
--- /dev/null
+++ b/internal/relayer/task.go
@@ -0,0 +1,282 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/router"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// lateness is how long after its time a request is still waited for, so that
+	// a replica's own answer at the deadline arrives. Callers are told half a
+	// second after the time at the latest.
+	lateness = 150 * timekeeper.Millisecond
+	// defaultPatience bounds a request whose caller and route give no time.
+	defaultPatience = timekeeper.Minute
+	// bodyPatience is how long a caller may take to send a body.
+	bodyPatience = 10 * timekeeper.Second
+	// defaultBodyLimit bounds a body when the configuration doesn't, in bytes.
+	defaultBodyLimit = 4 << 20
+	// mostUnsent bounds how often a request that never left is given to another
+	// replica. Nothing ran, so only time is lost.
+	mostUnsent = 8
+	// mostRefusals bounds how often a request that a replica refused, saying that
+	// it did not run, is given to another one.
+	mostRefusals = 2
+)
+
+// task is one request of a caller on its way.
+type task struct {
+	entry   *Entry
+	w       http.ResponseWriter
+	r       *http.Request
+	call    Call
+	route   router.Route
+	team    router.Team
+	config  *router.Configuration
+	service string
+	body    []byte
+	arrived timekeeper.Instant
+	until   timekeeper.Instant
+
+	excluded []string
+	// runs counts replicas that may have run the request.
+	runs     int
+	refusals int
+	unsent   int
+	// print identifies a request that is sent again by its caller.
+	print uint64
+
+	// begun reports whether the head of an answer is with the caller.
+	begun bool
+	// lastEvent is the last event of a stream that the caller has.
+	lastEvent string
+	first     timekeeper.Instant
+	placement *balancer.Placement
+	replica   string
+}
+
+// patience returns how long the caller is kept waiting.
+func (task *task) patience() timekeeper.Span {
+	span := defaultPatience
+	if task.route.Timeout > 0 {
+		span = min(span, task.route.Timeout)
+	}
+	if task.call.Deadline > 0 {
+		span = min(span, task.call.Deadline)
+	}
+	return span
+}
+
+// run answers the request.
+func (task *task) run() {
+	task.until = task.arrived.Add(task.patience())
+	failure, read := task.readBody()
+	if !read {
+		task.finish(failure)
+		return
+	}
+	defer task.entry.bodies.Add(-int64(len(task.body)))
+	task.service = task.route.Service(task.entry.draw())
+	task.print = fingerprint(task.r, task.team.Name, task.body)
+	if task.entry.strikes.barred(task.print, task.entry.settings.Clock.Now()) {
+		task.finish(classifier.New(classifier.Overloaded, "the request crashed replicas").WithRetryAfter(strikeLife))
+		return
+	}
+	task.entry.earn(task.service)
+	ctx, cancel := context.WithTimeout(task.r.Context(), (task.patience() + lateness).Duration())
+	defer cancel()
+	task.finish(task.serve(ctx))
+}
+
+// readBody reads the whole body before anything is asked of a replica, so that
+// a slow caller holds a connection of the entry and nothing else.
+func (task *task) readBody() (classifier.Failure, bool) {
+	limit := task.config.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	if task.r.ContentLength > limit {
+		return classifier.New(classifier.BodyTooLarge, ""), false
+	}
+	if task.entry.bodies.Load()+max(0, task.r.ContentLength) > task.entry.settings.BodyMemory {
+		failure := classifier.New(classifier.Overloaded, "the memory for request bodies is used up")
+		return failure.WithRetryAfter(timekeeper.Second), false
+	}
+	if task.r.ContentLength == 0 {
+		return classifier.Failure{}, true
+	}
+	control := http.NewResponseController(task.w)
+	_ = control.SetReadDeadline(timekeeper.In(bodyPatience))
+	body, err := readAll(http.MaxBytesReader(task.w, task.r.Body, limit), task.r.ContentLength)
+	if err != nil {
+		return bodyFailure(err), false
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	task.body = body
+	task.entry.bodies.Add(int64(len(body)))
+	return classifier.Failure{}, true
+}
+
+// readAll reads a body whose length may be known, without room to spare.
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length <= 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+func bodyFailure(err error) classifier.Failure {
+	var large *http.MaxBytesError
+	if eris.As(err, &large) {
+		return classifier.New(classifier.BodyTooLarge, "")
+	}
+	return classifier.New(classifier.SlowCaller, err.Error())
+}
+
+// serve tries replicas until the request is answered or given up on.
+func (task *task) serve(ctx context.Context) classifier.Failure {
+	for {
+		placement, reason := task.choose()
+		if placement == nil {
+			return task.noReplica(reason)
+		}
+		result := task.attempt(ctx, placement)
+		task.note(placement, result)
+		if result.verdict == answered {
+			return classifier.Failure{}
+		}
+		if task.r.Context().Err() != nil {
+			return classifier.New(classifier.CallerGone, result.why())
+		}
+		if ctx.Err() != nil || !task.again(result) {
+			return task.giveUp(ctx, result)
+		}
+	}
+}
+
+func (task *task) choose() (placement *balancer.Placement, reason balancer.Reason) {
+	now := task.entry.settings.Clock.Now()
+	ask := balancer.Ask{Service: task.service, Parts: task.call.Parts, Excluded: task.excluded}
+	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { placement, reason = fleet.Choose(ask, now) })
+	return placement, reason
+}
+
+// again decides whether another replica gets the request.
+//
+// What must not repeat goes on only after proof that it has not run. What may
+// repeat goes on within the route's bound on replicas. Either costs a part of
+// the retries that the fleet may make, save where nothing was sent at all.
+func (task *task) again(result attemptResult) bool {
+	task.excluded = append(task.excluded, result.replica.ID)
+	switch result.verdict {
+	case unsent:
+		task.unsent++
+		return task.unsent <= mostUnsent
+	case refused:
+		task.refusals++
+		return task.refusals <= mostRefusals && task.entry.spend(task.service)
+	case broken:
+		task.runs++
+		return task.route.Idempotent() && task.runs < task.route.Replicas && task.entry.spend(task.service)
+	case answered:
+	}
+	return false
+}
+
+// noReplica is the failure when no replica can get the request.
+func (task *task) noReplica(reason balancer.Reason) classifier.Failure {
+	if task.runs > 0 {
+		return classifier.New(classifier.UpstreamBroken, string(reason))
+	}
+	failure := classifier.New(classifier.Overloaded, string(reason))
+	if reason == balancer.NoReplicas {
+		failure = classifier.New(classifier.NoUpstream, string(reason))
+	}
+	return failure.WithRetryAfter(task.comeBack())
+}
+
+// giveUp is the failure when the last try has failed.
+func (task *task) giveUp(ctx context.Context, result attemptResult) classifier.Failure {
+	ran := task.runs > 0 || result.verdict == broken
+	switch {
+	case !ran:
+		return classifier.New(classifier.Unreachable, result.why()).WithRetryAfter(task.comeBack())
+	case ctx.Err() != nil:
+		return classifier.New(classifier.OutcomeUnknown, result.why())
+	}
+	return classifier.New(classifier.UpstreamBroken, result.why())
+}
+
+const (
+	// firstComeBack and its spread are when a caller whose request did not run
+	// should come again: replicas that crash are found within it, and callers
+	// that were refused together come back apart.
+	firstComeBack = 250 * timekeeper.Millisecond
+	comeBackWidth = 500 * timekeeper.Millisecond
+)
+
+func (task *task) comeBack() timekeeper.Span {
+	return firstComeBack + timekeeper.Span(task.entry.draw()*float64(comeBackWidth))
+}
+
+// finish answers the caller when no replica did, and logs the request.
+func (task *task) finish(failure classifier.Failure) {
+	now := task.entry.settings.Clock.Now()
+	task.entry.meters.ended(task, failure, now)
+	task.log(failure, now)
+	if failure.Kind == 0 {
+		return
+	}
+	if task.begun || failure.Kind == classifier.CallerGone {
+		// The caller must not take a part of an answer for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	if failure.Kind == classifier.SlowCaller {
+		task.w.Header().Set("Connection", "close")
+	}
+	task.entry.settings.Dialect.Refuse(task.w, failure, task.call.ID)
+}
+
+func (task *task) log(failure classifier.Failure, now timekeeper.Instant) {
+	fields := logrus.Fields{
+		"request-id": task.call.ID, "route": task.route.Name, "team": task.team.Name, "version": task.config.Version(),
+		"service": task.service, "total-ms": int64(now.Since(task.arrived)), "runs": task.runs,
+	}
+	if task.placement != nil {
+		fields["replica"] = task.replica
+		fields["uncached"] = task.placement.Uncached
+		fields["expected-ms"] = int64(task.placement.Expected)
+	}
+	if task.first != 0 {
+		fields["first-ms"] = int64(task.first.Since(task.arrived))
+	}
+	if task.refusals > 0 || task.unsent > 0 {
+		fields["refusals"], fields["unsent"] = task.refusals, task.unsent
+	}
+	if failure.Kind == 0 {
+		task.entry.settings.Log.WithFields(fields).Info("request answered")
+		return
+	}
+	fields["kind"], fields["detail"] = failure.Kind.String(), failure.Detail
+	if failure.RetryAfter > 0 {
+		fields["retry-after-ms"] = int64(failure.RetryAfter)
+	}
+	task.entry.settings.Log.WithFields(fields).Warn("request failed")
+}
+
+func formatVersion(version uint64) string {
+	return strconv.FormatUint(version, 10)
+}
