--- /dev/null
+++ b/internal/logger/queue_test.go
@@ -0,0 +1,48 @@
+package logger
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestAStalledReaderHoldsUpNobody(t *testing.T) {
+	// The reader of the output stops reading. Whoever logs goes on at once; lines
+	// beyond the queue are dropped and counted; and once the reader is back it is
+	// told how many it has missed.
+	reader, writer := io.Pipe()
+	queue, release := NewQueue(writer)
+	const lines = 3 * room
+	for range lines {
+		_, err := queue.Write([]byte("{}\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	Convey("lines are dropped and counted", t, func() {
+		So(queue.Dropped(), ShouldBeBetweenOrEqual, lines-room-1, lines-room)
+	})
+	var out bytes.Buffer
+	read := make(chan struct{})
+	go func() { defer close(read); _, _ = io.Copy(&out, reader) }()
+	release(nil)
+	_ = writer.Close()
+	<-read
+	Convey("the reader is told, and gets the rest", t, func() {
+		So(out.String(), ShouldContainSubstring, `"msg":"log lines dropped","dropped":`)
+		So(strings.Count(out.String(), "{}"), ShouldEqual, lines-queue.Dropped())
+	})
+}
+
+func TestAReaderThatNeverComesBackIsGivenUp(t *testing.T) {
+	// The process is told to stop while nobody reads its output: it ends all the same.
+	_, writer := io.Pipe()
+	queue, release := NewQueue(writer)
+	_, _ = queue.Write([]byte("{}\n"))
+	giveUp := make(chan struct{})
+	close(giveUp)
+	release(giveUp)
+}
