assembler: an entry without agents, and how it is deployed

Cause: nothing was served on the users' platform. Change: 'trefoilseam entry -direct' with its own checked settings, filled in from a template; readiness, stop, reload; tables in settings files can be read (a table's own line was decoded as a value, so [retry] failed: 'expected value, not end of input').

--- /dev/null
+++ b/cmd/trefoilseam/direct.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/assembler"
+	"github.com/trefoilseam/trefoilseam/internal/loader"
+	"github.com/trefoilseam/trefoilseam/internal/logger"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// lastLines is how long a process that ends waits for its log to be read.
+const lastLines = 200 * timekeeper.Millisecond
+
+// runDirect runs an entry that sends requests to replicas itself, until it is
+// told to stop.
+func runDirect(ctx context.Context, file string) error {
+	if file == "" {
+		return eris.Wrap(errUsage, "name the settings: trefoilseam entry -direct -settings FILE")
+	}
+	settings, faults := loader.ReadDirect(file)
+	if len(faults) > 0 {
+		return faults
+	}
+	log, err := newLog(settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer queueLog(log)()
+	direct, release, err := assembler.NewDirect(ctx, settings, file, log)
+	if err != nil {
+		return err
+	}
+	defer release()
+	var group run.Group
+	direct.AddTo(&group)
+	return runGroup(&group)
+}
+
+// queueLog sends the log to standard output through a queue that never blocks,
+// and returns a function that writes what waits.
+func queueLog(log *logrus.Logger) func() {
+	queue, release := logger.NewQueue(os.Stdout)
+	log.SetOutput(queue)
+	return func() {
+		giveUp := make(chan struct{})
+		fired, stop := timekeeper.Steady().After(lastLines)
+		defer stop()
+		go func() { <-fired; close(giveUp) }()
+		release(giveUp)
+	}
+}
--- a/cmd/trefoilseam/process.go
+++ b/cmd/trefoilseam/process.go
@@ -86,7 +86,21 @@
 	return err
 }
 
+// entryCommand runs an entry, or, with -direct, one that needs no agents.
 func entryCommand() *ffcli.Command {
+	command := offeringEntryCommand()
+	direct := command.FlagSet.Bool("direct", false, "send requests to replicas without agents, as the platform's store lists them")
+	offer := command.Exec
+	command.Exec = func(ctx context.Context, args []string) error {
+		if *direct {
+			return runDirect(ctx, command.FlagSet.Lookup("settings").Value.String())
+		}
+		return offer(ctx, args)
+	}
+	return command
+}
+
+func offeringEntryCommand() *ffcli.Command {
 	return processCommand(kindOfProcess[loader.Entry]{
 		name:   "entry",
 		help:   "run an entry: the front that callers reach",
--- /dev/null
+++ b/internal/assembler/direct.go
@@ -0,0 +1,301 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/internal/loader"
+	"github.com/trefoilseam/trefoilseam/internal/measurer"
+	"github.com/trefoilseam/trefoilseam/internal/relayer"
+	"github.com/trefoilseam/trefoilseam/internal/router"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+	"github.com/trefoilseam/trefoilseam/platform"
+)
+
+const (
+	// replicaPace is the least time between two reads of the replicas' list, in
+	// which every heartbeat is a change. A leaving replica must be known well
+	// within the two seconds for which it still serves.
+	replicaPace = 450 * timekeeper.Millisecond
+	// replicaLapse is how long a replica that is missing after an outage of the
+	// store stays in use: the replicas write themselves in again within two seconds.
+	replicaLapse = 2200 * timekeeper.Millisecond
+	// sweepEvery is how often idle connections are looked through.
+	sweepEvery = timekeeper.Second
+	// callerSilence bounds sent bytes that a caller doesn't acknowledge.
+	callerSilence = 10 * timekeeper.Second
+	// headerPatience bounds the head of a request, idlePatience the time between
+	// two requests of a connection. Callers may be told to use a connection for
+	// less, never for longer.
+	headerPatience = 10 * timekeeper.Second
+	idlePatience   = 2 * timekeeper.Minute
+	// mostHeader bounds the head of a request, in bytes.
+	mostHeader = 64 << 10
+	// bodyShare is the part of the process's memory that request bodies may hold.
+	bodyShare = 0.25
+	// heapShare is the part of the process's memory at which the collector works
+	// harder rather than let the process be killed.
+	heapShare = 0.7
+	// defaultMemory is assumed where the settings name none, in megabytes.
+	defaultMemory = 256
+	// endMargin is how long before it would be killed a stopping process ends.
+	endMargin = 300 * timekeeper.Millisecond
+)
+
+// Direct is an entry that sends requests to replicas itself, ready to run.
+type Direct struct {
+	settings loader.Direct
+	file     string
+	clock    timekeeper.Clock
+	log      *logrus.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+
+	fleet     *balancer.Guarded
+	pool      *connector.Pool
+	front     *relayer.Entry
+	config    atomic.Pointer[router.Configuration]
+	readiness readiness
+
+	configurations *follower.Follower[platform.Document]
+	replicas       *follower.Follower[balancer.Replica]
+
+	listeners directListeners
+	cleanups  []func()
+}
+
+// directListeners are the sockets of the process.
+type directListeners struct {
+	front, ready, metrics net.Listener
+}
+
+// NewDirect returns an entry that listens, and a function that releases what it
+// holds. file is where its settings were read from; they are read again when
+// they change.
+func NewDirect(ctx context.Context, settings loader.Direct, file string, log *logrus.Logger) (*Direct, func(), error) {
+	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), log: log}
+	limitMemory(settings)
+	var release func()
+	direct.scope, direct.metrics, release = measurer.New(settings.Name, log)
+	direct.onRelease(release)
+	if err := direct.listen(ctx); err != nil {
+		direct.release()
+		return nil, nil, err
+	}
+	direct.fleet = balancer.Guard(balancer.New(balancer.Settings{
+		DataCentre: settings.DataCentre, Seed: newIncarnation(), Bound: settings.Bound,
+	}))
+	direct.pool, release = connector.NewPool(connector.Settings{
+		Clock: direct.clock, Opened: func() { direct.scope.Counter("connections-opened").Inc(1) },
+	})
+	direct.onRelease(release)
+	direct.front = relayer.New(direct.frontSettings())
+	store, release := platform.NewStore(settings.Store, log)
+	direct.onRelease(release)
+	direct.follow(store)
+	direct.log.WithFields(logrus.Fields{
+		"listen": settings.Listen, "store": settings.Store, "data-centre": settings.DataCentre,
+	}).Info("entry started")
+	return direct, direct.release, nil
+}
+
+func limitMemory(settings loader.Direct) {
+	megabytes := settings.Memory
+	if megabytes == 0 {
+		megabytes = defaultMemory
+	}
+	debug.SetMemoryLimit(int64(heapShare * float64(megabytes<<20)))
+}
+
+func (direct *Direct) onRelease(cleanup func()) {
+	direct.cleanups = append(direct.cleanups, cleanup)
+}
+
+func (direct *Direct) release() {
+	for i := len(direct.cleanups) - 1; i >= 0; i-- {
+		direct.cleanups[i]()
+	}
+}
+
+func (direct *Direct) listen(ctx context.Context) error {
+	sockets := []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{direct.settings.Listen, &direct.listeners.front},
+		{direct.settings.ReadyListen, &direct.listeners.ready},
+		{direct.settings.MetricsListen, &direct.listeners.metrics},
+	}
+	config := net.ListenConfig{Control: connector.Guard(callerSilence)}
+	for _, socket := range sockets {
+		if socket.address == "" {
+			continue
+		}
+		listener, err := config.Listen(ctx, "tcp", socket.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen at %s", socket.address)
+		}
+		*socket.listener = listener
+		direct.onRelease(func() { _ = listener.Close() })
+	}
+	return nil
+}
+
+func (direct *Direct) frontSettings() relayer.Settings {
+	megabytes := direct.settings.Memory
+	if megabytes == 0 {
+		megabytes = defaultMemory
+	}
+	return relayer.Settings{
+		Clock: direct.clock, Log: direct.log, Scope: direct.scope, Fleet: direct.fleet, Pool: direct.pool,
+		Dialect: platform.Dialect(), Config: direct.config.Load,
+		Retries: relayer.Retries{
+			Window: direct.settings.Retry.Window, Ratio: direct.settings.Retry.Ratio, Extra: direct.settings.Retry.Extra,
+		},
+		Sharers:    func() int { return minSharers },
+		BodyMemory: int64(bodyShare * float64(megabytes<<20)),
+		Seed:       newIncarnation(),
+	}
+}
+
+// minSharers is among how many entries the fleet's retries are shared at least:
+// it bounds what entries that restart, or that peers don't see, can spend twice.
+const minSharers = 8
+
+// follow sets up what is read of the platform's store.
+func (direct *Direct) follow(store *platform.Store) {
+	configurations, key := platform.Configurations(store)
+	direct.configurations = follower.New(follower.Settings[platform.Document]{
+		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: configurations, Seed: newIncarnation(),
+		Apply: func(rows map[string]platform.Document) {
+			if document := rows[key]; document.Config != nil {
+				direct.accept(document.Config, "store")
+			}
+		},
+	})
+	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
+		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store), Seed: newIncarnation(),
+		Pace: replicaPace, Lapse: replicaLapse, Apply: direct.list,
+	})
+}
+
+// accept puts a configuration in force, unless a newer one is.
+func (direct *Direct) accept(config *router.Configuration, from string) {
+	for {
+		current := direct.config.Load()
+		if current != nil && current.Version() >= config.Version() {
+			return
+		}
+		if direct.config.CompareAndSwap(current, config) {
+			break
+		}
+	}
+	direct.fleet.With(func(fleet *balancer.Fleet) {
+		for _, service := range config.Services() {
+			if service.Engine != nil {
+				fleet.SetEngine(service.Name, service.Engine.MemoryTokens)
+			}
+		}
+	})
+	direct.scope.Gauge("configuration-version").Update(float64(config.Version()))
+	direct.log.WithFields(logrus.Fields{
+		"version": config.Version(), "routes": config.Routes(), "keys": config.Teams(), "from": from,
+	}).Info("configuration in force")
+}
+
+// list takes in the platform's list of replicas.
+func (direct *Direct) list(rows map[string]balancer.Replica) {
+	list := make([]balancer.Replica, 0, len(rows))
+	for _, replica := range rows {
+		list = append(list, replica)
+	}
+	var changes []balancer.Change
+	direct.fleet.With(func(fleet *balancer.Fleet) { changes = fleet.SetReplicas(list) })
+	for _, change := range changes {
+		if change.Gone {
+			direct.pool.Retire(change.Replica.ID)
+		}
+		direct.log.WithFields(logrus.Fields{
+			"replica": change.Replica.ID, "service": change.Replica.Service, "address": change.Replica.Address,
+			"leaving": change.Replica.Leaving, "gone": change.Gone,
+		}).Info("replica listed")
+	}
+}
+
+// serving reports whether callers can be served.
+func (direct *Direct) serving() bool {
+	return direct.config.Load() != nil && direct.replicas.Synced()
+}
+
+// AddTo adds the entry's actors to a group. The front stops first: not ready at
+// once, closed after the delay, ended when its last call has.
+func (direct *Direct) AddTo(group *run.Group) {
+	var order stages
+	front, rest := order.add(), order.add()
+	direct.addFront(front)
+	addLoop(rest, direct.configurations.Run)
+	addLoop(rest, direct.replicas.Run)
+	addLoop(rest, direct.sweep)
+	addLoop(rest, direct.watchSettings)
+	addServer(rest, direct.listeners.ready, http.HandlerFunc(direct.answerReady), 0)
+	if direct.listeners.metrics != nil {
+		addServer(rest, direct.listeners.metrics, direct.metrics, 0)
+	}
+	order.addTo(group)
+}
+
+func (direct *Direct) answerReady(w http.ResponseWriter, r *http.Request) {
+	if !direct.serving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	direct.readiness.ServeHTTP(w, r)
+}
+
+func (direct *Direct) sweep(ctx context.Context) {
+	span := func() timekeeper.Span { return sweepEvery }
+	direct.clock.Every(ctx, span, func(context.Context) { direct.pool.Sweep() })
+}
+
+// addFront adds the server that callers reach.
+func (direct *Direct) addFront(group *run.Group) {
+	server := &http.Server{
+		Handler: direct.front, ReadHeaderTimeout: headerPatience.Duration(), IdleTimeout: idlePatience.Duration(),
+		MaxHeaderBytes: mostHeader, ErrorLog: nil,
+	}
+	stopped := make(chan error, 1)
+	group.Add(func() error {
+		if err := server.Serve(direct.listeners.front); !eris.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+		return <-stopped
+	}, func(error) {
+		direct.readiness.leaving.Store(true)
+		direct.front.Stop()
+		direct.log.Info("entry stops: not ready, callers are asked to leave")
+		go func() { stopped <- direct.shutDown(server) }()
+	})
+}
+
+// shutDown ends the server: after the delay no new connections, then the end of
+// all calls, at the latest shortly before the process would be killed.
+func (direct *Direct) shutDown(server *http.Server) error {
+	_ = direct.clock.Sleep(context.Background(), direct.settings.StopDelay)
+	left := max(direct.settings.StopGrace-direct.settings.StopDelay-endMargin, timekeeper.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	defer cancel()
+	err := server.Shutdown(ctx)
+	direct.log.WithField("cut", err != nil).Info("entry stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/assembler/direct_settings.go
@@ -0,0 +1,69 @@
+package assembler
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/loader"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// settingsEvery is how often the settings file is looked at, since it may change
+// without a signal.
+const settingsEvery = 2 * timekeeper.Second
+
+// watchSettings reads the settings again when a signal says so, and when the
+// file has changed without one.
+func (direct *Direct) watchSettings(ctx context.Context) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	written := modified(direct.file)
+	for {
+		fired, release := direct.clock.After(settingsEvery)
+		select {
+		case <-ctx.Done():
+			release()
+			return
+		case <-hangUp:
+			written = modified(direct.file)
+			direct.reload("signal")
+		case <-fired:
+			if now := modified(direct.file); !now.Equal(written) {
+				written = now
+				direct.reload("file changed")
+			}
+		}
+		release()
+	}
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload takes in what can change while the process runs. A file with faults
+// changes nothing.
+func (direct *Direct) reload(why string) {
+	fresh, faults := loader.ReadDirect(direct.file)
+	log := direct.log.WithField("reason", why)
+	if len(faults) > 0 {
+		log.WithField("faults", faults.Error()).Error("settings not taken in")
+		return
+	}
+	if level, err := logrus.ParseLevel(fresh.LogLevel); err == nil {
+		direct.log.SetLevel(level)
+	}
+	fixed := fresh
+	fixed.LogLevel = direct.settings.LogLevel
+	log.WithField("needs-restart", fixed != direct.settings).Info("settings read again")
+}
--- a/internal/loader/check.go
+++ b/internal/loader/check.go
@@ -54,8 +54,13 @@
 	}
 	check.peers(process.Peers, listen)
 	check.url("platform", process.Platform)
-	if _, err := logrus.ParseLevel(process.LogLevel); process.LogLevel != "" && err != nil {
-		check.add("log-level", "write debug, info, warn or error", "log-level is %q", process.LogLevel)
+	check.level(process.LogLevel)
+}
+
+// level checks a level of the log; none is fine.
+func (check *checker) level(level string) {
+	if _, err := logrus.ParseLevel(level); level != "" && err != nil {
+		check.add("log-level", "write debug, info, warn or error", "log-level is %q", level)
 	}
 }
 
--- /dev/null
+++ b/internal/loader/direct.go
@@ -0,0 +1,113 @@
+package loader
+
+import (
+	"fmt"
+
+	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Direct is the settings file of an entry that sends requests to replicas
+// itself and takes configuration and replicas from the platform's store.
+type Direct struct {
+	Name       string `toml:"name"`
+	DataCentre string `toml:"data-centre"`
+	// Listen is the address for callers.
+	Listen string `toml:"listen"`
+	// ReadyListen is the address for the balancer that asks whether callers are
+	// welcome.
+	ReadyListen string `toml:"ready-listen"`
+	// MetricsListen is the address for metrics; empty means none.
+	MetricsListen string `toml:"metrics-listen"`
+	// PeerListen is the address for other entries, TCP and UDP.
+	PeerListen string `toml:"peer-listen"`
+	// Store is the address of the platform's store.
+	Store string `toml:"store"`
+	// LogLevel is a level of logrus; empty means "info".
+	LogLevel string `toml:"log-level"`
+	// Memory is the process's limit in megabytes; zero means none.
+	Memory int `toml:"memory-megabytes"`
+	// StopDelay is how long a stopping entry says "not ready" and still takes
+	// callers; zero means 3 s.
+	StopDelay timekeeper.Span `toml:"stop-delay"`
+	// StopGrace is how long the platform waits before it kills a stopping
+	// process; zero means 8 s.
+	StopGrace timekeeper.Span `toml:"stop-grace"`
+	// Bound is how many times the mean of its service a replica may hold; zero
+	// means 2.
+	Bound float64 `toml:"bound"`
+	// Retry bounds what the fleet sends again.
+	Retry Retry `toml:"retry"`
+}
+
+// Retry is how much the fleet as a whole may send again to one service.
+type Retry struct {
+	// Window is the time over which it is counted; zero means 10 s.
+	Window timekeeper.Span `toml:"window"`
+	// Ratio is how many retries each request allows; zero means 0.2.
+	Ratio float64 `toml:"ratio"`
+	// Extra is how many retries come on top; zero means 20.
+	Extra float64 `toml:"extra"`
+}
+
+// Defaults of an entry that sends requests itself.
+const (
+	defaultStopDelay   = 3 * timekeeper.Second
+	defaultStopGrace   = 8 * timekeeper.Second
+	defaultBound       = 2
+	defaultRetryWindow = 10 * timekeeper.Second
+	defaultRetryRatio  = 0.2
+	defaultRetryExtra  = 20
+)
+
+// withDefaults fills in what is left out.
+func (direct Direct) withDefaults() Direct {
+	orDefault(&direct.StopDelay, defaultStopDelay)
+	orDefault(&direct.StopGrace, defaultStopGrace)
+	orDefault(&direct.Bound, defaultBound)
+	orDefault(&direct.Retry.Window, defaultRetryWindow)
+	orDefault(&direct.Retry.Ratio, defaultRetryRatio)
+	orDefault(&direct.Retry.Extra, defaultRetryExtra)
+	return direct
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// ReadDirect reads the settings of an entry that sends requests itself.
+func ReadDirect(file string) (Direct, resolver.Faults) {
+	var direct Direct
+	faults := read(file, &direct, func(check *checker) { check.direct(direct) })
+	return direct.withDefaults(), faults
+}
+
+// direct checks the settings of an entry that sends requests itself.
+func (check *checker) direct(direct Direct) {
+	check.present("name", direct.Name)
+	check.present("data-centre", direct.DataCentre)
+	check.address("listen", direct.Listen)
+	check.address("ready-listen", direct.ReadyListen)
+	check.address("peer-listen", direct.PeerListen)
+	check.address("store", direct.Store)
+	if direct.MetricsListen != "" {
+		check.address("metrics-listen", direct.MetricsListen)
+	}
+	check.level(direct.LogLevel)
+	numbers := []struct {
+		key   string
+		value float64
+	}{
+		{"stop-delay", float64(direct.StopDelay)}, {"stop-grace", float64(direct.StopGrace)}, {"bound", direct.Bound},
+		{"retry.window", float64(direct.Retry.Window)}, {"retry.ratio", direct.Retry.Ratio},
+		{"retry.extra", direct.Retry.Extra}, {"memory-megabytes", float64(direct.Memory)},
+	}
+	for _, number := range numbers {
+		if number.value < 0 {
+			check.add(number.key, "write a positive value or leave it out", "%s is %s", number.key, fmt.Sprint(number.value))
+		}
+	}
+}
--- a/internal/resolver/parse.go
+++ b/internal/resolver/parse.go
@@ -20,6 +20,10 @@
 			faults = append(faults, fault)
 			continue
 		}
+		if value.Text == "" {
+			// A table's own line holds no value.
+			continue
+		}
 		if err := toml.Unmarshal([]byte(value.Path.String()+" = "+value.Text), out); err != nil {
 			faults = append(faults, value.Origin.fault(err.Error(), "mend the value"))
 		}
