gossiper: entries tell each other what they have under way and placed

Change: digests in datagrams, some times a second within a budget of bytes; peers found in the store at the start; replicas that take no connections, those that leave, and requests that crash replicas are told at once; a newer configuration is fetched from a peer when the store does not bring it. A try before it served nothing: the actor that registers the entry ended when it was done, and so ended the group; it now waits for the stop.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/internal/gossiper"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/relayer"
@@ -65,8 +66,9 @@
 	fleet     *balancer.Guarded
 	pool      *connector.Pool
 	front     *relayer.Entry
-	config    atomic.Pointer[router.Configuration]
+	document  atomic.Pointer[platform.Document]
 	readiness readiness
+	fellows   *fellows
 
 	configurations *follower.Follower[platform.Document]
 	replicas       *follower.Follower[balancer.Replica]
@@ -77,7 +79,8 @@
 
 // directListeners are the sockets of the process.
 type directListeners struct {
-	front, ready, metrics net.Listener
+	front, ready, metrics, peers net.Listener
+	datagrams                    net.PacketConn
 }
 
 // NewDirect returns an entry that listens, and a function that releases what it
@@ -100,9 +103,11 @@
 		Clock: direct.clock, Opened: func() { direct.scope.Counter("connections-opened").Inc(1) },
 	})
 	direct.onRelease(release)
-	direct.front = relayer.New(direct.frontSettings())
 	store, release := platform.NewStore(settings.Store, log)
 	direct.onRelease(release)
+	direct.fellows, release = newFellows(direct, store, direct.listeners.datagrams)
+	direct.onRelease(release)
+	direct.front = relayer.New(direct.frontSettings())
 	direct.follow(store)
 	direct.log.WithFields(logrus.Fields{
 		"listen": settings.Listen, "store": settings.Store, "data-centre": settings.DataCentre,
@@ -136,6 +141,7 @@
 		{direct.settings.Listen, &direct.listeners.front},
 		{direct.settings.ReadyListen, &direct.listeners.ready},
 		{direct.settings.MetricsListen, &direct.listeners.metrics},
+		{direct.settings.PeerListen, &direct.listeners.peers},
 	}
 	config := net.ListenConfig{Control: connector.Guard(callerSilence)}
 	for _, socket := range sockets {
@@ -149,6 +155,12 @@
 		*socket.listener = listener
 		direct.onRelease(func() { _ = listener.Close() })
 	}
+	datagrams, err := config.ListenPacket(ctx, "udp", direct.settings.PeerListen)
+	if err != nil {
+		return eris.Wrapf(err, "listen at %s", direct.settings.PeerListen)
+	}
+	direct.listeners.datagrams = datagrams
+	direct.onRelease(func() { _ = datagrams.Close() })
 	return nil
 }
 
@@ -159,19 +171,37 @@
 	}
 	return relayer.Settings{
 		Clock: direct.clock, Log: direct.log, Scope: direct.scope, Fleet: direct.fleet, Pool: direct.pool,
-		Dialect: platform.Dialect(), Config: direct.config.Load,
+		Dialect: platform.Dialect(), Config: direct.config,
 		Retries: relayer.Retries{
 			Window: direct.settings.Retry.Window, Ratio: direct.settings.Retry.Ratio, Extra: direct.settings.Retry.Extra,
 		},
-		Sharers:    func() int { return minSharers },
+		Sharers:     func() int { return max(minSharers, sharersOfPeer*(1+len(direct.fellows.gossiper.Up()))) },
+		Placed:      direct.fellows.gossiper.Placed,
+		Unreachable: direct.fellows.gossiper.Unreachable,
+		Struck: func(request uint64, replica string) {
+			direct.fellows.gossiper.Struck(gossiper.Strike{Request: request, Replica: replica})
+		},
 		BodyMemory: int64(bodyShare * float64(megabytes<<20)),
 		Seed:       newIncarnation(),
 	}
 }
 
-// minSharers is among how many entries the fleet's retries are shared at least:
-// it bounds what entries that restart, or that peers don't see, can spend twice.
-const minSharers = 8
+const (
+	// minSharers is among how many entries the fleet's retries are shared at
+	// least: it bounds what entries that peers don't see can spend.
+	minSharers = 8
+	// sharersOfPeer is how many parts each entry that is up counts for: one that
+	// restarts has spent its part, and takes it again.
+	sharersOfPeer = 2
+)
+
+// config returns the configuration in force, or nil while none is known.
+func (direct *Direct) config() *router.Configuration {
+	if document := direct.document.Load(); document != nil {
+		return document.Config
+	}
+	return nil
+}
 
 // follow sets up what is read of the platform's store.
 func (direct *Direct) follow(store *platform.Store) {
@@ -180,7 +210,7 @@
 		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: configurations, Seed: newIncarnation(),
 		Apply: func(rows map[string]platform.Document) {
 			if document := rows[key]; document.Config != nil {
-				direct.accept(document.Config, "store")
+				direct.accept(document, "store")
 			}
 		},
 	})
@@ -191,16 +221,18 @@
 }
 
 // accept puts a configuration in force, unless a newer one is.
-func (direct *Direct) accept(config *router.Configuration, from string) {
+func (direct *Direct) accept(document platform.Document, from string) {
+	config := document.Config
 	for {
-		current := direct.config.Load()
-		if current != nil && current.Version() >= config.Version() {
+		current := direct.document.Load()
+		if current != nil && current.Config.Version() >= config.Version() {
 			return
 		}
-		if direct.config.CompareAndSwap(current, config) {
+		if direct.document.CompareAndSwap(current, &document) {
 			break
 		}
 	}
+	direct.fellows.gossiper.Configured()
 	direct.fleet.With(func(fleet *balancer.Fleet) {
 		for _, service := range config.Services() {
 			if service.Engine != nil {
@@ -226,6 +258,9 @@
 		if change.Gone {
 			direct.pool.Retire(change.Replica.ID)
 		}
+		if change.Gone || change.Replica.Leaving {
+			direct.fellows.gossiper.Leaving(change.Replica.ID)
+		}
 		direct.log.WithFields(logrus.Fields{
 			"replica": change.Replica.ID, "service": change.Replica.Service, "address": change.Replica.Address,
 			"leaving": change.Replica.Leaving, "gone": change.Gone,
@@ -235,7 +270,7 @@
 
 // serving reports whether callers can be served.
 func (direct *Direct) serving() bool {
-	return direct.config.Load() != nil && direct.replicas.Synced()
+	return direct.config() != nil && direct.replicas.Synced()
 }
 
 // AddTo adds the entry's actors to a group. The front stops first: not ready at
@@ -248,6 +283,10 @@
 	addLoop(rest, direct.replicas.Run)
 	addLoop(rest, direct.sweep)
 	addLoop(rest, direct.watchSettings)
+	addLoop(rest, direct.fellows.register)
+	addLoop(rest, direct.fellows.gossiper.Run)
+	rest.Add(direct.fellows.gossiper.Receive, func(error) { _ = direct.listeners.datagrams.Close() })
+	addServer(rest, direct.listeners.peers, direct.fellows, 0)
 	addServer(rest, direct.listeners.ready, http.HandlerFunc(direct.answerReady), 0)
 	if direct.listeners.metrics != nil {
 		addServer(rest, direct.listeners.metrics, direct.metrics, 0)
@@ -283,6 +322,7 @@
 	}, func(error) {
 		direct.readiness.leaving.Store(true)
 		direct.front.Stop()
+		direct.fellows.gossiper.Stop()
 		direct.log.Info("entry stops: not ready, callers are asked to leave")
 		go func() { stopped <- direct.shutDown(server) }()
 	})
@@ -296,6 +336,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
 	defer cancel()
 	err := server.Shutdown(ctx)
+	direct.fellows.leave()
 	direct.log.WithField("cut", err != nil).Info("entry stopped")
 	return nil
 }
--- /dev/null
+++ b/internal/assembler/direct_peers.go
@@ -0,0 +1,209 @@
+package assembler
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/gossiper"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+	"github.com/trefoilseam/trefoilseam/platform"
+)
+
+const (
+	// pathConfiguration is where an entry gives its peers the configuration that
+	// it has in force, as the operator wrote it.
+	pathConfiguration = "/v1/configuration"
+	// fetchDelay leaves the store the time to bring a new version by itself.
+	fetchDelay = 150 * timekeeper.Millisecond
+	// fetchPatience bounds the fetch of a configuration from a peer.
+	fetchPatience = 800 * timekeeper.Millisecond
+	// fetchLimit bounds a configuration from a peer, in bytes.
+	fetchLimit = 16 << 20
+	// firstRegister and lastRegister bound the time between two tries to register.
+	firstRegister = 150 * timekeeper.Millisecond
+	lastRegister  = 3 * timekeeper.Second
+	// leavePatience bounds what a stopping entry waits for the store.
+	leavePatience = 300 * timekeeper.Millisecond
+)
+
+// fellows are the other entries: what is heard of them, and what is fetched.
+type fellows struct {
+	direct   *Direct
+	store    *platform.Store
+	gossiper *gossiper.Gossiper
+	client   *http.Client
+
+	mu       sync.Mutex
+	fetching bool
+}
+
+// newFellows returns the side of the process that other entries see.
+func newFellows(direct *Direct, store *platform.Store, conn net.PacketConn) (*fellows, func()) {
+	dialer := &net.Dialer{Timeout: fetchPatience.Duration(), Control: connector.Guard(fetchPatience)}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	fellows := &fellows{direct: direct, store: store, client: &http.Client{Transport: transport}}
+	fellows.gossiper = gossiper.New(gossiper.Settings{
+		Name: direct.settings.Name, Incarnation: newIncarnation(), Clock: direct.clock, Log: direct.log,
+		Scope: direct.scope, Conn: conn, Held: direct.held, Version: direct.version, Hear: fellows.hear,
+	})
+	return fellows, transport.CloseIdleConnections
+}
+
+// held returns what this entry has under way.
+func (direct *Direct) held() (held map[string]balancer.Held) {
+	direct.fleet.With(func(fleet *balancer.Fleet) { held = fleet.Held() })
+	return held
+}
+
+// version returns the version in force; zero means that none is known.
+func (direct *Direct) version() uint64 {
+	if document := direct.document.Load(); document != nil {
+		return document.Config.Version()
+	}
+	return 0
+}
+
+// register writes the entry's address into the store, then reads those of the
+// others: of two entries that start together at least one reads the other.
+func (fellows *fellows) register(ctx context.Context) {
+	pause := firstRegister
+	for {
+		err := fellows.tryRegister(ctx)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		fellows.direct.log.WithField("cause", err.Error()).Warn("entry not registered yet")
+		if fellows.direct.clock.Sleep(ctx, pause) != nil {
+			return
+		}
+		pause = min(2*pause, lastRegister)
+	}
+	// The end of an actor would end the process.
+	<-ctx.Done()
+}
+
+func (fellows *fellows) tryRegister(ctx context.Context) error {
+	settings := fellows.direct.settings
+	if err := platform.Register(ctx, fellows.store, settings.Name, settings.PeerListen); err != nil {
+		return err
+	}
+	addresses, err := platform.Entries(ctx, fellows.store)
+	if err != nil {
+		return err
+	}
+	for _, address := range addresses {
+		fellows.gossiper.Learn(address)
+	}
+	fellows.direct.log.WithField("entries", len(addresses)).Info("entry registered")
+	return nil
+}
+
+// leave takes the entry's address out of the store.
+func (fellows *fellows) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leavePatience.Duration())
+	defer cancel()
+	if err := platform.Unregister(ctx, fellows.store, fellows.direct.settings.Name); err != nil {
+		fellows.direct.log.WithField("cause", err.Error()).Warn("entry's address stays in the store")
+	}
+}
+
+// hear takes in what a peer tells.
+func (fellows *fellows) hear(heard gossiper.Heard) {
+	now := fellows.direct.clock.Now()
+	fellows.direct.fleet.With(func(fleet *balancer.Fleet) {
+		fleet.SetPeer(heard.Name, heard.Held, heard.Life, now)
+		for _, placed := range heard.Placements {
+			fleet.Cached(placed.Replica, placed.Parts, now)
+		}
+		for _, replica := range heard.Unreachable {
+			fleet.Suspect(replica, now)
+		}
+		for _, replica := range heard.Leaving {
+			fleet.Leave(replica)
+		}
+	})
+	for _, strike := range heard.Strikes {
+		fellows.direct.front.Strike(strike.Request, strike.Replica)
+	}
+	if heard.Configuration > fellows.direct.version() {
+		fellows.fetchSoon(heard.Address)
+	}
+}
+
+// fetchSoon fetches a newer configuration from a peer, if the store does not
+// bring it first.
+//
+// The failure: the store turns this entry away, or an answer of it is lost,
+// while it serves others. The symptom: callers get by this entry what the
+// operator has taken away. Any peer that has the new version is enough.
+func (fellows *fellows) fetchSoon(address string) {
+	fellows.mu.Lock()
+	defer fellows.mu.Unlock()
+	if fellows.fetching {
+		return
+	}
+	fellows.fetching = true
+	go func() {
+		defer func() {
+			fellows.mu.Lock()
+			defer fellows.mu.Unlock()
+			fellows.fetching = false
+		}()
+		fellows.fetch(address)
+	}()
+}
+
+func (fellows *fellows) fetch(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), (fetchDelay + fetchPatience).Duration())
+	defer cancel()
+	before := fellows.direct.version()
+	_ = fellows.direct.clock.Sleep(ctx, fetchDelay)
+	if fellows.direct.version() != before {
+		return
+	}
+	document, err := fellows.get(ctx, address)
+	if err != nil {
+		fellows.direct.log.WithFields(logrus.Fields{"peer": address, "cause": err.Error()}).Warn("configuration not fetched")
+		return
+	}
+	fellows.direct.accept(document, "peer "+address)
+}
+
+func (fellows *fellows) get(ctx context.Context, address string) (platform.Document, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathConfiguration, http.NoBody)
+	if err != nil {
+		return platform.Document{}, err
+	}
+	response, err := fellows.client.Do(request)
+	if err != nil {
+		return platform.Document{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return platform.Document{}, eris.Errorf("status %d", response.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, fetchLimit))
+	if err != nil {
+		return platform.Document{}, err
+	}
+	return platform.DecodeConfiguration(raw)
+}
+
+// ServeHTTP gives a peer the configuration in force.
+func (fellows *fellows) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	document := fellows.direct.document.Load()
+	if r.URL.Path != pathConfiguration || document == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(document.Raw)
+}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -190,6 +190,14 @@
 	}
 }
 
+// Leave notes that a peer has seen a replica leave. The platform's list says the
+// same when it is read next.
+func (fleet *Fleet) Leave(id string) {
+	if known, found := fleet.replicas[id]; found {
+		known.Leaving = true
+	}
+}
+
 // Report takes in what a replica said of itself with an answer.
 func (fleet *Fleet) Report(id string, report LoadReport, now timekeeper.Instant) {
 	if known, found := fleet.replicas[id]; found {
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -2,10 +2,6 @@
 
 import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 
-// peerLife is how long a peer's digest counts. Peers send ten a second; one that
-// has been silent for this long is down, and so are its requests.
-const peerLife = 800 * timekeeper.Millisecond
-
 // Held is what one entry has under way at one replica.
 type Held struct {
 	// Running counts requests.
@@ -18,11 +14,14 @@
 type peerDigest struct {
 	held map[string]Held
 	at   timekeeper.Instant
+	// until is when it no longer counts: the peer is down, and so are its requests.
+	until timekeeper.Instant
 }
 
-// SetPeer takes in what a peer has under way, by incarnation.
-func (fleet *Fleet) SetPeer(peer string, held map[string]Held, now timekeeper.Instant) {
-	fleet.peers[peer] = peerDigest{held: held, at: now}
+// SetPeer takes in what a peer has under way, by incarnation of the replicas,
+// and for how long that counts.
+func (fleet *Fleet) SetPeer(peer string, held map[string]Held, life timekeeper.Span, now timekeeper.Instant) {
+	fleet.peers[peer] = peerDigest{held: held, at: now, until: now.Add(life)}
 	for name, digest := range fleet.peers {
 		if now.Since(digest.at) > timekeeper.Minute {
 			delete(fleet.peers, name)
@@ -30,17 +29,6 @@
 	}
 }
 
-// Peers returns how many peers have sent a digest within the span.
-func (fleet *Fleet) Peers(span timekeeper.Span, now timekeeper.Instant) int {
-	count := 0
-	for _, digest := range fleet.peers {
-		if now.Since(digest.at) <= span {
-			count++
-		}
-	}
-	return count
-}
-
 // Cached notes prompt parts that a peer has sent to a replica.
 func (fleet *Fleet) Cached(id string, parts []Part, now timekeeper.Instant) {
 	if known, found := fleet.replicas[id]; found {
@@ -63,7 +51,7 @@
 func (fleet *Fleet) peersAt(id string, now timekeeper.Instant) Held {
 	var sum Held
 	for _, digest := range fleet.peers {
-		if now.Since(digest.at) > peerLife {
+		if now > digest.until {
 			continue
 		}
 		held := digest.held[id]
--- a/internal/encoder/doc.go
+++ b/internal/encoder/doc.go
@@ -16,4 +16,4 @@
 // installed.
 package encoder
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative frames.proto control.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative frames.proto control.proto peers.proto
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,331 @@
+package gossiper
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// mostDatagram is the longest digest that is read, in bytes.
+const mostDatagram = 32 << 10
+
+// defaultBudget is what digests may cost an entry, in bytes a second: seven
+// tenths of the 11 KB/s that a daemon may spend on control.
+const defaultBudget = 7700
+
+// kickSpan is the least time between two digests when there is urgent news.
+const kickSpan = 15 * timekeeper.Millisecond
+
+// Heard is what a peer has told.
+type Heard struct {
+	Name string
+	// Address is where the peer is reached, by datagrams and by connections.
+	Address string
+	// Life is how long it counts.
+	Life          timekeeper.Span
+	Held          map[string]balancer.Held
+	Configuration uint64
+	Stopping      bool
+	Placements    []Placement
+	Unreachable   []string
+	Leaving       []string
+	Strikes       []Strike
+}
+
+// Placement is a prompt that a peer has sent to a replica.
+type Placement struct {
+	Replica string
+	Parts   []balancer.Part
+}
+
+// Settings set up a gossiper. All fields but Budget must be set.
+type Settings struct {
+	Name        string
+	Incarnation uint64
+	Clock       timekeeper.Clock
+	Log         logrus.FieldLogger
+	Scope       tally.Scope
+	// Conn carries the datagrams; its address is the one that peers know.
+	Conn net.PacketConn
+	// Held returns what this entry has under way.
+	Held func() map[string]balancer.Held
+	// Version returns the version of the configuration in force.
+	Version func() uint64
+	// Hear takes what a peer tells.
+	Hear func(heard Heard)
+	// Budget is in bytes a second; zero means 7,700.
+	Budget float64
+}
+
+// Gossiper sends and receives digests.
+type Gossiper struct {
+	settings Settings
+	kicked   chan struct{}
+
+	mu       sync.Mutex
+	outbox   *outbox
+	peers    *peers
+	sequence uint64
+	stopping bool
+	last     *encoder.PeerDigest
+	lastSent timekeeper.Instant
+	span     timekeeper.Span
+}
+
+// New returns a gossiper that knows no peers.
+func New(settings Settings) *Gossiper {
+	if settings.Budget == 0 {
+		settings.Budget = defaultBudget
+	}
+	return &Gossiper{
+		settings: settings, kicked: make(chan struct{}, 1),
+		outbox: newOutbox(), peers: newPeers(settings.Conn.LocalAddr().String()), span: shortest,
+	}
+}
+
+// Learn notes the address of an entry.
+func (gossiper *Gossiper) Learn(address string) {
+	now := gossiper.settings.Clock.Now()
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	gossiper.peers.learn(address, now)
+}
+
+// Placed tells peers of a prompt that was sent to a replica.
+func (gossiper *Gossiper) Placed(replica string, parts []balancer.Part) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	gossiper.outbox.placements.add(placement{replica: replica, parts: parts})
+}
+
+// Unreachable tells peers at once of a replica that takes no connections.
+func (gossiper *Gossiper) Unreachable(replica string) {
+	gossiper.mu.Lock()
+	gossiper.outbox.unreachable.add(replica)
+	gossiper.mu.Unlock()
+	gossiper.kick()
+}
+
+// Leaving tells peers at once of a replica that the store lists as leaving or gone.
+func (gossiper *Gossiper) Leaving(replica string) {
+	gossiper.mu.Lock()
+	gossiper.outbox.leaving.add(replica)
+	gossiper.mu.Unlock()
+	gossiper.kick()
+}
+
+// Struck tells peers at once of a request that was at a replica when it crashed.
+func (gossiper *Gossiper) Struck(strike Strike) {
+	gossiper.mu.Lock()
+	gossiper.outbox.strikes.add(strike)
+	gossiper.mu.Unlock()
+	gossiper.kick()
+}
+
+// Configured tells peers at once that the version in force has changed.
+func (gossiper *Gossiper) Configured() { gossiper.kick() }
+
+// Stop tells peers that this entry takes no more callers.
+func (gossiper *Gossiper) Stop() {
+	gossiper.mu.Lock()
+	gossiper.stopping = true
+	gossiper.mu.Unlock()
+	gossiper.kick()
+}
+
+func (gossiper *Gossiper) kick() {
+	select {
+	case gossiper.kicked <- struct{}{}:
+	default:
+	}
+}
+
+// Up returns the addresses of the peers that count as up.
+func (gossiper *Gossiper) Up() []string {
+	now := gossiper.settings.Clock.Now()
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.peers.up(now)
+}
+
+// Run sends digests until ctx ends.
+func (gossiper *Gossiper) Run(ctx context.Context) {
+	for {
+		fired, release := gossiper.settings.Clock.After(gossiper.spanNow())
+		select {
+		case <-ctx.Done():
+			release()
+			return
+		case <-fired:
+		case <-gossiper.kicked:
+			// News that come together go together.
+			_ = gossiper.settings.Clock.Sleep(ctx, kickSpan)
+		}
+		release()
+		gossiper.round()
+	}
+}
+
+func (gossiper *Gossiper) spanNow() timekeeper.Span {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.span
+}
+
+// round sends one digest to all peers, unless there is nothing new to say.
+func (gossiper *Gossiper) round() {
+	digest, due := gossiper.next()
+	if len(due) == 0 {
+		return
+	}
+	datagram, err := proto.Marshal(digest)
+	if err != nil {
+		gossiper.settings.Log.WithError(err).Error("digest not encoded")
+		return
+	}
+	gossiper.settle(len(datagram), len(due))
+	sent := gossiper.settings.Scope.Counter("peer-bytes-sent")
+	for _, address := range due {
+		target, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			continue
+		}
+		// A datagram that can't be sent is like one that was lost.
+		if _, err := gossiper.settings.Conn.WriteTo(datagram, target); err == nil {
+			sent.Inc(int64(len(datagram)))
+		}
+	}
+}
+
+// next returns the digest to send, and to whom.
+func (gossiper *Gossiper) next() (*encoder.PeerDigest, []string) {
+	loads := loadsOf(gossiper.settings.Held())
+	version := gossiper.settings.Version()
+	now := gossiper.settings.Clock.Now()
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	digest := &encoder.PeerDigest{
+		Name: gossiper.settings.Name, Incarnation: gossiper.settings.Incarnation, Configuration: version,
+		IntervalMs: uint32(max(gossiper.span, restful)), Stopping: gossiper.stopping, Loads: loads,
+	}
+	if gossiper.outbox.empty() && same(gossiper.last, digest) && now.Since(gossiper.lastSent) < restful {
+		return nil, nil
+	}
+	due := gossiper.peers.due(now)
+	if len(due) == 0 {
+		return nil, nil
+	}
+	gossiper.last, gossiper.lastSent = digest, now
+	gossiper.sequence++
+	full := &encoder.PeerDigest{
+		Name: digest.Name, Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
+		Configuration: version, Stopping: digest.Stopping, Loads: loads,
+	}
+	gossiper.outbox.fill(full)
+	full.Peers = gossiper.peers.up(now)
+	if len(full.Peers) > mostTold {
+		full.Peers = full.Peers[:mostTold]
+	}
+	return full, due
+}
+
+// same reports whether a digest says what the last one did.
+func same(last, next *encoder.PeerDigest) bool {
+	if last == nil || last.Configuration != next.Configuration || last.Stopping != next.Stopping ||
+		len(last.Loads) != len(next.Loads) {
+		return false
+	}
+	for i, load := range last.Loads {
+		other := next.Loads[i]
+		if load.Replica != other.Replica || load.Running != other.Running || load.Unread != other.Unread {
+			return false
+		}
+	}
+	return true
+}
+
+// settle sets the time until the next digest by what this one costs.
+func (gossiper *Gossiper) settle(size, peers int) {
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	gossiper.span = interval(size, peers, gossiper.settings.Budget)
+}
+
+// Receive takes in digests until the connection is closed.
+func (gossiper *Gossiper) Receive() error {
+	buffer := make([]byte, mostDatagram)
+	for {
+		size, from, err := gossiper.settings.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// A network that reports an unreachable peer says nothing about the others.
+			gossiper.settings.Scope.Counter("peer-receive-errors").Inc(1)
+			_ = gossiper.settings.Clock.Sleep(context.Background(), kickSpan)
+			continue
+		}
+		gossiper.take(buffer[:size], from)
+	}
+}
+
+func (gossiper *Gossiper) take(datagram []byte, from net.Addr) {
+	digest := &encoder.PeerDigest{}
+	if err := proto.Unmarshal(datagram, digest); err != nil || digest.Name == "" {
+		gossiper.settings.Scope.Counter("peer-digests-malformed").Inc(1)
+		return
+	}
+	now := gossiper.settings.Clock.Now()
+	address := from.String()
+	gossiper.mu.Lock()
+	fresh := gossiper.peers.hear(address, digest.Incarnation, digest.Sequence, now)
+	for _, other := range digest.Peers {
+		if _, err := netip.ParseAddrPort(other); err == nil {
+			gossiper.peers.learn(other, now)
+		}
+	}
+	gossiper.mu.Unlock()
+	if fresh {
+		gossiper.settings.Hear(heardOf(digest, address))
+	}
+}
+
+const (
+	// lifeRounds is how many intervals a digest counts.
+	lifeRounds = 3
+	// shortestLife lets a few datagrams in a row be lost.
+	shortestLife = 800 * timekeeper.Millisecond
+)
+
+// heardOf decodes a digest. Lists that don't fit together are cut to the shorter.
+func heardOf(digest *encoder.PeerDigest, address string) Heard {
+	heard := Heard{
+		Name: digest.Name, Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
+		Life: min(max(shortestLife, lifeRounds*timekeeper.Span(digest.IntervalMs)), lifeRounds*longest),
+		Held: make(map[string]balancer.Held, len(digest.Loads)), Unreachable: digest.Unreachable, Leaving: digest.Leaving,
+	}
+	for _, load := range digest.Loads {
+		heard.Held[load.Replica] = balancer.Held{Running: int(load.Running), Unread: int(load.Unread)}
+	}
+	for _, placed := range digest.Placements {
+		out := Placement{Replica: placed.Replica}
+		for i := range min(len(placed.Parts), len(placed.Tokens)) {
+			out.Parts = append(out.Parts, balancer.Part{ID: placed.Parts[i], Tokens: int(placed.Tokens[i])})
+		}
+		heard.Placements = append(heard.Placements, out)
+	}
+	for _, strike := range digest.Strikes {
+		heard.Strikes = append(heard.Strikes, Strike{Request: strike.Request, Replica: strike.Replica})
+	}
+	return heard
+}
--- a/internal/logger/queue_test.go
+++ b/internal/logger/queue_test.go
@@ -37,7 +37,7 @@
 	})
 }
 
-func TestAReaderThatNeverComesBackIsGivenUp(t *testing.T) {
+func TestAReaderThatNeverComesBackIsGivenUp(*testing.T) {
 	// The process is told to stop while nobody reads its output: it ends all the same.
 	_, writer := io.Pipe()
 	queue, release := NewQueue(writer)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -185,7 +185,7 @@
 	now := task.entry.settings.Clock.Now()
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, ending, now) })
 	if result.verdict == answered && !result.failed {
-		task.entry.strikes.clear(task.print)
+		task.entry.strikes.clear(task.fingerprint)
 		return
 	}
 	task.logAttempt(result)
@@ -205,10 +205,11 @@
 	if result.verdict != broken || !result.failed || eris.Is(result.cause, errServer) {
 		return
 	}
-	print, replica := task.print, result.replica
+	request, replica := task.fingerprint, result.replica
 	go func() {
 		if task.entry.confirm(replica) {
-			task.entry.strikes.add(print, replica.ID, task.entry.settings.Clock.Now())
+			task.entry.Strike(request, replica.ID)
+			task.entry.settings.Struck(request, replica.ID)
 		}
 	}()
 }
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -25,7 +25,8 @@
 	Extra  float64
 }
 
-// Settings set up an entry. All fields but Placed must be set.
+// Settings set up an entry. All fields but Placed,
+// Unreachable and Struck must be set.
 type Settings struct {
 	Clock   timekeeper.Clock
 	Log     logrus.FieldLogger
@@ -44,7 +45,9 @@
 	Placed func(replica string, parts []balancer.Part)
 	// Unreachable is told of a replica that takes no connections.
 	Unreachable func(replica string)
-	Seed        uint64
+	// Struck is told of a request that was at a replica when it crashed.
+	Struck func(request uint64, replica string)
+	Seed   uint64
 }
 
 // Entry answers callers. It is an http.Handler.
@@ -68,6 +71,9 @@
 	if settings.Unreachable == nil {
 		settings.Unreachable = func(string) {}
 	}
+	if settings.Struck == nil {
+		settings.Struck = func(uint64, string) {}
+	}
 	return &Entry{
 		settings: settings,
 		meters:   newMeters(settings.Scope),
@@ -80,6 +86,11 @@
 // Stop makes the entry ask callers to leave: each answer ends its connection.
 func (entry *Entry) Stop() { entry.stopping.Store(true) }
 
+// Strike notes, as a peer saw it, that a replica crashed while it had a request.
+func (entry *Entry) Strike(request uint64, replica string) {
+	entry.strikes.add(request, replica, entry.settings.Clock.Now())
+}
+
 // ServeHTTP answers one request.
 func (entry *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if entry.stopping.Load() {
--- a/internal/relayer/strikes.go
+++ b/internal/relayer/strikes.go
@@ -48,26 +48,26 @@
 }
 
 // add notes that a replica crashed while it had the request.
-func (strikes *strikes) add(print uint64, replica string, now timekeeper.Instant) {
+func (strikes *strikes) add(request uint64, replica string, now timekeeper.Instant) {
 	strikes.mu.Lock()
 	defer strikes.mu.Unlock()
 	if len(strikes.known) >= strikeRoom {
 		strikes.forget(now)
 	}
-	known := strikes.known[print]
+	known := strikes.known[request]
 	for _, id := range known.replicas {
 		if id == replica {
 			return
 		}
 	}
-	strikes.known[print] = strike{replicas: append(known.replicas, replica), at: now}
+	strikes.known[request] = strike{replicas: append(known.replicas, replica), at: now}
 }
 
 // forget drops what is old, and everything when nothing is.
 func (strikes *strikes) forget(now timekeeper.Instant) {
-	for print, known := range strikes.known {
+	for request, known := range strikes.known {
 		if now.Since(known.at) > strikeLife {
-			delete(strikes.known, print)
+			delete(strikes.known, request)
 		}
 	}
 	if len(strikes.known) >= strikeRoom {
@@ -76,16 +76,16 @@
 }
 
 // clear forgets a request that a replica answered.
-func (strikes *strikes) clear(print uint64) {
+func (strikes *strikes) clear(request uint64) {
 	strikes.mu.Lock()
 	defer strikes.mu.Unlock()
-	delete(strikes.known, print)
+	delete(strikes.known, request)
 }
 
 // barred reports whether a request is held back.
-func (strikes *strikes) barred(print uint64, now timekeeper.Instant) bool {
+func (strikes *strikes) barred(request uint64, now timekeeper.Instant) bool {
 	strikes.mu.Lock()
 	defer strikes.mu.Unlock()
-	known, found := strikes.known[print]
+	known, found := strikes.known[request]
 	return found && len(known.replicas) >= mostStrikes && now.Since(known.at) <= strikeLife
 }
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -54,8 +54,8 @@
 	runs     int
 	refusals int
 	unsent   int
-	// print identifies a request that is sent again by its caller.
-	print uint64
+	// fingerprint identifies a request that is sent again by its caller.
+	fingerprint uint64
 
 	// begun reports whether the head of an answer is with the caller.
 	begun bool
@@ -88,8 +88,8 @@
 	}
 	defer task.entry.bodies.Add(-int64(len(task.body)))
 	task.service = task.route.Service(task.entry.draw())
-	task.print = fingerprint(task.r, task.team.Name, task.body)
-	if task.entry.strikes.barred(task.print, task.entry.settings.Clock.Now()) {
+	task.fingerprint = fingerprint(task.r, task.team.Name, task.body)
+	if task.entry.strikes.barred(task.fingerprint, task.entry.settings.Clock.Now()) {
 		task.finish(classifier.New(classifier.Overloaded, "the request crashed replicas").WithRetryAfter(strikeLife))
 		return
 	}
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -130,7 +130,7 @@
 	return Access{Allowed: route.Public || !config.content.Keyed}
 }
 
-// Urgency returns the urgency of a request: the team's if it has one.
+// UrgencyFor returns the urgency of a request: the team's if it has one.
 func (route Route) UrgencyFor(team Team) int {
 	if team.Urgency != nil {
 		return *team.Urgency
