--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -91,7 +91,7 @@
 		return nil, Failure{Progress: Unsent, Cause: ctx.Err()}
 	}
 	written := write(conn, request)
-	head, foreign, err := readHead(conn, request)
+	head, foreign, err := readHead(conn, request) //nolint:bodyclose // the body ends with the exchange, in Finish.
 	if err != nil {
 		unwatch()
 		pool.drop(target, conn)
