assembler: a stopping entry stays open while there is work

Cause: three entries that stop 1.5 s apart had all closed their doors at once: each closed after 3 s and went on for up to 8 s with streams.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -50,6 +50,8 @@
 	heapShare = 0.7
 	// defaultMemory is assumed where the settings name none, in megabytes.
 	defaultMemory = 256
+	// stopPoll is how often a stopping entry looks whether its last call has ended.
+	stopPoll = 30 * timekeeper.Millisecond
 	// endMargin is how long before it would be killed a stopping process ends.
 	endMargin = 300 * timekeeper.Millisecond
 )
@@ -321,22 +323,31 @@
 		return <-stopped
 	}, func(error) {
 		direct.readiness.leaving.Store(true)
-		direct.front.Stop()
 		direct.fellows.gossiper.Stop()
-		direct.log.Info("entry stops: not ready, callers are asked to leave")
+		direct.log.WithField("active", direct.front.Active()).Info("entry stops: not ready, callers are asked to leave")
 		go func() { stopped <- direct.shutDown(server) }()
 	})
 }
 
-// shutDown ends the server: after the delay no new connections, then the end of
-// all calls, at the latest shortly before the process would be killed.
+// shutDown ends the server once nothing is under way, at the latest shortly
+// before the process would be killed.
+//
+// The balancer looks once a second and stops sending callers after two looks;
+// where every entry stops at once it goes on sending them. So the door stays
+// open after the delay, for as long as there is work: requests that fit into
+// the time that is left are served, others are told to come back.
 func (direct *Direct) shutDown(server *http.Server) error {
-	_ = direct.clock.Sleep(context.Background(), direct.settings.StopDelay)
-	left := max(direct.settings.StopGrace-direct.settings.StopDelay-endMargin, timekeeper.Second)
-	ctx, cancel := context.WithTimeout(context.Background(), left.Duration())
+	ends := direct.clock.Now().Add(direct.settings.StopGrace - endMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), (direct.settings.StopGrace - endMargin).Duration())
 	defer cancel()
+	direct.front.AskToLeave()
+	_ = direct.clock.Sleep(ctx, direct.settings.StopDelay)
+	direct.front.Stop(ends)
+	for direct.front.Active() > 0 && direct.clock.Sleep(ctx, stopPoll) == nil {
+		continue
+	}
 	err := server.Shutdown(ctx)
 	direct.fellows.leave()
-	direct.log.WithField("cut", err != nil).Info("entry stopped")
+	direct.log.WithField("cut", direct.front.Active()).WithField("whole", err == nil).Info("entry stopped")
 	return nil
 }
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -28,7 +28,7 @@
 	// Memory is the process's limit in megabytes; zero means none.
 	Memory int `toml:"memory-megabytes"`
 	// StopDelay is how long a stopping entry says "not ready" and still takes
-	// callers; zero means 3 s.
+	// callers; zero means 2.3 s.
 	StopDelay timekeeper.Span `toml:"stop-delay"`
 	// StopGrace is how long the platform waits before it kills a stopping
 	// process; zero means 8 s.
@@ -52,7 +52,8 @@
 
 // Defaults of an entry that sends requests itself.
 const (
-	defaultStopDelay   = 3 * timekeeper.Second
+	// The balancer looks once a second and needs two looks and an answer.
+	defaultStopDelay   = 2300 * timekeeper.Millisecond
 	defaultStopGrace   = 8 * timekeeper.Second
 	defaultBound       = 2
 	defaultRetryWindow = 10 * timekeeper.Second
