balancer, relayer: refusals, slow and silent replicas count against a replica

Cause: a replica that sheds, is slow or is silent kept its share of the work, because only failures counted. Change: a refusal counts as a third of a failure; a pace is learned for each replica against its service; a request that may repeat goes elsewhere after a silence of 0.4 of the caller's patience, at most 1.2 s.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -77,7 +77,11 @@
 type candidate struct {
 	*replica
 	uncached int
-	cost     float64
+	// expected is the time until the answer begins, if the replica is sound, in
+	// milliseconds.
+	expected float64
+	// cost is what the choice goes by, in milliseconds.
+	cost float64
 }
 
 // Choose gives the request to a replica, and counts it there at once. Without a
@@ -102,7 +106,8 @@
 		fleet.cacheOf(chosen.replica).touch(ask.Parts, now)
 	}
 	return &Placement{
-		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.cost), parts: ask.Parts,
+		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
+		expected: chosen.expected, at: now,
 	}, noReason
 }
 
@@ -150,18 +155,19 @@
 // weigh returns a replica with its expected time.
 func (fleet *Fleet) weigh(member *replica, ask Ask, now timekeeper.Instant) candidate {
 	held := float64(fleet.heldAt(member, now))
-	cost := member.doubt.penalty(now)
+	cost := member.doubt.penalty(now) + member.pace.over(fleet.paceOf(member.Service), now)
 	if member.DataCentre != fleet.settings.DataCentre {
 		cost += distanceCost
 	}
 	if len(ask.Parts) == 0 {
-		cost += held*plainCost + max(0, held-float64(member.Slots)+1)*waitCost
-		return candidate{replica: member, cost: cost}
+		expected := max(0, held-float64(member.Slots)+1) * waitCost
+		return candidate{replica: member, expected: expected, cost: cost + expected + held*plainCost}
 	}
 	uncached := fleet.cacheOf(member).uncached(ask.Parts)
 	waiting := float64(member.unread + fleet.peersAt(member.ID, now).Unread)
-	cost += (waiting+reuseWeight*float64(uncached))/readRate + held*crowdCost
-	return candidate{replica: member, uncached: uncached, cost: cost}
+	expected := (waiting + float64(uncached)) / readRate
+	cost += expected + (reuseWeight-1)*float64(uncached)/readRate + held*crowdCost
+	return candidate{replica: member, uncached: uncached, expected: expected, cost: cost}
 }
 
 // bounded takes out replicas that hold more than their share.
--- a/internal/balancer/doubt.go
+++ b/internal/balancer/doubt.go
@@ -18,6 +18,9 @@
 	// failurePenalty is what one remembered failure adds to the expected time. A
 	// failed request costs its caller about a second: it comes back once.
 	failurePenalty = 150 * timekeeper.Millisecond
+	// refusalWeight is what a request counts that the replica did not run: it
+	// costs a round trip and one of the retries.
+	refusalWeight = 0.3
 	// mostFailures bounds the memory, so that a replica is forgiven in the end.
 	mostFailures = 12.0
 )
@@ -41,9 +44,10 @@
 	doubt.until = now.Add(doubt.pause)
 }
 
-// failed notes a request that the replica failed.
-func (doubt *doubt) failed(now timekeeper.Instant) {
-	doubt.failures = min(doubt.remembered(now)+1, mostFailures)
+// failed notes a request that the replica failed, or, with a weight under one,
+// did not take.
+func (doubt *doubt) failed(weight float64, now timekeeper.Instant) {
+	doubt.failures = min(doubt.remembered(now)+weight, mostFailures)
 	doubt.at = now
 }
 
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -27,6 +27,7 @@
 	services map[string][]*replica
 	engines  map[string]int
 	peers    map[string]peerDigest
+	paces    map[string]*pace
 }
 
 // New returns a fleet without replicas.
@@ -41,6 +42,7 @@
 		services: map[string][]*replica{},
 		engines:  map[string]int{},
 		peers:    map[string]peerDigest{},
+		paces:    map[string]*pace{},
 	}
 }
 
@@ -132,19 +134,43 @@
 	Uncached int
 	// Expected is the expected time until the first part of the answer.
 	Expected timekeeper.Span
-	parts    []Part
+	// expected is the expected time without what is doubted of the replica.
+	expected float64
+	at       timekeeper.Instant
 	began    bool
 }
 
 // Began notes the first part of an answer: the prompt has been read.
-func (fleet *Fleet) Began(placement *Placement) {
-	if placement.began {
+func (fleet *Fleet) Began(placement *Placement, now timekeeper.Instant) {
+	if !fleet.read(placement) {
 		return
 	}
+	if known, found := fleet.replicas[placement.Replica.ID]; found {
+		excess := float64(now.Since(placement.at)) - placement.expected
+		fleet.paceOf(known.Service).learn(excess, now)
+		known.pace.learn(excess, now)
+	}
+}
+
+// read takes the prompt out of what the replica has to read, once.
+func (fleet *Fleet) read(placement *Placement) bool {
+	if placement.began {
+		return false
+	}
 	placement.began = true
 	if known, found := fleet.replicas[placement.Replica.ID]; found {
 		known.unread -= placement.Uncached
 	}
+	return true
+}
+
+func (fleet *Fleet) paceOf(service string) *pace {
+	found, ok := fleet.paces[service]
+	if !ok {
+		found = &pace{}
+		fleet.paces[service] = found
+	}
+	return found
 }
 
 // Ending says how a request at a replica ended.
@@ -165,7 +191,7 @@
 
 // End notes how a request ended.
 func (fleet *Fleet) End(placement *Placement, ending Ending, now timekeeper.Instant) {
-	fleet.Began(placement)
+	fleet.read(placement)
 	known, found := fleet.replicas[placement.Replica.ID]
 	if !found {
 		return
@@ -175,11 +201,13 @@
 	case Served:
 		known.doubt.served()
 	case Failed:
-		known.doubt.failed(now)
+		known.doubt.failed(1, now)
 	case Unreachable:
 		known.doubt.unreachable(now)
-		known.doubt.failed(now)
-	case Refused, Abandoned:
+		known.doubt.failed(1, now)
+	case Refused:
+		known.doubt.failed(refusalWeight, now)
+	case Abandoned:
 	}
 }
 
--- /dev/null
+++ b/internal/balancer/pace.go
@@ -0,0 +1,52 @@
+package balancer
+
+import (
+	"math"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// paceWeight is the weight of one request in a replica's pace: about five
+	// requests show that it has turned slow.
+	paceWeight = 0.25
+	// paceMemory is the half-life of a pace that nothing confirms, so that a slow
+	// replica, which gets little work, is tried again.
+	paceMemory = 3 * timekeeper.Second
+	// paceSlack is how far over its service a replica's pace may lie unnoticed,
+	// in milliseconds: work times differ by as much.
+	paceSlack = 20.0
+	// mostExcess bounds what one request says, in milliseconds, so that a single
+	// long one does not take a replica out.
+	mostExcess = 1000.0
+)
+
+// pace is how much longer than expected requests take until their answer begins.
+//
+// The load: one slow upstream among equals. The harm: its requests look cheap
+// because few are there, and each of them is late. Measured against the pace of
+// its whole service, so that what all replicas share (a path, a model) does not
+// count against any.
+type pace struct {
+	excess float64
+	at     timekeeper.Instant
+}
+
+func (pace *pace) learn(excess float64, now timekeeper.Instant) {
+	seen := min(max(excess, -mostExcess), mostExcess)
+	pace.excess = (1-paceWeight)*pace.known(now) + paceWeight*seen
+	pace.at = now
+}
+
+func (pace *pace) known(now timekeeper.Instant) float64 {
+	if pace.at == 0 {
+		return 0
+	}
+	return pace.excess * math.Exp2(-float64(now.Since(pace.at))/float64(paceMemory))
+}
+
+// over returns how far a replica's pace lies over that of its service, in
+// milliseconds.
+func (pace *pace) over(service *pace, now timekeeper.Instant) float64 {
+	return max(0, pace.known(now)-max(0, service.known(now))-paceSlack)
+}
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -29,6 +29,7 @@
 	// unread are tokens of this entry's requests whose first event is due.
 	unread int
 	doubt  doubt
+	pace   pace
 	report loadReport
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -51,9 +52,12 @@
 		task.entry.settings.Placed(placement.Replica.ID, task.call.Parts)
 	}
 	result := attemptResult{replica: placement.Replica}
+	ctx, heard := task.listen(ctx, placement)
+	defer heard()
 	answer, err := task.entry.settings.Pool.Do(ctx, task.target(placement.Replica), task.request(placement.Replica))
+	heard()
 	if err != nil {
-		return task.unanswered(result, err)
+		return task.unanswered(ctx, result, err)
 	}
 	defer answer.Finish(false)
 	head := task.entry.settings.Dialect.ReadHead(answer.StatusCode, answer.Header)
@@ -63,6 +67,34 @@
 	return task.judge(ctx, result, answer, head)
 }
 
+const (
+	// silentShare is the part of the caller's patience for which a replica may be
+	// silent before a request that may repeat goes elsewhere. What is left is
+	// enough for the other replica to answer.
+	silentShare = 0.4
+	// longestSilence bounds it: callers leave a stream after two seconds without
+	// an event.
+	longestSilence = 1200 * timekeeper.Millisecond
+)
+
+// listen bounds how long a replica may be silent, where another may be tried.
+//
+// The failure: a replica takes requests and never answers, or is cut off. The
+// symptom: the caller waits until its deadline, though others could have
+// answered. Requests that must not repeat wait on: their silence proves nothing.
+// The function that is returned ends the bound.
+func (task *task) listen(ctx context.Context, placement *balancer.Placement) (context.Context, func()) {
+	if !task.route.Idempotent() || task.runs+1 >= task.route.Replicas {
+		return ctx, func() {}
+	}
+	silence := min(timekeeper.Span(silentShare*float64(task.patience())), longestSilence) + placement.Expected
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(silence.Duration(), func() { cancel(errSilent) })
+	return ctx, func() { timer.Stop() }
+}
+
+var errSilent = eris.New("the replica was silent for too long")
+
 // target returns where the exchange goes. Entries share the connections that a
 // replica accepts; each takes at most a sixth, which six entries can take at once.
 func (task *task) target(replica balancer.Replica) connector.Target {
@@ -96,8 +128,11 @@
 }
 
 // unanswered sorts a failure before the head of an answer.
-func (task *task) unanswered(result attemptResult, err error) attemptResult {
+func (task *task) unanswered(ctx context.Context, result attemptResult, err error) attemptResult {
 	result.cause = err
+	if context.Cause(ctx) == errSilent {
+		result.cause = errSilent
+	}
 	result.failed = true
 	var failure connector.Failure
 	if eris.As(err, &failure) && failure.Progress == connector.Unsent {
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -54,8 +54,11 @@
 type Entry struct {
 	settings Settings
 	meters   meters
-	stopping atomic.Bool
-	bodies   atomic.Int64
+	leaving  atomic.Bool
+	// stops is when the entry ends; zero while all requests are taken.
+	stops  atomic.Int64
+	active atomic.Int64
+	bodies atomic.Int64
 
 	mu      sync.Mutex
 	draws   *rand.Rand
@@ -83,8 +86,15 @@
 	}
 }
 
-// Stop makes the entry ask callers to leave: each answer ends its connection.
-func (entry *Entry) Stop() { entry.stopping.Store(true) }
+// AskToLeave makes each answer end its connection.
+func (entry *Entry) AskToLeave() { entry.leaving.Store(true) }
+
+// Stop goes on with AskToLeave. Requests that might not be answered by the instant at which it ends are
+// refused, so that none is cut off.
+func (entry *Entry) Stop(ends timekeeper.Instant) { entry.stops.Store(int64(ends)) }
+
+// Active returns how many requests are on their way.
+func (entry *Entry) Active() int64 { return entry.active.Load() }
 
 // Strike notes, as a peer saw it, that a replica crashed while it had a request.
 func (entry *Entry) Strike(request uint64, replica string) {
@@ -93,7 +103,9 @@
 
 // ServeHTTP answers one request.
 func (entry *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if entry.stopping.Load() {
+	entry.active.Add(1)
+	defer entry.active.Add(-1)
+	if entry.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	arrived := entry.settings.Clock.Now()
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -72,10 +72,15 @@
 
 // markFirst notes when the first part of the answer came.
 func (task *task) markFirst() {
+	if task.noted == task.placement {
+		return
+	}
+	task.noted = task.placement
+	now := task.entry.settings.Clock.Now()
 	if task.first == 0 {
-		task.first = task.entry.settings.Clock.Now()
+		task.first = now
 	}
-	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Began(task.placement) })
+	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Began(task.placement, now) })
 }
 
 var (
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -63,7 +63,9 @@
 	lastEvent string
 	first     timekeeper.Instant
 	placement *balancer.Placement
-	replica   string
+	// noted is the placement whose first part has been seen.
+	noted   *balancer.Placement
+	replica string
 }
 
 // patience returns how long the caller is kept waiting.
@@ -81,6 +83,10 @@
 // run answers the request.
 func (task *task) run() {
 	task.until = task.arrived.Add(task.patience())
+	if ends := timekeeper.Instant(task.entry.stops.Load()); ends != 0 && task.until.Add(lateness) > ends {
+		task.finish(classifier.New(classifier.Draining, "the entry stops").WithRetryAfter(task.comeBack()))
+		return
+	}
 	failure, read := task.readBody()
 	if !read {
 		task.finish(failure)
