balancer: answers that are overdue count against a replica

Cause: a replica that takes requests and never answers was found out only when its callers had left, after two seconds each. Change: answers that should have begun 0.4 s ago count as failures while they wait; an abandoned request whose answer was overdue counts as one.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -105,10 +105,12 @@
 	if len(ask.Parts) > 0 {
 		fleet.cacheOf(chosen.replica).touch(ask.Parts, now)
 	}
-	return &Placement{
+	placement := &Placement{
 		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
 		expected: chosen.expected, at: now,
-	}, noReason
+	}
+	chosen.awaited[placement] = struct{}{}
+	return placement, noReason
 }
 
 func compare(a, b float64) int {
@@ -156,6 +158,7 @@
 func (fleet *Fleet) weigh(member *replica, ask Ask, now timekeeper.Instant) candidate {
 	held := float64(fleet.heldAt(member, now))
 	cost := member.doubt.penalty(now) + member.pace.over(fleet.paceOf(member.Service), now)
+	cost += float64(member.overdue(now)) * float64(failurePenalty)
 	if member.DataCentre != fleet.settings.DataCentre {
 		cost += distanceCost
 	}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -74,7 +74,7 @@
 			known.Replica = listing
 			continue
 		}
-		fleet.replicas[listing.ID] = &replica{Replica: listing}
+		fleet.replicas[listing.ID] = &replica{Replica: listing, awaited: map[*Placement]struct{}{}}
 	}
 	for id, known := range fleet.replicas {
 		if !listed[id] {
@@ -160,6 +160,7 @@
 	placement.began = true
 	if known, found := fleet.replicas[placement.Replica.ID]; found {
 		known.unread -= placement.Uncached
+		delete(known.awaited, placement)
 	}
 	return true
 }
@@ -191,6 +192,7 @@
 
 // End notes how a request ended.
 func (fleet *Fleet) End(placement *Placement, ending Ending, now timekeeper.Instant) {
+	silent := !placement.began && placement.late(now)
 	fleet.read(placement)
 	known, found := fleet.replicas[placement.Replica.ID]
 	if !found {
@@ -208,6 +210,9 @@
 	case Refused:
 		known.doubt.failed(refusalWeight, now)
 	case Abandoned:
+		if silent {
+			known.doubt.failed(1, now)
+		}
 	}
 }
 
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -30,7 +30,34 @@
 	unread int
 	doubt  doubt
 	pace   pace
-	report loadReport
+	// awaited are this entry's requests there whose answer has not begun.
+	awaited map[*Placement]struct{}
+	report  loadReport
+}
+
+// overdue counts the requests whose answer should have begun long ago.
+//
+// The failure: a replica takes requests and never answers, or is cut off without
+// a reset. The symptom: each of its requests runs into its deadline, and only
+// then is it known to have failed. Counted while they wait, a few of them are
+// enough for the next ones to go elsewhere.
+func (known *replica) overdue(now timekeeper.Instant) int {
+	count := 0
+	for placement := range known.awaited {
+		if placement.late(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// overdueSlack is how long after its expected time an answer counts as overdue:
+// longer than the longest pause that the operators call on time.
+const overdueSlack = 400 * timekeeper.Millisecond
+
+// late reports whether the answer should have begun long ago.
+func (placement *Placement) late(now timekeeper.Instant) bool {
+	return now.Since(placement.at) > timekeeper.Span(placement.expected)+overdueSlack
 }
 
 // loadReport is what a replica said of itself with an answer.
