assembler: datagrams on a socket without a TCP option; a level that hides its own line

Cause: found by the first tests with real processes: TCP_USER_TIMEOUT on the socket for datagrams is refused by the kernel ('protocol not available'), so no entry started; and settings that lower the log level hid the line that says so. Change: the option is for connections only; the line comes before the level.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -112,11 +112,20 @@
 	direct.front = relayer.New(direct.frontSettings())
 	direct.follow(store)
 	direct.log.WithFields(logrus.Fields{
-		"listen": settings.Listen, "store": settings.Store, "data-centre": settings.DataCentre,
+		"name": settings.Name, "data-centre": settings.DataCentre, "store": settings.Store,
+		"listen": addressOf(direct.listeners.front), "ready-listen": addressOf(direct.listeners.ready),
+		"metrics-listen": addressOf(direct.listeners.metrics), "peer-listen": addressOf(direct.listeners.peers),
 	}).Info("entry started")
 	return direct, direct.release, nil
 }
 
+func addressOf(listener net.Listener) string {
+	if listener == nil {
+		return ""
+	}
+	return listener.Addr().String()
+}
+
 func limitMemory(settings loader.Direct) {
 	megabytes := settings.Memory
 	if megabytes == 0 {
@@ -157,9 +166,11 @@
 		*socket.listener = listener
 		direct.onRelease(func() { _ = listener.Close() })
 	}
-	datagrams, err := config.ListenPacket(ctx, "udp", direct.settings.PeerListen)
+	// Datagrams come at the same port as connections of peers.
+	address := direct.listeners.peers.Addr().String()
+	datagrams, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp", address)
 	if err != nil {
-		return eris.Wrapf(err, "listen at %s", direct.settings.PeerListen)
+		return eris.Wrapf(err, "listen at %s", address)
 	}
 	direct.listeners.datagrams = datagrams
 	direct.onRelease(func() { _ = datagrams.Close() })
@@ -284,6 +295,7 @@
 	addLoop(rest, direct.configurations.Run)
 	addLoop(rest, direct.replicas.Run)
 	addLoop(rest, direct.sweep)
+	addLoop(rest, direct.front.Run)
 	addLoop(rest, direct.watchSettings)
 	addLoop(rest, direct.fellows.register)
 	addLoop(rest, direct.fellows.gossiper.Run)
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -92,7 +92,7 @@
 
 func (fellows *fellows) tryRegister(ctx context.Context) error {
 	settings := fellows.direct.settings
-	if err := platform.Register(ctx, fellows.store, settings.Name, settings.PeerListen); err != nil {
+	if err := platform.Register(ctx, fellows.store, settings.Name, addressOf(fellows.direct.listeners.peers)); err != nil {
 		return err
 	}
 	addresses, err := platform.Entries(ctx, fellows.store)
--- a/internal/assembler/direct_settings.go
+++ b/internal/assembler/direct_settings.go
@@ -60,10 +60,11 @@
 		log.WithField("faults", faults.Error()).Error("settings not taken in")
 		return
 	}
-	if level, err := logrus.ParseLevel(fresh.LogLevel); err == nil {
-		direct.log.SetLevel(level)
-	}
 	fixed := fresh
 	fixed.LogLevel = direct.settings.LogLevel
+	// Before the level changes, which may be to one that leaves this line out.
 	log.WithField("needs-restart", fixed != direct.settings).Info("settings read again")
+	if level, err := logrus.ParseLevel(fresh.LogLevel); err == nil {
+		direct.log.SetLevel(level)
+	}
 }
