balancer, relayer: requests wait at the entry for a place

Cause: 200 requests at once were refused one in four while places came free within milliseconds (test/direct, TestManyCallersGetTheirOwn), since a replica whose connections were all in use counted as tried. Change: a queue for each service: the most urgent first, then the team that has had least, then who came first; at most 0.3 of the caller's patience, refused at once when the queue can't drain in time; a replica that could not be reached is tried by one request at a time. Second change, in the same files: reading a prompt counts a tenth of its time for each request at the engine.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -20,6 +20,13 @@
 	// the shared tokens read again by a tenth to a sixth; thrice made short answers
 	// wait more on one of them than the reuse was worth.
 	reuseWeight = 2.0
+	// disturbance is the weight of what reading a prompt costs each request that is
+	// at the engine already: while the engine reads, none of them gets a token.
+	// Without it a burst at half of what the engines can do made requests leave
+	// full engines for others that had to read their prompts; reading made all
+	// streams slower, so that engines were fuller still: 0.65 of such a burst were
+	// served, with it 0.99. More than a tenth gains nothing.
+	disturbance = 0.1
 	// crowdCost is what each request at an engine adds to the expected time of
 	// the next one, in milliseconds. Each running request makes a step longer and
 	// shares the chunks in which prompts are read.
@@ -43,10 +50,13 @@
 	// margin takes a part off the bound, for what peers have begun since their
 	// last digest.
 	margin = 0.85
-	// plainDepth is how many requests may wait at a plain replica for each slot.
-	// At tens of milliseconds a call the last of them still begins in time;
-	// replicas refuse beyond four.
+	// plainDepth is how many requests a plain replica may hold for each slot. At
+	// tens of milliseconds a call one that waits there begins in time, and no slot
+	// is idle while an entry hears of it; replicas refuse beyond five.
 	plainDepth = 2
+	// engineDepth is the same for engines: what waits there waits behind what is
+	// less urgent, so it waits at the entry instead.
+	engineDepth = 1
 	// reportLife is how long a replica's own count of its requests is believed: a
 	// plain call takes tens of milliseconds, so the count is another one after.
 	reportLife = 40 * timekeeper.Millisecond
@@ -59,6 +69,9 @@
 	Parts []Part
 	// Excluded are incarnations that have had the request.
 	Excluded []string
+	// Connections is how many requests this entry may have at one replica; zero
+	// means any number.
+	Connections int
 }
 
 // Reason says why there is no choice.
@@ -101,6 +114,7 @@
 	equals := slices.DeleteFunc(candidates, func(c candidate) bool { return c.cost > best.cost+near })
 	chosen := fleet.pick(equals, ask)
 	chosen.running++
+	chosen.doubt.tried(now)
 	chosen.unread += chosen.uncached
 	if len(ask.Parts) > 0 {
 		fleet.cacheOf(chosen.replica).touch(ask.Parts, now)
@@ -141,6 +155,9 @@
 			continue
 		}
 		reached++
+		if ask.Connections > 0 && member.running >= ask.Connections {
+			continue
+		}
 		open = append(open, fleet.weigh(member, ask, now))
 	}
 	switch {
@@ -151,6 +168,9 @@
 	case reached == 0:
 		return nil, AllUnreached
 	}
+	if len(open) == 0 {
+		return nil, AllFull
+	}
 	return fleet.bounded(open, now)
 }
 
@@ -169,7 +189,8 @@
 	uncached := fleet.cacheOf(member).uncached(ask.Parts)
 	waiting := float64(member.unread + fleet.peersAt(member.ID, now).Unread)
 	expected := (waiting + float64(uncached)) / readRate
-	cost += expected + (reuseWeight-1)*float64(uncached)/readRate + held*crowdCost
+	reading := float64(uncached) / readRate
+	cost += expected + (reuseWeight-1)*reading + disturbance*reading*held + held*crowdCost
 	return candidate{replica: member, uncached: uncached, expected: expected, cost: cost}
 }
 
@@ -211,9 +232,9 @@
 		return false
 	}
 	if c.cache != nil {
-		return held >= 2*c.Slots
+		return held >= engineDepth*c.Slots
 	}
-	return held >= c.Slots*(1+plainDepth)
+	return held >= plainDepth*c.Slots
 }
 
 // pick chooses among equals: for prompts by rendezvous of the deepest part that
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -28,6 +28,9 @@
 	engines  map[string]int
 	peers    map[string]peerDigest
 	paces    map[string]*pace
+	queues   map[string]*serviceQueue
+	teams    map[string]*decaying
+	number   uint64
 }
 
 // New returns a fleet without replicas.
@@ -43,6 +46,8 @@
 		engines:  map[string]int{},
 		peers:    map[string]peerDigest{},
 		paces:    map[string]*pace{},
+		queues:   map[string]*serviceQueue{},
+		teams:    map[string]*decaying{},
 	}
 }
 
@@ -149,6 +154,7 @@
 		excess := float64(now.Since(placement.at)) - placement.expected
 		fleet.paceOf(known.Service).learn(excess, now)
 		known.pace.learn(excess, now)
+		known.doubt.served()
 	}
 }
 
@@ -199,6 +205,7 @@
 		return
 	}
 	known.running--
+	fleet.queue(known.Service).ends.add(1, rateMemory, now)
 	switch ending {
 	case Served:
 		known.doubt.served()
--- /dev/null
+++ b/internal/balancer/queue.go
@@ -0,0 +1,212 @@
+package balancer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// rateMemory is the half-life over which a service's ends are counted.
+	rateMemory = timekeeper.Second
+	// mostWaiting bounds the requests that wait for one service. Their bodies are
+	// bounded in bytes elsewhere; beyond this the order costs more than it brings.
+	mostWaiting = 512
+	// teamMemory is the half-life over which a team's grants count against it.
+	teamMemory = 2 * timekeeper.Second
+)
+
+// Waiter is a request that waits for a replica.
+//
+// The load: more arrives at once than the replicas have places for. The harm:
+// sent on, it would lie in the replicas' queues in the order of arrival, before
+// what is more urgent, or be refused there. Refused at once, callers come back
+// together while places are free again. Here the most urgent goes first, among
+// equals the team that has had least of late, then who came first; and whoever
+// can't be served in time is told so at once, not when the time is over.
+type Waiter struct {
+	Ask     Ask
+	Urgency int
+	Team    string
+	// Until is the last instant at which a place is of use.
+	Until timekeeper.Instant
+
+	// Placement is set when a replica was found, Reason when the wait is over
+	// without one. Wait is then how long the queue needs to drain.
+	Placement *Placement
+	Reason    Reason
+	Wait      timekeeper.Span
+
+	number uint64
+}
+
+// serviceQueue is who waits for a service, and how fast it goes.
+type serviceQueue struct {
+	waiting []*Waiter
+	ends    decaying
+}
+
+// decaying is a count that halves over a span.
+type decaying struct {
+	count float64
+	at    timekeeper.Instant
+}
+
+func (count *decaying) now(half timekeeper.Span, now timekeeper.Instant) float64 {
+	if count.count == 0 {
+		return 0
+	}
+	return count.count * math.Exp2(-float64(now.Since(count.at))/float64(half))
+}
+
+func (count *decaying) add(amount float64, half timekeeper.Span, now timekeeper.Instant) {
+	count.count = count.now(half, now) + amount
+	count.at = now
+}
+
+func (fleet *Fleet) queue(service string) *serviceQueue {
+	found, ok := fleet.queues[service]
+	if !ok {
+		found = &serviceQueue{}
+		fleet.queues[service] = found
+	}
+	return found
+}
+
+// Join asks for a replica, now or when there is a place. The waiter is decided
+// when it has a placement or a reason; else it waits, and Dispatch decides it.
+func (fleet *Fleet) Join(waiter *Waiter, now timekeeper.Instant) {
+	fleet.number++
+	waiter.number = fleet.number
+	queue := fleet.queue(waiter.Ask.Service)
+	first := len(queue.waiting) == 0 || waiter.Urgency < queue.mostUrgent()
+	if first && fleet.try(waiter, now) {
+		return
+	}
+	if !waits(waiter.Reason) && first {
+		return
+	}
+	waiter.Reason = noReason
+	waiter.Wait = queue.drain(waiter, now)
+	if now.Add(waiter.Wait) > waiter.Until || len(queue.waiting) >= mostWaiting {
+		waiter.Reason = AllFull
+		return
+	}
+	queue.waiting = append(queue.waiting, waiter)
+}
+
+// waits reports whether a place may come soon.
+func waits(reason Reason) bool {
+	return reason == AllFull || reason == AllUnreached
+}
+
+// try gives a waiter a replica if there is one.
+func (fleet *Fleet) try(waiter *Waiter, now timekeeper.Instant) bool {
+	waiter.Placement, waiter.Reason = fleet.Choose(waiter.Ask, now)
+	if waiter.Placement == nil {
+		return false
+	}
+	team := fleet.team(waiter.Team)
+	team.add(1, teamMemory, now)
+	return true
+}
+
+func (fleet *Fleet) team(name string) *decaying {
+	found, ok := fleet.teams[name]
+	if !ok {
+		found = &decaying{}
+		fleet.teams[name] = found
+	}
+	return found
+}
+
+func (queue *serviceQueue) mostUrgent() int {
+	most := queue.waiting[0].Urgency
+	for _, waiter := range queue.waiting[1:] {
+		most = min(most, waiter.Urgency)
+	}
+	return most
+}
+
+// drain returns how long a waiter has to wait at the pace of the last second;
+// zero while no pace is known.
+func (queue *serviceQueue) drain(waiter *Waiter, now timekeeper.Instant) timekeeper.Span {
+	ends := queue.ends.now(rateMemory, now)
+	if ends < 1 {
+		return 0
+	}
+	ahead := 1
+	for _, other := range queue.waiting {
+		if other.Urgency <= waiter.Urgency {
+			ahead++
+		}
+	}
+	// A steady rate r of ends holds the decaying count at r times 1.44 half-lives.
+	const steady = 1.44
+	return timekeeper.Span(float64(ahead) * steady * float64(rateMemory) / ends)
+}
+
+// Quit takes a waiter out whose caller has left.
+func (fleet *Fleet) Quit(waiter *Waiter) {
+	queue := fleet.queue(waiter.Ask.Service)
+	queue.waiting = slices.DeleteFunc(queue.waiting, func(other *Waiter) bool { return other == waiter })
+}
+
+// Waiting returns how many requests wait for a replica.
+func (fleet *Fleet) Waiting() int {
+	total := 0
+	for _, queue := range fleet.queues {
+		total += len(queue.waiting)
+	}
+	return total
+}
+
+// Dispatch gives places that have come free to those who wait, and returns who
+// is decided: placed, or out of time.
+func (fleet *Fleet) Dispatch(now timekeeper.Instant) []*Waiter {
+	var decided []*Waiter
+	for _, queue := range fleet.queues {
+		if len(queue.waiting) > 0 {
+			decided = append(decided, fleet.dispatch(queue, now)...)
+		}
+	}
+	return decided
+}
+
+func (fleet *Fleet) dispatch(queue *serviceQueue, now timekeeper.Instant) []*Waiter {
+	fleet.order(queue.waiting, now)
+	var decided []*Waiter
+	blocked := false
+	queue.waiting = slices.DeleteFunc(queue.waiting, func(waiter *Waiter) bool {
+		switch {
+		case now >= waiter.Until:
+			waiter.Reason, waiter.Wait = AllFull, queue.drain(waiter, now)
+		case blocked:
+			return false
+		case fleet.try(waiter, now):
+		case waits(waiter.Reason):
+			// Who comes behind would not find a place either.
+			waiter.Reason, blocked = noReason, true
+			return false
+		}
+		decided = append(decided, waiter)
+		return true
+	})
+	return decided
+}
+
+// order sorts who waits: the most urgent first, then teams by what they have had
+// of late, then who came first.
+func (fleet *Fleet) order(waiting []*Waiter, now timekeeper.Instant) {
+	had := make(map[string]float64, len(waiting))
+	for _, waiter := range waiting {
+		had[waiter.Team] = fleet.team(waiter.Team).now(teamMemory, now)
+	}
+	slices.SortFunc(waiting, func(a, b *Waiter) int {
+		return cmp.Or(
+			cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(had[a.Team], had[b.Team]), cmp.Compare(a.number, b.number),
+		)
+	})
+}
--- a/internal/connector/exchange_test.go
+++ b/internal/connector/exchange_test.go
@@ -22,7 +22,7 @@
 
 // startPeer listens on loopback and runs the script on each connection.
 func startPeer(t *testing.T, script peerScript) (address string, accepted *atomic.Int32) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -274,7 +274,7 @@
 }
 
 func TestAReplicaThatTakesNoConnections(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -210,6 +210,7 @@
 // next returns the digest to send, and to whom.
 func (gossiper *Gossiper) next() (*encoder.PeerDigest, []string) {
 	loads := loadsOf(gossiper.settings.Held())
+	gossiper.settings.Scope.Gauge("peers-up").Update(float64(len(gossiper.Up())))
 	version := gossiper.settings.Version()
 	now := gossiper.settings.Clock.Now()
 	gossiper.mu.Lock()
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -99,12 +99,20 @@
 // replica accepts; each takes at most a sixth, which six entries can take at once.
 func (task *task) target(replica balancer.Replica) connector.Target {
 	target := connector.Target{Key: replica.ID, Address: replica.Address}
-	if service, found := task.config.Service(task.service); found && service.Connections > 0 {
-		target.Connections = max(1, service.Connections/max(connectionSharers, task.entry.settings.Sharers()))
-	}
+	target.Connections = task.connections()
 	return target
 }
 
+// connections returns how many connections this entry may have to one replica
+// of the service; zero means any number.
+func (task *task) connections() int {
+	service, found := task.config.Service(task.service)
+	if !found || service.Connections <= 0 {
+		return 0
+	}
+	return max(1, service.Connections/max(connectionSharers, task.entry.settings.Sharers()))
+}
+
 // connectionSharers is among how many entries the connections of a replica are
 // shared at least.
 const connectionSharers = 6
@@ -219,6 +227,9 @@
 	}
 	now := task.entry.settings.Clock.Now()
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, ending, now) })
+	if task.entry.queue.waiting() {
+		task.entry.queue.dispatch()
+	}
 	if result.verdict == answered && !result.failed {
 		task.entry.strikes.clear(task.fingerprint)
 		return
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -64,6 +65,8 @@
 	draws   *rand.Rand
 	budgets map[string]*retrier.Window
 	strikes *strikes
+
+	queue *queue
 }
 
 // New returns an entry.
@@ -83,9 +86,13 @@
 		draws:    rand.New(rand.NewPCG(settings.Seed, 17)),
 		budgets:  map[string]*retrier.Window{},
 		strikes:  newStrikes(),
+		queue:    newQueue(settings.Fleet, settings.Clock),
 	}
 }
 
+// Run looks after the requests that wait for a replica, until ctx ends.
+func (entry *Entry) Run(ctx context.Context) { entry.queue.run(ctx) }
+
 // AskToLeave makes each answer end its connection.
 func (entry *Entry) AskToLeave() { entry.leaving.Store(true) }
 
@@ -98,7 +105,12 @@
 
 // Strike notes, as a peer saw it, that a replica crashed while it had a request.
 func (entry *Entry) Strike(request uint64, replica string) {
-	entry.strikes.add(request, replica, entry.settings.Clock.Now())
+	if entry.strikes.add(request, replica, entry.settings.Clock.Now()) {
+		entry.meters.struck()
+		entry.settings.Log.WithFields(logrus.Fields{
+			"fingerprint": strconv.FormatUint(request, 16), "replica": replica,
+		}).Warn("request struck")
+	}
 }
 
 // ServeHTTP answers one request.
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -26,6 +26,11 @@
 	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("refused").Inc(1)
 }
 
+// struck counts a crash that a request was there for.
+func (meters meters) struck() {
+	meters.scope.Counter("strikes").Inc(1)
+}
+
 // ended counts a request that had a route.
 func (meters meters) ended(task *task, failure classifier.Failure, now timekeeper.Instant) {
 	outcome := "answered"
--- a/internal/relayer/strikes.go
+++ b/internal/relayer/strikes.go
@@ -47,8 +47,9 @@
 	return digest.Sum64()
 }
 
-// add notes that a replica crashed while it had the request.
-func (strikes *strikes) add(request uint64, replica string, now timekeeper.Instant) {
+// add notes that a replica crashed while it had the request, and reports whether
+// that is news.
+func (strikes *strikes) add(request uint64, replica string, now timekeeper.Instant) bool {
 	strikes.mu.Lock()
 	defer strikes.mu.Unlock()
 	if len(strikes.known) >= strikeRoom {
@@ -57,10 +58,11 @@
 	known := strikes.known[request]
 	for _, id := range known.replicas {
 		if id == replica {
-			return
+			return false
 		}
 	}
 	strikes.known[request] = strike{replicas: append(known.replicas, replica), at: now}
+	return true
 }
 
 // forget drops what is old, and everything when nothing is.
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -155,10 +155,11 @@
 // serve tries replicas until the request is answered or given up on.
 func (task *task) serve(ctx context.Context) classifier.Failure {
 	for {
-		placement, reason := task.choose()
-		if placement == nil {
-			return task.noReplica(reason)
+		waiter := task.place(ctx)
+		if waiter.Placement == nil {
+			return task.unplaced(ctx, waiter)
 		}
+		placement := waiter.Placement
 		result := task.attempt(ctx, placement)
 		task.note(placement, result)
 		if result.verdict == answered {
@@ -173,11 +174,22 @@
 	}
 }
 
-func (task *task) choose() (placement *balancer.Placement, reason balancer.Reason) {
-	now := task.entry.settings.Clock.Now()
-	ask := balancer.Ask{Service: task.service, Parts: task.call.Parts, Excluded: task.excluded}
-	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { placement, reason = fleet.Choose(ask, now) })
-	return placement, reason
+// waitShare is the part of the caller's patience for which a request may wait
+// for a replica. One that is refused comes back once; held for longer it would
+// have no time left for that.
+const waitShare = 0.3
+
+// place gets a replica for the request, or the reason why there is none.
+func (task *task) place(ctx context.Context) *balancer.Waiter {
+	waiter := &balancer.Waiter{
+		Ask: balancer.Ask{
+			Service: task.service, Parts: task.call.Parts, Excluded: task.excluded, Connections: task.connections(),
+		},
+		Urgency: task.route.UrgencyFor(task.team), Team: task.team.Name,
+		Until: task.arrived.Add(timekeeper.Span(waitShare * float64(task.patience()))),
+	}
+	task.entry.queue.place(ctx, waiter)
+	return waiter
 }
 
 // again decides whether another replica gets the request.
@@ -202,16 +214,23 @@
 	return false
 }
 
-// noReplica is the failure when no replica can get the request.
-func (task *task) noReplica(reason balancer.Reason) classifier.Failure {
+// unplaced is the failure when no replica can get the request.
+func (task *task) unplaced(ctx context.Context, waiter *balancer.Waiter) classifier.Failure {
+	reason := string(waiter.Reason)
+	if task.r.Context().Err() != nil {
+		return classifier.New(classifier.CallerGone, "left while it waited for a replica")
+	}
 	if task.runs > 0 {
-		return classifier.New(classifier.UpstreamBroken, string(reason))
+		return classifier.New(classifier.UpstreamBroken, reason)
+	}
+	kind := classifier.Overloaded
+	if waiter.Reason == balancer.NoReplicas {
+		kind = classifier.NoUpstream
 	}
-	failure := classifier.New(classifier.Overloaded, string(reason))
-	if reason == balancer.NoReplicas {
-		failure = classifier.New(classifier.NoUpstream, string(reason))
+	if ctx.Err() != nil {
+		reason = "the time was over before a replica was free"
 	}
-	return failure.WithRetryAfter(task.comeBack())
+	return classifier.New(kind, reason).WithRetryAfter(task.comeBack() + waiter.Wait)
 }
 
 // giveUp is the failure when the last try has failed.
--- /dev/null
+++ b/test/direct/failure_test.go
@@ -0,0 +1,342 @@
+package direct
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/platform/emulator"
+)
+
+// once returns a fault for the first time that a request meets a replica.
+func once(fault emulator.Fault) func(id string) emulator.Fault {
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	return func(id string) emulator.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if seen[id] {
+			return emulator.NoFault
+		}
+		seen[id] = true
+		return fault
+	}
+}
+
+func TestWhatARequestMayDoAfterAFault(t *testing.T) {
+	// A replica fails a request in each way that it can, the first time it meets
+	// it. What must run once is never sent again unless the replica has said that
+	// it did not run, and is never answered with a promise that it did not when it
+	// may have. What may repeat is answered by another replica.
+	t.Parallel()
+	kinds := []struct {
+		name   string
+		call   func(id string) call
+		repeat bool
+	}{
+		{"order", order, false},
+		{"menu", menu, false},
+		{"board", board, true},
+		{"stock", stock, true},
+	}
+	faults := []struct {
+		name   string
+		fault  emulator.Fault
+		notRun bool
+	}{
+		{"sheds", emulator.Shed, true},
+		{"breaks", emulator.Break, false},
+		{"is another's", emulator.Foreign, false},
+		{"is unsigned", emulator.Unsigned, false},
+		{"fails", emulator.FailOver, false},
+		{"promises", emulator.Promise, false},
+	}
+	for _, kind := range kinds {
+		for _, fault := range faults {
+			plainOnly := fault.fault == emulator.Foreign || fault.fault == emulator.Unsigned
+			if plainOnly && (kind.name == "menu" || kind.name == "stock") {
+				continue
+			}
+			Convey(kind.name+" "+fault.name, t, func() {
+				site := newSite(t)
+				site.orders(2)
+				site.planners(2, 4)
+				site.faults(once(fault.fault))
+				entry := site.addEntry("entry-1")
+				id := kind.name + "-" + strconv.Itoa(int(fault.fault))
+				got := entry.send(kind.call(id))
+				ran := site.ran()[id]
+				if kind.repeat || fault.notRun {
+					So(got.status, ShouldEqual, http.StatusOK)
+					return
+				}
+				So(len(ran), ShouldEqual, 1)
+				So(got.status, ShouldBeIn, http.StatusBadGateway, http.StatusInternalServerError)
+				So(got.header.Get("X-Trefoilseam-Replica-Signature") != "", ShouldEqual, got.status == http.StatusInternalServerError)
+			})
+		}
+	}
+}
+
+func TestARefusalIsTrueAndSaysWhenToComeBack(t *testing.T) {
+	// Every replica refuses, or is gone. The caller is told at once that its request
+	// has not run, and when to come back.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(2)
+	site.faults(func(string) emulator.Fault { return emulator.Shed })
+	entry := site.addEntry("entry-1")
+	check := func(id string) {
+		got := entry.send(order(id))
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.body, ShouldContainSubstring, `"ran":"no"`)
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		So(err, ShouldBeNil)
+		So(seconds, ShouldBeBetween, 0.2, 1.0)
+		So(site.ran()[id], ShouldBeEmpty)
+	}
+	Convey("all refuse", t, func() { check("o1") })
+	Convey("all are down", t, func() {
+		for _, stop := range site.stops {
+			stop()
+		}
+		check("o2")
+	})
+}
+
+func TestAStreamGoesOnAtAnotherReplica(t *testing.T) {
+	// A replica breaks a stream off in the middle of an event. The caller of a
+	// stream that may be resumed gets each event once, in order, within one answer
+	// with the signature of the first replica; the caller of another stream sees
+	// that its answer was cut.
+	t.Parallel()
+	site := newSite(t)
+	site.planners(2, 9)
+	site.faults(once(emulator.BreakOff))
+	entry := site.addEntry("entry-1")
+	Convey("one that may be resumed is whole", t, func() {
+		got := entry.send(stock("s1"))
+		So(got.err, ShouldBeNil)
+		So(got.body, ShouldEqual, emulator.Events("s1", 9))
+		ran := site.ran()["s1"]
+		So(ran, ShouldHaveLength, 2)
+		after := []string{ran[0].After, ran[1].After}
+		So(after, ShouldContain, "")
+		So(after, ShouldContain, "4")
+	})
+	Convey("one that may not is cut, behind a whole event", t, func() {
+		got := entry.send(menu("m1"))
+		So(got.err, ShouldNotBeNil)
+		So(got.body, ShouldEqual, emulator.Events("m1", 4))
+		So(site.ran()["m1"], ShouldHaveLength, 1)
+	})
+}
+
+func TestAReplicaThatIsSilent(t *testing.T) {
+	// A replica takes requests and never answers. A request that may repeat is
+	// answered by another replica well within its time; one that must not is told
+	// at its time that nothing is known, and doesn't run again.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(2)
+	site.faults(once(emulator.Hang))
+	entry := site.addEntry("entry-1")
+	Convey("a safe request goes elsewhere", t, func() {
+		got := entry.send(board("b1"))
+		So(got.status, ShouldEqual, http.StatusOK)
+		So(site.ran()["b1"], ShouldHaveLength, 2)
+	})
+	Convey("one that runs once ends at its time", t, func() {
+		got := entry.send(order("o1").with("X-Trefoilseam-Deadline-Ms", "600"))
+		So(got.status, ShouldEqual, http.StatusBadGateway)
+		So(got.body, ShouldContainSubstring, `"ran":"unknown"`)
+		So(site.ran()["o1"], ShouldHaveLength, 1)
+	})
+}
+
+func TestALeavingReplicaGetsNoNewWork(t *testing.T) {
+	// A replica says that it leaves, another vanishes from the list and goes on, a
+	// third crashes and another service comes up at its address. None gets new work
+	// once that is known, and no request is lost by it.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(4)
+	entry := site.addEntry("entry-1")
+	site.list("orders-1", "draining")
+	site.store.Remove("servers", "orders-2")
+	site.stops["orders-3"]()
+	address := site.replicas["orders-3"].Address()
+	var reused *emulator.Replica
+	entry.waitFor("the address is free", func() bool {
+		replica, stop, err := emulator.StartReplica(emulator.ReplicaSettings{ID: "other-1", Service: "other", Clock: site.clock}, address)
+		if err != nil {
+			return false
+		}
+		t.Cleanup(stop)
+		reused = replica
+		return true
+	})
+	entry.waitFor("both are known to leave", func() bool {
+		listed := entry.logged(func(line logLine) bool {
+			return line.Message == "replica listed" && (line.Replica == "orders-1" || line.Replica == "orders-2")
+		})
+		return len(listed) == 4
+	})
+	Convey("all requests run at the one that stays", t, func() {
+		for number := range 30 {
+			got := entry.send(order(fmt.Sprintf("o%d", number)))
+			So(got.status, ShouldEqual, http.StatusOK)
+		}
+		So(site.replicas["orders-1"].Ran(), ShouldBeEmpty)
+		So(site.replicas["orders-2"].Ran(), ShouldBeEmpty)
+		So(reused.Ran(), ShouldBeEmpty)
+		So(site.replicas["orders-4"].Ran(), ShouldHaveLength, 30)
+	})
+}
+
+func TestTheStoreIsAway(t *testing.T) {
+	// The store is away in each way that it can be. Callers are served all the
+	// while with what was known; what changed meanwhile is in force when it is back.
+	t.Parallel()
+	tests := []struct {
+		name   string
+		outage emulator.Outage
+	}{
+		{"busy", emulator.Busy}, {"limited", emulator.Limited}, {"reset", emulator.Reset}, {"silent", emulator.Silent},
+	}
+	for number, test := range tests {
+		Convey(test.name, t, func() {
+			site := newSite(t)
+			site.orders(2)
+			entry := site.addEntry("entry-1")
+			site.store.SetOutage(test.outage)
+			entry.waitFor("the outage is noticed", func() bool { return entry.said("store lost") })
+			So(entry.ready(), ShouldEqual, http.StatusOK)
+			So(entry.send(order("during")).status, ShouldEqual, http.StatusOK)
+			site.configure(10+number, siteRoutes(), "another-key")
+			site.store.SetOutage(emulator.Sound)
+			entry.waitFor("the new configuration is in force", func() bool {
+				return entry.send(order("after")).status == http.StatusUnauthorized
+			})
+			So(entry.send(order("new").with("X-Trefoilseam-Credential", "another-key")).status, ShouldEqual, http.StatusOK)
+		})
+	}
+}
+
+func TestTheStoreLosesItsHistory(t *testing.T) {
+	// The store drops its history while a replica leaves: the entry reads the whole
+	// list, and the replica gets no more work.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(2)
+	entry := site.addEntry("entry-1")
+	site.store.Remove("servers", "orders-1")
+	site.store.Compact()
+	Convey("the replica is known to be gone", t, func() {
+		entry.waitFor("the list is read", func() bool {
+			return len(entry.logged(func(line logLine) bool {
+				return line.Message == "replica listed" && line.Replica == "orders-1"
+			})) == 2
+		})
+		for number := range 10 {
+			So(entry.send(order(strconv.Itoa(number))).status, ShouldEqual, http.StatusOK)
+		}
+		So(site.replicas["orders-1"].Ran(), ShouldBeEmpty)
+	})
+}
+
+func TestAConfigurationComesFromAPeer(t *testing.T) {
+	// The store serves one entry only. A key is taken away: the other entry, whom
+	// the store turns away, learns it from its peer and refuses the key too. Then
+	// the store's answers are old: the version in force doesn't go back.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(1)
+	first, second := site.addEntry("entry-1"), site.addEntry("entry-2")
+	first.waitFor("they hear each other", func() bool { return site.peersOf(first) == 1 && site.peersOf(second) == 1 })
+	Convey("both refuse the key", t, func() {
+		So(second.send(order("o1")).status, ShouldEqual, http.StatusOK)
+		site.store.SetOutage(emulator.Silent)
+		second.waitFor("the outage is noticed", func() bool { return second.said("store lost") })
+		first.waitFor("the outage is noticed", func() bool { return first.said("store lost") })
+		So(first.put(configuration(2, siteRoutes(), "another-key")), ShouldEqual, http.StatusNotFound)
+		site.configure(2, siteRoutes(), "another-key")
+		site.store.SetOutage(emulator.Sound)
+		for _, entry := range []*entry{first, second} {
+			entry.waitFor("the key is refused", func() bool { return entry.send(order("o2")).status == http.StatusUnauthorized })
+		}
+		site.configure(1, siteRoutes(), teamKey)
+		site.configure(3, siteRoutes(), "third-key")
+		first.waitFor("the third is in force", func() bool {
+			return first.send(order("o3").with("X-Trefoilseam-Credential", "third-key")).status == http.StatusOK
+		})
+		So(first.send(order("o4")).status, ShouldEqual, http.StatusUnauthorized)
+	})
+}
+
+func TestAnEntryWithoutAConfiguration(t *testing.T) {
+	// The store is away when an entry starts. It is not ready, and answers 503 to
+	// whoever comes all the same: never that a key or a path is unknown. With a
+	// store that answers, it serves.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(1)
+	site.store.SetOutage(emulator.Silent)
+	entry := site.startEntry("entry-1")
+	Convey("it is not ready, and says so", t, func() {
+		So(entry.ready(), ShouldEqual, http.StatusServiceUnavailable)
+		got := entry.send(order("o1"))
+		So(got.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+		site.store.SetOutage(emulator.Sound)
+		entry.waitFor("it is ready", func() bool { return entry.ready() == http.StatusOK })
+		So(entry.send(order("o2")).status, ShouldEqual, http.StatusOK)
+	})
+}
+
+func TestARequestThatCrashesReplicas(t *testing.T) {
+	// A request ends each replica that runs it, and its caller sends it again and
+	// again. After two replicas it is held back, at the other entry too; others are
+	// served by the replica that is left.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(4)
+	first, second := site.addEntry("entry-1"), site.addEntry("entry-2")
+	first.waitFor("they hear each other", func() bool { return site.peersOf(first) == 1 && site.peersOf(second) == 1 })
+	var crashed sync.Map
+	for id, replica := range site.replicas {
+		replica.SetFault(func(request string) emulator.Fault {
+			if !strings.HasPrefix(request, "bad") {
+				return emulator.NoFault
+			}
+			crashed.Store(id, true)
+			go site.stops[id]()
+			return emulator.Hang
+		})
+	}
+	bad := func(entry *entry, number int) reply {
+		return entry.send(call{id: fmt.Sprintf("bad-%d", number), method: http.MethodPost, path: "/orders/lunch", body: "poison"})
+	}
+	Convey("two replicas are lost, not four", t, func() {
+		for number := range 2 {
+			So(bad(first, number).status, ShouldEqual, http.StatusBadGateway)
+			first.waitFor("the crash is noticed", func() bool {
+				return len(first.logged(func(line logLine) bool { return line.Message == "request struck" })) == number+1
+			})
+		}
+		second.waitFor("the peer has heard of both", func() bool {
+			return len(second.logged(func(line logLine) bool { return line.Message == "request struck" })) == 2
+		})
+		So(bad(first, 7).status, ShouldEqual, http.StatusServiceUnavailable)
+		So(bad(second, 8).status, ShouldEqual, http.StatusServiceUnavailable)
+		lost := 0
+		crashed.Range(func(any, any) bool { lost++; return true })
+		So(lost, ShouldEqual, 2)
+		So(first.send(order("good")).status, ShouldEqual, http.StatusOK)
+	})
+}
--- /dev/null
+++ b/test/direct/path_test.go
@@ -0,0 +1,211 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/platform/emulator"
+)
+
+func TestAnswersAreTheReplicas(t *testing.T) {
+	t.Parallel()
+	site := newSite(t)
+	site.orders(2)
+	site.planners(2, 5)
+	entry := site.addEntry("entry-1")
+	tests := []struct {
+		name string
+		call call
+		body string
+		team string
+	}{
+		{"a request that runs once", order("o1"), emulator.Body("o1"), "bole"},
+		{"a safe request", board("b1"), emulator.Body("b1"), "bole"},
+		{"a stream", menu("m1"), emulator.Events("m1", 5), "bole"},
+		{"a stream that may be resumed", stock("s1"), emulator.Events("s1", 5), "bole"},
+		{
+			"a stream that a caller resumes", stock("s2").with("Last-Event-Id", "2"),
+			strings.TrimPrefix(emulator.Events("s2", 5), emulator.Events("s2", 2)), "bole",
+		},
+		{
+			"a public route without a key",
+			call{id: "n1", method: http.MethodGet, path: "/news/"}.with("X-Trefoilseam-Credential", ""), emulator.Body("n1"), "",
+		},
+		{
+			"a caller who says that it is another team", order("o2").with("X-Trefoilseam-Tenant", "merkato").
+				with("X-Trefoilseam-Expect-Replica", "orders-9").with("X-Trefoilseam-Hold", "h").with("Kv-From", "1.2.3.4:5/h"),
+			emulator.Body("o2"), "bole",
+		},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			got := entry.send(test.call)
+			So(got.err, ShouldBeNil)
+			So(got.status, ShouldEqual, http.StatusOK)
+			So(got.body, ShouldEqual, test.body)
+			So(got.header.Get("X-Trefoilseam-Replica-Signature"), ShouldEndWith, "."+test.call.id)
+			So(got.header.Get("X-Trefoilseam-Request-Id"), ShouldEqual, test.call.id)
+			ran := site.ran()[test.call.id]
+			So(ran, ShouldHaveLength, 1)
+			So(ran[0].Team, ShouldEqual, test.team)
+			So(ran[0].Body, ShouldEqual, test.call.body)
+		})
+	}
+}
+
+func TestWhatNoReplicaMaySee(t *testing.T) {
+	// Callers send what is wrong, forged, or made to be read in two ways. Each gets
+	// a clear error, or the connection ends; nothing of it reaches a replica.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(1)
+	entry := site.addEntry("entry-1")
+	tests := []struct {
+		name   string
+		call   call
+		status int
+	}{
+		{"an unknown key", order("x1").with("X-Trefoilseam-Credential", "other"), http.StatusUnauthorized},
+		{"no key", order("x2").with("X-Trefoilseam-Credential", ""), http.StatusUnauthorized},
+		{"an unknown path", call{id: "x3", method: http.MethodGet, path: "/nothing"}, http.StatusNotFound},
+		{"no identity", order(""), http.StatusBadRequest},
+		{"a deadline that is none", order("x4").with("X-Trefoilseam-Deadline-Ms", "soon"), http.StatusBadRequest},
+		{"a deadline that has passed", order("x5").with("X-Trefoilseam-Deadline-Ms", "-1"), http.StatusBadRequest},
+		{"prompt parts that are none", order("x6").with("X-Trefoilseam-Prompt-Prefix", "zz:1"), http.StatusBadRequest},
+		{
+			"a body over the limit",
+			call{id: "x7", method: http.MethodPost, path: "/orders/", body: strings.Repeat("x", 100001)}, http.StatusRequestEntityTooLarge,
+		},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			got := entry.send(test.call)
+			So(got.err, ShouldBeNil)
+			So(got.status, ShouldEqual, test.status)
+			So(got.header.Get("X-Trefoilseam-Replica-Signature"), ShouldBeEmpty)
+			So(got.body, ShouldContainSubstring, `"ran":"no"`)
+		})
+	}
+	head := "POST /orders/ HTTP/1.1\r\nHost: " + host + "\r\nX-Trefoilseam-Request-Id: r\r\nX-Trefoilseam-Credential: " + teamKey + "\r\n"
+	raws := []struct{ name, text string }{
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"},
+		{"a length that is none", head + "Content-Length: +3\r\n\r\nabc"},
+		{"a coding that is unknown", head + "Transfer-Encoding: chunked, odd\r\n\r\n0\r\n\r\n"},
+		{"a chunk that is none", head + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"},
+		{"a name with a space", head + "Content-Length : 3\r\n\r\nabc"},
+		{"no host", "GET /board/ HTTP/1.1\r\n\r\n"},
+		{"bytes that are no request", "\x16\x03\x01\x02\x00\x01\x00"},
+	}
+	for _, test := range raws {
+		Convey(test.name, t, func() {
+			So(entry.raw(test.text), ShouldNotContainSubstring, "200 OK")
+		})
+	}
+	Convey("nothing of it has run", t, func() {
+		So(site.ran(), ShouldBeEmpty)
+	})
+}
+
+func TestARequestInsideAnother(t *testing.T) {
+	// The body holds what looks like a request. It is the body of the one request
+	// and must not be run.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(1)
+	entry := site.addEntry("entry-1")
+	inner := "POST /orders/ HTTP/1.1\r\nHost: " + host + "\r\nX-Trefoilseam-Request-Id: inner\r\nContent-Length: 0\r\n\r\n"
+	Convey("only the outer request runs", t, func() {
+		got := entry.send(call{id: "outer", method: http.MethodPost, path: "/orders/", body: inner})
+		So(got.status, ShouldEqual, http.StatusOK)
+		So(entry.send(board("next")).status, ShouldEqual, http.StatusOK)
+		ran := site.ran()
+		So(ran["inner"], ShouldBeEmpty)
+		So(ran["outer"], ShouldHaveLength, 1)
+		So(ran["outer"][0].Body, ShouldEqual, inner)
+	})
+}
+
+func TestACallerWhoLeaves(t *testing.T) {
+	// A caller closes its connection while a replica works, before and within the
+	// answer. The replica's connection ends too, so it doesn't work for nobody.
+	t.Parallel()
+	site := newSite(t)
+	site.addReplica(emulator.ReplicaSettings{ID: "planner-1", Service: "planner", Work: 50, Events: 200})
+	entry := site.addEntry("entry-1")
+	Convey("the replica stops", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		var waiting sync.WaitGroup
+		for _, id := range []string{"m1", "m2"} {
+			leaver := menu(id)
+			leaver.ctx = ctx
+			waiting.Go(func() { entry.send(leaver) })
+		}
+		entry.waitFor("both run", func() bool { return site.replicas["planner-1"].Running() == 2 })
+		cancel()
+		waiting.Wait()
+		entry.waitFor("both have stopped", func() bool { return site.replicas["planner-1"].Running() == 0 })
+		for _, id := range []string{"m1", "m2"} {
+			So(site.ran()[id], ShouldHaveLength, 1)
+			So(site.ran()[id][0].Cut, ShouldBeTrue)
+		}
+	})
+}
+
+func TestManyCallersGetTheirOwn(t *testing.T) {
+	// Two hundred requests of four kinds at once over kept connections, while one
+	// answer in five is doubled, comes under another identity or breaks off. No
+	// caller ever takes another's answer, or a part, for its own.
+	t.Parallel()
+	site := newSite(t)
+	for _, id := range []string{"orders-1", "orders-2", "orders-3"} {
+		site.addReplica(emulator.ReplicaSettings{ID: id, Service: "orders", Slots: 100, Work: 10})
+	}
+	site.planners(2, 8)
+	site.faults(func(id string) emulator.Fault {
+		if !strings.HasSuffix(id, "0") && !strings.HasSuffix(id, "5") {
+			return emulator.NoFault
+		}
+		return []emulator.Fault{emulator.Twice, emulator.Foreign, emulator.BreakOff, emulator.Unframed}[int(id[len(id)-2]-'0')%4]
+	})
+	entry := site.addEntry("entry-1")
+	client := &http.Client{}
+	replies := make([]reply, 200)
+	calls := make([]call, len(replies))
+	var sending sync.WaitGroup
+	for number := range replies {
+		id := fmt.Sprintf("r%03d", number)
+		calls[number] = []call{order(id), board(id), menu(id), stock(id)}[number%4]
+		sending.Go(func() { replies[number] = entry.sendBy(client, calls[number]) })
+	}
+	sending.Wait()
+	Convey("each answer is whole and the caller's own, or no success", t, func() {
+		whole := 0
+		for number, got := range replies {
+			if got.status != http.StatusOK || got.err != nil {
+				t.Log(calls[number].id, number%4, got.status, got.err, got.body)
+				continue
+			}
+			whole++
+			id := calls[number].id
+			if number%4 < 2 {
+				So(got.body, ShouldEqual, emulator.Body(id))
+				continue
+			}
+			So(got.body, ShouldEqual, emulator.Events(id, 8))
+		}
+		So(whole, ShouldBeGreaterThan, 150)
+	})
+	Convey("what runs once has run once", t, func() {
+		for id, ran := range site.ran() {
+			if ran[0].Path == "/orders/lunch" || ran[0].Path == "/menu/today" {
+				So(fmt.Sprint(id, len(ran)), ShouldEqual, id+"1")
+			}
+		}
+	})
+}
