router: ranks by the urgency of the team, then of the route

Cause: teams have an urgency that goes before the route's, and nearly all have the same one. Change: the route's urgency orders requests within one urgency of teams; engines get both in their scale of ten.

--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -30,8 +30,9 @@
 	Replica string
 	// Team is the caller's team, or "" on public routes.
 	Team string
-	// Urgency orders requests at an engine, zero first; negative means none.
-	Urgency int
+	// Priority orders requests at an engine, from 0, which is first, to 9;
+	// negative means none.
+	Priority int
 	// After is the last event that the caller has of a stream that goes on; ""
 	// leaves what the caller said.
 	After string
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -130,10 +130,34 @@
 	return Access{Allowed: route.Public || !config.content.Keyed}
 }
 
-// UrgencyFor returns the urgency of a request: the team's if it has one.
-func (route Route) UrgencyFor(team Team) int {
+// Rank orders requests: the lowest is the most urgent.
+type Rank int
+
+// routeRanks is how many ranks the urgency of routes takes within one urgency of
+// teams.
+const routeRanks = 10
+
+// RankFor returns the rank of a team's request: by the urgency of the team, or of
+// the route where the team has none, and among those by that of the route. Most
+// teams have the same urgency, and without the second part long answers of the
+// least urgent route would stand before the most urgent one.
+func (route Route) RankFor(team Team) Rank {
+	first := route.Urgency
 	if team.Urgency != nil {
-		return *team.Urgency
+		first = *team.Urgency
 	}
-	return route.Urgency
+	return Rank(first*routeRanks + min(max(route.Urgency, 0), routeRanks-1))
+}
+
+const (
+	// enginePriorities is how many priorities engines know; zero is first.
+	enginePriorities = 10
+	// engineStep is how many of them each urgency of teams takes.
+	engineStep = 3
+)
+
+// EnginePriority returns the rank as engines know it, from 0 to 9.
+func (rank Rank) EnginePriority() int {
+	first, second := int(rank)/routeRanks, int(rank)%routeRanks
+	return min(max(first, 0)*engineStep+min(second, engineStep-1), enginePriorities-1)
 }
--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -40,20 +40,20 @@
 		key     string
 		allowed bool
 		team    string
-		urgency int
+		rank    Rank
 	}{
-		{"a known key", config, Route{Urgency: 5}, "k", true, "bole", 2},
+		{"a known key", config, Route{Urgency: 5}, "k", true, "bole", 25},
 		{"an unknown key", config, Route{}, "x", false, "", 0},
 		{"no key", config, Route{}, "", false, "", 0},
-		{"no key on a public route", config, Route{Public: true, Urgency: 5}, "", true, "", 5},
-		{"a configuration without teams", New(Content{}), Route{Urgency: 1}, "x", true, "", 1},
+		{"no key on a public route", config, Route{Public: true, Urgency: 5}, "", true, "", 55},
+		{"a configuration without teams", New(Content{}), Route{Urgency: 1}, "x", true, "", 11},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
 			access := test.config.Access(test.route, test.key)
 			So(access.Allowed, ShouldEqual, test.allowed)
 			So(access.Team.Name, ShouldEqual, test.team)
-			So(test.route.UrgencyFor(access.Team), ShouldEqual, test.urgency)
+			So(test.route.RankFor(access.Team), ShouldEqual, test.rank)
 		})
 	}
 }
@@ -69,3 +69,26 @@
 	}
 	Convey("no destination", t, func() { So(Route{}.Service(0.5), ShouldEqual, "") })
 }
+
+func TestEnginesGetTheRankInTheirOwnScale(t *testing.T) {
+	zero, one, nine := 0, 1, 9
+	tests := []struct {
+		name  string
+		team  *int
+		route int
+		want  int
+	}{
+		{"the first of all", &zero, 0, 0},
+		{"the same team, less urgent routes", &zero, 2, 2},
+		{"routes beyond the scale", &zero, 7, 2},
+		{"the next team is behind all of the first", &one, 0, 3},
+		{"the last of all", &nine, 9, 9},
+		{"no team urgency", nil, 1, 4},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			rank := Route{Urgency: test.route}.RankFor(Team{Urgency: test.team})
+			So(rank.EnginePriority(), ShouldEqual, test.want)
+		})
+	}
+}
