balancer, relayer: no reading at crowded engines, and no wait past its use

Cause: beyond what the engines can do, requests that left a full engine had their prompts read by the next; 2.4 million shared tokens were read again in ten seconds, engines were promised prompts for two seconds to come, and callers left before their first event. Change: a crowded engine reads no prompt that another has cached; a prompt that would wait for longer than its target is not placed; what waits at an engine is counted by priority; at the entry a request waits at most two targets, and who can still be on time goes first.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -72,6 +72,12 @@
 	// Connections is how many requests this entry may have at one replica; zero
 	// means any number.
 	Connections int
+	// Priority is the one that engines read the prompt in, from 0, which is first,
+	// to Priorities-1.
+	Priority int
+	// Within is how long the prompt may wait at an engine before it is read; zero
+	// means any time.
+	Within timekeeper.Span
 }
 
 // Reason says why there is no choice.
@@ -90,6 +96,9 @@
 type candidate struct {
 	*replica
 	uncached int
+	// waiting is the time for which the prompt waits before it is read, in
+	// milliseconds.
+	waiting float64
 	// expected is the time until the answer begins, if the replica is sound, in
 	// milliseconds.
 	expected float64
@@ -115,13 +124,13 @@
 	chosen := fleet.pick(equals, ask)
 	chosen.running++
 	chosen.doubt.tried(now)
-	chosen.unread += chosen.uncached
+	chosen.unread[ask.Priority] += chosen.uncached
 	if len(ask.Parts) > 0 {
 		fleet.cacheOf(chosen.replica).touch(ask.Parts, now)
 	}
 	placement := &Placement{
 		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
-		expected: chosen.expected, at: now,
+		expected: chosen.expected, at: now, priority: ask.Priority,
 	}
 	chosen.awaited[placement] = struct{}{}
 	return placement, noReason
@@ -171,7 +180,36 @@
 	if len(open) == 0 {
 		return nil, AllFull
 	}
-	return fleet.bounded(open, now)
+	return fleet.bounded(useful(open, ask, now, fleet), now)
+}
+
+const (
+	// crowded is the share of its slots from which an engine counts as crowded.
+	crowded = 0.4
+	// muchMore is how many more tokens than at the best engine are much to read.
+	muchMore = 1500
+)
+
+// useful takes out engines where the request would wait for too long, and crowded
+// ones that would have to read a prompt which another engine has cached.
+//
+// The load: more than the engines can do, for seconds. The harm: requests that
+// leave a full engine have their prompts read by the next; reading stops all
+// streams there, so it is full too, and soon all engines read what others have
+// cached. It goes on after the load is gone. A request waits at the entry for
+// the engine that has its prompt, or is told to come back.
+func useful(open []candidate, ask Ask, now timekeeper.Instant, fleet *Fleet) []candidate {
+	if len(ask.Parts) == 0 {
+		return open
+	}
+	least := slices.MinFunc(open, func(a, b candidate) int { return a.uncached - b.uncached }).uncached
+	return slices.DeleteFunc(open, func(c candidate) bool {
+		if ask.Within > 0 && c.waiting > float64(ask.Within) {
+			return true
+		}
+		held := fleet.heldAt(c.replica, now)
+		return c.uncached > least+muchMore && float64(held) > crowded*float64(c.Slots)
+	})
 }
 
 // weigh returns a replica with its expected time.
@@ -187,11 +225,11 @@
 		return candidate{replica: member, expected: expected, cost: cost + expected + held*plainCost}
 	}
 	uncached := fleet.cacheOf(member).uncached(ask.Parts)
-	waiting := float64(member.unread + fleet.peersAt(member.ID, now).Unread)
-	expected := (waiting + float64(uncached)) / readRate
+	waiting := member.waitingFor(ask.Priority, fleet.peersAt(member.ID, now).Unread) / readRate
+	expected := waiting + float64(uncached)/readRate
 	reading := float64(uncached) / readRate
 	cost += expected + (reuseWeight-1)*reading + disturbance*reading*held + held*crowdCost
-	return candidate{replica: member, uncached: uncached, expected: expected, cost: cost}
+	return candidate{replica: member, uncached: uncached, waiting: waiting, expected: expected, cost: cost}
 }
 
 // bounded takes out replicas that hold more than their share.
@@ -201,6 +239,9 @@
 // the service's mean, set by the operator, plus what few requests may lie
 // unevenly. Replicas that can't get work count neither as places nor in the mean.
 func (fleet *Fleet) bounded(open []candidate, now timekeeper.Instant) ([]candidate, Reason) {
+	if len(open) == 0 {
+		return nil, AllFull
+	}
 	total := 0
 	for _, member := range open {
 		total += fleet.heldAt(member.replica, now)
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -142,6 +142,7 @@
 	// expected is the expected time without what is doubted of the replica.
 	expected float64
 	at       timekeeper.Instant
+	priority int
 	began    bool
 }
 
@@ -165,7 +166,7 @@
 	}
 	placement.began = true
 	if known, found := fleet.replicas[placement.Replica.ID]; found {
-		known.unread -= placement.Uncached
+		known.unread[placement.priority] -= placement.Uncached
 		delete(known.awaited, placement)
 	}
 	return true
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -40,8 +40,9 @@
 func (fleet *Fleet) Held() map[string]Held {
 	held := make(map[string]Held)
 	for id, known := range fleet.replicas {
-		if known.running > 0 || known.unread > 0 {
-			held[id] = Held{Running: known.running, Unread: known.unread}
+		unread := known.unreadBefore(Priorities - 1)
+		if known.running > 0 || unread > 0 {
+			held[id] = Held{Running: known.running, Unread: unread}
 		}
 	}
 	return held
--- a/internal/balancer/queue.go
+++ b/internal/balancer/queue.go
@@ -24,14 +24,17 @@
 // sent on, it would lie in the replicas' queues in the order of arrival, before
 // what is more urgent, or be refused there. Refused at once, callers come back
 // together while places are free again. Here the most urgent goes first, among
-// equals the team that has had least of late, then who came first; and whoever
+// equals who can still be on time, then the team that has had least of late, then
+// who came first; and whoever
 // can't be served in time is told so at once, not when the time is over.
 type Waiter struct {
-	Ask     Ask
-	Urgency int
-	Team    string
-	// Until is the last instant at which a place is of use.
-	Until timekeeper.Instant
+	Ask Ask
+	// Rank orders who waits: the lowest is the most urgent.
+	Rank int
+	Team string
+	// Due is until when a place is on time, Until the last instant at which it is
+	// of use.
+	Due, Until timekeeper.Instant
 
 	// Placement is set when a replica was found, Reason when the wait is over
 	// without one. Wait is then how long the queue needs to drain.
@@ -81,7 +84,7 @@
 	fleet.number++
 	waiter.number = fleet.number
 	queue := fleet.queue(waiter.Ask.Service)
-	first := len(queue.waiting) == 0 || waiter.Urgency < queue.mostUrgent()
+	first := len(queue.waiting) == 0 || waiter.Rank < queue.mostUrgent()
 	if first && fleet.try(waiter, now) {
 		return
 	}
@@ -123,9 +126,9 @@
 }
 
 func (queue *serviceQueue) mostUrgent() int {
-	most := queue.waiting[0].Urgency
+	most := queue.waiting[0].Rank
 	for _, waiter := range queue.waiting[1:] {
-		most = min(most, waiter.Urgency)
+		most = min(most, waiter.Rank)
 	}
 	return most
 }
@@ -139,7 +142,7 @@
 	}
 	ahead := 1
 	for _, other := range queue.waiting {
-		if other.Urgency <= waiter.Urgency {
+		if other.Rank <= waiter.Rank {
 			ahead++
 		}
 	}
@@ -197,16 +200,22 @@
 	return decided
 }
 
-// order sorts who waits: the most urgent first, then teams by what they have had
+// order sorts who waits: the most urgent first, then who is on time, then teams by what they have had
 // of late, then who came first.
 func (fleet *Fleet) order(waiting []*Waiter, now timekeeper.Instant) {
 	had := make(map[string]float64, len(waiting))
 	for _, waiter := range waiting {
 		had[waiter.Team] = fleet.team(waiter.Team).now(teamMemory, now)
 	}
+	late := func(waiter *Waiter) int {
+		if now >= waiter.Due {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(waiting, func(a, b *Waiter) int {
 		return cmp.Or(
-			cmp.Compare(a.Urgency, b.Urgency), cmp.Compare(had[a.Team], had[b.Team]), cmp.Compare(a.number, b.number),
+			cmp.Compare(a.Rank, b.Rank), cmp.Compare(late(a), late(b)), cmp.Compare(had[a.Team], had[b.Team]), cmp.Compare(a.number, b.number),
 		)
 	})
 }
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -14,6 +14,9 @@
 	Leaving bool
 }
 
+// Priorities is how many priorities engines know; zero is first.
+const Priorities = 10
+
 // Part is one part of a prompt. Requests share parts.
 type Part struct {
 	ID     uint64
@@ -26,8 +29,9 @@
 	cache *prefixCache
 	// running counts this entry's requests at the replica.
 	running int
-	// unread are tokens of this entry's requests whose first event is due.
-	unread int
+	// unread are tokens of this entry's requests whose first event is due, by the
+	// priority that the engine reads them in.
+	unread [Priorities]int
 	doubt  doubt
 	pace   pace
 	// awaited are this entry's requests there whose answer has not begun.
@@ -35,6 +39,27 @@
 	report  loadReport
 }
 
+// unreadBefore returns the tokens of this entry's requests that the engine reads
+// before, or together with, those of a priority.
+func (known *replica) unreadBefore(priority int) int {
+	sum := 0
+	for _, tokens := range known.unread[:priority+1] {
+		sum += tokens
+	}
+	return sum
+}
+
+// waitingFor returns the tokens that an engine reads before those of a new
+// request of a priority. Of the peers' only the sum is known: they are taken to
+// be spread over the priorities as this entry's are.
+func (known *replica) waitingFor(priority, peers int) float64 {
+	own, all := known.unreadBefore(priority), known.unreadBefore(Priorities-1)
+	if all == 0 {
+		return float64(peers)
+	}
+	return float64(own) * (1 + float64(peers)/float64(all))
+}
+
 // overdue counts the requests whose answer should have begun long ago.
 //
 // The failure: a replica takes requests and never answers, or is cut off without
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -118,13 +118,13 @@
 const connectionSharers = 6
 
 func (task *task) request(replica balancer.Replica) connector.Request {
-	urgency := -1
+	priority := -1
 	if service, found := task.config.Service(task.service); found && service.Engine != nil {
-		urgency = task.route.UrgencyFor(task.team)
+		priority = task.rank().EnginePriority()
 	}
 	left := max(task.until.Since(task.entry.settings.Clock.Now()), timekeeper.Millisecond)
 	header := task.entry.settings.Dialect.Dispatch(task.r, Dispatch{
-		Call: task.call, Left: left, Replica: replica.ID, Team: task.team.Name, Urgency: urgency, After: task.lastEvent,
+		Call: task.call, Left: left, Replica: replica.ID, Team: task.team.Name, Priority: priority, After: task.lastEvent,
 	})
 	return connector.Request{
 		Method: task.r.Method, Path: task.r.RequestURI, Host: task.r.Host, Header: header, Body: task.body,
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -68,6 +68,8 @@
 	replica string
 }
 
+func (task *task) rank() router.Rank { return task.route.RankFor(task.team) }
+
 // patience returns how long the caller is kept waiting.
 func (task *task) patience() timekeeper.Span {
 	span := defaultPatience
@@ -174,19 +176,34 @@
 	}
 }
 
-// waitShare is the part of the caller's patience for which a request may wait
-// for a replica. One that is refused comes back once; held for longer it would
-// have no time left for that.
-const waitShare = 0.3
+const (
+	// waitShare is the part of the caller's patience for which a request may wait
+	// for a replica. One that is refused comes back once; held for longer it would
+	// have no time left for that.
+	waitShare = 0.3
+	// waitTargets is the same in targets of the route. Callers of streams leave
+	// after some targets without an event, so that a longer wait ends in nothing.
+	waitTargets = 2
+)
+
+// wait returns how long the request may wait for a replica.
+func (task *task) wait() timekeeper.Span {
+	span := timekeeper.Span(waitShare * float64(task.patience()))
+	if task.route.Target > 0 {
+		span = min(span, waitTargets*task.route.Target)
+	}
+	return span
+}
 
 // place gets a replica for the request, or the reason why there is none.
 func (task *task) place(ctx context.Context) *balancer.Waiter {
 	waiter := &balancer.Waiter{
 		Ask: balancer.Ask{
 			Service: task.service, Parts: task.call.Parts, Excluded: task.excluded, Connections: task.connections(),
+			Priority: task.rank().EnginePriority(), Within: task.route.Target,
 		},
-		Urgency: task.route.UrgencyFor(task.team), Team: task.team.Name,
-		Until: task.arrived.Add(timekeeper.Span(waitShare * float64(task.patience()))),
+		Rank: int(task.rank()), Team: task.team.Name,
+		Due: task.arrived.Add(task.route.Target), Until: task.arrived.Add(task.wait()),
 	}
 	task.entry.queue.place(ctx, waiter)
 	return waiter
@@ -278,7 +295,7 @@
 func (task *task) log(failure classifier.Failure, now timekeeper.Instant) {
 	fields := logrus.Fields{
 		"request-id": task.call.ID, "route": task.route.Name, "team": task.team.Name, "version": task.config.Version(),
-		"service": task.service, "total-ms": int64(now.Since(task.arrived)), "runs": task.runs,
+		"service": task.service, "rank": int(task.rank()), "total-ms": int64(now.Since(task.arrived)), "runs": task.runs,
 	}
 	if task.placement != nil {
 		fields["replica"] = task.replica
