retrier: retries count for one slice longer than requests

Cause: found by the property test of the window: what was spent at the begin of a window was forgotten a slice before its end, so the allowance could be spent twice within one window. Change: retries are kept for eleven slices of a tenth, requests for ten. Conclusion: TestAWindowForgets fails without it; the property holds for four entries with up to four restarts.

--- a/internal/retrier/window.go
+++ b/internal/retrier/window.go
@@ -2,8 +2,13 @@
 
 import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 
-// slices of a window: the sums move on by a tenth of it.
-const windowSlices = 10
+const (
+	// windowSlices is how many slices a window has: the sums move on by a tenth.
+	windowSlices = 10
+	// keptSlices is how many are kept. Retries count for one slice longer than
+	// requests, so that those at the begin of a window still count at its end.
+	keptSlices = windowSlices + 1
+)
 
 // WindowSettings set up a Window.
 type WindowSettings struct {
@@ -27,7 +32,7 @@
 // parts has to allow for.
 type Window struct {
 	settings WindowSettings
-	slots    [windowSlices]windowSlot
+	slots    [keptSlices]windowSlot
 }
 
 type windowSlot struct {
@@ -44,7 +49,7 @@
 func (window *Window) slot(now timekeeper.Instant) *windowSlot {
 	length := max(1, int64(window.settings.Span)/windowSlices)
 	number := int64(now) / length
-	slot := &window.slots[number%windowSlices]
+	slot := &window.slots[number%keptSlices]
 	if slot.number != number {
 		*slot = windowSlot{number: number}
 	}
@@ -70,8 +75,11 @@
 	current := window.slot(now).number
 	requests, retries := 0.0, 0.0
 	for _, slot := range window.slots {
-		if current-slot.number < windowSlices {
+		age := current - slot.number
+		if age < windowSlices {
 			requests += slot.requests
+		}
+		if age < keptSlices {
 			retries += slot.retries
 		}
 	}
