--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,187 @@
+package follower
+
+import (
+	"context"
+	"io"
+	"maps"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// table is a table of the store as a source, with faults.
+type table struct {
+	rows    map[string]int
+	log     []Change[int]
+	version Version
+	// kept is the version from which on changes are known.
+	kept Version
+	fail error
+	// stale is how many versions the answers are behind.
+	stale Version
+}
+
+func newTable() *table { return &table{rows: map[string]int{}, version: 1, kept: 1} }
+
+func (table *table) put(key string, value int) {
+	table.version++
+	table.rows[key] = value
+	table.log = append(table.log, Change[int]{Key: key, Value: value})
+}
+
+func (table *table) remove(key string) {
+	table.version++
+	delete(table.rows, key)
+	table.log = append(table.log, Change[int]{Key: key, Removed: true})
+}
+
+func (table *table) compact() {
+	table.kept, table.log = table.version, nil
+}
+
+func (table *table) source() Source[int] {
+	return Source[int]{
+		Snapshot: func(context.Context) ([]Change[int], Version, error) {
+			rows := make([]Change[int], 0, len(table.rows))
+			for key, value := range table.rows {
+				rows = append(rows, Change[int]{Key: key, Value: value})
+			}
+			return rows, table.version - table.stale, table.fail
+		},
+		Changes: func(_ context.Context, after Version) ([]Change[int], Version, error) {
+			if table.fail != nil {
+				return nil, 0, table.fail
+			}
+			if after < table.kept {
+				return nil, 0, ErrHistoryLost
+			}
+			return table.log[after-table.kept:], table.version, nil
+		},
+	}
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// follow returns a follower of the table, and the copies that it applied last.
+func follow(table *table, clock *timekeeper.Manual, lapse timekeeper.Span) (*Follower[int], func() map[string]int) {
+	var last map[string]int
+	follower := New(Settings[int]{
+		Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: lapse,
+		Apply: func(rows map[string]int) { last = rows },
+	})
+	return follower, func() map[string]int { return last }
+}
+
+func newClock() *timekeeper.Manual {
+	return timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+}
+
+func TestACopyFollowsItsTable(t *testing.T) {
+	// The table changes in any way, its history is lost, calls fail, answers are
+	// old. Whenever a read succeeds the copy is what the table was at that version,
+	// and it never goes back.
+	rapid.Check(t, func(t *rapid.T) {
+		table, clock := newTable(), newClock()
+		follower, copied := follow(table, clock, 0)
+		last := Version(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				table.put(key, rapid.Int().Draw(t, "value"))
+			case 2:
+				if _, found := table.rows[key]; found {
+					table.remove(key)
+				}
+			case 3:
+				table.compact()
+			case 4:
+				table.fail = eris.New("away")
+			default:
+				table.fail = nil
+			}
+			table.stale = Version(rapid.IntRange(0, 1).Draw(t, "stale"))
+			follower.Step(context.Background())
+			clock.Advance(100)
+			if follower.version < last {
+				t.Fatalf("went back from %d to %d", last, follower.version)
+			}
+			last = follower.version
+			if table.fail == nil && table.stale == 0 && !maps.Equal(copied(), table.rows) && len(copied())+len(table.rows) > 0 {
+				t.Fatalf("copy %v of %v", copied(), table.rows)
+			}
+		}
+	})
+}
+
+func TestRowsThatLapsedInAnOutage(t *testing.T) {
+	// The store is away for seconds, and rows of replicas that live have lapsed
+	// meanwhile. They stay for a while after it is back; who writes its row again
+	// goes on, the other is gone.
+	table, clock := newTable(), newClock()
+	table.put("lives", 1)
+	table.put("died", 1)
+	follower, copied := follow(table, clock, 2200)
+	step := func() { follower.Step(context.Background()) }
+	step()
+	table.fail = eris.New("away")
+	step()
+	clock.Advance(3000)
+	table.fail = nil
+	table.remove("lives")
+	table.remove("died")
+	step()
+	Convey("both stay at first", t, func() { So(copied(), ShouldResemble, map[string]int{"lives": 1, "died": 1}) })
+	clock.Advance(1500)
+	table.put("lives", 2)
+	step()
+	Convey("one is written again", t, func() { So(copied(), ShouldResemble, map[string]int{"lives": 2, "died": 1}) })
+	clock.Advance(800)
+	step()
+	Convey("the other is gone", t, func() { So(copied(), ShouldResemble, map[string]int{"lives": 2}) })
+	table.remove("lives")
+	step()
+	Convey("later removals count at once", t, func() { So(copied(), ShouldBeEmpty) })
+}
+
+func TestAShortFailureMakesNothingLapse(t *testing.T) {
+	table, clock := newTable(), newClock()
+	table.put("a", 1)
+	follower, copied := follow(table, clock, 2200)
+	follower.Step(context.Background())
+	table.fail = eris.New("away")
+	follower.Step(context.Background())
+	clock.Advance(outage - 1)
+	table.fail = nil
+	table.remove("a")
+	follower.Step(context.Background())
+	Convey("a removal counts at once", t, func() { So(copied(), ShouldBeEmpty) })
+}
+
+func TestPausesOfAStoreThatFails(t *testing.T) {
+	// The pause grows to a bound, with jitter, and is gone after a success.
+	table, clock := newTable(), newClock()
+	follower, _ := follow(table, clock, 0)
+	table.fail = eris.New("away")
+	Convey("pauses", t, func() {
+		for range 12 {
+			So(follower.Step(context.Background()), ShouldBeBetweenOrEqual, firstPause/2, longestPause)
+		}
+		So(follower.Synced(), ShouldBeFalse)
+		table.fail = nil
+		So(follower.Step(context.Background()), ShouldEqual, 0)
+		So(follower.Synced(), ShouldBeTrue)
+		So(follower.Answered(), ShouldEqual, clock.Now())
+		table.fail = eris.New("away")
+		So(follower.Step(context.Background()), ShouldBeLessThanOrEqualTo, firstPause)
+	})
+}
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,229 @@
+package gossiper
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// listener is an entry whose digests are sent and read on loopback.
+type listener struct {
+	*Gossiper
+	conn net.PacketConn
+	held map[string]balancer.Held
+
+	mu    sync.Mutex
+	heard []Heard
+}
+
+func newListener(t *testing.T, name string, clock timekeeper.Clock) *listener {
+	t.Helper()
+	conn, err := (&net.ListenConfig{}).ListenPacket(t.Context(), "udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	entry := &listener{conn: conn, held: map[string]balancer.Held{}}
+	entry.Gossiper = New(Settings{
+		Name: name, Incarnation: 1, Clock: clock, Log: log, Scope: tally.NoopScope, Conn: conn,
+		Held: func() map[string]balancer.Held { return entry.held }, Version: func() uint64 { return 7 },
+		Hear: func(heard Heard) {
+			entry.mu.Lock()
+			defer entry.mu.Unlock()
+			entry.heard = append(entry.heard, heard)
+		},
+	})
+	done := make(chan struct{})
+	go func() { defer close(done); _ = entry.Receive() }()
+	t.Cleanup(func() { _ = conn.Close(); <-done })
+	return entry
+}
+
+func (entry *listener) address() string { return entry.conn.LocalAddr().String() }
+
+// wait returns what was heard once there are so many digests.
+func (entry *listener) wait(t *testing.T, count int) []Heard {
+	t.Helper()
+	for range 2000 {
+		entry.mu.Lock()
+		heard := entry.heard
+		entry.mu.Unlock()
+		if len(heard) >= count {
+			return heard
+		}
+		_ = timekeeper.Steady().Sleep(t.Context(), 2)
+	}
+	t.Fatalf("%d digests did not come", count)
+	return nil
+}
+
+func TestWhatADigestTells(t *testing.T) {
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	first, second := newListener(t, "entry-1", clock.Clock()), newListener(t, "entry-2", clock.Clock())
+	first.Learn(second.address())
+	first.held["planner-1"] = balancer.Held{Running: 3, Unread: 9200}
+	parts := []balancer.Part{{ID: 1 << 60, Tokens: 2500}, {ID: 2, Tokens: 580}}
+	first.Placed("planner-1", parts)
+	first.Unreachable("planner-2")
+	first.Leaving("planner-3")
+	first.Struck(Strike{Request: 1 << 63, Replica: "planner-2"})
+	first.round()
+	Convey("all of it arrives", t, func() {
+		heard := second.wait(t, 1)[0]
+		So(heard.Name, ShouldEqual, "entry-1")
+		So(heard.Address, ShouldEqual, first.address())
+		So(heard.Configuration, ShouldEqual, 7)
+		So(heard.Held, ShouldResemble, map[string]balancer.Held{"planner-1": {Running: 3, Unread: 9200}})
+		So(heard.Placements, ShouldResemble, []Placement{{Replica: "planner-1", Parts: parts}})
+		So(heard.Unreachable, ShouldResemble, []string{"planner-2"})
+		So(heard.Leaving, ShouldResemble, []string{"planner-3"})
+		So(heard.Strikes, ShouldResemble, []Strike{{Request: 1 << 63, Replica: "planner-2"}})
+	})
+	Convey("the peer has heard of the sender, and answers", t, func() {
+		So(second.Up(), ShouldResemble, []string{first.address()})
+		second.round()
+		So(first.wait(t, 1)[0].Name, ShouldEqual, "entry-2")
+	})
+	Convey("news is told twice, in case a datagram is lost, and then no more", t, func() {
+		clock.Advance(restful)
+		first.round()
+		So(second.wait(t, 2)[1].Placements, ShouldHaveLength, 1)
+		clock.Advance(restful)
+		first.round()
+		So(second.wait(t, 3)[2].Placements, ShouldBeEmpty)
+	})
+	Convey("a digest that says the same waits", t, func() {
+		before := first.sequence
+		clock.Advance(restful - 1)
+		first.round()
+		So(first.sequence, ShouldEqual, before)
+		first.held["planner-1"] = balancer.Held{Running: 4}
+		first.round()
+		So(first.sequence, ShouldEqual, before+1)
+	})
+}
+
+func TestOldAndForeignDatagrams(t *testing.T) {
+	// Datagrams overtake each other, come twice, or are no digests at all. Only a
+	// newer one of the same life, or one of another life, is taken in.
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	entry := newListener(t, "entry-1", clock.Clock())
+	from, _ := net.ResolveUDPAddr("udp", "127.0.0.1:9")
+	digest := func(incarnation, sequence uint64) []byte {
+		datagram, _ := proto.Marshal(&encoder.PeerDigest{Name: "entry-2", Incarnation: incarnation, Sequence: sequence})
+		return datagram
+	}
+	tests := []struct {
+		name     string
+		datagram []byte
+		taken    int
+	}{
+		{"the first", digest(1, 5), 1},
+		{"the same again", digest(1, 5), 1},
+		{"an older one", digest(1, 4), 1},
+		{"a newer one", digest(1, 6), 2},
+		{"another life", digest(2, 1), 3},
+		{"no digest", []byte("GET / HTTP/1.1"), 3},
+		{"nothing", nil, 3},
+		{"without a name", func() []byte { out, _ := proto.Marshal(&encoder.PeerDigest{Sequence: 9}); return out }(), 3},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			entry.take(test.datagram, from)
+			So(len(entry.heard), ShouldEqual, test.taken)
+		})
+	}
+}
+
+func TestSilentPeers(t *testing.T) {
+	// A peer falls silent: it is down, or behind a cut. It doesn't count as up, is
+	// knocked at once a second, so that it is heard again when the cut heals, and
+	// is forgotten in the end.
+	peers := newPeers("10.0.0.1:7")
+	now := timekeeper.Instant(timekeeper.Hour)
+	peers.learn("10.0.0.1:7", now)
+	So := func(got, want []string) {
+		t.Helper()
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("%v, not %v", got, want)
+		}
+	}
+	So(peers.due(now), nil)
+	peers.hear("10.0.0.2:7", 1, 1, now)
+	So(peers.due(now), []string{"10.0.0.2:7"})
+	So(peers.due(now.Add(50)), []string{"10.0.0.2:7"})
+	So(peers.up(now.Add(alive)), []string{"10.0.0.2:7"})
+	later := now.Add(alive + 1)
+	So(peers.up(later), nil)
+	So(peers.due(later), []string{"10.0.0.2:7"})
+	So(peers.due(later.Add(knock-1)), nil)
+	So(peers.due(later.Add(knock)), []string{"10.0.0.2:7"})
+	So(peers.due(now.Add(forgotten+1)), nil)
+	So(peers.up(now.Add(forgotten+1)), nil)
+}
+
+func TestTheBudgetOfDigests(t *testing.T) {
+	// Whatever the size of the fleet, an entry spends at most its budget.
+	tests := []struct {
+		size, peers int
+		want        timekeeper.Span
+	}{
+		{300, 1, shortest},
+		{300, 3, 116},
+		{700, 10, 909},
+		{900, 30, longest},
+	}
+	for _, test := range tests {
+		Convey(fmt.Sprintf("%d bytes to %d peers", test.size, test.peers), t, func() {
+			So(interval(test.size, test.peers, defaultBudget), ShouldEqual, test.want)
+		})
+	}
+}
+
+func TestNewsIsBounded(t *testing.T) {
+	box := newOutbox()
+	for number := range 3 * mostNews {
+		box.unreachable.add(fmt.Sprint(number))
+	}
+	Convey("the oldest is dropped", t, func() {
+		told := box.unreachable.take()
+		So(told, ShouldHaveLength, mostNews)
+		So(told[len(told)-1], ShouldEqual, fmt.Sprint(3*mostNews-1))
+		box.unreachable.take()
+		So(box.empty(), ShouldBeTrue)
+	})
+}
+
+// FuzzTake feeds bytes to the reader of digests: it must neither fail nor take
+// in lists that don't fit together.
+func FuzzTake(f *testing.F) {
+	datagram, _ := proto.Marshal(&encoder.PeerDigest{
+		Name: "entry-2", Sequence: 1, Placements: []*encoder.PeerPlacement{{Replica: "a", Parts: []uint64{1, 2}, Tokens: []uint32{3}}},
+	})
+	f.Add(datagram)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		digest := &encoder.PeerDigest{}
+		if proto.Unmarshal(datagram, digest) != nil {
+			return
+		}
+		heard := heardOf(digest, "127.0.0.1:9")
+		for i, placed := range heard.Placements {
+			if len(placed.Parts) > len(digest.Placements[i].Tokens) {
+				t.Fatal("parts without tokens")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/loader/direct_test.go
@@ -0,0 +1,62 @@
+package loader
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const soundDirect = `name = "front-bole-1"
+data-centre = "bole"
+listen = "10.0.0.1:8080"
+ready-listen = "10.0.0.1:8081"
+metrics-listen = "10.0.0.1:9464"
+peer-listen = "10.0.0.1:7340"
+store = "10.200.1.7:8223"
+memory-megabytes = 284
+stop-grace = "8s"
+bound = 2
+
+[retry]
+window = "10s"
+ratio = 0.2
+extra = 52
+`
+
+func TestSettingsOfAnEntryWithoutAgents(t *testing.T) {
+	tests := []struct {
+		name, old, new string
+		want           []string
+	}{
+		{"sound settings", "", "", nil},
+		{"without what has a default", "bound = 2\n\n[retry]\nwindow = \"10s\"\nratio = 0.2\nextra = 52\n", "", nil},
+		{"no store", "store = \"10.200.1.7:8223\"\n", "", []string{":1: store is missing"}},
+		{"a host name", "10.200.1.7:8223", "store.example:80", []string{`:7: store is "store.example:80"`}},
+		{"a bound below zero", "bound = 2", "bound = -2", []string{":10: bound is -2"}},
+		{"a key that is unknown", "bound = 2", "bond = 2", []string{":10: unknown key bond"}},
+		{"a key of the table that is unknown", "extra = 52", "extras = 52", []string{":15: unknown key retry.extras"}},
+		{"a span that is none", `"8s"`, `"soon"`, []string{":9: "}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			file := filepath.Join(t.TempDir(), "entry.toml")
+			So(os.WriteFile(file, []byte(strings.Replace(soundDirect, test.old, test.new, 1)), 0o600), ShouldBeNil)
+			direct, faults := ReadDirect(file)
+			So(faults, ShouldHaveLength, len(test.want))
+			for i, want := range test.want {
+				So(faults[i].String(), ShouldStartWith, file+want)
+			}
+			if len(test.want) == 0 {
+				So(direct.Retry.Window, ShouldEqual, 10*timekeeper.Second)
+				So(direct.Retry.Ratio, ShouldEqual, 0.2)
+				So(direct.Bound, ShouldEqual, 2)
+				So(direct.StopDelay, ShouldEqual, defaultStopDelay)
+			}
+		})
+	}
+}
