follower, gossiper: a row that went while others were served has not lapsed

How the logs showed it: 'store regained', 'row lapsed in an outage, kept for a while', and 3.9 s later 'lapsed row is gone' at the one entry, 'replica listed ... gone' at the others before. Change: entries tell each other how old their last answer of the store is; rows are kept only if no peer was served within the outage; a read ends when lapsed rows are due. Tests, each failing first: a read that waits (virtual time), peers that were served (virtual time), a store that turns one of two real processes away.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -229,7 +229,7 @@
 	})
 	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
 		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store), Seed: newIncarnation(),
-		Pace: replicaPace, Lapse: replicaLapse, Apply: direct.list,
+		Pace: replicaPace, Lapse: replicaLapse, Apply: direct.list, OthersServed: direct.fellows.othersServed,
 	})
 }
 
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -43,6 +44,8 @@
 
 	mu       sync.Mutex
 	fetching bool
+	// served are instants at which the store answered peers, in order.
+	served []timekeeper.Instant
 }
 
 // newFellows returns the side of the process that other entries see.
@@ -53,6 +56,7 @@
 	fellows.gossiper = gossiper.New(gossiper.Settings{
 		Name: direct.settings.Name, Incarnation: newIncarnation(), Clock: direct.clock, Log: direct.log,
 		Scope: direct.scope, Conn: conn, Held: direct.held, Version: direct.version, Hear: fellows.hear,
+		StoreAnswered: func() timekeeper.Instant { return direct.replicas.Answered() },
 	})
 	return fellows, transport.CloseIdleConnections
 }
@@ -133,11 +137,51 @@
 	for _, strike := range heard.Strikes {
 		fellows.direct.front.Strike(strike.Request, strike.Replica)
 	}
+	fellows.noteServed(heard.StoreAnswered)
 	if heard.Configuration > fellows.direct.version() {
 		fellows.fetchSoon(heard.Address)
 	}
 }
 
+const (
+	// servedStep and mostServed bound what is remembered of the store's answers to
+	// peers: a minute of it.
+	servedStep = 250 * timekeeper.Millisecond
+	mostServed = 240
+	// backTogether is how far apart entries notice that the store is back: twice
+	// the longest pause between two reads.
+	backTogether = 1200 * timekeeper.Millisecond
+)
+
+// noteServed notes when the store answered a peer.
+func (fellows *fellows) noteServed(at timekeeper.Instant) {
+	fellows.mu.Lock()
+	defer fellows.mu.Unlock()
+	if count := len(fellows.served); count > 0 && at < fellows.served[count-1].Add(servedStep) {
+		return
+	}
+	fellows.served = append(fellows.served, at)
+	if len(fellows.served) > mostServed {
+		fellows.served = fellows.served[1:]
+	}
+}
+
+// othersServed reports whether the store answered peers well within a time in
+// which it did not answer this entry.
+//
+// The failure: the store turns this entry away alone, and a replica leaves
+// meanwhile. The symptom: this entry takes its missing row for one that lapsed in
+// the outage and goes on sending it work. That a peer was served tells the two
+// apart; answers shortly before the end don't, since the store may have come
+// back for all.
+func (fellows *fellows) othersServed(from, to timekeeper.Instant) bool {
+	fellows.mu.Lock()
+	defer fellows.mu.Unlock()
+	return slices.ContainsFunc(fellows.served, func(at timekeeper.Instant) bool {
+		return at > from && at < to.Add(-backTogether)
+	})
+}
+
 // fetchSoon fetches a newer configuration from a peer, if the store does not
 // bring it first.
 //
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -52,7 +53,11 @@
 	// Lapse is how long a row that is missing after an outage stays; zero means
 	// not at all.
 	Lapse timekeeper.Span
-	Seed  uint64
+	// OthersServed reports whether the store served other processes between two
+	// instants. What is missing after an outage of this process alone has not
+	// lapsed. Nil means never.
+	OthersServed func(from, to timekeeper.Instant) bool
+	Seed         uint64
 }
 
 const (
@@ -87,6 +92,9 @@
 
 // New returns a follower that knows nothing.
 func New[T any](settings Settings[T]) *Follower[T] {
+	if settings.OthersServed == nil {
+		settings.OthersServed = func(timekeeper.Instant, timekeeper.Instant) bool { return false }
+	}
 	return &Follower[T]{
 		settings: settings,
 		draws:    rand.New(rand.NewPCG(settings.Seed, 23)),
@@ -121,8 +129,17 @@
 
 // Step reads once and returns how long to wait before the next step.
 func (follower *Follower[T]) Step(ctx context.Context) timekeeper.Span {
-	changes, version, err := follower.read(ctx)
+	bounded, release := follower.untilDue(ctx)
+	changes, version, err := follower.read(bounded)
+	release()
 	now := follower.settings.Clock.Now()
+	if context.Cause(bounded) == errDue {
+		// Rows are due to go; the read goes on in the next step.
+		if follower.expire(now) {
+			follower.settings.Apply(maps.Clone(follower.rows))
+		}
+		return 0
+	}
 	if err != nil {
 		return follower.failed(err, now)
 	}
@@ -140,6 +157,31 @@
 	return follower.settings.Pace
 }
 
+// errDue ends a read when lapsed rows are due to go.
+var errDue = eris.New("lapsed rows are due")
+
+// untilDue bounds a read by when the next lapsed row is due to go: reads wait for
+// changes, and there may be none for long.
+func (follower *Follower[T]) untilDue(ctx context.Context) (context.Context, func()) {
+	if len(follower.lapsing) == 0 {
+		return ctx, func() {}
+	}
+	due := slices.Min(slices.Collect(maps.Values(follower.lapsing)))
+	ctx, cancel := context.WithCancelCause(ctx)
+	fired, release := follower.settings.Clock.After(due.Since(follower.settings.Clock.Now()))
+	go func() {
+		select {
+		case <-fired:
+			cancel(errDue)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() {
+		release()
+		cancel(nil)
+	}
+}
+
 // read returns changes; a snapshot comes as changes too.
 func (follower *Follower[T]) read(ctx context.Context) ([]Change[T], Version, error) {
 	if follower.known {
@@ -232,12 +274,13 @@
 		return
 	}
 	away := now.Since(follower.failing)
+	alone := follower.settings.OthersServed(follower.failing, now)
 	follower.failing = 0
-	if away >= outage && follower.settings.Lapse > 0 {
+	if away >= outage && !alone {
 		follower.lenient = now.Add(follower.settings.Lapse)
 	}
 	follower.settings.Log.WithFields(logrus.Fields{
-		"table": follower.settings.Name, "away-ms": int64(away),
+		"table": follower.settings.Name, "away-ms": int64(away), "others-served": alone,
 	}).Info("store regained")
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -185,3 +185,90 @@
 		So(follower.Step(context.Background()), ShouldBeLessThanOrEqualTo, firstPause)
 	})
 }
+
+func TestALapsedRowGoesInTimeThoughNothingChanges(t *testing.T) {
+	// After an outage a replica's row is missing, and no row changes for seconds:
+	// the read for changes waits. The row is gone when its time is over, not when
+	// the next change comes; a caller's request would go to a replica that has left.
+	table, clock := newTable(), newClock()
+	table.put("died", 1)
+	waiting := make(chan struct{})
+	source := table.source()
+	waits := false
+	applied := make(chan map[string]int, 8)
+	follower := New(Settings[int]{
+		Name: "test", Clock: clock.Clock(), Log: quiet(), Lapse: 2200,
+		Apply: func(rows map[string]int) { applied <- rows },
+		Source: Source[int]{
+			Snapshot: source.Snapshot,
+			Changes: func(ctx context.Context, after Version) ([]Change[int], Version, error) {
+				if !waits {
+					return source.Changes(ctx, after)
+				}
+				close(waiting)
+				<-ctx.Done()
+				return nil, 0, ctx.Err()
+			},
+		},
+	})
+	ctx := t.Context()
+	follower.Step(ctx)
+	<-applied
+	table.fail = eris.New("away")
+	follower.Step(ctx)
+	clock.Advance(3000)
+	table.fail = nil
+	table.remove("died")
+	follower.Step(ctx)
+	waits = true
+	done := make(chan timekeeper.Span)
+	go func() { done <- follower.Step(ctx) }()
+	<-waiting
+	clock.Advance(2200)
+	pause := <-done
+	Convey("it is gone, and the store does not count as lost", t, func() {
+		So(<-applied, ShouldBeEmpty)
+		So(pause, ShouldEqual, 0)
+		So(follower.failing, ShouldEqual, 0)
+	})
+}
+
+func TestRowsThatWentWhileOthersWereServed(t *testing.T) {
+	// The store turns this process away for seconds and serves others. A row that
+	// is missing afterwards has not lapsed: its replica has left, and peers know.
+	tests := []struct {
+		name   string
+		served bool
+		want   map[string]int
+	}{
+		{"others were served", true, map[string]int{}},
+		{"nobody was", false, map[string]int{"left": 1}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			table, clock := newTable(), newClock()
+			table.put("left", 1)
+			var from, to timekeeper.Instant
+			copied := map[string]int{}
+			follower := New(Settings[int]{
+				Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: 2200,
+				Apply: func(rows map[string]int) { copied = rows },
+				OthersServed: func(begin, end timekeeper.Instant) bool {
+					from, to = begin, end
+					return test.served
+				},
+			})
+			follower.Step(context.Background())
+			table.fail = eris.New("turned away")
+			begin := clock.Now()
+			follower.Step(context.Background())
+			clock.Advance(5000)
+			table.fail = nil
+			table.remove("left")
+			follower.Step(context.Background())
+			So(copied, ShouldResemble, test.want)
+			So(from, ShouldEqual, begin)
+			So(to, ShouldEqual, clock.Now())
+		})
+	}
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -35,6 +35,8 @@
 	Life          timekeeper.Span
 	Held          map[string]balancer.Held
 	Configuration uint64
+	// StoreAnswered is when the store answered the peer last; zero means never.
+	StoreAnswered timekeeper.Instant
 	Stopping      bool
 	Placements    []Placement
 	Unreachable   []string
@@ -61,6 +63,8 @@
 	Held func() map[string]balancer.Held
 	// Version returns the version of the configuration in force.
 	Version func() uint64
+	// StoreAnswered returns when the store answered this entry last; zero means never.
+	StoreAnswered func() timekeeper.Instant
 	// Hear takes what a peer tells.
 	Hear func(heard Heard)
 	// Budget is in bytes a second; zero means 7,700.
@@ -229,7 +233,8 @@
 	gossiper.last, gossiper.lastSent = digest, now
 	gossiper.sequence++
 	full := &encoder.PeerDigest{
-		Name: digest.Name, Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
+		StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
+		Name:       digest.Name, Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
 		Configuration: version, Stopping: digest.Stopping, Loads: loads,
 	}
 	gossiper.outbox.fill(full)
@@ -240,6 +245,15 @@
 	return full, due
 }
 
+// ageOf returns how long ago an instant is, at least a millisecond; zero means
+// that there is none.
+func ageOf(at, now timekeeper.Instant) uint32 {
+	if at == 0 {
+		return 0
+	}
+	return uint32(min(max(1, now.Since(at)), timekeeper.Hour))
+}
+
 // same reports whether a digest says what the last one did.
 func same(last, next *encoder.PeerDigest) bool {
 	if last == nil || last.Configuration != next.Configuration || last.Stopping != next.Stopping ||
@@ -297,7 +311,7 @@
 	}
 	gossiper.mu.Unlock()
 	if fresh {
-		gossiper.settings.Hear(heardOf(digest, address))
+		gossiper.settings.Hear(heardOf(digest, address, now))
 	}
 }
 
@@ -309,12 +323,15 @@
 )
 
 // heardOf decodes a digest. Lists that don't fit together are cut to the shorter.
-func heardOf(digest *encoder.PeerDigest, address string) Heard {
+func heardOf(digest *encoder.PeerDigest, address string, now timekeeper.Instant) Heard {
 	heard := Heard{
 		Name: digest.Name, Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
 		Life: min(max(shortestLife, lifeRounds*timekeeper.Span(digest.IntervalMs)), lifeRounds*longest),
 		Held: make(map[string]balancer.Held, len(digest.Loads)), Unreachable: digest.Unreachable, Leaving: digest.Leaving,
 	}
+	if digest.StoreAgeMs > 0 {
+		heard.StoreAnswered = now.Add(-timekeeper.Span(digest.StoreAgeMs))
+	}
 	for _, load := range digest.Loads {
 		heard.Held[load.Replica] = balancer.Held{Running: int(load.Running), Unread: int(load.Unread)}
 	}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -39,6 +39,7 @@
 	entry.Gossiper = New(Settings{
 		Name: name, Incarnation: 1, Clock: clock, Log: log, Scope: tally.NoopScope, Conn: conn,
 		Held: func() map[string]balancer.Held { return entry.held }, Version: func() uint64 { return 7 },
+		StoreAnswered: func() timekeeper.Instant { return clock.Now().Add(-250) },
 		Hear: func(heard Heard) {
 			entry.mu.Lock()
 			defer entry.mu.Unlock()
@@ -85,6 +86,7 @@
 		So(heard.Name, ShouldEqual, "entry-1")
 		So(heard.Address, ShouldEqual, first.address())
 		So(heard.Configuration, ShouldEqual, 7)
+		So(heard.StoreAnswered, ShouldEqual, clock.Now().Add(-250))
 		So(heard.Held, ShouldResemble, map[string]balancer.Held{"planner-1": {Running: 3, Unread: 9200}})
 		So(heard.Placements, ShouldResemble, []Placement{{Replica: "planner-1", Parts: parts}})
 		So(heard.Unreachable, ShouldResemble, []string{"planner-2"})
@@ -219,7 +221,7 @@
 		if proto.Unmarshal(datagram, digest) != nil {
 			return
 		}
-		heard := heardOf(digest, "127.0.0.1:9")
+		heard := heardOf(digest, "127.0.0.1:9", timekeeper.Instant(timekeeper.Hour))
 		for i, placed := range heard.Placements {
 			if len(placed.Parts) > len(digest.Placements[i].Tokens) {
 				t.Fatal("parts without tokens")
--- a/test/direct/failure_test.go
+++ b/test/direct/failure_test.go
@@ -340,3 +340,33 @@
 		So(first.send(order("good")).status, ShouldEqual, http.StatusOK)
 	})
 }
+
+func TestAReplicaLeavesWhileTheStoreTurnsAnEntryAway(t *testing.T) {
+	// The store turns one entry away for seconds and serves its peer. A replica
+	// vanishes from the list meanwhile and goes on for a while. When the store
+	// answers the entry again, the row is missing; the replica has not lapsed, and
+	// gets no more work.
+	t.Parallel()
+	site := newSite(t)
+	site.orders(2)
+	other := site.serveStore()
+	away, served := site.addEntryBy("entry-1", other), site.addEntry("entry-2")
+	away.waitFor("they hear each other", func() bool { return site.peersOf(away) == 1 && site.peersOf(served) == 1 })
+	site.store.TurnAway(other, emulator.Limited)
+	away.waitFor("it is noticed", func() bool { return away.said("store lost") })
+	site.store.Remove("servers", "orders-1")
+	_ = site.clock.Sleep(t.Context(), 3500)
+	site.store.TurnAway(other, emulator.Sound)
+	away.waitFor("the store is back", func() bool { return away.said("store regained") })
+	away.waitFor("the replica is gone", func() bool {
+		return len(away.logged(func(line logLine) bool { return line.Replica == "orders-1" && line.Gone })) == 1
+	})
+	Convey("its row was not kept", t, func() {
+		So(away.logged(func(line logLine) bool { return strings.HasPrefix(line.Message, "row lapsed") }), ShouldBeEmpty)
+		before := len(site.replicas["orders-1"].Ran())
+		for number := range 10 {
+			So(away.send(order(strconv.Itoa(number))).status, ShouldEqual, http.StatusOK)
+		}
+		So(site.replicas["orders-1"].Ran(), ShouldHaveLength, before)
+	})
+}
--- a/test/direct/site_test.go
+++ b/test/direct/site_test.go
@@ -127,14 +127,19 @@
 		t: t, clock: timekeeper.Steady(), store: emulator.NewStore(timekeeper.Steady()),
 		replicas: map[string]*emulator.Replica{}, stops: map[string]func(){},
 	}
+	site.address = site.serveStore()
+	site.configure(1, siteRoutes(), teamKey)
+	return site
+}
+
+// serveStore serves the store at another address, which can be turned away alone.
+func (site *site) serveStore() string {
 	server := httptest.NewServer(site.store)
-	t.Cleanup(func() {
+	site.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
-	site.address = server.Listener.Addr().String()
-	site.configure(1, siteRoutes(), teamKey)
-	return site
+	return server.Listener.Addr().String()
 }
 
 func (site *site) configure(version int, routes []route, keys ...string) {
@@ -221,24 +226,36 @@
 	Reason  string `json:"reason"`
 	From    string `json:"from"`
 	Version uint64 `json:"version"`
+	Gone    bool   `json:"gone"`
 	Text    string `json:"-"`
 }
 
 // addEntry starts an entry and waits until it is ready.
 func (site *site) addEntry(name string) *entry {
 	site.t.Helper()
-	started := site.startEntry(name)
+	return site.addEntryBy(name, site.address)
+}
+
+// addEntryBy starts an entry that calls the store at an address.
+func (site *site) addEntryBy(name, store string) *entry {
+	site.t.Helper()
+	started := site.startEntryBy(name, store)
 	started.waitFor("ready", func() bool { return started.ready() == http.StatusOK })
 	return started
 }
 
 // startEntry starts an entry and waits until it listens.
 func (site *site) startEntry(name string) *entry {
+	site.t.Helper()
+	return site.startEntryBy(name, site.address)
+}
+
+func (site *site) startEntryBy(name, store string) *entry {
 	site.t.Helper()
 	file := filepath.Join(site.t.TempDir(), "entry.toml")
 	started := &entry{t: site.t, done: make(chan struct{}), file: file}
 	started.write(fmt.Sprintf("name = %q\ndata-centre = \"bole\"\nlisten = \"127.0.0.1:0\"\nready-listen = \"127.0.0.1:0\"\n"+
-		"peer-listen = \"127.0.0.1:0\"\nmetrics-listen = \"127.0.0.1:0\"\nstore = %q\nstop-delay = \"300ms\"\n", name, site.address))
+		"peer-listen = \"127.0.0.1:0\"\nmetrics-listen = \"127.0.0.1:0\"\nstore = %q\nstop-delay = \"300ms\"\n", name, store))
 	started.command = exec.CommandContext(context.Background(), binary, "entry", "-direct", "-settings", file)
 	stdout, err := started.command.StdoutPipe()
 	if err != nil {
