assembler: a part that ends by itself ends the process

The actor that waits for a stage's stop had an empty interrupt, so the group waited for it for ever. Change: the interrupt ends it. It concerns all processes, not only entries without agents.

--- a/internal/assembler/stages.go
+++ b/internal/assembler/stages.go
@@ -58,7 +58,14 @@
 
 func start(group *run.Group, failed chan<- struct{}) running {
 	stage := running{stop: make(chan struct{}), done: make(chan error, 1)}
-	group.Add(func() error { <-stage.stop; return errStageStopped }, func(error) {})
+	ended := make(chan struct{})
+	group.Add(func() error {
+		select {
+		case <-stage.stop:
+		case <-ended:
+		}
+		return errStageStopped
+	}, func(error) { close(ended) })
 	go func() {
 		err := group.Run()
 		failed <- struct{}{}
