--- /dev/null
+++ b/cmd/trefoilseam/explain.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/explainer"
+)
+
+func explainCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "trefoilseam explain REQUEST-ID [FILE...]",
+		ShortHelp:  "tell the story of one request from the logs of several processes",
+		LongHelp: "Reads logs from the files, or from standard input, and prints in order what was\n" +
+			"decided about the request (*) and what processes believed of its replicas then.\n\n" +
+			"  trefoilseam explain 9c41d07be2a35f68 entry-1.log entry-2.log",
+		FlagSet: flag.NewFlagSet("trefoilseam explain", flag.ContinueOnError),
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return eris.Wrap(errUsage, "name the request: trefoilseam explain REQUEST-ID [FILE...]")
+			}
+			return explain(os.Stdout, args[0], args[1:])
+		},
+	}
+}
+
+// explain prints the story of a request from files, or from standard input.
+func explain(out io.Writer, request string, files []string) error {
+	logs := []io.Reader{os.Stdin}
+	if len(files) > 0 {
+		logs = nil
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return eris.Wrap(errUsage, err.Error())
+		}
+		defer func() { _ = file.Close() }()
+		logs = append(logs, file)
+	}
+	story, err := explainer.Read(request, logs...)
+	if err != nil {
+		return err
+	}
+	return story.Write(out)
+}
--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -73,6 +73,7 @@
 			configCommand(),
 			strikesCommand(),
 			membersCommand(),
+			explainCommand(),
 			versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -61,9 +61,11 @@
 	settings loader.Direct
 	file     string
 	clock    timekeeper.Clock
-	log      *logrus.Logger
-	scope    tally.Scope
-	metrics  http.Handler
+	log      logrus.FieldLogger
+	// logger is where the level of the log is set.
+	logger  *logrus.Logger
+	scope   tally.Scope
+	metrics http.Handler
 
 	fleet     *balancer.Guarded
 	pool      *connector.Pool
@@ -89,10 +91,11 @@
 // holds. file is where its settings were read from; they are read again when
 // they change.
 func NewDirect(ctx context.Context, settings loader.Direct, file string, log *logrus.Logger) (*Direct, func(), error) {
-	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), log: log}
+	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), logger: log}
+	direct.log = log.WithField("process", settings.Name)
 	limitMemory(settings)
 	var release func()
-	direct.scope, direct.metrics, release = measurer.New(settings.Name, log)
+	direct.scope, direct.metrics, release = measurer.New(settings.Name, direct.log)
 	direct.onRelease(release)
 	if err := direct.listen(ctx); err != nil {
 		direct.release()
@@ -105,14 +108,14 @@
 		Clock: direct.clock, Opened: func() { direct.scope.Counter("connections-opened").Inc(1) },
 	})
 	direct.onRelease(release)
-	store, release := platform.NewStore(settings.Store, log)
+	store, release := platform.NewStore(settings.Store, direct.log)
 	direct.onRelease(release)
 	direct.fellows, release = newFellows(direct, store, direct.listeners.datagrams)
 	direct.onRelease(release)
 	direct.front = relayer.New(direct.frontSettings())
 	direct.follow(store)
 	direct.log.WithFields(logrus.Fields{
-		"name": settings.Name, "data-centre": settings.DataCentre, "store": settings.Store,
+		"data-centre": settings.DataCentre, "store": settings.Store,
 		"listen": addressOf(direct.listeners.front), "ready-listen": addressOf(direct.listeners.ready),
 		"metrics-listen": addressOf(direct.listeners.metrics), "peer-listen": addressOf(direct.listeners.peers),
 	}).Info("entry started")
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -56,7 +55,9 @@
 	fellows.gossiper = gossiper.New(gossiper.Settings{
 		Name: direct.settings.Name, Incarnation: newIncarnation(), Clock: direct.clock, Log: direct.log,
 		Scope: direct.scope, Conn: conn, Held: direct.held, Version: direct.version, Hear: fellows.hear,
-		StoreAnswered: func() timekeeper.Instant { return direct.replicas.Answered() },
+		StoreAnswered: func() timekeeper.Instant {
+			return max(direct.replicas.Answered(), direct.configurations.Answered())
+		},
 	})
 	return fellows, transport.CloseIdleConnections
 }
@@ -148,9 +149,9 @@
 	// peers: a minute of it.
 	servedStep = 250 * timekeeper.Millisecond
 	mostServed = 240
-	// backTogether is how far apart entries notice that the store is back: twice
-	// the longest pause between two reads.
-	backTogether = 1200 * timekeeper.Millisecond
+	// atOnce is how soon after this entry another one notices that the store is
+	// away: answers until then may have been given before.
+	atOnce = 500 * timekeeper.Millisecond
 )
 
 // noteServed notes when the store answered a peer.
@@ -166,20 +167,22 @@
 	}
 }
 
-// othersServed reports whether the store answered peers well within a time in
-// which it did not answer this entry.
+// othersServed returns when the store first answered a peer after an instant at
+// which it stopped answering this entry; zero means that it has not.
 //
 // The failure: the store turns this entry away alone, and a replica leaves
 // meanwhile. The symptom: this entry takes its missing row for one that lapsed in
-// the outage and goes on sending it work. That a peer was served tells the two
-// apart; answers shortly before the end don't, since the store may have come
-// back for all.
-func (fellows *fellows) othersServed(from, to timekeeper.Instant) bool {
+// the outage and goes on sending it work. When a peer was served tells how long
+// the replica has had to write its row again.
+func (fellows *fellows) othersServed(from timekeeper.Instant) timekeeper.Instant {
 	fellows.mu.Lock()
 	defer fellows.mu.Unlock()
-	return slices.ContainsFunc(fellows.served, func(at timekeeper.Instant) bool {
-		return at > from && at < to.Add(-backTogether)
-	})
+	for _, at := range fellows.served {
+		if at > from.Add(atOnce) {
+			return at
+		}
+	}
+	return 0
 }
 
 // fetchSoon fetches a newer configuration from a peer, if the store does not
--- a/internal/assembler/direct_settings.go
+++ b/internal/assembler/direct_settings.go
@@ -65,6 +65,6 @@
 	// Before the level changes, which may be to one that leaves this line out.
 	log.WithField("needs-restart", fixed != direct.settings).Info("settings read again")
 	if level, err := logrus.ParseLevel(fresh.LogLevel); err == nil {
-		direct.log.SetLevel(level)
+		direct.logger.SetLevel(level)
 	}
 }
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -122,9 +122,11 @@
 	if reason != noReason {
 		return nil, reason
 	}
+	count := len(candidates)
 	best := slices.MinFunc(candidates, func(a, b candidate) int { return compare(a.cost, b.cost) })
 	equals := slices.DeleteFunc(candidates, func(c candidate) bool { return c.cost > best.cost+near })
 	chosen := fleet.pick(equals, ask)
+	held := fleet.heldAt(chosen.replica, now)
 	chosen.running++
 	chosen.doubt.tried(now)
 	chosen.unread[ask.Priority] += chosen.uncached
@@ -133,7 +135,7 @@
 	}
 	placement := &Placement{
 		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
-		expected: chosen.expected, at: now, priority: ask.Priority,
+		Held: held, Candidates: count, expected: chosen.expected, at: now, priority: ask.Priority,
 	}
 	chosen.awaited[placement] = struct{}{}
 	return placement, noReason
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -139,6 +139,9 @@
 	Uncached int
 	// Expected is the expected time until the first part of the answer.
 	Expected timekeeper.Span
+	// Held is how many requests the replica was believed to hold before, and
+	// Candidates how many replicas the choice was among.
+	Held, Candidates int
 	// expected is the expected time without what is doubted of the replica.
 	expected float64
 	at       timekeeper.Instant
--- a/internal/balancer/queue.go
+++ b/internal/balancer/queue.go
@@ -41,6 +41,8 @@
 	Placement *Placement
 	Reason    Reason
 	Wait      timekeeper.Span
+	// Ahead is how many waited before it when it came.
+	Ahead int
 
 	number uint64
 }
@@ -112,7 +114,7 @@
 		return
 	}
 	waiter.Reason = noReason
-	waiter.Wait = queue.drain(waiter, now)
+	waiter.Wait, waiter.Ahead = queue.drain(waiter, now), len(queue.waiting)
 	if now.Add(waiter.Wait) > waiter.Until || len(queue.waiting) >= mostWaiting {
 		waiter.Reason = AllFull
 		return
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,10 +53,11 @@
 	// Lapse is how long a row that is missing after an outage stays; zero means
 	// not at all.
 	Lapse timekeeper.Span
-	// OthersServed reports whether the store served other processes between two
-	// instants. What is missing after an outage of this process alone has not
-	// lapsed. Nil means never.
-	OthersServed func(from, to timekeeper.Instant) bool
+	// OthersServed returns when the store first served another process after an
+	// instant; zero means that it has not. Rows that are missing a Lapse after that
+	// are gone, however long the store has been away for this process. Nil means
+	// that nothing is known of others.
+	OthersServed func(from timekeeper.Instant) timekeeper.Instant
 	Seed         uint64
 }
 
@@ -93,7 +94,7 @@
 // New returns a follower that knows nothing.
 func New[T any](settings Settings[T]) *Follower[T] {
 	if settings.OthersServed == nil {
-		settings.OthersServed = func(timekeeper.Instant, timekeeper.Instant) bool { return false }
+		settings.OthersServed = func(timekeeper.Instant) timekeeper.Instant { return 0 }
 	}
 	return &Follower[T]{
 		settings: settings,
@@ -140,6 +141,10 @@
 		}
 		return 0
 	}
+	if ctx.Err() != nil {
+		// The process stops; that says nothing about the store.
+		return 0
+	}
 	if err != nil {
 		return follower.failed(err, now)
 	}
@@ -274,13 +279,17 @@
 		return
 	}
 	away := now.Since(follower.failing)
-	alone := follower.settings.OthersServed(follower.failing, now)
+	back := now
+	if served := follower.settings.OthersServed(follower.failing); served != 0 {
+		back = min(back, served)
+	}
 	follower.failing = 0
-	if away >= outage && !alone {
-		follower.lenient = now.Add(follower.settings.Lapse)
+	if away >= outage {
+		follower.lenient = back.Add(follower.settings.Lapse)
 	}
 	follower.settings.Log.WithFields(logrus.Fields{
-		"table": follower.settings.Name, "away-ms": int64(away), "others-served": alone,
+		"table": follower.settings.Name, "away-ms": int64(away),
+		"back-for-others-ms": int64(now.Since(back)),
 	}).Info("store regained")
 }
 
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -40,7 +40,9 @@
 		return result
 	}
 	task.markFirst()
-	result.failed = answer.StatusCode >= http.StatusInternalServerError
+	if answer.StatusCode >= http.StatusInternalServerError {
+		result.cause, result.failed = errServer, true
+	}
 	task.begin(answer)
 	if len(held) < heldAnswer {
 		answer.Finish(true)
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -51,7 +51,9 @@
 
 	excluded []string
 	// runs counts replicas that may have run the request.
-	runs     int
+	runs int
+	// ahead is how many requests waited for a replica when this one came.
+	ahead    int
 	refusals int
 	unsent   int
 	// fingerprint identifies a request that is sent again by its caller.
@@ -162,6 +164,7 @@
 			return task.unplaced(ctx, waiter)
 		}
 		placement := waiter.Placement
+		task.logPlacement(placement)
 		result := task.attempt(ctx, placement)
 		task.note(placement, result)
 		if result.verdict == answered {
@@ -206,6 +209,7 @@
 		Due: task.arrived.Add(task.route.Target), Until: task.arrived.Add(task.wait()),
 	}
 	task.entry.queue.place(ctx, waiter)
+	task.ahead = waiter.Ahead
 	return waiter
 }
 
@@ -297,6 +301,9 @@
 		"request-id": task.call.ID, "route": task.route.Name, "team": task.team.Name, "version": task.config.Version(),
 		"service": task.service, "rank": int(task.rank()), "total-ms": int64(now.Since(task.arrived)), "runs": task.runs,
 	}
+	if task.ahead > 0 {
+		fields["ahead"] = task.ahead
+	}
 	if task.placement != nil {
 		fields["replica"] = task.replica
 		fields["uncached"] = task.placement.Uncached
@@ -319,6 +326,17 @@
 	task.entry.settings.Log.WithFields(fields).Warn("request failed")
 }
 
+// logPlacement tells where a request goes and by what that was decided. It is
+// written before anything is sent, so that it is there if the process ends.
+func (task *task) logPlacement(placement *balancer.Placement) {
+	task.entry.settings.Log.WithFields(logrus.Fields{
+		"request-id": task.call.ID, "replica": placement.Replica.ID, "service": task.service, "route": task.route.Name,
+		"version": task.config.Version(), "rank": int(task.rank()), "uncached": placement.Uncached, "held": placement.Held,
+		"candidates": placement.Candidates, "expected-ms": int64(placement.Expected),
+		"waited-ms": int64(task.entry.settings.Clock.Now().Since(task.arrived)),
+	}).Info("request placed")
+}
+
 func formatVersion(version uint64) string {
 	return strconv.FormatUint(version, 10)
 }
