--- /dev/null
+++ b/internal/relayer/entry_bench_test.go
@@ -0,0 +1,129 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/router"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// plainDialect is a dialect with names of its own, for tests of this package.
+func plainDialect() Dialect {
+	return Dialect{
+		ReadCall: func(r *http.Request) (Call, error) { return Call{ID: r.Header.Get("Id"), Deadline: 60000}, nil },
+		Dispatch: func(r *http.Request, _ Dispatch) http.Header { return http.Header{"Id": r.Header["Id"]} },
+		ReadHead: func(_ int, header http.Header) Head { return Head{ID: header.Get("Id"), Signed: true} },
+		CopyAnswer: func(to, from http.Header) {
+			to["Content-Type"], to["Id"] = from["Content-Type"], from["Id"]
+		},
+		Refuse: classifier.Write,
+	}
+}
+
+// newTestEntry returns an entry before one replica.
+func newTestEntry(t testing.TB, replica string) *Entry {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := timekeeper.Steady()
+	fleet := balancer.New(balancer.Settings{})
+	fleet.SetEngine("planner", 300000)
+	fleet.SetReplicas([]balancer.Replica{{ID: "i-1", Service: "planner", Address: replica}})
+	pool, release := connector.NewPool(connector.Settings{Clock: clock})
+	t.Cleanup(release)
+	config := router.New(router.Content{Version: 1, Routes: []router.Route{{
+		Host: "kitchen.example", Prefix: "/", Kind: router.Stream, Replicas: 1,
+		Destinations: []router.Destination{{Service: "planner", Weight: 1}},
+	}}})
+	return New(Settings{
+		Clock: clock, Log: log, Scope: tally.NoopScope, Fleet: balancer.Guard(fleet), Pool: pool, Dialect: plainDialect(),
+		Config: func() *router.Configuration { return config }, Sharers: func() int { return 8 }, BodyMemory: 1 << 30,
+	})
+}
+
+// streaming answers with as many events as the path says.
+func streaming(w http.ResponseWriter, r *http.Request) {
+	count, _ := strconv.Atoi(r.URL.Path[1:])
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Id", r.Header.Get("Id"))
+	control := http.NewResponseController(w)
+	event := []byte("id: 1\ndata: fifty-five bytes of an answer, more or less\n\n")
+	for range count {
+		_, _ = w.Write(event)
+		_ = control.Flush()
+	}
+}
+
+// readStream reads one stream and returns its length.
+func readStream(client *http.Client, address string, events int) (int64, error) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, fmt.Sprintf("%s/%d", address, events), http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	request.Host = "kitchen.example"
+	request.Header.Set("Id", "r")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return io.Copy(io.Discard, response.Body)
+}
+
+// allocationsOfEvent returns what one more event of a stream allocates.
+func allocationsOfEvent(b *testing.B, address string) float64 {
+	const few, many, rounds = 100, 1100, 20
+	client := &http.Client{}
+	measure := func(events int) float64 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range rounds {
+			if _, err := readStream(client, address, events); err != nil {
+				b.Fatal(err)
+			}
+		}
+		runtime.ReadMemStats(&after)
+		return float64(after.Mallocs-before.Mallocs) / rounds
+	}
+	measure(few)
+	return (measure(many) - measure(few)) / (many - few)
+}
+
+// BenchmarkStreamedEvent bounds what the entry adds to an event of a stream. The
+// time is only reported: it is the machine's; allocations are not.
+func BenchmarkStreamedEvent(b *testing.B) {
+	replica := httptest.NewServer(http.HandlerFunc(streaming))
+	defer replica.Close()
+	front := httptest.NewServer(newTestEntry(b, replica.Listener.Addr().String()))
+	defer front.Close()
+	direct, relayed := allocationsOfEvent(b, replica.URL), allocationsOfEvent(b, front.URL)
+	b.ReportMetric(relayed-direct, "added-allocs/event")
+	if relayed > 1.5*direct+0.5 {
+		b.Fatalf("an event allocates %.2f times through the entry, %.2f times directly", relayed, direct)
+	}
+	for _, side := range []struct{ name, address string }{{"direct", replica.URL}, {"entry", front.URL}} {
+		b.Run(side.name, func(b *testing.B) {
+			const events = 1000
+			client := &http.Client{}
+			for b.Loop() {
+				if _, err := readStream(client, side.address, events); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*events), "ns/event")
+		})
+	}
+}
