assembler, relayer, balancer: callers' connections are bounded, an entry that is late refuses, one look at who waits

What remained were descriptors: 5,700 were open with 4,100 allowed; the server waits up to a second after a failed accept, and reads what was sent meanwhile when the callers have left. Change: callers' connections get seven tenths of the descriptors; from six tenths of that the longest idle are closed and callers are asked to leave after their answer; one too many is closed at once, unread. Idle connections end after the operator's limit. Beside it: those who wait are looked at once instead of sorted for each end; an entry whose timer is late refuses a share of what comes; a caller's leaving is noticed before anything is sent. Tests: connections that pile up (virtual time), lateness, BenchmarkDispatch.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -73,6 +73,7 @@
 	document  atomic.Pointer[platform.Document]
 	readiness readiness
 	fellows   *fellows
+	callers   *callers
 
 	configurations *follower.Follower[platform.Document]
 	replicas       *follower.Follower[balancer.Replica]
@@ -93,6 +94,7 @@
 func NewDirect(ctx context.Context, settings loader.Direct, file string, log *logrus.Logger) (*Direct, func(), error) {
 	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), logger: log}
 	direct.log = log.WithField("process", settings.Name)
+	direct.callers = newCallers(direct.clock, settings.Descriptors)
 	limitMemory(settings)
 	var release func()
 	direct.scope, direct.metrics, release = measurer.New(settings.Name, direct.log)
@@ -197,6 +199,7 @@
 		Struck: func(request uint64, replica string) {
 			direct.fellows.gossiper.Struck(gossiper.Strike{Request: request, Replica: replica})
 		},
+		Crowded:    direct.callers.crowded,
 		BodyMemory: int64(bodyShare * float64(megabytes<<20)),
 		Seed:       newIncarnation(),
 	}
@@ -299,6 +302,7 @@
 	addLoop(rest, direct.replicas.Run)
 	addLoop(rest, direct.sweep)
 	addLoop(rest, direct.front.Run)
+	addLoop(rest, direct.front.Measure)
 	addLoop(rest, direct.watchSettings)
 	addLoop(rest, direct.fellows.register)
 	addLoop(rest, direct.fellows.gossiper.Run)
@@ -321,18 +325,30 @@
 
 func (direct *Direct) sweep(ctx context.Context) {
 	span := func() timekeeper.Span { return sweepEvery }
-	direct.clock.Every(ctx, span, func(context.Context) { direct.pool.Sweep() })
+	direct.clock.Every(ctx, span, func(context.Context) {
+		direct.pool.Sweep()
+		direct.callers.sweep(direct.idleLimit())
+	})
+}
+
+// idleLimit returns how long a caller's connection may be idle.
+func (direct *Direct) idleLimit() timekeeper.Span {
+	if config := direct.config(); config != nil {
+		return config.Limits().IdleTime
+	}
+	return 0
 }
 
 // addFront adds the server that callers reach.
 func (direct *Direct) addFront(group *run.Group) {
 	server := &http.Server{
 		Handler: direct.front, ReadHeaderTimeout: headerPatience.Duration(), IdleTimeout: idlePatience.Duration(),
-		MaxHeaderBytes: mostHeader, ErrorLog: nil,
+		MaxHeaderBytes: mostHeader, ConnState: direct.callers.watch,
 	}
+	front := boundedListener{Listener: direct.listeners.front, callers: direct.callers}
 	stopped := make(chan error, 1)
 	group.Add(func() error {
-		if err := server.Serve(direct.listeners.front); !eris.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(front); !eris.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve")
 		}
 		return <-stopped
--- /dev/null
+++ b/internal/assembler/direct_callers_test.go
@@ -0,0 +1,79 @@
+package assembler
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// closingConn is a connection that only notes its close.
+type closingConn struct {
+	net.Conn
+	closed bool
+}
+
+func (conn *closingConn) Close() error {
+	conn.closed = true
+	return nil
+}
+
+func TestIdleConnectionsOfCallersMakeRoom(t *testing.T) {
+	// Connections of callers pile up. The ones that have been idle for too long are
+	// closed, and when there are too many those that have been idle longest; one on
+	// which a request is on its way is never closed.
+	const descriptors = otherDescriptors + 100 // 70 for callers, crowded beyond 42
+	tests := []struct {
+		name                    string
+		idle, active            int
+		crowded, full           bool
+		closedShort, closedLong int
+	}{
+		{"few", 20, 10, false, false, 0, 20},
+		{"many", 40, 10, true, false, 8, 40},
+		{"too many", 60, 10, true, true, 28, 60},
+		{"all in use", 0, 70, true, true, 0, 0},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+			callers := newCallers(clock.Clock(), descriptors)
+			var conns []*closingConn
+			for number := range test.idle + test.active {
+				conn := &closingConn{}
+				conns = append(conns, conn)
+				callers.watch(conn, http.StateNew)
+				callers.watch(conn, http.StateActive)
+				if number < test.idle {
+					callers.watch(conn, http.StateIdle)
+					clock.Advance(10)
+				}
+			}
+			So(callers.crowded(), ShouldEqual, test.crowded)
+			So(callers.full(), ShouldEqual, test.full)
+			closed := func() int {
+				count := 0
+				for number, conn := range conns {
+					if conn.closed {
+						count++
+						So(number, ShouldBeLessThan, test.idle)
+					}
+				}
+				return count
+			}
+			callers.sweep(timekeeper.Minute)
+			So(closed(), ShouldAlmostEqual, test.closedShort, 2)
+			clock.Advance(2 * timekeeper.Minute)
+			callers.sweep(timekeeper.Minute)
+			So(closed(), ShouldEqual, test.closedLong)
+			for _, conn := range conns {
+				callers.watch(conn, http.StateClosed)
+			}
+			So(callers.open, ShouldBeEmpty)
+			So(callers.idle, ShouldEqual, 0)
+		})
+	}
+}
--- a/internal/balancer/queue.go
+++ b/internal/balancer/queue.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -13,7 +12,7 @@
 	rateMemory = timekeeper.Second
 	// mostWaiting bounds the requests that wait for one service. Their bodies are
 	// bounded in bytes elsewhere; beyond this the order costs more than it brings.
-	mostWaiting = 512
+	mostWaiting = 256
 	// teamMemory is the half-life over which a team's grants count against it.
 	teamMemory = 2 * timekeeper.Second
 )
@@ -201,43 +200,55 @@
 }
 
 func (fleet *Fleet) dispatch(queue *serviceQueue, now timekeeper.Instant) []*Waiter {
-	fleet.order(queue.waiting, now)
 	var decided []*Waiter
-	blocked := false
 	queue.waiting = slices.DeleteFunc(queue.waiting, func(waiter *Waiter) bool {
-		switch {
-		case now >= waiter.Until:
-			waiter.Reason, waiter.Wait = AllFull, queue.drain(waiter, now)
-		case blocked:
-			return false
-		case fleet.try(waiter, now):
-		case waits(waiter.Reason):
-			// Who comes behind would not find a place either.
-			waiter.Reason, blocked = noReason, true
+		if now < waiter.Until {
 			return false
 		}
+		waiter.Reason, waiter.Wait = AllFull, queue.drain(waiter, now)
 		decided = append(decided, waiter)
 		return true
 	})
+	for len(queue.waiting) > 0 {
+		next := fleet.next(queue.waiting, now)
+		waiter := queue.waiting[next]
+		if !fleet.try(waiter, now) && waits(waiter.Reason) {
+			// Who comes behind would not find a place either.
+			waiter.Reason = noReason
+			return decided
+		}
+		decided = append(decided, waiter)
+		queue.waiting = slices.Delete(queue.waiting, next, next+1)
+	}
 	return decided
 }
 
-// order sorts who waits: the most urgent first, then who is on time, then teams by what they have had
-// of late, then who came first.
-func (fleet *Fleet) order(waiting []*Waiter, now timekeeper.Instant) {
-	had := make(map[string]float64, len(waiting))
-	for _, waiter := range waiting {
-		had[waiter.Team] = fleet.team(waiter.Team).now(teamMemory, now)
+// next returns who gets the next place: the most urgent, then who is on time,
+// then the team that has had least of late, then who came first. It looks at each
+// once; at hundreds of ends a second with hundreds who wait, sorting them for each
+// end held up the entry for longer than their callers' patience.
+func (fleet *Fleet) next(waiting []*Waiter, now timekeeper.Instant) int {
+	best := 0
+	for i := 1; i < len(waiting); i++ {
+		if fleet.before(waiting[i], waiting[best], now) {
+			best = i
+		}
 	}
-	late := func(waiter *Waiter) int {
-		if now >= waiter.Due {
-			return 1
+	return best
+}
+
+func (fleet *Fleet) before(a, b *Waiter, now timekeeper.Instant) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	if lateA, lateB := now >= a.Due, now >= b.Due; lateA != lateB {
+		return lateB
+	}
+	if a.Team != b.Team {
+		hadA, hadB := fleet.team(a.Team).now(teamMemory, now), fleet.team(b.Team).now(teamMemory, now)
+		if hadA != hadB {
+			return hadA < hadB
 		}
-		return 0
 	}
-	slices.SortFunc(waiting, func(a, b *Waiter) int {
-		return cmp.Or(
-			cmp.Compare(a.Rank, b.Rank), cmp.Compare(late(a), late(b)), cmp.Compare(had[a.Team], had[b.Team]), cmp.Compare(a.number, b.number),
-		)
-	})
+	return a.number < b.number
 }
--- a/internal/balancer/queue_test.go
+++ b/internal/balancer/queue_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -175,3 +176,24 @@
 		})
 	}
 }
+
+func BenchmarkDispatch(b *testing.B) {
+	for _, waiting := range []int{10, 100, 500} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			fleet := orders(4)
+			for {
+				if placement, _ := fleet.Choose(Ask{Service: "orders"}, start); placement == nil {
+					break
+				}
+			}
+			for number := range waiting {
+				waiter := waiterOf(number%3, fmt.Sprint(number%10), start)
+				waiter.Until = start.Add(timekeeper.Hour)
+				fleet.Join(waiter, start)
+			}
+			for b.Loop() {
+				fleet.Dispatch(start)
+			}
+		})
+	}
+}
--- a/internal/explainer/story.go
+++ b/internal/explainer/story.go
@@ -111,7 +111,7 @@
 	if len(own) == 0 {
 		return story, eris.Wrapf(ErrUnknown, "%s", request)
 	}
-	story.Lines = append(own, around(own, others)...)
+	story.Lines = slices.Concat(own, around(own, others))
 	slices.SortStableFunc(story.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	return story, nil
 }
@@ -119,7 +119,7 @@
 // around returns the lines about the request's replicas and processes that fall
 // into its time.
 func around(own, others []Line) []Line {
-	var replicas, processes []string
+	replicas, processes := make([]string, 0, len(own)), make([]string, 0, len(own))
 	first, last := own[0].At, own[0].At
 	for _, line := range own {
 		replicas = append(replicas, line.Replica)
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -27,6 +27,8 @@
 	LogLevel string `toml:"log-level"`
 	// Memory is the process's limit in megabytes; zero means none.
 	Memory int `toml:"memory-megabytes"`
+	// Descriptors is how many descriptors the process may have; zero means 1,024.
+	Descriptors int `toml:"descriptors"`
 	// StopDelay is how long a stopping entry says "not ready" and still takes
 	// callers; zero means 2.3 s.
 	StopDelay timekeeper.Span `toml:"stop-delay"`
@@ -105,6 +107,7 @@
 		{"stop-delay", float64(direct.StopDelay)}, {"stop-grace", float64(direct.StopGrace)}, {"bound", direct.Bound},
 		{"retry.window", float64(direct.Retry.Window)}, {"retry.ratio", direct.Retry.Ratio},
 		{"retry.extra", direct.Retry.Extra}, {"memory-megabytes", float64(direct.Memory)},
+		{"descriptors", float64(direct.Descriptors)},
 	}
 	for _, number := range numbers {
 		if number.value < 0 {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"strings"
 	"time"
 
@@ -52,6 +53,13 @@
 		task.entry.settings.Placed(placement.Replica.ID, task.call.Parts)
 	}
 	result := attemptResult{replica: placement.Replica}
+	// The goroutine that notices a caller's leaving has its turn before anything is
+	// sent: an entry that is late reads requests whose callers have left.
+	runtime.Gosched()
+	if ctx.Err() != nil {
+		result.verdict, result.cause = unsent, ctx.Err()
+		return result
+	}
 	ctx, heard := task.listen(ctx, placement)
 	defer heard()
 	answer, err := task.entry.settings.Pool.Do(ctx, task.target(placement.Replica), task.request(placement.Replica))
@@ -227,9 +235,7 @@
 	}
 	now := task.entry.settings.Clock.Now()
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, ending, now) })
-	if task.entry.queue.waiting() {
-		task.entry.queue.dispatch()
-	}
+	task.entry.queue.freed()
 	if result.verdict == answered && !result.failed {
 		task.entry.strikes.clear(task.fingerprint)
 		return
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -27,7 +27,7 @@
 }
 
 // Settings set up an entry. All fields but Placed,
-// Unreachable and Struck must be set.
+// Unreachable, Struck and Crowded must be set.
 type Settings struct {
 	Clock   timekeeper.Clock
 	Log     logrus.FieldLogger
@@ -40,6 +40,9 @@
 	Retries Retries
 	// Sharers returns among how many entries the retries are shared.
 	Sharers func() int
+	// Crowded reports whether callers should leave after their answer, so that
+	// others can come.
+	Crowded func() bool
 	// BodyMemory bounds the request bodies that are held at once, in bytes.
 	BodyMemory int64
 	// Placed is told of prompt parts that were sent to a replica.
@@ -66,7 +69,8 @@
 	budgets map[string]*retrier.Window
 	strikes *strikes
 
-	queue *queue
+	queue    *queue
+	pressure *pressure
 }
 
 // New returns an entry.
@@ -77,6 +81,9 @@
 	if settings.Unreachable == nil {
 		settings.Unreachable = func(string) {}
 	}
+	if settings.Crowded == nil {
+		settings.Crowded = func() bool { return false }
+	}
 	if settings.Struck == nil {
 		settings.Struck = func(uint64, string) {}
 	}
@@ -87,12 +94,16 @@
 		budgets:  map[string]*retrier.Window{},
 		strikes:  newStrikes(),
 		queue:    newQueue(settings.Fleet, settings.Clock),
+		pressure: &pressure{clock: settings.Clock},
 	}
 }
 
 // Run looks after the requests that wait for a replica, until ctx ends.
 func (entry *Entry) Run(ctx context.Context) { entry.queue.run(ctx) }
 
+// Measure measures how late the entry's own work is, until ctx ends.
+func (entry *Entry) Measure(ctx context.Context) { entry.pressure.run(ctx) }
+
 // AskToLeave makes each answer end its connection.
 func (entry *Entry) AskToLeave() { entry.leaving.Store(true) }
 
@@ -117,7 +128,7 @@
 func (entry *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	entry.active.Add(1)
 	defer entry.active.Add(-1)
-	if entry.leaving.Load() {
+	if entry.leaving.Load() || entry.settings.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	arrived := entry.settings.Clock.Now()
@@ -126,6 +137,10 @@
 		entry.refuseEarly(w, call, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
+	if entry.pressure.refuses(entry.draw()) {
+		entry.refuseLate(w, call)
+		return
+	}
 	config := entry.settings.Config()
 	if config == nil {
 		failure := classifier.New(classifier.NotReady, "no configuration is known yet")
@@ -148,6 +163,29 @@
 	task.run()
 }
 
+const (
+	// lateComeBack and its width are when a caller should come back to an entry that
+	// can't keep up: a good second, in which a burst of callers has spread.
+	lateComeBack      = timekeeper.Second
+	lateComeBackWidth = 1500
+	// lateLogged is the share of such refusals that are logged: what is to be saved
+	// is the entry's time. All are counted.
+	lateLogged = 0.05
+)
+
+// refuseLate answers a request that the entry has no time for, at the least cost.
+func (entry *Entry) refuseLate(w http.ResponseWriter, call Call) {
+	draw := entry.draw()
+	failure := classifier.New(classifier.Overloaded, "the entry is behind")
+	failure = failure.WithRetryAfter(lateComeBack + timekeeper.Span(draw*lateComeBackWidth))
+	if draw < lateLogged {
+		entry.refuseEarly(w, call, failure)
+		return
+	}
+	entry.meters.refused(failure.Kind)
+	entry.settings.Dialect.Refuse(w, failure, call.ID)
+}
+
 // refuseEarly answers a request that got no route.
 func (entry *Entry) refuseEarly(w http.ResponseWriter, call Call, failure classifier.Failure) {
 	entry.meters.refused(failure.Kind)
--- a/internal/relayer/entry_bench_test.go
+++ b/internal/relayer/entry_bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -37,6 +38,7 @@
 func newTestEntry(t testing.TB, replica string) *Entry {
 	t.Helper()
 	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetOutput(io.Discard)
 	clock := timekeeper.Steady()
 	fleet := balancer.New(balancer.Settings{})
@@ -49,7 +51,7 @@
 		Destinations: []router.Destination{{Service: "planner", Weight: 1}},
 	}}})
 	return New(Settings{
-		Clock: clock, Log: log, Scope: tally.NoopScope, Fleet: balancer.Guard(fleet), Pool: pool, Dialect: plainDialect(),
+		Clock: clock, Log: log, Scope: testScope(t), Fleet: balancer.Guard(fleet), Pool: pool, Dialect: plainDialect(),
 		Config: func() *router.Configuration { return config }, Sharers: func() int { return 8 }, BodyMemory: 1 << 30,
 	})
 }
@@ -127,3 +129,13 @@
 		})
 	}
 }
+
+// testScope returns a scope that counts as that of a process does.
+func testScope(t testing.TB) tally.Scope {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	scope, _, release := measurer.New("entry-1", log)
+	t.Cleanup(release)
+	return scope
+}
--- a/internal/relayer/queue.go
+++ b/internal/relayer/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -10,7 +11,12 @@
 
 // dispatchEvery is how often who waits is looked at without an event of this
 // entry: peers free places too, and replicas come back.
-const dispatchEvery = 20 * timekeeper.Millisecond
+const dispatchEvery = 10 * timekeeper.Millisecond
+
+// dispatchPause is the least time between two looks. Each goes through all who
+// wait; at thousands of ends a second one look for each would take the time that
+// callers need.
+const dispatchPause = 3 * timekeeper.Millisecond
 
 // queue wakes the requests that wait for a replica. Its lock is taken after that
 // of the fleet has been given back, never while it is held.
@@ -21,6 +27,9 @@
 	// stirred has a value once someone waits.
 	stirred chan struct{}
 
+	// looked is when those who wait were last looked at.
+	looked atomic.Int64
+
 	mu      sync.Mutex
 	decided map[*balancer.Waiter]chan struct{}
 }
@@ -91,8 +100,17 @@
 	delete(queue.decided, waiter)
 }
 
+// freed is told that a place may have come free.
+func (queue *queue) freed() {
+	now := queue.clock.Now()
+	if queue.waiting() && now.Since(timekeeper.Instant(queue.looked.Load())) >= dispatchPause {
+		queue.dispatch()
+	}
+}
+
 // dispatch wakes who is decided.
 func (queue *queue) dispatch() {
+	queue.looked.Store(int64(queue.clock.Now()))
 	var decided []*balancer.Waiter
 	queue.fleet.With(func(fleet *balancer.Fleet) {
 		if fleet.Waiting() > 0 {
