--- a/internal/admitter/desk_test.go
+++ b/internal/admitter/controller_test.go
@@ -15,10 +15,10 @@
 	return Ticket{ID: id, Team: team, Class: class, Work: work}
 }
 
-// trial follows what a desk says about its tickets.
+// trial follows what a controller says about its tickets.
 type trial struct {
 	t                *rapid.T
-	desk             *Desk
+	controller       *Controller
 	running, waiting map[string]bool
 	now              timekeeper.Instant
 }
@@ -26,7 +26,7 @@
 func (trial *trial) finish(number int) {
 	id := rapid.SampledFrom(keys(trial.running, number)).Draw(trial.t, "finished")
 	delete(trial.running, id)
-	for _, granted := range trial.desk.Finish(id, trial.now) {
+	for _, granted := range trial.controller.Finish(id, trial.now) {
 		if trial.running[granted.ID] || !trial.waiting[granted.ID] {
 			trial.t.Fatalf("%s was granted twice, or never waited", granted.ID)
 		}
@@ -41,8 +41,8 @@
 		uint8(rapid.IntRange(0, 7).Draw(t, "class")), int64(rapid.IntRange(1, 500).Draw(t, "work")))
 	offered.Arrived = trial.now
 	mean := Mean{Total: int64(rapid.IntRange(0, 9000).Draw(t, "total")), Replicas: rapid.IntRange(0, 9).Draw(t, "replicas")}
-	held := trial.desk.Load().Work
-	decision := trial.desk.Offer(offered, mean)
+	held := trial.controller.Load().Work
+	decision := trial.controller.Offer(offered, mean)
 	for _, displaced := range decision.Displaced {
 		if !trial.waiting[displaced.ID] {
 			t.Fatalf("%s was displaced and did not wait", displaced.ID)
@@ -55,31 +55,31 @@
 	case Queued:
 		trial.waiting[offered.ID] = true
 	}
-	if decision.Outcome != Refused && held >= trial.desk.limits.Bound(mean, held, offered) {
+	if decision.Outcome != Refused && held >= trial.controller.limits.Bound(mean, held, offered) {
 		t.Fatalf("taken above the bound: held %d, mean %+v", held, mean)
 	}
 }
 
 func (trial *trial) check() {
-	load := trial.desk.Load()
+	load := trial.controller.Load()
 	if load.Running != len(trial.running) || load.Waiting != len(trial.waiting) {
-		trial.t.Fatalf("the desk holds %+v, of %d running and %d waiting", load, len(trial.running), len(trial.waiting))
+		trial.t.Fatalf("the controller holds %+v, of %d running and %d waiting", load, len(trial.running), len(trial.waiting))
 	}
-	if load.Running > trial.desk.limits.Slots || load.Waiting > trial.desk.limits.QueueLength {
+	if load.Running > trial.controller.limits.Slots || load.Waiting > trial.controller.limits.QueueLength {
 		trial.t.Fatalf("a cap broke: %+v", load)
 	}
 }
 
-// TestDeskKeepsEveryTicket drives a desk at random: no ticket is lost, none is
+// TestDeskKeepsEveryTicket drives a controller at random: no ticket is lost, none is
 // granted twice, the caps hold, and no replica goes above its bound by more
 // than the one ticket that crosses it.
-func TestDeskKeepsEveryTicket(t *testing.T) {
+func TestControllerKeepsEveryTicket(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{
 			Slots: rapid.IntRange(2, 6).Draw(t, "slots"), QueueLength: rapid.IntRange(0, 8).Draw(t, "queue"),
 			UrgentSlots: 1, LoadFactor: 1.25,
 		}
-		trial := trial{t: t, desk: NewDesk(limits), running: map[string]bool{}, waiting: map[string]bool{}}
+		trial := trial{t: t, controller: NewController(limits), running: map[string]bool{}, waiting: map[string]bool{}}
 		for number := range rapid.IntRange(1, 80).Draw(t, "steps") {
 			trial.now = trial.now.Add(timekeeper.Span(rapid.IntRange(0, 900).Draw(t, "pause")))
 			if len(trial.running) > 0 && rapid.Bool().Draw(t, "finish") {
@@ -126,13 +126,13 @@
 	}
 	Convey("the bound follows the mean while that can be believed", t, func() {
 		for _, test := range tests {
-			desk := NewDesk(Limits{Slots: 8, QueueLength: 8, LoadFactor: 1.25})
+			controller := NewController(Limits{Slots: 8, QueueLength: 8, LoadFactor: 1.25})
 			if test.held > 0 {
-				desk.Offer(ticket("held", "a", 3, test.held), Mean{})
+				controller.Offer(ticket("held", "a", 3, test.held), Mean{})
 			}
 			offered := ticket("new", "a", 3, test.work)
 			offered.Cold, offered.Last = test.cold, test.last
-			decision := desk.Offer(offered, test.mean)
+			decision := controller.Offer(offered, test.mean)
 			SoMsg(test.name, decision.Outcome == Refused, ShouldEqual, test.refused)
 			if test.refused {
 				SoMsg(test.name, decision.Failure.Kind, ShouldEqual, classifier.AtBound)
@@ -143,47 +143,47 @@
 
 func TestQueueUnderLoad(t *testing.T) {
 	Convey("a caption finds the slot kept for it while batch work holds the rest", t, func() {
-		desk := NewDesk(Limits{Slots: 4, QueueLength: 8, UrgentSlots: 1})
+		controller := NewController(Limits{Slots: 4, QueueLength: 8, UrgentSlots: 1})
 		for i := range 6 {
-			desk.Offer(ticket(fmt.Sprint("batch-", i), "a", 6, 900), Mean{})
+			controller.Offer(ticket(fmt.Sprint("batch-", i), "a", 6, 900), Mean{})
 		}
-		So(desk.Load().Running, ShouldEqual, 3)
-		So(desk.Offer(ticket("caption", "b", 0, 10), Mean{}).Outcome, ShouldEqual, Granted)
-		So(desk.Offer(ticket("next", "b", 0, 10), Mean{}).Outcome, ShouldEqual, Queued)
-		granted := desk.Finish("batch-0", 10)
+		So(controller.Load().Running, ShouldEqual, 3)
+		So(controller.Offer(ticket("caption", "b", 0, 10), Mean{}).Outcome, ShouldEqual, Granted)
+		So(controller.Offer(ticket("next", "b", 0, 10), Mean{}).Outcome, ShouldEqual, Queued)
+		granted := controller.Finish("batch-0", 10)
 		So(granted[0].ID, ShouldEqual, "next")
 	})
 	Convey("a surge of one team harms only itself", t, func() {
-		desk := NewDesk(Limits{Slots: 1, QueueLength: 4})
+		controller := NewController(Limits{Slots: 1, QueueLength: 4})
 		for i := range 9 {
-			desk.Offer(ticket(fmt.Sprint("surge-", i), "loud", 3, 100), Mean{})
+			controller.Offer(ticket(fmt.Sprint("surge-", i), "loud", 3, 100), Mean{})
 		}
-		decision := desk.Offer(ticket("quiet", "small", 3, 100), Mean{})
+		decision := controller.Offer(ticket("quiet", "small", 3, 100), Mean{})
 		So(decision.Outcome, ShouldEqual, Queued)
 		So(decision.Displaced[0].ID, ShouldEqual, "surge-4")
-		So(desk.PushedOut().Kind, ShouldEqual, classifier.Overloaded)
-		So(desk.Offer(ticket("surge-10", "loud", 3, 100), Mean{}).Outcome, ShouldEqual, Refused)
-		desk.Finish("surge-0", 10)
-		So(desk.Finish("surge-1", 20)[0].ID, ShouldEqual, "quiet")
+		So(controller.PushedOut().Kind, ShouldEqual, classifier.Overloaded)
+		So(controller.Offer(ticket("surge-10", "loud", 3, 100), Mean{}).Outcome, ShouldEqual, Refused)
+		controller.Finish("surge-0", 10)
+		So(controller.Finish("surge-1", 20)[0].ID, ShouldEqual, "quiet")
 	})
 	Convey("old batch work is not starved by a flood of live work", t, func() {
-		desk := NewDesk(Limits{Slots: 1, QueueLength: 64})
-		desk.Offer(ticket("first", "a", 0, 1), Mean{})
-		desk.Offer(ticket("batch", "a", 7, 1), Mean{})
+		controller := NewController(Limits{Slots: 1, QueueLength: 64})
+		controller.Offer(ticket("first", "a", 0, 1), Mean{})
+		controller.Offer(ticket("batch", "a", 7, 1), Mean{})
 		last, rounds, now := "first", 0, timekeeper.Instant(5*timekeeper.Second)
 		for ; last != "batch" && rounds < 20; rounds++ {
-			desk.Offer(Ticket{ID: fmt.Sprint("live-", rounds), Team: "b", Work: 1, Arrived: now}, Mean{})
-			last = desk.Finish(last, now)[0].ID
+			controller.Offer(Ticket{ID: fmt.Sprint("live-", rounds), Team: "b", Work: 1, Arrived: now}, Mean{})
+			last = controller.Finish(last, now)[0].ID
 		}
 		So(rounds, ShouldBeBetweenOrEqual, 2, agedShare)
 	})
 	Convey("a wait past the deadline is refused at once, with a time to come back", t, func() {
-		desk := NewDesk(Limits{Slots: 1, QueueLength: 64, Backoff: Backoff{Draw: func() float64 { return 0.5 }}})
-		desk.Offer(ticket("slow", "a", 3, 100), Mean{})
-		desk.Finish("slow", 4000)
-		desk.Offer(Ticket{ID: "running", Team: "a", Class: 3, Work: 100, Arrived: 4000}, Mean{})
-		desk.Offer(Ticket{ID: "queued", Team: "a", Class: 3, Work: 100, Arrived: 4000}, Mean{})
-		decision := desk.Offer(Ticket{ID: "late", Team: "a", Class: 3, Work: 100, Arrived: 4000, Deadline: 5000}, Mean{})
+		controller := NewController(Limits{Slots: 1, QueueLength: 64, Backoff: Backoff{Draw: func() float64 { return 0.5 }}})
+		controller.Offer(ticket("slow", "a", 3, 100), Mean{})
+		controller.Finish("slow", 4000)
+		controller.Offer(Ticket{ID: "running", Team: "a", Class: 3, Work: 100, Arrived: 4000}, Mean{})
+		controller.Offer(Ticket{ID: "queued", Team: "a", Class: 3, Work: 100, Arrived: 4000}, Mean{})
+		decision := controller.Offer(Ticket{ID: "late", Team: "a", Class: 3, Work: 100, Arrived: 4000, Deadline: 5000}, Mean{})
 		So(decision.Failure.Kind, ShouldEqual, classifier.DeadlinePassed)
 		So(decision.Failure.RetryAfter, ShouldEqual, 2*decision.Estimate)
 	})
@@ -193,15 +193,15 @@
 // whatever the lengths of their calls.
 func TestFairShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		desk := NewDesk(Limits{Slots: 1, QueueLength: 400})
+		controller := NewController(Limits{Slots: 1, QueueLength: 400})
 		lengths := map[string]int64{"long": rapid.Int64Range(50, 100).Draw(t, "long"), "short": rapid.Int64Range(20, 50).Draw(t, "short")}
 		for i := range 200 {
-			desk.Offer(Ticket{ID: fmt.Sprint("long-", i), Team: "long", Weight: 2, Class: 3, Work: lengths["long"]}, Mean{})
-			desk.Offer(Ticket{ID: fmt.Sprint("short-", i), Team: "short", Weight: 1, Class: 3, Work: lengths["short"]}, Mean{})
+			controller.Offer(Ticket{ID: fmt.Sprint("long-", i), Team: "long", Weight: 2, Class: 3, Work: lengths["long"]}, Mean{})
+			controller.Offer(Ticket{ID: fmt.Sprint("short-", i), Team: "short", Weight: 1, Class: 3, Work: lengths["short"]}, Mean{})
 		}
 		work, last := map[string]int64{}, "long-0"
 		for range 100 {
-			granted := desk.Finish(last, 0)[0]
+			granted := controller.Finish(last, 0)[0]
 			work[granted.Team] += granted.Work
 			last = granted.ID
 		}
--- a/internal/admitter/demand.go
+++ b/internal/admitter/demand.go
@@ -15,7 +15,7 @@
 	mostEntries = 1024
 )
 
-// Demand is the work that entries say they have under way at a service, told
+// Demand is the work that entries say they have under way at a service, reports
 // with each offer.
 //
 // It is for the first second of a burst. Digests between agents are a second or
@@ -26,10 +26,10 @@
 // not offered here lately, so it is at most the true total but for what ended
 // within a second, and the mean takes the larger of the two.
 type Demand struct {
-	told []demandTold
+	reports []demandReport
 }
 
-type demandTold struct {
+type demandReport struct {
 	entry string
 	work  int64
 	at    timekeeper.Instant
@@ -38,26 +38,26 @@
 // Note takes in what an entry has under way, the offered call included.
 func (demand *Demand) Note(entry string, work int64, now timekeeper.Instant) {
 	demand.forget(now)
-	at := slices.IndexFunc(demand.told, func(told demandTold) bool { return told.entry == entry })
+	at := slices.IndexFunc(demand.reports, func(reports demandReport) bool { return reports.entry == entry })
 	switch {
 	case at >= 0:
-		demand.told[at] = demandTold{entry, work, now}
-	case len(demand.told) < mostEntries:
-		demand.told = append(demand.told, demandTold{entry, work, now})
+		demand.reports[at] = demandReport{entry, work, now}
+	case len(demand.reports) < mostEntries:
+		demand.reports = append(demand.reports, demandReport{entry, work, now})
 	}
 }
 
-// Raise returns the mean with a total that is not below what entries have told.
+// Raise returns the mean with a total that is not below what entries have reports.
 func (demand *Demand) Raise(mean Mean, now timekeeper.Instant) Mean {
 	demand.forget(now)
 	var total int64
-	for _, told := range demand.told {
-		total += told.work
+	for _, reports := range demand.reports {
+		total += reports.work
 	}
 	mean.Total = max(mean.Total, total)
 	return mean
 }
 
 func (demand *Demand) forget(now timekeeper.Instant) {
-	demand.told = slices.DeleteFunc(demand.told, func(told demandTold) bool { return now.Since(told.at) > demandAge })
+	demand.reports = slices.DeleteFunc(demand.reports, func(reports demandReport) bool { return now.Since(reports.at) > demandAge })
 }
--- a/internal/admitter/demand_test.go
+++ b/internal/admitter/demand_test.go
@@ -12,15 +12,15 @@
 	stale := Mean{Total: 10, Replicas: 9, Age: 2 * timekeeper.Second}
 	tests := []struct {
 		name string
-		told []demandTold
+		told []demandReport
 		now  timekeeper.Instant
 		want int64
 	}{
 		{"nothing was told", nil, 0, 10},
-		{"two entries have more than the mean knows", []demandTold{{"a", 300, 0}, {"b", 200, 10}}, 20, 500},
-		{"an entry's last word counts, not each", []demandTold{{"a", 300, 0}, {"a", 40, 10}}, 20, 40},
-		{"less than the mean changes nothing", []demandTold{{"a", 3, 0}}, 20, 10},
-		{"an old word is forgotten", []demandTold{{"a", 300, 0}}, 1001, 10},
+		{"two entries have more than the mean knows", []demandReport{{"a", 300, 0}, {"b", 200, 10}}, 20, 500},
+		{"an entry's last word counts, not each", []demandReport{{"a", 300, 0}, {"a", 40, 10}}, 20, 40},
+		{"less than the mean changes nothing", []demandReport{{"a", 3, 0}}, 20, 10},
+		{"an old word is forgotten", []demandReport{{"a", 300, 0}}, 1001, 10},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
@@ -44,14 +44,14 @@
 	// and no replica holds more than its share and one call.
 	const replicas, callers, work, most = 9, 40, 25, 139 // 139 is 1.25 of the mean at the end, rounded up.
 	for _, told := range []bool{false, true} {
-		desks := make([]*Desk, replicas)
+		controllers := make([]*Controller, replicas)
 		demands := make([]Demand, replicas)
-		for i := range desks {
-			desks[i] = NewDesk(Limits{Slots: 8, QueueLength: 64, LoadFactor: 1.25})
+		for i := range controllers {
+			controllers[i] = NewController(Limits{Slots: 8, QueueLength: 64, LoadFactor: 1.25})
 		}
 		refused := 0
 		for call := range callers {
-			if !offerAround(desks, demands, call, told, work) {
+			if !offerAround(controllers, demands, call, told, work) {
 				refused++
 			}
 		}
@@ -61,8 +61,8 @@
 				return
 			}
 			So(refused, ShouldEqual, 0)
-			for _, desk := range desks {
-				So(desk.Load().Work, ShouldBeLessThanOrEqualTo, most+work)
+			for _, controller := range controllers {
+				So(controller.Load().Work, ShouldBeLessThanOrEqualTo, most+work)
 			}
 		})
 	}
@@ -70,18 +70,18 @@
 
 // offerAround offers a call to its home and two more replicas; homes are skewed
 // to the first third of the replicas.
-func offerAround(desks []*Desk, demands []Demand, call int, told bool, work int64) bool {
-	mean := Mean{Replicas: len(desks), Age: 2 * timekeeper.Second}
-	home := call % 3 * (call % 5) % len(desks)
+func offerAround(controllers []*Controller, demands []Demand, call int, told bool, work int64) bool {
+	mean := Mean{Replicas: len(controllers), Age: 2 * timekeeper.Second}
+	home := call % 3 * (call % 5) % len(controllers)
 	for attempt := range 3 {
-		at := (home + attempt*(call%4+1)) % len(desks)
+		at := (home + attempt*(call%4+1)) % len(controllers)
 		now := mean
 		if told {
 			demands[at].Note("entry-1", int64(call+1)*work, 0)
 			now = demands[at].Raise(mean, 0)
 		}
 		ticket := Ticket{ID: string(rune('a' + call)), Work: work, Class: 3}
-		if desks[at].Offer(ticket, now).Outcome != Refused {
+		if controllers[at].Offer(ticket, now).Outcome != Refused {
 			return true
 		}
 	}
--- a/internal/admitter/limits.go
+++ b/internal/admitter/limits.go
@@ -19,7 +19,7 @@
 	minimumBound = 1
 )
 
-// Limits bound what a desk admits. Slots must be positive.
+// Limits bound what a controller admits. Slots must be positive.
 type Limits struct {
 	// Slots is how many calls run at once.
 	Slots int
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -11,26 +11,26 @@
 // Batch work under a steady stream of chats would never run, so each Ageing of
 // waiting lifts a ticket by one class. It never reaches class 0: a live caption
 // is not to wait behind batch work, however old that is.
-func (desk *Desk) class(ticket Ticket, now timekeeper.Instant) uint8 {
+func (controller *Controller) class(ticket Ticket, now timekeeper.Instant) uint8 {
 	if ticket.Class <= agedClass {
 		return ticket.Class
 	}
-	steps := int64(now.Since(ticket.Arrived) / desk.limits.Ageing)
+	steps := int64(now.Since(ticket.Arrived) / controller.limits.Ageing)
 	return uint8(max(agedClass, int64(ticket.Class)-steps))
 }
 
 // promote gives free slots to waiting tickets and returns who got one.
-func (desk *Desk) promote(now timekeeper.Instant) []Ticket {
+func (controller *Controller) promote(now timekeeper.Instant) []Ticket {
 	var granted []Ticket
-	for len(desk.running) < desk.limits.Slots {
-		at := desk.next(now)
+	for len(controller.running) < controller.limits.Slots {
+		at := controller.next(now)
 		if at < 0 {
 			return granted
 		}
-		ticket := desk.leave(at)
-		desk.charge(ticket, now)
-		desk.run(ticket, now)
-		desk.grants++
+		ticket := controller.leave(at)
+		controller.charge(ticket, now)
+		controller.run(ticket, now)
+		controller.grants++
 		granted = append(granted, ticket)
 	}
 	return granted
@@ -39,22 +39,22 @@
 // charge counts a ticket against its team in the classes that it did not run
 // in. Without it a team that sends a part of its work as urgent gets that part
 // on top of a full share of the rest.
-func (desk *Desk) charge(ticket Ticket, now timekeeper.Instant) {
-	class := desk.class(ticket, now)
-	for i := range desk.rotas {
+func (controller *Controller) charge(ticket Ticket, now timekeeper.Instant) {
+	class := controller.class(ticket, now)
+	for i := range controller.rotas {
 		if i != int(class) {
-			desk.rotas[i].charge(ticket.Team, ticket.Work)
+			controller.rotas[i].charge(ticket.Team, ticket.Work)
 		}
 	}
 }
 
 // next returns the position of the waiting ticket that runs next, or -1. It
 // looks at each waiting ticket, of which there are at most QueueLength.
-func (desk *Desk) next(now timekeeper.Instant) int {
+func (controller *Controller) next(now timekeeper.Instant) int {
 	var present [classes]bool
-	for i := range desk.waiting {
-		if desk.ready(desk.waiting[i], now) {
-			present[desk.class(desk.waiting[i], now)] = true
+	for i := range controller.waiting {
+		if controller.ready(controller.waiting[i], now) {
+			present[controller.class(controller.waiting[i], now)] = true
 		}
 	}
 	best := slices.Index(present[:], true)
@@ -64,28 +64,28 @@
 	// A flood of calls that all claim to be live would starve the rest, which
 	// never age into class 0. One grant in agedShare goes to aged work, so a
 	// caption finds at most that one ahead of it.
-	if best <= urgentClass && present[agedClass] && desk.grants%agedShare == agedShare-1 {
+	if best <= urgentClass && present[agedClass] && controller.grants%agedShare == agedShare-1 {
 		best = agedClass
 	}
 	var heads []head
-	for i := range desk.waiting {
-		ticket := desk.waiting[i]
-		if !desk.ready(ticket, now) || int(desk.class(ticket, now)) != best {
+	for i := range controller.waiting {
+		ticket := controller.waiting[i]
+		if !controller.ready(ticket, now) || int(controller.class(ticket, now)) != best {
 			continue
 		}
 		if !slices.ContainsFunc(heads, func(head head) bool { return head.team == ticket.Team }) {
 			heads = append(heads, head{team: ticket.Team, weight: ticket.weight(), work: ticket.Work, at: i})
 		}
 	}
-	return desk.rotas[best].pick(heads).at
+	return controller.rotas[best].pick(heads).at
 }
 
 // ready reports whether a waiting ticket may run now: a slot is free for it
 // and its caller will still be there for the first byte. At saturation every
 // ticket is granted near its deadline, so without the margin for the upstream's
 // own time to the first byte most grants would be too late for their callers.
-func (desk *Desk) ready(ticket Ticket, now timekeeper.Instant) bool {
-	return desk.fits(ticket) && (ticket.Deadline == 0 || !ticket.Deadline.Before(now.Add(desk.pace.margin())))
+func (controller *Controller) ready(ticket Ticket, now timekeeper.Instant) bool {
+	return controller.fits(ticket) && (ticket.Deadline == 0 || !ticket.Deadline.Before(now.Add(controller.pace.margin())))
 }
 
 // head is the first waiting ticket of a team in one class.
@@ -169,16 +169,16 @@
 // lesser of the two counts, so that a surge elsewhere doesn't get a small team
 // refused. By ageing the ticket moves up while it waits; the class that it
 // reaches halfway to its deadline stands for all of the wait.
-func (desk *Desk) estimate(ticket Ticket, now timekeeper.Instant) timekeeper.Span {
+func (controller *Controller) estimate(ticket Ticket, now timekeeper.Instant) timekeeper.Span {
 	var before, same, own int64
 	reached := ticket.Class
 	if ticket.Deadline != 0 {
-		reached = desk.class(ticket, now.Add(ticket.Deadline.Since(now)/2))
+		reached = controller.class(ticket, now.Add(ticket.Deadline.Since(now)/2))
 	}
 	weights := map[string]int{ticket.Team: ticket.weight()}
-	for i := range desk.waiting {
-		other := desk.waiting[i]
-		switch class := desk.class(other, now); {
+	for i := range controller.waiting {
+		other := controller.waiting[i]
+		switch class := controller.class(other, now); {
 		case class < reached:
 			before += other.Work
 		case class <= ticket.Class:
@@ -194,7 +194,7 @@
 		total += weight
 	}
 	fair := (own + ticket.Work) * int64(total) / int64(ticket.weight())
-	return desk.pace.span(before+min(same, fair), desk.limits.Slots) + desk.pace.first(len(desk.running))
+	return controller.pace.span(before+min(same, fair), controller.limits.Slots) + controller.pace.first(len(controller.running))
 }
 
 // pace is the measured speed of the replica.
--- a/internal/forwarder/demand.go
+++ b/internal/forwarder/demand.go
@@ -70,7 +70,7 @@
 // last refusal named, the one at which this entry has the least under way. What
 // others tell of a replica's load is a second old, and in a burst all would go
 // to the same one, above its bound or to one more refusal.
-func (entry *Entry) roomiest(call call, route *placer.Itinerary, named string) string {
+func (entry *Entry) roomiest(call call, route *placer.AttemptPlan, named string) string {
 	roster := entry.settings.Roster(call.service)
 	sample := roster.Rank(xxhash.Sum64String(call.id), roomSample)
 	if replica, ok := roster.Find(named); ok {
--- a/internal/forwarder/route.go
+++ b/internal/forwarder/route.go
@@ -13,12 +13,12 @@
 
 // route returns the way of a call through the replicas. A call without a chat
 // is spread evenly.
-func (entry *Entry) route(call call) *placer.Itinerary {
+func (entry *Entry) route(call call) *placer.AttemptPlan {
 	chat := call.chat
 	if chat == 0 {
 		chat = call.spread()
 	}
-	return placer.NewItinerary(entry.roster(call), chat, entry.away.names(entry.settings.Clock.Now()))
+	return placer.NewAttemptPlan(entry.roster(call), chat, entry.away.names(entry.settings.Clock.Now()))
 }
 
 // roster returns the replicas that may get the call: those that hold its
@@ -33,8 +33,8 @@
 	return entry.settings.Roster(call.service)
 }
 
-// refusalOf returns what the itinerary reads in a failure.
-func (entry *Entry) refusalOf(call call, route *placer.Itinerary, failure classifier.Failure) placer.Refusal {
+// refusalOf returns what the plan reads in a failure.
+func (entry *Entry) refusalOf(call call, route *placer.AttemptPlan, failure classifier.Failure) placer.Refusal {
 	refusal := placer.Refusal{
 		Moved:   failure.Kind == classifier.Moved,
 		AtBound: failure.Kind == classifier.AtBound,
@@ -62,16 +62,16 @@
 // pointerTimeout bounds a message to a home that doesn't answer.
 const pointerTimeout = 2 * timekeeper.Second
 
-// tellKeepers tells the keepers of a chat's pointer that the chat ran
+// tellHolders tells the holders of a chat's pointer that the chat ran
 // elsewhere, so that the next turn finds it. A lost message costs a cold prefix
 // and nothing else, so each is sent once and no answer is awaited.
-func (entry *Entry) tellKeepers(ctx context.Context, call call, keepers []placer.Replica, served placer.Replica) {
+func (entry *Entry) tellHolders(ctx context.Context, call call, holders []placer.Replica, served placer.Replica) {
 	if call.chat == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, pointerTimeout.Duration())
 	defer cancel()
-	for _, keeper := range keepers {
+	for _, keeper := range holders {
 		conn, err := entry.settings.Pool.Open(ctx, keeper.Address)
 		if err != nil {
 			continue
--- a/internal/placer/again_test.go
+++ b/internal/placer/again_test.go
@@ -19,7 +19,7 @@
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			route := NewItinerary(NewRoster([]Replica{{Name: "orders-1"}}), 7, nil)
+			route := NewAttemptPlan(NewRoster([]Replica{{Name: "orders-1"}}), 7, nil)
 			first, ok := route.Next()
 			So(ok, ShouldBeTrue)
 			route.Refused(test.refusal)
--- a/internal/placer/directory.go
+++ b/internal/placer/directory.go
@@ -18,7 +18,7 @@
 	settings DirectorySettings
 	// own are the chats whose prefix is here, and away those known elsewhere. A
 	// busy chat may be in both.
-	own, away shelf
+	own, away pointerCache
 	tokens    int64
 }
 
@@ -37,7 +37,7 @@
 	if settings.Size == 0 {
 		settings.Size = DirectorySize
 	}
-	return &Directory{settings: settings, own: newShelf(), away: newShelf()}
+	return &Directory{settings: settings, own: newPointerCache(), away: newPointerCache()}
 }
 
 // Note remembers that the chat ran at a replica and left a prefix of so many
@@ -210,7 +210,7 @@
 // it; the chats used last are the likeliest to return soon.
 func (directory *Directory) Handover(rest Roster, limit int) []Move {
 	var moves []Move
-	for _, kept := range []shelf{directory.own, directory.away} {
+	for _, kept := range []pointerCache{directory.own, directory.away} {
 		for element := kept.byUsage.Front(); element != nil && len(moves) < limit; element = element.Next() {
 			pointer := element.Value.(pointer)
 			ranked := rest.Rank(pointer.chat, MaxOffers)
--- a/internal/placer/doc.go
+++ b/internal/placer/doc.go
@@ -19,7 +19,7 @@
 // # Finding
 //
 // A Directory at each agent remembers where chats last ran, in bounded memory.
-// An Itinerary at the entry leads an offer along the ranking and the hints
+// An AttemptPlan at the entry leads an offer along the ranking and the hints
 // that refusals carry.
 //
 // The package is decision logic: no I/O, no goroutines, no clock.
--- a/internal/placer/itinerary.go
+++ b/internal/placer/plan.go
@@ -16,7 +16,7 @@
 	Free bool
 }
 
-// Refusal is what an itinerary reads in a refusal.
+// Refusal is what an plan reads in a refusal.
 type Refusal struct {
 	// Moved says that the chat is elsewhere, and that the replica would take it
 	// if it came again.
@@ -31,9 +31,9 @@
 	Room string
 }
 
-// Itinerary leads one call's offers: to the chat's home, then where a hint
+// AttemptPlan leads one call's offers: to the chat's home, then where a hint
 // says, then along the ranking.
-type Itinerary struct {
+type AttemptPlan struct {
 	roster  Roster
 	away    []string
 	ranked  []Replica
@@ -45,103 +45,103 @@
 	bounded string
 }
 
-// NewItinerary returns the itinerary of a chat. It passes by the replicas that
+// NewAttemptPlan returns the plan of a chat. It passes by the replicas that
 // were lately out of reach, unless there are no others.
-func NewItinerary(roster Roster, chat uint64, away []string) *Itinerary {
+func NewAttemptPlan(roster Roster, chat uint64, away []string) *AttemptPlan {
 	all := roster.Rank(chat, MaxOffers+len(away))
 	ranked := slices.DeleteFunc(slices.Clone(all), func(replica Replica) bool { return slices.Contains(away, replica.Name) })
 	if len(ranked) == 0 {
 		ranked, away = all, nil
 	}
-	return &Itinerary{roster: roster, away: away, ranked: ranked[:min(MaxOffers, len(ranked))]}
+	return &AttemptPlan{roster: roster, away: away, ranked: ranked[:min(MaxOffers, len(ranked))]}
 }
 
 // Ranked returns the names of the replicas as they rank for the chat.
-func (itinerary *Itinerary) Ranked() []string {
-	names := make([]string, len(itinerary.ranked))
-	for i, replica := range itinerary.ranked {
+func (plan *AttemptPlan) Ranked() []string {
+	names := make([]string, len(plan.ranked))
+	for i, replica := range plan.ranked {
 		names[i] = replica.Name
 	}
 	return names
 }
 
-// Keepers returns the replicas that are to know where the chat ran: its home,
+// Holders returns the replicas that are to know where the chat ran: its home,
 // and the runner-up, which is the home should the home fail.
-func (itinerary *Itinerary) Keepers(served Replica) []Replica {
-	if itinerary.ranked[0].Name == served.Name {
+func (plan *AttemptPlan) Holders(served Replica) []Replica {
+	if plan.ranked[0].Name == served.Name {
 		return nil
 	}
-	keepers := slices.Clone(itinerary.ranked[:min(2, len(itinerary.ranked))])
-	return slices.DeleteFunc(keepers, func(keeper Replica) bool { return keeper.Name == served.Name })
+	holders := slices.Clone(plan.ranked[:min(2, len(plan.ranked))])
+	return slices.DeleteFunc(holders, func(keeper Replica) bool { return keeper.Name == served.Name })
 }
 
 // Visited reports whether a replica was a stop already.
-func (itinerary *Itinerary) Visited(name string) bool {
-	return slices.Contains(itinerary.visited, name)
+func (plan *AttemptPlan) Visited(name string) bool {
+	return slices.Contains(plan.visited, name)
 }
 
 // Refused takes in the refusal of the last stop.
-func (itinerary *Itinerary) Refused(refusal Refusal) {
-	itinerary.hint = refusal
-	if refusal.AtBound && len(itinerary.visited) > 0 {
-		itinerary.bounded = itinerary.visited[len(itinerary.visited)-1]
+func (plan *AttemptPlan) Refused(refusal Refusal) {
+	plan.hint = refusal
+	if refusal.AtBound && len(plan.visited) > 0 {
+		plan.bounded = plan.visited[len(plan.visited)-1]
 	}
-	if refusal.Moved && len(itinerary.visited) == 1 {
-		itinerary.home = true
+	if refusal.Moved && len(plan.visited) == 1 {
+		plan.home = true
 	}
 }
 
 // Next returns the next stop; it returns false when there is none left.
-func (itinerary *Itinerary) Next() (Stop, bool) {
-	if len(itinerary.visited) >= MaxOffers || len(itinerary.ranked) == 0 {
+func (plan *AttemptPlan) Next() (Stop, bool) {
+	if len(plan.visited) >= MaxOffers || len(plan.ranked) == 0 {
 		return Stop{}, false
 	}
-	stop, ok := itinerary.choose()
-	stop.Free = stop.Free || itinerary.hint.AtBound
+	stop, ok := plan.choose()
+	stop.Free = stop.Free || plan.hint.AtBound
 	if ok {
-		itinerary.visited = append(itinerary.visited, stop.Replica.Name)
+		plan.visited = append(plan.visited, stop.Replica.Name)
 	}
 	return stop, ok
 }
 
 // Again returns the replica that refused at its bound once more, as the last
-// stop, when no other is left before the itinerary is at its full length.
+// stop, when no other is left before the plan is at its full length.
 //
 // The failure: a service of three has one replica stopped and one not yet known,
 // and the mean still counts all three. The symptom: the one that is left is over
 // its share of nothing, and callers are refused while its slots are free. Offered
 // as the last stop it gives a free slot, as it does to a call that three refused.
-func (itinerary *Itinerary) Again() (Stop, bool) {
-	if itinerary.bounded == "" || len(itinerary.visited) >= MaxOffers {
+func (plan *AttemptPlan) Again() (Stop, bool) {
+	if plan.bounded == "" || len(plan.visited) >= MaxOffers {
 		return Stop{}, false
 	}
-	replica, ok := itinerary.roster.Find(itinerary.bounded)
-	for len(itinerary.visited) < MaxOffers {
-		itinerary.visited = append(itinerary.visited, replica.Name)
+	replica, ok := plan.roster.Find(plan.bounded)
+	for len(plan.visited) < MaxOffers {
+		plan.visited = append(plan.visited, replica.Name)
 	}
 	return Stop{Replica: replica, Free: true}, ok
 }
 
-func (itinerary *Itinerary) choose() (Stop, bool) {
-	first := len(itinerary.visited) == 0
+func (plan *AttemptPlan) choose() (Stop, bool) {
+	first := len(plan.visited) == 0
 	if !first {
-		if replica, ok := itinerary.fresh(itinerary.hint.Where); ok {
-			return Stop{Replica: replica, Free: itinerary.hint.Moved}, true
+		if replica, ok := plan.fresh(plan.hint.Where); ok {
+			return Stop{Replica: replica, Free: plan.hint.Moved}, true
 		}
 	}
 	// The home asked to look at the runner-up, without knowing more.
-	if itinerary.home && len(itinerary.visited) == 1 && itinerary.hint.Where == "" && len(itinerary.ranked) > 1 {
-		return Stop{Replica: itinerary.ranked[1], Seek: true, Free: true}, true
+	if plan.home && len(plan.visited) == 1 && plan.hint.Where == "" && len(plan.ranked) > 1 {
+		return Stop{Replica: plan.ranked[1], Seek: true, Free: true}, true
 	}
-	if replica, ok := itinerary.fresh(itinerary.hint.Room); ok && len(itinerary.visited) == MaxOffers-1 {
+	if replica, ok := plan.fresh(plan.hint.Room); ok && len(plan.visited) == MaxOffers-1 {
 		return Stop{Replica: replica, Free: true}, true
 	}
-	if itinerary.home && !first {
-		itinerary.home = false
-		return Stop{Replica: itinerary.ranked[0], Free: true}, true
+	if plan.home && !first {
+		plan.home = false
+		return Stop{Replica: plan.ranked[0], Free: true}, true
 	}
-	for _, replica := range itinerary.ranked {
-		if !slices.Contains(itinerary.visited, replica.Name) {
+	for _, replica := range plan.ranked {
+		if !slices.Contains(plan.visited, replica.Name) {
 			return Stop{Replica: replica}, true
 		}
 	}
@@ -149,9 +149,9 @@
 }
 
 // fresh returns the named replica when the roster has it and it was not visited.
-func (itinerary *Itinerary) fresh(name string) (Replica, bool) {
-	if name == "" || slices.Contains(itinerary.visited, name) || slices.Contains(itinerary.away, name) {
+func (plan *AttemptPlan) fresh(name string) (Replica, bool) {
+	if name == "" || slices.Contains(plan.visited, name) || slices.Contains(plan.away, name) {
 		return Replica{}, false
 	}
-	return itinerary.roster.Find(name)
+	return plan.roster.Find(name)
 }
--- a/internal/runner/adapters.go
+++ b/internal/runner/adapters.go
@@ -10,7 +10,7 @@
 )
 
 // adapters are what is asked of the engine by adapter, and what it holds. It is
-// guarded by Agent.mu. Only calls that the desk has taken are in it, so the
+// guarded by Agent.mu. Only calls that the controller has taken are in it, so the
 // slots and the queue bound it, whatever callers name.
 type adapters struct {
 	// calls are the adapters of the calls that run or wait, by request.
@@ -31,7 +31,7 @@
 	return classifier.New(classifier.NotReady, "the upstream does not hold the adapter").WithRetryAfter(timekeeper.Second)
 }
 
-// noteAdapter takes in a call that the desk has taken; Agent.mu must be held.
+// noteAdapter takes in a call that the controller has taken; Agent.mu must be held.
 func (agent *Agent) noteAdapter(offer *encoder.Offer, decision admitter.Decision) {
 	if decision.Outcome == admitter.Refused || !slices.Contains(agent.service.Adapters, offer.GetAdapter()) {
 		return
--- a/internal/runner/adopt.go
+++ b/internal/runner/adopt.go
@@ -24,7 +24,7 @@
 	}
 	agent.service = service
 	agent.places.Resize(service.CacheTokens)
-	agent.wake(agent.desk.Resize(limitsOf(service, agent.settings.Draw), agent.settings.Clock.Now()))
+	agent.wake(agent.controller.Resize(limitsOf(service, agent.settings.Draw), agent.settings.Clock.Now()))
 }
 
 // serviceNow returns the service as it is in force.
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -113,21 +113,21 @@
 	service  resolver.Service
 	revision uint64
 
-	mu       sync.Mutex
-	desk     *admitter.Desk
-	demand   admitter.Demand
-	queue    map[string]chan verdict
-	places   *placer.Directory
-	born     timekeeper.Instant
-	runs     map[string]*run
-	kept     endedRuns
-	bySerial map[uint64]*run
-	serial   uint64
-	weighed  map[string]weighing
-	draining bool
-	sequence uint64
-	told     told
-	calls    sync.WaitGroup
+	mu         sync.Mutex
+	controller *admitter.Controller
+	demand     admitter.Demand
+	queue      map[string]chan verdict
+	places     *placer.Directory
+	born       timekeeper.Instant
+	runs       map[string]*run
+	kept       endedRuns
+	bySerial   map[uint64]*run
+	serial     uint64
+	weighed    map[string]weighing
+	draining   bool
+	sequence   uint64
+	reported   reportedLoad
+	calls      sync.WaitGroup
 	// transfers has a place for each prefix that is under way at once.
 	transfers chan struct{}
 }
@@ -141,19 +141,19 @@
 		return nil, nil, eris.Errorf("the configuration has no service %q", settings.Service)
 	}
 	agent := &Agent{
-		settings: settings,
-		service:  service,
-		revision: settings.Config().Revision,
-		upstream: newUpstream(settings.Upstream, service),
-		desk:     admitter.NewDesk(limitsOf(service, settings.Draw)),
-		queue:    map[string]chan verdict{},
-		places:   placer.NewDirectory(placer.DirectorySettings{Self: settings.Name, CacheTokens: service.CacheTokens}),
-		born:     settings.Clock.Now(),
-		keys:     newKeys(settings),
-		strikes:  newStrikes(settings),
-		runs:     map[string]*run{},
-		bySerial: map[uint64]*run{},
-		weighed:  map[string]weighing{},
+		settings:   settings,
+		service:    service,
+		revision:   settings.Config().Revision,
+		upstream:   newUpstream(settings.Upstream, service),
+		controller: admitter.NewController(limitsOf(service, settings.Draw)),
+		queue:      map[string]chan verdict{},
+		places:     placer.NewDirectory(placer.DirectorySettings{Self: settings.Name, CacheTokens: service.CacheTokens}),
+		born:       settings.Clock.Now(),
+		keys:       newKeys(settings),
+		strikes:    newStrikes(settings),
+		runs:       map[string]*run{},
+		bySerial:   map[uint64]*run{},
+		weighed:    map[string]weighing{},
 
 		transfers: make(chan struct{}, mostTransfers),
 	}
@@ -240,7 +240,7 @@
 
 func (agent *Agent) digest() *encoder.Digest {
 	agent.sequence++
-	load := agent.desk.Load()
+	load := agent.controller.Load()
 	state := encoder.ReplicaState_REPLICA_STATE_LIVE
 	if agent.draining {
 		state = encoder.ReplicaState_REPLICA_STATE_DRAINING
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -2,7 +2,7 @@
 // instance.
 //
 // It accepts yamux sessions from entries and other agents. A stream that opens
-// with an Offer is a call: the desk (package admitter) grants, queues or
+// with an Offer is a call: the controller (package admitter) grants, queues or
 // refuses it; the Run frame commits it; the upstream's answer is kept while it
 // is relayed, so that a caller whose connection broke can resume.
 //
--- a/internal/runner/drain.go
+++ b/internal/runner/drain.go
@@ -62,7 +62,7 @@
 func (agent *Agent) inFlight() int {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	load := agent.desk.Load()
+	load := agent.controller.Load()
 	left := load.Running + load.Waiting
 	for _, run := range agent.runs {
 		if run.ended != 0 && run.readers > 0 {
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -137,7 +137,7 @@
 		return agent.engineAway(), true
 	case agent.adapters.lacks(offer.GetAdapter()):
 		return adapterAway(), true
-	case agent.runs[offer.GetRequestId()] != nil || agent.desk.Holds(offer.GetRequestId()):
+	case agent.runs[offer.GetRequestId()] != nil || agent.controller.Holds(offer.GetRequestId()):
 		return agent.runs[offer.GetRequestId()].again(), true
 	}
 	return classifier.Failure{}, false
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// weighing is what the desk went by when it took an offer.
+// weighing is what the controller went by when it took an offer.
 type weighing struct {
 	at     timekeeper.Instant
 	load   int64
@@ -32,7 +32,7 @@
 	factor float64
 }
 
-// noteLoad notes by which load and bound the desk took an offer; the lock must
+// noteLoad notes by which load and bound the controller took an offer; the lock must
 // be held. The slot may be given later, from the queue, when both are others.
 func (agent *Agent) noteLoad(offer *encoder.Offer, decision admitter.Decision) {
 	agent.weighed[offer.GetRequestId()] = weighing{
@@ -87,7 +87,7 @@
 		event.Ran = string(classifier.AnswerOf(classifier.KindOf(event.Reason)).Ran)
 	}
 	agent.mu.Lock()
-	event.Load = agent.desk.Load().Work - offer.GetWork()
+	event.Load = agent.controller.Load().Work - offer.GetWork()
 	agent.mu.Unlock()
 	agent.settings.Record(event)
 }
@@ -103,8 +103,8 @@
 	event := agent.event(recorder.Sampled, nil)
 	mean := agent.settings.Mean()
 	agent.mu.Lock()
-	load := agent.desk.Load()
-	event.Bound = agent.desk.Allowed(agent.demand.Raise(mean, event.At))
+	load := agent.controller.Load()
+	event.Bound = agent.controller.Allowed(agent.demand.Raise(mean, event.At))
 	agent.mu.Unlock()
 	event.Load = load.Work
 	event.Count = int64(load.Running + load.Waiting)
--- a/internal/runner/told.go
+++ b/internal/runner/reported.go
@@ -14,34 +14,34 @@
 	tellShare = 4
 )
 
-// told is what the agent's answers have last brought of its load.
+// reportedLoad is what the agent's answers have last brought of its load.
 //
 // It is made for an agent that ends many short calls a second: a digest of a
 // hundred bytes on each would cost more control traffic than all rounds. The
 // harm of bringing none is an entry that goes by loads of some seconds ago and
 // is refused by the agent for it. So an answer brings it when a second has
-// passed, or when the load has changed by a quarter since it was last told.
-type told struct {
+// passed, or when the load has changed by a quarter since it was last reported.
+type reportedLoad struct {
 	at   timekeeper.Instant
 	load int64
 }
 
-// due reports whether an answer should bring the load, and the told after it.
-func (told told) due(now timekeeper.Instant, load int64) (bool, told) {
-	change := load - told.load
+// due reports whether an answer should bring the load, and what was reported after it.
+func (reported reportedLoad) due(now timekeeper.Instant, load int64) (bool, reportedLoad) {
+	change := load - reported.load
 	if change < 0 {
 		change = -change
 	}
-	much := change > 0 && change*tellShare >= told.load
-	if told.at != 0 && now.Since(told.at) < tellEvery && !much {
-		return false, told
+	much := change > 0 && change*tellShare >= reported.load
+	if reported.at != 0 && now.Since(reported.at) < tellEvery && !much {
+		return false, reported
 	}
-	return true, told.with(now, load)
+	return true, reported.with(now, load)
 }
 
-func (told told) with(now timekeeper.Instant, load int64) told {
-	told.at, told.load = now, load
-	return told
+func (reported reportedLoad) with(now timekeeper.Instant, load int64) reportedLoad {
+	reported.at, reported.load = now, load
+	return reported
 }
 
 // atEnd returns what the answer to an offer brings of the agent, or nil. The
@@ -49,8 +49,8 @@
 func (agent *Agent) atEnd(offer *encoder.Offer) *encoder.Digest {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	load := agent.desk.Load().Work - offer.GetWork()
-	due, after := agent.told.due(agent.settings.Clock.Now(), load)
+	load := agent.controller.Load().Work - offer.GetWork()
+	due, after := agent.reported.due(agent.settings.Clock.Now(), load)
 	if !due {
 		return nil
 	}
@@ -60,6 +60,6 @@
 	if !agent.settings.Tell(digest) {
 		return nil
 	}
-	agent.told = after
+	agent.reported = after
 	return digest
 }
--- a/internal/runner/told_test.go
+++ b/internal/runner/reported_test.go
@@ -11,25 +11,25 @@
 
 func TestAnAnswerBringsTheLoadOnlyWhenItIsNews(t *testing.T) {
 	tests := []struct {
-		name  string
-		told  told
-		after timekeeper.Span
-		load  int64
-		want  bool
+		name     string
+		reported reportedLoad
+		after    timekeeper.Span
+		load     int64
+		want     bool
 	}{
-		{"the first answer", told{}, 0, 0, true},
-		{"nothing changed", told{1000, 400}, 10, 400, false},
-		{"little changed", told{1000, 400}, 10, 350, false},
-		{"much more", told{1000, 400}, 10, 500, true},
-		{"much less", told{1000, 400}, 10, 300, true},
-		{"an idle agent stays idle", told{1000, 0}, 10, 0, false},
-		{"a second has passed", told{1000, 400}, tellEvery, 400, true},
+		{"the first answer", reportedLoad{}, 0, 0, true},
+		{"nothing changed", reportedLoad{1000, 400}, 10, 400, false},
+		{"little changed", reportedLoad{1000, 400}, 10, 350, false},
+		{"much more", reportedLoad{1000, 400}, 10, 500, true},
+		{"much less", reportedLoad{1000, 400}, 10, 300, true},
+		{"an idle agent stays idle", reportedLoad{1000, 0}, 10, 0, false},
+		{"a second has passed", reportedLoad{1000, 400}, tellEvery, 400, true},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			due, after := test.told.due(test.told.at.Add(test.after), test.load)
+			due, after := test.reported.due(test.reported.at.Add(test.after), test.load)
 			So(due, ShouldEqual, test.want)
-			So(after.load == test.load, ShouldEqual, test.want || test.load == test.told.load)
+			So(after.load == test.load, ShouldEqual, test.want || test.load == test.reported.load)
 		})
 	}
 }
@@ -39,7 +39,7 @@
 	Convey("the call that ends is not part of it, and a full budget keeps it off", t, func() {
 		for i, roomy := range []bool{true, false} {
 			bench.agent.settings.Tell = func(*encoder.Digest) bool { return roomy }
-			bench.agent.told = told{}
+			bench.agent.reported = reportedLoad{}
 			id := string(rune('a' + i))
 			stream := bench.open(&encoder.Offer{RequestId: id, Service: "orders", Team: "rig", Work: 5, Idempotent: true, RunFollows: true})
 			bench.send(stream, &encoder.Run{RequestId: id, Method: "GET", Path: "/orders"})
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -17,7 +17,7 @@
 	failure classifier.Failure
 }
 
-// limitsOf returns the limits of a service's desks.
+// limitsOf returns the limits of a service's controllers.
 func limitsOf(service resolver.Service, draw func() float64) admitter.Limits {
 	return admitter.Limits{
 		Slots:       service.Slots,
@@ -31,7 +31,7 @@
 	}
 }
 
-// decide asks the desk about an offer under the agent's lock.
+// decide asks the controller about an offer under the agent's lock.
 func (agent *Agent) decide(offer *encoder.Offer, arrived timekeeper.Instant) (admitter.Decision, <-chan verdict) {
 	mean := agent.settings.Mean()
 	agent.mu.Lock()
@@ -48,11 +48,11 @@
 	if failure, ok := agent.elsewhere(offer, arrived); ok {
 		return admitter.Decision{Outcome: admitter.Refused, Failure: failure}, nil
 	}
-	decision := agent.desk.Offer(agent.ticket(offer, arrived), mean)
+	decision := agent.controller.Offer(agent.ticket(offer, arrived), mean)
 	agent.noteLoad(offer, decision)
 	agent.noteAdapter(offer, decision)
 	for _, ticket := range decision.Displaced {
-		agent.tell(ticket.ID, verdict{failure: agent.desk.PushedOut()})
+		agent.tell(ticket.ID, verdict{failure: agent.controller.PushedOut()})
 	}
 	slot := make(chan verdict, 1)
 	switch decision.Outcome {
@@ -99,7 +99,7 @@
 	delete(agent.adapters.calls, id)
 	agent.keys.book.Abandon(id)
 	agent.leaveGate(id)
-	agent.wake(agent.desk.Finish(id, now))
+	agent.wake(agent.controller.Finish(id, now))
 }
 
 // wake tells the tickets that got a slot; the lock must be held.
@@ -139,12 +139,12 @@
 	}
 }
 
-// opened tells the desk that a run's first byte is there.
+// opened tells the controller that a run's first byte is there.
 func (agent *Agent) opened(id string) {
 	now := agent.settings.Clock.Now()
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	agent.desk.Opened(id, now)
+	agent.controller.Opened(id, now)
 }
 
 // hold keeps the slot of a cancelled run for a while.
--- a/internal/verifier/court.go
+++ b/internal/verifier/evidence_index.go
@@ -15,8 +15,8 @@
 	incarnation uint64
 }
 
-// court holds the evidence by what the rules ask for.
-type court struct {
+// evidenceIndex holds the evidence by what the rules ask for.
+type evidenceIndex struct {
 	settings     Settings
 	incarnations []Incarnation
 	// all is the evidence of all processes in order of time.
@@ -28,8 +28,8 @@
 	unrecorded []string
 }
 
-func newCourt(trail Trail, settings Settings) *court {
-	made := &court{
+func newEvidenceIndex(trail Trail, settings Settings) *evidenceIndex {
+	made := &evidenceIndex{
 		settings:     settings,
 		incarnations: trail.Incarnations,
 		byRequest:    map[string][]Evidence{},
@@ -55,37 +55,37 @@
 
 // missing finds incarnations that others' records name and that have none
 // themselves: the one way to drop records that no chain can show.
-func (court *court) missing() {
+func (index *evidenceIndex) missing() {
 	named := map[place]bool{}
-	for _, evidence := range court.all {
+	for _, evidence := range index.all {
 		at := place{evidence.Instance, evidence.Incarnation}
-		if court.nowhere(evidence) && !named[at] {
+		if index.nowhere(evidence) && !named[at] {
 			named[at] = true
-			court.gaps = append(court.gaps, Gap{
+			index.gaps = append(index.gaps, Gap{
 				Origin: recorder.Origin{Group: evidence.Service, Name: at.name, Incarnation: at.incarnation},
 				Until:  never,
 				Reason: fmt.Sprintf("no record at all, though %s names it", evidence),
 				Open:   true,
 			})
 		}
-		if evidence.Kind == recorder.Committed && !court.offered(evidence) && court.inRange(evidence) {
-			court.unrecorded = append(court.unrecorded, fmt.Sprintf("%s ran, and no entry's record offers it: %s", evidence.Request, evidence))
+		if evidence.Kind == recorder.Committed && !index.offered(evidence) && index.inRange(evidence) {
+			index.unrecorded = append(index.unrecorded, fmt.Sprintf("%s ran, and no entry's record offers it: %s", evidence.Request, evidence))
 		}
 	}
 }
 
 // nowhere reports whether evidence of an entry names an agent that has no
 // record, by its incarnation or, where that was not told, by the instance.
-func (court *court) nowhere(evidence Evidence) bool {
+func (index *evidenceIndex) nowhere(evidence Evidence) bool {
 	if evidence.Kind != recorder.Answered && evidence.Kind != recorder.Offered {
 		return false
 	}
 	if evidence.Incarnation != 0 {
-		return court.byPlace[place{evidence.Instance, evidence.Incarnation}] == nil
+		return index.byPlace[place{evidence.Instance, evidence.Incarnation}] == nil
 	}
 	if evidence.Kind == recorder.Offered {
-		return !slices.ContainsFunc(court.incarnations, func(incarnation Incarnation) bool {
-			return incarnation.Origin.Name == evidence.Instance && court.lived(incarnation, evidence.At)
+		return !slices.ContainsFunc(index.incarnations, func(incarnation Incarnation) bool {
+			return incarnation.Origin.Name == evidence.Instance && index.lived(incarnation, evidence.At)
 		})
 	}
 	return false
@@ -93,43 +93,43 @@
 
 // lived reports whether an incarnation's record reaches over an instant. One
 // with an open tail reaches on, and its gap tells what that hides.
-func (court *court) lived(incarnation Incarnation, at timekeeper.Instant) bool {
+func (index *evidenceIndex) lived(incarnation Incarnation, at timekeeper.Instant) bool {
 	if len(incarnation.Records) == 0 {
 		return true
 	}
 	first, last := incarnation.Records[0], incarnation.Records[len(incarnation.Records)-1]
-	ended := incarnation.Stopped && last.At.Add(court.settings.Skew) < at
-	return first.At <= at.Add(court.settings.Skew) && !ended
+	ended := incarnation.Stopped && last.At.Add(index.settings.Skew) < at
+	return first.At <= at.Add(index.settings.Skew) && !ended
 }
 
-func (court *court) offered(committed Evidence) bool {
-	return slices.ContainsFunc(court.byRequest[committed.Request], func(other Evidence) bool {
+func (index *evidenceIndex) offered(committed Evidence) bool {
+	return slices.ContainsFunc(index.byRequest[committed.Request], func(other Evidence) bool {
 		return other.Kind == recorder.Offered
 	})
 }
 
-func (court *court) inRange(evidence Evidence) bool {
-	return evidence.At >= court.settings.From && evidence.At <= court.settings.Until
+func (index *evidenceIndex) inRange(evidence Evidence) bool {
+	return evidence.At >= index.settings.From && evidence.At <= index.settings.Until
 }
 
 // empty reports whether no record falls within the range.
-func (court *court) empty() bool {
-	return !slices.ContainsFunc(court.all, court.inRange)
+func (index *evidenceIndex) empty() bool {
+	return !slices.ContainsFunc(index.all, index.inRange)
 }
 
 // each calls look for every record of a kind within the range, in order of time.
-func (court *court) each(kind recorder.Kind, look func(evidence Evidence)) {
-	for _, evidence := range court.all {
-		if evidence.Kind == kind && court.inRange(evidence) {
+func (index *evidenceIndex) each(kind recorder.Kind, look func(evidence Evidence)) {
+	for _, evidence := range index.all {
+		if evidence.Kind == kind && index.inRange(evidence) {
 			look(evidence)
 		}
 	}
 }
 
 // about returns the records of a kind about a request.
-func (court *court) about(request string, kind recorder.Kind) []Evidence {
+func (index *evidenceIndex) about(request string, kind recorder.Kind) []Evidence {
 	var found []Evidence
-	for _, evidence := range court.byRequest[request] {
+	for _, evidence := range index.byRequest[request] {
 		if evidence.Kind == kind {
 			found = append(found, evidence)
 		}
@@ -138,10 +138,10 @@
 }
 
 // gapsInRange returns the gaps that reach into the range that is judged.
-func (court *court) gapsInRange() []Gap {
+func (index *evidenceIndex) gapsInRange() []Gap {
 	var found []Gap
-	for _, gap := range court.gaps {
-		if gap.overlaps(court.settings.From, court.settings.Until.Add(-1)) {
+	for _, gap := range index.gaps {
+		if gap.overlaps(index.settings.From, index.settings.Until.Add(-1)) {
 			found = append(found, gap)
 		}
 	}
@@ -153,9 +153,9 @@
 }
 
 // gapOf returns a gap of one incarnation that reaches past an instant.
-func (court *court) gapOf(at place, after timekeeper.Instant) (Gap, bool) {
-	for _, gap := range court.gaps {
-		if gap.Origin.Name == at.name && gap.Origin.Incarnation == at.incarnation && gap.Until.Add(court.settings.Skew) >= after {
+func (index *evidenceIndex) gapOf(at place, after timekeeper.Instant) (Gap, bool) {
+	for _, gap := range index.gaps {
+		if gap.Origin.Name == at.name && gap.Origin.Incarnation == at.incarnation && gap.Until.Add(index.settings.Skew) >= after {
 			return gap, true
 		}
 	}
@@ -164,13 +164,13 @@
 
 // doubtEntries doubts a verdict that rests on what entries told: each gap of an
 // entry, and each run that no entry's record accounts for.
-func (court *court) doubtEntries(verdict *Verdict) {
-	for _, gap := range court.gapsInRange() {
+func (index *evidenceIndex) doubtEntries(verdict *Verdict) {
+	for _, gap := range index.gapsInRange() {
 		if atEntry(gap) {
 			verdict.doubt(gap.String())
 		}
 	}
-	for _, reason := range court.unrecorded {
+	for _, reason := range index.unrecorded {
 		verdict.doubt(reason)
 	}
 }
@@ -179,13 +179,13 @@
 // an entry offered that agent a call that matters around it and the agent's
 // record doesn't tell the call's fate, or when an entry's own record is not
 // whole at that time.
-func (court *court) doubtAgents(verdict *Verdict, matters func(offered Evidence) bool) {
-	gaps := court.gapsInRange()
+func (index *evidenceIndex) doubtAgents(verdict *Verdict, matters func(offered Evidence) bool) {
+	gaps := index.gapsInRange()
 	for _, gap := range gaps {
 		if atEntry(gap) {
 			continue
 		}
-		if hidden, ok := court.hidden(gap, matters); ok {
+		if hidden, ok := index.hidden(gap, matters); ok {
 			verdict.doubt(fmt.Sprintf("%s; it may hide the fate of %s", gap, hidden))
 			continue
 		}
@@ -199,12 +199,12 @@
 }
 
 // hidden returns an offer whose fate a gap of an agent may hide.
-func (court *court) hidden(gap Gap, matters func(offered Evidence) bool) (Evidence, bool) {
-	from, until := gap.From.Add(-court.settings.Hidden), gap.Until.Add(court.settings.Skew)
-	for _, evidence := range court.all {
+func (index *evidenceIndex) hidden(gap Gap, matters func(offered Evidence) bool) (Evidence, bool) {
+	from, until := gap.From.Add(-index.settings.Hidden), gap.Until.Add(index.settings.Skew)
+	for _, evidence := range index.all {
 		near := evidence.At >= from && evidence.At <= until
 		if near && evidence.Kind == recorder.Offered && evidence.Instance == gap.Origin.Name &&
-			matters(evidence) && !court.fateKnown(evidence) {
+			matters(evidence) && !index.fateKnown(evidence) {
 			return evidence, true
 		}
 	}
@@ -212,8 +212,8 @@
 }
 
 // fateKnown reports whether the agent's record tells what became of an offer.
-func (court *court) fateKnown(offered Evidence) bool {
-	return slices.ContainsFunc(court.byRequest[offered.Request], func(other Evidence) bool {
+func (index *evidenceIndex) fateKnown(offered Evidence) bool {
+	return slices.ContainsFunc(index.byRequest[offered.Request], func(other Evidence) bool {
 		if other.Origin.Name != offered.Instance {
 			return false
 		}
--- a/internal/verifier/report.go
+++ b/internal/verifier/report.go
@@ -121,46 +121,46 @@
 type rule struct {
 	promise string
 	text    string
-	check   func(court *court, verdict *Verdict)
+	check   func(index *evidenceIndex, verdict *Verdict)
 }
 
 var rules = [...]rule{
 	{
 		"No engine carries more than a set multiple of the mean load across its service.",
 		"Each granted call found its replica's load at or under the bound that the mean set.",
-		(*court).loadBound,
+		(*evidenceIndex).loadBound,
 	},
 	{
 		"Every caller gets the whole answer to their own request.",
 		"Each answer told as whole was offered by that entry, ended whole at that agent with the same " +
 			"request, length and digest, and was told once.",
-		(*court).wholeAnswers,
+		(*evidenceIndex).wholeAnswers,
 	},
 	{
 		"When a request is refused as not run, it was not run.",
 		"No request that anyone was told had not run was committed there, or anywhere for a caller.",
-		(*court).notRun,
+		(*evidenceIndex).notRun,
 	},
 	{
 		"A non-idempotent request runs at most once.",
 		"For each key, and for each request without one, at most one non-idempotent run was committed.",
-		(*court).atMostOnce,
+		(*evidenceIndex).atMostOnce,
 	},
 	{
 		"A leaving upstream receives no new work after a few seconds.",
 		"No call was granted at a replica later than the stated time after draining.",
-		(*court).leaving,
+		(*evidenceIndex).leaving,
 	},
 	{
 		"Every planned stop cuts off no request in flight.",
 		"At a process that drained or stopped, each committed run ended, each offered call was answered, " +
 			"and no whole answer was cut on its way.",
-		(*court).plannedStops,
+		(*evidenceIndex).plannedStops,
 	},
 	{
 		"An accepted configuration is in force everywhere within seconds and never reverts.",
 		"Revisions in force never fall, accepted revisions rise, and each is in force at each live process in time.",
-		(*court).configuration,
+		(*evidenceIndex).configuration,
 	},
 }
 
@@ -171,17 +171,17 @@
 // Judge gives a verdict on each promise from a verified trail.
 func Judge(trail Trail, settings Settings) Report {
 	settings = settings.withDefaults()
-	court := newCourt(trail, settings)
+	index := newEvidenceIndex(trail, settings)
 	report := Report{
 		From: settings.From, Until: settings.Until, Skew: settings.Skew,
 		Incarnations: len(trail.Incarnations), Segments: trail.Segments, Records: trail.Records,
-		Findings: trail.Findings, Gaps: court.gapsInRange(),
-		Skews: court.skews(), Answers: court.answers(),
+		Findings: trail.Findings, Gaps: index.gapsInRange(),
+		Skews: index.skews(), Answers: index.answers(),
 	}
 	for i, rule := range rules {
 		verdict := Verdict{Number: i + 1, Promise: rule.promise, Rule: rule.text, Outcome: Held}
-		rule.check(court, &verdict)
-		if court.empty() {
+		rule.check(index, &verdict)
+		if index.empty() {
 			verdict.doubt(noRecord)
 		}
 		switch {
--- a/internal/verifier/rules_calls.go
+++ b/internal/verifier/rules_calls.go
@@ -14,19 +14,19 @@
 // of the bound (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with
 // Bounded Loads", 2018). A grant made without a mean is judged by the mean that
 // the records of all agents give together.
-func (court *court) loadBound(verdict *Verdict) {
+func (index *evidenceIndex) loadBound(verdict *Verdict) {
 	loads := tally{}
-	for _, evidence := range court.all {
-		if evidence.Kind == recorder.Granted && court.inRange(evidence) {
+	for _, evidence := range index.all {
+		if evidence.Kind == recorder.Granted && index.inRange(evidence) {
 			verdict.Checked++
-			court.judgeGrant(verdict, evidence, loads[evidence.Service])
+			index.judgeGrant(verdict, evidence, loads[evidence.Service])
 		}
 		loads.note(evidence)
 	}
-	court.doubtAgents(verdict, anyCall)
+	index.doubtAgents(verdict, anyCall)
 }
 
-func (court *court) judgeGrant(verdict *Verdict, grant Evidence, loads serviceLoads) {
+func (index *evidenceIndex) judgeGrant(verdict *Verdict, grant Evidence, loads serviceLoads) {
 	before := grant.Load - grant.Work
 	if grant.Bound > 0 {
 		if before > grant.Bound {
@@ -77,9 +77,9 @@
 }
 
 // wholeAnswers checks promise 2.
-func (court *court) wholeAnswers(verdict *Verdict) {
+func (index *evidenceIndex) wholeAnswers(verdict *Verdict) {
 	told := map[string]Evidence{}
-	court.each(recorder.Answered, func(answer Evidence) {
+	index.each(recorder.Answered, func(answer Evidence) {
 		verdict.Checked++
 		if first, twice := told[answer.Request]; twice && answer.Detail != recorder.Resumed {
 			verdict.breach("one request was answered twice", first, answer)
@@ -88,21 +88,21 @@
 			told[answer.Request] = answer
 		}
 		if answer.Complete {
-			court.judgeAnswer(verdict, answer)
+			index.judgeAnswer(verdict, answer)
 		}
 	})
-	court.doubtEntries(verdict)
+	index.doubtEntries(verdict)
 }
 
-func (court *court) judgeAnswer(verdict *Verdict, answer Evidence) {
+func (index *evidenceIndex) judgeAnswer(verdict *Verdict, answer Evidence) {
 	// Any entry may resume a stream, and a replay comes from whoever holds the
 	// key: the agent checks whose it is.
 	offered := answer.Detail != ""
-	for _, offer := range court.about(answer.Request, recorder.Offered) {
+	for _, offer := range index.about(answer.Request, recorder.Offered) {
 		offered = offered || offer.Origin == answer.Origin && offer.Instance == answer.Instance
 	}
 	from := place{answer.Origin.Name, answer.Origin.Incarnation}
-	gap, entryGap := court.gapOf(from, 0)
+	gap, entryGap := index.gapOf(from, 0)
 	switch {
 	case !offered && entryGap:
 		verdict.doubt(fmt.Sprintf("no offer is on record for %s; %s", answer, gap))
@@ -111,11 +111,11 @@
 		verdict.breach("the entry answered a request that it did not offer to that replica", answer)
 		return
 	}
-	run, near := court.runOf(answer)
+	run, near := index.runOf(answer)
 	if run {
 		return
 	}
-	if gap, ok := court.gapOf(place{answer.Instance, answer.Incarnation}, answer.At.Add(-court.settings.Hidden)); ok && near == nil {
+	if gap, ok := index.gapOf(place{answer.Instance, answer.Incarnation}, answer.At.Add(-index.settings.Hidden)); ok && near == nil {
 		verdict.doubt(fmt.Sprintf("no run is on record for %s; %s", answer, gap))
 		return
 	}
@@ -124,10 +124,10 @@
 
 // runOf reports whether an answer's run ended whole with the same body, and
 // else returns the run that is nearest.
-func (court *court) runOf(answer Evidence) (bool, []Evidence) {
+func (index *evidenceIndex) runOf(answer Evidence) (bool, []Evidence) {
 	replayed := answer.Detail == recorder.Replayed
 	at := place{answer.Instance, answer.Incarnation}
-	incarnation := court.byPlace[at]
+	incarnation := index.byPlace[at]
 	if incarnation == nil {
 		return false, nil
 	}
@@ -151,20 +151,20 @@
 
 // notRun checks promise 3: for callers against every run, and for what agents
 // told entries against that agent's own runs.
-func (court *court) notRun(verdict *Verdict) {
-	court.each(recorder.Answered, func(answer Evidence) {
+func (index *evidenceIndex) notRun(verdict *Verdict) {
+	index.each(recorder.Answered, func(answer Evidence) {
 		if answer.Ran != toldNo {
 			return
 		}
 		verdict.Checked++
-		for _, run := range court.runs(answer.Request) {
+		for _, run := range index.runs(answer.Request) {
 			verdict.breach("the caller was told that the request did not run, and it ran", answer, run)
 		}
 	})
-	court.notRunThere(verdict)
-	court.doubtEntries(verdict)
-	court.doubtAgents(verdict, func(offered Evidence) bool {
-		for _, answer := range court.about(offered.Request, recorder.Answered) {
+	index.notRunThere(verdict)
+	index.doubtEntries(verdict)
+	index.doubtAgents(verdict, func(offered Evidence) bool {
+		for _, answer := range index.about(offered.Request, recorder.Answered) {
 			if answer.Ran != toldNo {
 				return false
 			}
@@ -174,33 +174,33 @@
 }
 
 // runs returns the committed runs of a request, without those that missed.
-func (court *court) runs(request string) []Evidence {
-	return slices.DeleteFunc(court.about(request, recorder.Committed), court.missed)
+func (index *evidenceIndex) runs(request string) []Evidence {
+	return slices.DeleteFunc(index.about(request, recorder.Committed), index.missed)
 }
 
 // missed reports whether a committed run never reached its upstream: the agent
 // took the Run frame, could not connect, and recorded that nothing ran.
-func (court *court) missed(run Evidence) bool {
-	return slices.ContainsFunc(court.about(run.Request, recorder.Ended), func(end Evidence) bool {
+func (index *evidenceIndex) missed(run Evidence) bool {
+	return slices.ContainsFunc(index.about(run.Request, recorder.Ended), func(end Evidence) bool {
 		return end.Origin == run.Origin && end.Ran == toldNo
 	})
 }
 
 // notRunThere checks what agents told entries against their own runs.
-func (court *court) notRunThere(verdict *Verdict) {
+func (index *evidenceIndex) notRunThere(verdict *Verdict) {
 	look := func(refusal Evidence) {
 		if refusal.Origin.Group == recorder.EntryGroup {
 			return
 		}
 		verdict.Checked++
-		for _, run := range court.runs(refusal.Request) {
-			if run.Origin == refusal.Origin && !court.offeredAgain(refusal, run) {
+		for _, run := range index.runs(refusal.Request) {
+			if run.Origin == refusal.Origin && !index.offeredAgain(refusal, run) {
 				verdict.breach("the agent said that the request did not run there, and it ran", refusal, run)
 			}
 		}
 	}
-	court.each(recorder.Buried, look)
-	court.each(recorder.Refused, func(refusal Evidence) {
+	index.each(recorder.Buried, look)
+	index.each(recorder.Refused, func(refusal Evidence) {
 		if refusal.Ran == toldNo {
 			look(refusal)
 		}
@@ -218,12 +218,12 @@
 // looks for it, and may come back to the same agent with the same request; the
 // refusal was true when it was given. A tombstone is for good, and a refusal
 // after the run is a lie whatever was offered.
-func (court *court) offeredAgain(refusal, run Evidence) bool {
+func (index *evidenceIndex) offeredAgain(refusal, run Evidence) bool {
 	if refusal.Kind != recorder.Refused || run.Sequence < refusal.Sequence {
 		return false
 	}
 	offers, answers := 0, 0
-	for _, evidence := range court.byRequest[run.Request] {
+	for _, evidence := range index.byRequest[run.Request] {
 		switch {
 		case evidence.Kind == recorder.Offered && evidence.reaches(run.Origin):
 			offers++
@@ -242,10 +242,10 @@
 
 // atMostOnce checks promise 4. Runs outside the range count too: the second run
 // of an old key is as bad.
-func (court *court) atMostOnce(verdict *Verdict) {
+func (index *evidenceIndex) atMostOnce(verdict *Verdict) {
 	first := map[claim]Evidence{}
-	for _, run := range court.all {
-		if run.Kind != recorder.Committed || run.Idempotent || court.missed(run) {
+	for _, run := range index.all {
+		if run.Kind != recorder.Committed || run.Idempotent || index.missed(run) {
 			continue
 		}
 		one := claim{key: run.Key}
@@ -256,7 +256,7 @@
 		if !twice {
 			first[one] = run
 		}
-		if !court.inRange(run) {
+		if !index.inRange(run) {
 			continue
 		}
 		verdict.Checked++
@@ -264,5 +264,5 @@
 			verdict.breach("a non-idempotent request ran twice", before, run)
 		}
 	}
-	court.doubtAgents(verdict, func(offered Evidence) bool { return !offered.Idempotent })
+	index.doubtAgents(verdict, func(offered Evidence) bool { return !offered.Idempotent })
 }
--- a/internal/verifier/rules_lives.go
+++ b/internal/verifier/rules_lives.go
@@ -12,21 +12,21 @@
 
 // leaving checks promise 5. Both records are of one incarnation, so no skew
 // comes into it.
-func (court *court) leaving(verdict *Verdict) {
-	court.each(recorder.Draining, func(draining Evidence) {
+func (index *evidenceIndex) leaving(verdict *Verdict) {
+	index.each(recorder.Draining, func(draining Evidence) {
 		at := place{draining.Origin.Name, draining.Origin.Incarnation}
 		if draining.Origin.Group == recorder.EntryGroup {
 			return
 		}
 		verdict.Checked++
-		latest := draining.At.Add(court.settings.LeaveWithin)
-		for _, record := range court.byPlace[at].Records {
+		latest := draining.At.Add(index.settings.LeaveWithin)
+		for _, record := range index.byPlace[at].Records {
 			if record.Kind == recorder.Granted && record.Sequence > draining.Sequence && takenAt(record) > latest {
 				verdict.breach("a leaving replica took new work", draining, Evidence{draining.Origin, record})
 			}
 		}
-		if gap, ok := court.gapOf(at, latest); ok && gap.Until.Add(court.settings.Skew) >= latest {
-			court.doubtLife(verdict, draining, gap)
+		if gap, ok := index.gapOf(at, latest); ok && gap.Until.Add(index.settings.Skew) >= latest {
+			index.doubtLife(verdict, draining, gap)
 		}
 	})
 }
@@ -42,24 +42,24 @@
 
 // doubtLife doubts a verdict about a process that was leaving when its record
 // has a gap afterwards.
-func (court *court) doubtLife(verdict *Verdict, leaving Evidence, gap Gap) {
-	if gap.From <= court.settings.Until {
+func (index *evidenceIndex) doubtLife(verdict *Verdict, leaving Evidence, gap Gap) {
+	if gap.From <= index.settings.Until {
 		verdict.doubt(fmt.Sprintf("%s; %s", leaving, gap))
 	}
 }
 
 // plannedStops checks promise 6 at each process that drained or stopped.
-func (court *court) plannedStops(verdict *Verdict) {
-	for i := range court.incarnations {
-		incarnation := &court.incarnations[i]
+func (index *evidenceIndex) plannedStops(verdict *Verdict) {
+	for i := range index.incarnations {
+		incarnation := &index.incarnations[i]
 		left, ok := leave(incarnation)
-		if !ok || !court.inRange(left) {
+		if !ok || !index.inRange(left) {
 			continue
 		}
 		verdict.Checked++
 		at := place{incarnation.Origin.Name, incarnation.Origin.Incarnation}
-		if gap, ok := court.gapOf(at, 0); ok {
-			court.doubtLife(verdict, left, gap)
+		if gap, ok := index.gapOf(at, 0); ok {
+			index.doubtLife(verdict, left, gap)
 			continue
 		}
 		opens, closes, reason := recorder.Committed, recorder.Ended, "a run had not ended when the agent stopped"
@@ -69,7 +69,7 @@
 		for _, cut := range unfinished(incarnation, opens, closes) {
 			verdict.breach(reason, left, cut)
 		}
-		court.judgeEnds(verdict, incarnation, left)
+		index.judgeEnds(verdict, incarnation, left)
 	}
 }
 
@@ -102,7 +102,7 @@
 
 // judgeEnds looks at the runs that ended while the process was leaving: the
 // stop must neither have ended them, nor cut their answers on the way.
-func (court *court) judgeEnds(verdict *Verdict, incarnation *Incarnation, left Evidence) {
+func (index *evidenceIndex) judgeEnds(verdict *Verdict, incarnation *Incarnation, left Evidence) {
 	for _, record := range incarnation.Records {
 		if record.Kind != recorder.Ended || record.Sequence < left.Sequence {
 			continue
@@ -111,9 +111,9 @@
 		if record.Reason == classifier.Draining.String() {
 			verdict.breach("the stop ended a run", left, ended)
 		}
-		for _, answer := range court.about(record.Request, recorder.Answered) {
-			lost := answer.Reason == classifier.OutcomeUnknown.String() && answer.At.Add(court.settings.Skew) >= left.At
-			if record.Complete && lost && !court.resumed(record.Request) {
+		for _, answer := range index.about(record.Request, recorder.Answered) {
+			lost := answer.Reason == classifier.OutcomeUnknown.String() && answer.At.Add(index.settings.Skew) >= left.At
+			if record.Complete && lost && !index.resumed(record.Request) {
 				verdict.breach("the run ended whole while the agent was leaving, and the caller's answer was cut", left, ended, answer)
 			}
 		}
@@ -121,26 +121,26 @@
 }
 
 // resumed reports whether a caller got the rest of a cut answer.
-func (court *court) resumed(request string) bool {
-	return slices.ContainsFunc(court.about(request, recorder.Answered), func(answer Evidence) bool {
+func (index *evidenceIndex) resumed(request string) bool {
+	return slices.ContainsFunc(index.about(request, recorder.Answered), func(answer Evidence) bool {
 		return answer.Complete && answer.Detail == recorder.Resumed
 	})
 }
 
 // configuration checks promise 7.
-func (court *court) configuration(verdict *Verdict) {
-	accepted := court.accepted(verdict)
-	lowest := court.neverFalls(verdict)
+func (index *evidenceIndex) configuration(verdict *Verdict) {
+	accepted := index.accepted(verdict)
+	lowest := index.neverFalls(verdict)
 	for _, change := range accepted {
-		if !court.inRange(change) {
+		if !index.inRange(change) {
 			continue
 		}
-		for i := range court.incarnations {
-			court.inForce(verdict, &court.incarnations[i], change)
+		for i := range index.incarnations {
+			index.inForce(verdict, &index.incarnations[i], change)
 		}
 	}
-	court.unaccepted(verdict, accepted, lowest)
-	for _, gap := range court.gapsInRange() {
+	index.unaccepted(verdict, accepted, lowest)
+	for _, gap := range index.gapsInRange() {
 		if !gap.Open {
 			verdict.doubt(gap.String())
 		}
@@ -151,9 +151,9 @@
 }
 
 // accepted returns the accepted changes and checks that their revisions rise.
-func (court *court) accepted(verdict *Verdict) []Evidence {
+func (index *evidenceIndex) accepted(verdict *Verdict) []Evidence {
 	var changes []Evidence
-	for _, evidence := range court.all {
+	for _, evidence := range index.all {
 		if evidence.Kind == recorder.Accepted {
 			changes = append(changes, evidence)
 		}
@@ -164,7 +164,7 @@
 		switch {
 		case before.Revision == after.Revision && before.Detail != after.Detail:
 			verdict.breach("one revision was accepted twice", before, after)
-		case after.At.Add(court.settings.Skew) < before.At:
+		case after.At.Add(index.settings.Skew) < before.At:
 			verdict.breach("a lower revision was accepted after a higher one", before, after)
 		}
 	}
@@ -173,23 +173,23 @@
 
 // neverFalls checks the revisions of each process, also across its restarts,
 // and returns the lowest that was in force within the range.
-func (court *court) neverFalls(verdict *Verdict) uint64 {
+func (index *evidenceIndex) neverFalls(verdict *Verdict) uint64 {
 	highest := map[recorder.Origin]Evidence{}
 	lowest := uint64(0)
-	for _, evidence := range court.all {
+	for _, evidence := range index.all {
 		if evidence.Revision == 0 || !states(evidence.Kind) {
 			continue
 		}
 		name := evidence.Origin
 		name.Incarnation = 0
 		before, known := highest[name]
-		if known && evidence.Revision < before.Revision && evidence.At > before.At.Add(court.slack(before, evidence)) && court.inRange(evidence) {
+		if known && evidence.Revision < before.Revision && evidence.At > before.At.Add(index.slack(before, evidence)) && index.inRange(evidence) {
 			verdict.breach("the revision in force fell", before, evidence)
 		}
 		if !known || evidence.Revision > before.Revision {
 			highest[name] = evidence
 		}
-		if court.inRange(evidence) {
+		if index.inRange(evidence) {
 			verdict.Checked++
 			if lowest == 0 || evidence.Revision < lowest {
 				lowest = evidence.Revision
@@ -200,11 +200,11 @@
 }
 
 // slack is the skew between two records: none within one incarnation.
-func (court *court) slack(before, after Evidence) timekeeper.Span {
+func (index *evidenceIndex) slack(before, after Evidence) timekeeper.Span {
 	if before.Origin == after.Origin {
 		return 0
 	}
-	return court.settings.Skew
+	return index.settings.Skew
 }
 
 // states reports whether a kind says which revision is in force at its process.
@@ -219,7 +219,7 @@
 // inForce checks that one process had a change in force in time, if it lived
 // and served. One without any configuration is not ready, so it counts from its
 // first.
-func (court *court) inForce(verdict *Verdict, incarnation *Incarnation, change Evidence) {
+func (index *evidenceIndex) inForce(verdict *Verdict, incarnation *Incarnation, change Evidence) {
 	serving := slices.IndexFunc(incarnation.Records, func(record recorder.Record) bool {
 		return states(record.Kind) && record.Revision > 0
 	})
@@ -227,18 +227,18 @@
 		return
 	}
 	first, last := incarnation.Records[serving], incarnation.Records[len(incarnation.Records)-1]
-	due := max(change.At, first.At).Add(court.settings.InForceWithin + court.settings.Skew)
+	due := max(change.At, first.At).Add(index.settings.InForceWithin + index.settings.Skew)
 	for _, record := range incarnation.Records {
 		if states(record.Kind) && record.Revision >= change.Revision && record.At <= due {
 			return
 		}
 	}
 	stopped := incarnation.Stopped && last.At < due
-	if stopped || due > court.settings.Until {
+	if stopped || due > index.settings.Until {
 		return
 	}
 	at := place{incarnation.Origin.Name, incarnation.Origin.Incarnation}
-	if gap, ok := court.gapOf(at, change.At); ok && gap.From < due {
+	if gap, ok := index.gapOf(at, change.At); ok && gap.From < due {
 		verdict.doubt(fmt.Sprintf("%s: not seen in force at %s; %s", change, incarnation.Origin, gap))
 		return
 	}
@@ -247,13 +247,13 @@
 
 // unaccepted doubts revisions that came into force though no record accepts
 // them. The one in force when the range opens needs no acceptance in it.
-func (court *court) unaccepted(verdict *Verdict, accepted []Evidence, lowest uint64) {
+func (index *evidenceIndex) unaccepted(verdict *Verdict, accepted []Evidence, lowest uint64) {
 	known := map[uint64]bool{lowest: true, 0: true}
 	for _, change := range accepted {
 		known[change.Revision] = true
 	}
-	for _, evidence := range court.all {
-		if states(evidence.Kind) && court.inRange(evidence) && !known[evidence.Revision] {
+	for _, evidence := range index.all {
+		if states(evidence.Kind) && index.inRange(evidence) && !known[evidence.Revision] {
 			known[evidence.Revision] = true
 			verdict.doubt(fmt.Sprintf("no record accepts revision %d: %s", evidence.Revision, evidence))
 		}
--- a/internal/verifier/series.go
+++ b/internal/verifier/series.go
@@ -30,13 +30,13 @@
 const parts = 120
 
 // step returns the length of one part of the range.
-func (court *court) step() timekeeper.Span {
-	return max(1, (court.settings.Until.Since(court.settings.From)+parts-1)/parts)
+func (index *evidenceIndex) step() timekeeper.Span {
+	return max(1, (index.settings.Until.Since(index.settings.From)+parts-1)/parts)
 }
 
-func (court *court) part(at timekeeper.Instant) timekeeper.Instant {
-	step := court.step()
-	return court.settings.From.Add(at.Since(court.settings.From) / step * step)
+func (index *evidenceIndex) part(at timekeeper.Instant) timekeeper.Instant {
+	step := index.step()
+	return index.settings.From.Add(at.Since(index.settings.From) / step * step)
 }
 
 // spot is one part of the range at one service.
@@ -48,16 +48,16 @@
 // skews returns the skew of each service at the busiest moment of each part of
 // the range. The highest ratio would say little: one call at an idle service
 // makes its replica as many times the mean as there are replicas.
-func (court *court) skews() []Skew {
+func (index *evidenceIndex) skews() []Skew {
 	loads := tally{}
 	busiest := map[spot]int64{}
 	found := map[spot]Skew{}
-	for _, evidence := range court.all {
+	for _, evidence := range index.all {
 		loads.note(evidence)
 		service := evidence.Origin.Group
 		total, replicas := loads[service].sum()
-		at := spot{court.part(evidence.At), service}
-		if !court.inRange(evidence) || replicas == 0 || total <= busiest[at] {
+		at := spot{index.part(evidence.At), service}
+		if !index.inRange(evidence) || replicas == 0 || total <= busiest[at] {
 			continue
 		}
 		busiest[at] = total
@@ -79,10 +79,10 @@
 }
 
 // answers counts what callers were told in each part of the range.
-func (court *court) answers() []AnswerCount {
+func (index *evidenceIndex) answers() []AnswerCount {
 	var counts []AnswerCount
-	court.each(recorder.Answered, func(answer Evidence) {
-		at := court.part(answer.At)
+	index.each(recorder.Answered, func(answer Evidence) {
+		at := index.part(answer.At)
 		if len(counts) == 0 || counts[len(counts)-1].At != at {
 			counts = append(counts, AnswerCount{At: at})
 		}
--- a/pkg/caller/purse.go
+++ b/pkg/caller/key_cache.go
@@ -15,18 +15,18 @@
 const (
 	// keysPath is where minted keys are got.
 	keysPath = "/v1/keys"
-	// purseSize is how many keys a purse gets at a time.
-	purseSize = 16
+	// purseSize is how many keys a key cache gets at a time.
+	keyCacheSize = 16
 	// purseMargin is the time before their end from which keys are not given
 	// out any more, so that the resends of a call end before its key does.
-	purseMargin = 5 * timekeeper.Minute
+	keyMargin = 5 * timekeeper.Minute
 )
 
-// Purse holds minted keys in hand. Calls under a minted key need no store, so
+// KeyCache holds minted keys in hand. Calls under a minted key need no store, so
 // they go on through an outage of it. A key names one agent: when that is
 // replaced before the key was used, a call under it can't run and ends with
 // ErrUnknown. A caller that knows that it never sent the key may take another.
-type Purse struct {
+type KeyCache struct {
 	caller  *Caller
 	service string
 
@@ -35,43 +35,43 @@
 	expires timekeeper.Instant
 }
 
-// Purse returns an empty purse for a service.
-func (caller *Caller) Purse(service string) *Purse {
-	return &Purse{caller: caller, service: service}
+// KeyCache returns an empty key cache for a service.
+func (caller *Caller) KeyCache(service string) *KeyCache {
+	return &KeyCache{caller: caller, service: service}
 }
 
-// Take returns a key that has not been given out. An empty purse, or one whose
+// Take returns a key that has not been given out. An empty key cache, or one whose
 // keys are about to end, is filled first.
-func (purse *Purse) Take(ctx context.Context) (string, error) {
-	purse.mu.Lock()
-	defer purse.mu.Unlock()
-	now := purse.caller.settings.Clock.Now()
-	if len(purse.keys) == 0 || !now.Add(purseMargin).Before(purse.expires) {
-		if err := purse.fill(ctx); err != nil {
+func (cache *KeyCache) Take(ctx context.Context) (string, error) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	now := cache.caller.settings.Clock.Now()
+	if len(cache.keys) == 0 || !now.Add(keyMargin).Before(cache.expires) {
+		if err := cache.fill(ctx); err != nil {
 			return "", err
 		}
 	}
-	key := purse.keys[0]
-	purse.keys = purse.keys[1:]
+	key := cache.keys[0]
+	cache.keys = cache.keys[1:]
 	return key, nil
 }
 
 // Drop forgets the keys in hand. It is for a caller that got ErrUnknown for a
 // key's first use: the others name the same agent.
-func (purse *Purse) Drop() {
-	purse.mu.Lock()
-	defer purse.mu.Unlock()
-	purse.keys = nil
+func (cache *KeyCache) Drop() {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	cache.keys = nil
 }
 
 // fill gets new keys; the lock must be held.
-func (purse *Purse) fill(ctx context.Context) error {
-	ask, err := json.Marshal(keyAsk{Service: purse.service, Count: purseSize})
+func (cache *KeyCache) fill(ctx context.Context) error {
+	ask, err := json.Marshal(keyAsk{Service: cache.service, Count: keyCacheSize})
 	if err != nil {
 		return eris.Wrap(err, "ask for keys")
 	}
 	// Asking for keys changes nothing, so it needs no key of its own.
-	answer, err := purse.caller.send(ctx, Call{Method: http.MethodPost, Path: keysPath, Body: ask})
+	answer, err := cache.caller.send(ctx, Call{Method: http.MethodPost, Path: keysPath, Body: ask})
 	if err != nil {
 		return err
 	}
@@ -82,8 +82,8 @@
 	if len(grant.Keys) == 0 {
 		return eris.New("no keys were granted")
 	}
-	purse.keys = grant.Keys
-	purse.expires = timekeeper.FromTime(grant.Expires)
+	cache.keys = grant.Keys
+	cache.expires = timekeeper.FromTime(grant.Expires)
 	return nil
 }
 
--- a/pkg/caller/purse_test.go
+++ b/pkg/caller/key_cache_test.go
@@ -13,7 +13,7 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-func TestAPurseGivesEachKeyOnce(t *testing.T) {
+func TestAKeyCacheGivesEachKeyOnce(t *testing.T) {
 	// A key that is given out twice would make the second order a replay of the
 	// first; one that is about to end could not be sent again.
 	clock := timekeeper.NewManual(0)
@@ -26,7 +26,7 @@
 	}))
 	defer server.Close()
 	van := caller.New(caller.Settings{Entries: []string{server.URL}, Clock: clock.Clock()})
-	purse := van.Purse("orders")
+	cache := van.KeyCache("orders")
 	tests := []struct {
 		name  string
 		after timekeeper.Span
@@ -43,9 +43,9 @@
 		Convey(test.name, t, func() {
 			clock.Advance(test.after)
 			if test.drop {
-				purse.Drop()
+				cache.Drop()
 			}
-			key, err := purse.Take(t.Context())
+			key, err := cache.Take(t.Context())
 			So(err, ShouldBeNil)
 			So(key, ShouldEqual, test.want)
 		})
--- a/test/load/cancel_test.go
+++ b/test/load/cancel_test.go
@@ -43,13 +43,13 @@
 	policy := own(0)
 	policy.limits.QueueLength = 256
 	fleet, engine := newFleet(policy, 1, 1), &engine{}
-	desk := admitter.NewDesk(policy.limits)
+	controller := admitter.NewController(policy.limits)
 	random := rand.New(rand.NewPCG(4, 9))
 	var waits []timekeeper.Span
 	served := 0
 	starts := map[string]func(){}
 	finish := func(id string) {
-		for _, granted := range desk.Finish(id, fleet.now) {
+		for _, granted := range controller.Finish(id, fleet.now) {
 			starts[granted.ID]()
 		}
 	}
@@ -63,7 +63,7 @@
 		starts[id] = func() {
 			engine.enter(func() {
 				wait := fleet.now.Since(arrived)
-				desk.Opened(id, fleet.now)
+				controller.Opened(id, fleet.now)
 				if class == caption {
 					waits = append(waits, wait)
 				}
@@ -79,7 +79,7 @@
 				fleet.at(fleet.now.Add(length), func() { engine.leave(); finish(id) })
 			})
 		}
-		decision := desk.Offer(admitter.Ticket{
+		decision := controller.Offer(admitter.Ticket{
 			ID: id, Team: "a", Class: class, Work: int64(length), Arrived: arrived, Deadline: arrived.Add(5 * timekeeper.Second),
 		}, admitter.Mean{})
 		if decision.Outcome == admitter.Granted {
--- a/test/load/fleet_test.go
+++ b/test/load/fleet_test.go
@@ -16,13 +16,13 @@
 
 // member is one replica of the fleet.
 type member struct {
-	name  string
-	desk  *admitter.Desk
-	cache *cache
-	known *placer.Directory
-	born  timekeeper.Instant
-	life  int
-	slow  float64
+	name       string
+	controller *admitter.Controller
+	cache      *cache
+	known      *placer.Directory
+	born       timekeeper.Instant
+	life       int
+	slow       float64
 	// busy counts the calls of each chat that wait or run here.
 	busy map[uint64]int
 }
@@ -160,7 +160,7 @@
 func (fleet *fleet) join(name string) {
 	fleet.turn++
 	fleet.members[name] = &member{
-		name: name, desk: admitter.NewDesk(fleet.policy.limits), cache: newCache(fleet.room),
+		name: name, controller: admitter.NewController(fleet.policy.limits), cache: newCache(fleet.room),
 		known: placer.NewDirectory(placer.DirectorySettings{Self: name, CacheTokens: fleet.believed}), born: fleet.now, life: fleet.turn, slow: 1, busy: map[uint64]int{},
 	}
 	fleet.at(fleet.now.Add(fleet.lag), fleet.look)
@@ -220,7 +220,7 @@
 func (fleet *fleet) total() int64 {
 	var total int64
 	for _, member := range fleet.members {
-		total += member.desk.Load().Work
+		total += member.controller.Load().Work
 	}
 	return total
 }
@@ -229,7 +229,7 @@
 func (fleet *fleet) least() string {
 	names := fleet.names()
 	return slices.MinFunc(names, func(a, b string) int {
-		return int(fleet.members[a].desk.Load().Work - fleet.members[b].desk.Load().Work)
+		return int(fleet.members[a].controller.Load().Work - fleet.members[b].controller.Load().Work)
 	})
 }
 
@@ -246,25 +246,25 @@
 		return
 	}
 	fleet.budget.Earn()
-	itinerary := placer.NewItinerary(fleet.entry(), cmp.Or(request.chat, request.body), nil)
+	plan := placer.NewAttemptPlan(fleet.entry(), cmp.Or(request.chat, request.body), nil)
 	for attempt := 0; ; attempt++ {
-		stop, ok := itinerary.Next()
+		stop, ok := plan.Next()
 		if !ok || attempt > 0 && !stop.Free && !fleet.budget.Spend() {
 			return
 		}
 		visit := placer.Visit{
-			Chat: request.chat, Attempt: attempt, Ranked: itinerary.Ranked(), Seek: stop.Seek,
+			Chat: request.chat, Attempt: attempt, Ranked: plan.Ranked(), Seek: stop.Seek,
 		}
 		refusal, taken := fleet.visit(request, stop.Replica.Name, visit)
 		if taken {
-			for _, keeper := range itinerary.Keepers(stop.Replica) {
+			for _, keeper := range plan.Holders(stop.Replica) {
 				if member := fleet.members[keeper.Name]; member != nil {
 					member.known.Note(request.chat, stop.Replica.Name, request.work())
 				}
 			}
 			return
 		}
-		itinerary.Refused(refusal)
+		plan.Refused(refusal)
 	}
 }
 
@@ -314,7 +314,7 @@
 	return tokens
 }
 
-// offer brings a request to a replica's desk.
+// offer brings a request to a replica's controller.
 func (fleet *fleet) offer(request request, name string, visit placer.Visit) admitter.Decision {
 	member := fleet.members[name]
 	if member == nil {
@@ -330,12 +330,12 @@
 	if fleet.policy.plain {
 		ticket.Team, ticket.Class, ticket.Deadline = "", 3, 0
 	}
-	held, total := member.desk.Load().Work, fleet.total()
+	held, total := member.controller.Load().Work, fleet.total()
 	if fleet.now.Since(fleet.toldAt) >= fleet.policy.report {
 		fleet.told, fleet.toldAt = total, fleet.now
 	}
 	mean := admitter.Mean{Total: fleet.told, Replicas: len(fleet.members), Age: fleet.now.Since(fleet.toldAt)}
-	decision := member.desk.Offer(ticket, mean)
+	decision := member.controller.Offer(ticket, mean)
 	if decision.Outcome != admitter.Refused {
 		share := float64(total+request.work()) / float64(len(fleet.members))
 		fleet.worst = max(fleet.worst, float64(held)/share)
@@ -368,7 +368,7 @@
 	done := fleet.results[id]
 	done.wait = fleet.now.Since(request.arrived) + prefill
 	life := member.life
-	fleet.at(fleet.now.Add(prefill), func() { member.desk.Opened(id, fleet.now) })
+	fleet.at(fleet.now.Add(prefill), func() { member.controller.Opened(id, fleet.now) })
 	fleet.at(fleet.now.Add(took), func() {
 		if fleet.members[member.name] == nil || fleet.members[member.name].life != life {
 			return
@@ -376,7 +376,7 @@
 		member.cache.put(request.chat, request.work())
 		member.busy[request.chat]--
 		done.served = done.wait <= request.deadline
-		for _, granted := range member.desk.Finish(id, fleet.now) {
+		for _, granted := range member.controller.Finish(id, fleet.now) {
 			fleet.start(member, granted.ID)
 		}
 	})
--- a/test/load/policies_test.go
+++ b/test/load/policies_test.go
@@ -57,7 +57,7 @@
 		plain("least-outstanding", func(fleet *fleet, _ request) []string {
 			names := fleet.names()
 			slices.SortStableFunc(names, func(a, b string) int {
-				left, right := fleet.members[a].desk.Load(), fleet.members[b].desk.Load()
+				left, right := fleet.members[a].controller.Load(), fleet.members[b].controller.Load()
 				return left.Running + left.Waiting - right.Running - right.Waiting
 			})
 			return names
--- a/test/load/trouble_test.go
+++ b/test/load/trouble_test.go
@@ -61,7 +61,7 @@
 func TestOneSlowUpstream(t *testing.T) {
 	// Callers of an engine that has turned five times slower are served by the
 	// others; under plain rendezvous they wait past their deadlines.
-	// Its work piles up, so it meets the bound and its desk's estimate tells
+	// Its work piles up, so it meets the bound and its controller's estimate tells
 	// that the wait is too long; its chats spill and their prefixes follow.
 	drag := func(policy policy) *fleet {
 		return overload(policy, 0.7, func(fleet *fleet) { fleet.members["replica-2"].slow = 5 })
--- a/test/load/weighed_test.go
+++ b/test/load/weighed_test.go
@@ -20,7 +20,7 @@
 		plain("two-choices", func(fleet *fleet, _ request) []string {
 			names := fleet.names()
 			fleet.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-			if len(names) > 1 && fleet.members[names[1]].desk.Load().Work < fleet.members[names[0]].desk.Load().Work {
+			if len(names) > 1 && fleet.members[names[1]].controller.Load().Work < fleet.members[names[0]].controller.Load().Work {
 				names[0], names[1] = names[1], names[0]
 			}
 			return names
