--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -176,10 +176,15 @@
 }
 
 func (fleet *Fleet) paceOf(service string) *pace {
-	found, ok := fleet.paces[service]
+	return entryOf(fleet.paces, service)
+}
+
+// entryOf returns the entry of a table, a new one where there was none.
+func entryOf[T any](table map[string]*T, key string) *T {
+	found, ok := table[key]
 	if !ok {
-		found = &pace{}
-		fleet.paces[service] = found
+		found = new(T)
+		table[key] = found
 	}
 	return found
 }
--- a/internal/balancer/queue.go
+++ b/internal/balancer/queue.go
@@ -90,12 +90,7 @@
 }
 
 func (fleet *Fleet) queue(service string) *serviceQueue {
-	found, ok := fleet.queues[service]
-	if !ok {
-		found = &serviceQueue{}
-		fleet.queues[service] = found
-	}
-	return found
+	return entryOf(fleet.queues, service)
 }
 
 // Join asks for a replica, now or when there is a place. The waiter is decided
@@ -138,12 +133,7 @@
 }
 
 func (fleet *Fleet) team(name string) *decaying {
-	found, ok := fleet.teams[name]
-	if !ok {
-		found = &decaying{}
-		fleet.teams[name] = found
-	}
-	return found
+	return entryOf(fleet.teams, name)
 }
 
 func (queue *serviceQueue) mostUrgent() int {
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
@@ -65,22 +66,15 @@
 
 // withDefaults fills in what is left out.
 func (direct Direct) withDefaults() Direct {
-	orDefault(&direct.StopDelay, defaultStopDelay)
-	orDefault(&direct.StopGrace, defaultStopGrace)
-	orDefault(&direct.Bound, defaultBound)
-	orDefault(&direct.Retry.Window, defaultRetryWindow)
-	orDefault(&direct.Retry.Ratio, defaultRetryRatio)
-	orDefault(&direct.Retry.Extra, defaultRetryExtra)
+	direct.StopDelay = cmp.Or(direct.StopDelay, defaultStopDelay)
+	direct.StopGrace = cmp.Or(direct.StopGrace, defaultStopGrace)
+	direct.Bound = cmp.Or(direct.Bound, defaultBound)
+	direct.Retry.Window = cmp.Or(direct.Retry.Window, defaultRetryWindow)
+	direct.Retry.Ratio = cmp.Or(direct.Retry.Ratio, defaultRetryRatio)
+	direct.Retry.Extra = cmp.Or(direct.Retry.Extra, defaultRetryExtra)
 	return direct
 }
 
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // ReadDirect reads the settings of an entry that sends requests itself.
 func ReadDirect(file string) (Direct, resolver.Faults) {
 	var direct Direct
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/hex"
 	"math/rand/v2"
@@ -64,12 +65,12 @@
 }
 
 func (settings Settings) withDefaults() Settings {
-	orDefault(&settings.PulseEvery, 5*timekeeper.Second)
-	orDefault(&settings.FlushEvery, shortestFlush)
-	orDefault(&settings.SegmentBytes, 256<<10)
-	orDefault(&settings.BacklogBytes, 8<<20)
-	orDefault(&settings.QueueLength, 8192)
-	orDefault(&settings.StopWait, 5*timekeeper.Second)
+	settings.PulseEvery = cmp.Or(settings.PulseEvery, 5*timekeeper.Second)
+	settings.FlushEvery = cmp.Or(settings.FlushEvery, shortestFlush)
+	settings.SegmentBytes = cmp.Or(settings.SegmentBytes, 256<<10)
+	settings.BacklogBytes = cmp.Or(settings.BacklogBytes, 8<<20)
+	settings.QueueLength = cmp.Or(settings.QueueLength, 8192)
+	settings.StopWait = cmp.Or(settings.StopWait, 5*timekeeper.Second)
 	return settings
 }
 
@@ -81,13 +82,6 @@
 	return max(settings.FlushEvery, FlushEvery(settings.Processes()))
 }
 
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Recorder writes the record of one process.
 //
 // Lock order: mu alone; it is not held during I/O and never taken by Record.
--- a/internal/resolver/config.go
+++ b/internal/resolver/config.go
@@ -1,6 +1,7 @@
 package resolver
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -164,33 +165,26 @@
 
 // WithDefaults returns the service with every zero setting replaced by its default.
 func (service Service) WithDefaults() Service {
-	orDefault(&service.LoadFactor, DefaultLoadFactor)
-	orDefault(&service.Slots, DefaultSlots)
-	orDefault(&service.QueueLength, DefaultQueueLength)
-	orDefault(&service.MaxBody, DefaultMaxBody)
-	orDefault(&service.LongestCall, DefaultLongestCall)
-	orDefault(&service.LongestDrain, service.LongestCall)
-	orDefault(&service.FirstByte, DefaultFirstByte)
-	orDefault(&service.OldestMean, DefaultOldestMean)
-	orDefault(&service.Ageing, DefaultAgeing)
-	orDefault(&service.UrgentSlots, new(service.Slots/slotsPerUrgent))
-	orDefault(&service.UnknownHold, new(DefaultUnknownHold))
-	orDefault(&service.SettleTime, new(DefaultSettleTime))
-	orDefault(&service.LongestFetch, DefaultLongestFetch)
-	orDefault(&service.HandOverBytes, DefaultHandOverBytes)
-	orDefault(&service.ResumeGrace, DefaultResumeGrace)
-	orDefault(&service.LongestOrder, DefaultLongestOrder)
-	orDefault(&service.LoadsPerMinute, DefaultLoadsPerMinute)
+	service.LoadFactor = cmp.Or(service.LoadFactor, DefaultLoadFactor)
+	service.Slots = cmp.Or(service.Slots, DefaultSlots)
+	service.QueueLength = cmp.Or(service.QueueLength, DefaultQueueLength)
+	service.MaxBody = cmp.Or(service.MaxBody, DefaultMaxBody)
+	service.LongestCall = cmp.Or(service.LongestCall, DefaultLongestCall)
+	service.LongestDrain = cmp.Or(service.LongestDrain, service.LongestCall)
+	service.FirstByte = cmp.Or(service.FirstByte, DefaultFirstByte)
+	service.OldestMean = cmp.Or(service.OldestMean, DefaultOldestMean)
+	service.Ageing = cmp.Or(service.Ageing, DefaultAgeing)
+	service.UrgentSlots = cmp.Or(service.UrgentSlots, new(service.Slots/slotsPerUrgent))
+	service.UnknownHold = cmp.Or(service.UnknownHold, new(DefaultUnknownHold))
+	service.SettleTime = cmp.Or(service.SettleTime, new(DefaultSettleTime))
+	service.LongestFetch = cmp.Or(service.LongestFetch, DefaultLongestFetch)
+	service.HandOverBytes = cmp.Or(service.HandOverBytes, DefaultHandOverBytes)
+	service.ResumeGrace = cmp.Or(service.ResumeGrace, DefaultResumeGrace)
+	service.LongestOrder = cmp.Or(service.LongestOrder, DefaultLongestOrder)
+	service.LoadsPerMinute = cmp.Or(service.LoadsPerMinute, DefaultLoadsPerMinute)
 	return service
 }
 
-func orDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Service returns the named service with defaults filled in.
 func (config Config) Service(name string) (Service, bool) {
 	service, ok := config.Services[name]
--- a/internal/resolver/site.go
+++ b/internal/resolver/site.go
@@ -1,6 +1,7 @@
 package resolver
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -64,9 +65,9 @@
 
 // WithDefaults returns the limits with every zero replaced by its default.
 func (limits Limits) WithDefaults() Limits {
-	orDefault(&limits.PollEvery, DefaultPollEvery)
-	orDefault(&limits.OrderLease, DefaultOrderLease)
-	orDefault(&limits.StoreReads, DefaultStoreReads)
-	orDefault(&limits.StoreWrites, DefaultStoreWrites)
+	limits.PollEvery = cmp.Or(limits.PollEvery, DefaultPollEvery)
+	limits.OrderLease = cmp.Or(limits.OrderLease, DefaultOrderLease)
+	limits.StoreReads = cmp.Or(limits.StoreReads, DefaultStoreReads)
+	limits.StoreWrites = cmp.Or(limits.StoreWrites, DefaultStoreWrites)
 	return limits
 }
--- a/internal/verifier/report.go
+++ b/internal/verifier/report.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
@@ -25,19 +26,13 @@
 }
 
 func (settings Settings) withDefaults() Settings {
-	orDefault(&settings.Skew, 500*timekeeper.Millisecond)
-	orDefault(&settings.LeaveWithin, 3*timekeeper.Second)
-	orDefault(&settings.InForceWithin, 13*timekeeper.Second)
-	orDefault(&settings.Hidden, timekeeper.Minute)
+	settings.Skew = cmp.Or(settings.Skew, 500*timekeeper.Millisecond)
+	settings.LeaveWithin = cmp.Or(settings.LeaveWithin, 3*timekeeper.Second)
+	settings.InForceWithin = cmp.Or(settings.InForceWithin, 13*timekeeper.Second)
+	settings.Hidden = cmp.Or(settings.Hidden, timekeeper.Minute)
 	return settings
 }
 
-func orDefault(field *timekeeper.Span, value timekeeper.Span) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Outcome is the verdict on a promise.
 type Outcome string
 
