--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -74,6 +74,7 @@
 			strikesCommand(),
 			membersCommand(),
 			explainCommand(),
+			experimentCommand(),
 			versionCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
