--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -147,6 +147,10 @@
 		entry.refuseEarly(w, call, failure.WithRetryAfter(timekeeper.Second))
 		return
 	}
+	if limit := config.Limits().HeaderBytes; limit > 0 && headBytes(r) > limit {
+		entry.refuseEarly(w, call, classifier.New(classifier.HeadersTooLarge, ""))
+		return
+	}
 	route, found := config.Route(r.Host, r.URL.Path)
 	if !found {
 		entry.refuseEarly(w, call, classifier.New(classifier.NotFound, "version "+formatVersion(config.Version())))
@@ -163,6 +167,22 @@
 	task.run()
 }
 
+// headBytes returns the length of the head of a request as it was sent, but for
+// white space.
+func headBytes(r *http.Request) int {
+	const (
+		line  = len("  HTTP/1.1\r\n")
+		field = len(": \r\n")
+	)
+	sum := len(r.Method) + len(r.RequestURI) + line + len("Host") + len(r.Host) + field
+	for name, values := range r.Header {
+		for _, value := range values {
+			sum += len(name) + len(value) + field
+		}
+	}
+	return sum
+}
+
 const (
 	// lateComeBack and its width are when a caller should come back to an entry that
 	// can't keep up: a good second, in which a burst of callers has spread.
