gossiper: digests of half the size

Cause: at 24 entries a digest was a second old, since its size times its peers uses up the budget of bytes; half of it were names of replicas and, in each, the addresses of all peers. Change: replicas go by four bytes; addresses are passed on with one digest in sixteen.

--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -63,7 +63,7 @@
 }
 
 // held returns what this entry has under way.
-func (direct *Direct) held() (held map[string]balancer.Held) {
+func (direct *Direct) held() (held map[balancer.Key]balancer.Held) {
 	direct.fleet.With(func(fleet *balancer.Fleet) { held = fleet.Held() })
 	return held
 }
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -230,7 +230,7 @@
 		return candidate{replica: member, expected: expected, cost: cost + expected + held*plainCost}
 	}
 	uncached := fleet.cacheOf(member).uncached(ask.Parts)
-	waiting := member.waitingFor(ask.Priority, fleet.peersAt(member.ID, now).Unread) / readRate
+	waiting := member.waitingFor(ask.Priority, fleet.peersAt(member.key, now).Unread) / readRate
 	expected := waiting + float64(uncached)/readRate
 	reading := float64(uncached) / readRate
 	cost += expected + (reuseWeight-1)*reading + disturbance*reading*held + held*crowdCost
@@ -266,7 +266,7 @@
 // heldAt returns how many requests a replica is believed to hold: what this
 // entry and its peers have there, or what the replica said a moment ago.
 func (fleet *Fleet) heldAt(member *replica, now timekeeper.Instant) int {
-	held := member.running + fleet.peersAt(member.ID, now).Running
+	held := member.running + fleet.peersAt(member.key, now).Running
 	if member.report.at != 0 && now.Since(member.report.at) <= reportLife {
 		held = max(held, member.report.running+member.report.waiting)
 	}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -79,7 +79,7 @@
 			known.Replica = listing
 			continue
 		}
-		fleet.replicas[listing.ID] = &replica{Replica: listing, awaited: map[*Placement]struct{}{}}
+		fleet.replicas[listing.ID] = &replica{Replica: listing, key: KeyOf(listing.ID), awaited: map[*Placement]struct{}{}}
 	}
 	for id, known := range fleet.replicas {
 		if !listed[id] {
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -257,7 +257,7 @@
 
 func TestAPeersRequestsCountForTheLifeOfItsDigest(t *testing.T) {
 	fleet := orders(2)
-	fleet.SetPeer("entry-2", map[string]Held{"orders-0": {Running: 9}}, 800, start)
+	fleet.SetPeer("entry-2", map[Key]Held{KeyOf("orders-0"): {Running: 9}}, 800, start)
 	Convey("while it lives", t, func() {
 		So(choose(t, fleet, Ask{Service: "orders"}, start.Add(800)).Replica.ID, ShouldEqual, "orders-1")
 	})
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
 
 // Held is what one entry has under way at one replica.
 type Held struct {
@@ -12,15 +16,23 @@
 
 // peerDigest is what a peer has under way everywhere.
 type peerDigest struct {
-	held map[string]Held
+	held map[Key]Held
 	at   timekeeper.Instant
 	// until is when it no longer counts: the peer is down, and so are its requests.
 	until timekeeper.Instant
 }
 
-// SetPeer takes in what a peer has under way, by incarnation of the replicas,
-// and for how long that counts.
-func (fleet *Fleet) SetPeer(peer string, held map[string]Held, life timekeeper.Span, now timekeeper.Instant) {
+// Key is a short name of a replica's incarnation, for messages between entries.
+// Two replicas of a fleet have the same one once in a million; then each counts
+// what the other holds as its own.
+type Key uint32
+
+// KeyOf returns the key of an incarnation.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
+// SetPeer takes in what a peer has under way, by the keys of the replicas, and
+// for how long that counts.
+func (fleet *Fleet) SetPeer(peer string, held map[Key]Held, life timekeeper.Span, now timekeeper.Instant) {
 	fleet.peers[peer] = peerDigest{held: held, at: now, until: now.Add(life)}
 	for name, digest := range fleet.peers {
 		if now.Since(digest.at) > timekeeper.Minute {
@@ -36,26 +48,26 @@
 	}
 }
 
-// Held returns what this entry has under way, by incarnation.
-func (fleet *Fleet) Held() map[string]Held {
-	held := make(map[string]Held)
-	for id, known := range fleet.replicas {
+// Held returns what this entry has under way, by the keys of the replicas.
+func (fleet *Fleet) Held() map[Key]Held {
+	held := make(map[Key]Held)
+	for _, known := range fleet.replicas {
 		unread := known.unreadBefore(Priorities - 1)
 		if known.running > 0 || unread > 0 {
-			held[id] = Held{Running: known.running, Unread: unread}
+			held[known.key] = Held{Running: known.running, Unread: unread}
 		}
 	}
 	return held
 }
 
 // peersAt sums what peers have under way at a replica.
-func (fleet *Fleet) peersAt(id string, now timekeeper.Instant) Held {
+func (fleet *Fleet) peersAt(key Key, now timekeeper.Instant) Held {
 	var sum Held
 	for _, digest := range fleet.peers {
 		if now > digest.until {
 			continue
 		}
-		held := digest.held[id]
+		held := digest.held[key]
 		sum.Running += held.Running
 		sum.Unread += held.Unread
 	}
--- a/internal/balancer/queue_test.go
+++ b/internal/balancer/queue_test.go
@@ -152,7 +152,7 @@
 	ask := promptAsk(1, 1)
 	ask.Within = 600
 	crowd := func(fleet *Fleet, id string, running, unread int) {
-		fleet.SetPeer("peer-"+id, map[string]Held{id: {Running: running, Unread: unread}}, timekeeper.Minute, start)
+		fleet.SetPeer("peer-"+id, map[Key]Held{KeyOf(id): {Running: running, Unread: unread}}, timekeeper.Minute, start)
 	}
 	tests := []struct {
 		name   string
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -26,6 +26,7 @@
 // standing is what a fleet believes of one replica.
 type replica struct {
 	Replica
+	key   Key
 	cache *prefixCache
 	// running counts this entry's requests at the replica.
 	running int
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -33,7 +33,7 @@
 	Address string
 	// Life is how long it counts.
 	Life          timekeeper.Span
-	Held          map[string]balancer.Held
+	Held          map[balancer.Key]balancer.Held
 	Configuration uint64
 	// StoreAnswered is when the store answered the peer last; zero means never.
 	StoreAnswered timekeeper.Instant
@@ -60,7 +60,7 @@
 	// Conn carries the datagrams; its address is the one that peers know.
 	Conn net.PacketConn
 	// Held returns what this entry has under way.
-	Held func() map[string]balancer.Held
+	Held func() map[balancer.Key]balancer.Held
 	// Version returns the version of the configuration in force.
 	Version func() uint64
 	// StoreAnswered returns when the store answered this entry last; zero means never.
@@ -238,9 +238,9 @@
 		Configuration: version, Stopping: digest.Stopping, Loads: loads,
 	}
 	gossiper.outbox.fill(full)
-	full.Peers = gossiper.peers.up(now)
-	if len(full.Peers) > mostTold {
-		full.Peers = full.Peers[:mostTold]
+	if gossiper.sequence%introduceEvery == 1 {
+		full.Peers = gossiper.peers.up(now)
+		full.Peers = full.Peers[:min(len(full.Peers), mostTold)]
 	}
 	return full, due
 }
@@ -327,13 +327,13 @@
 	heard := Heard{
 		Name: digest.Name, Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
 		Life: min(max(shortestLife, lifeRounds*timekeeper.Span(digest.IntervalMs)), lifeRounds*longest),
-		Held: make(map[string]balancer.Held, len(digest.Loads)), Unreachable: digest.Unreachable, Leaving: digest.Leaving,
+		Held: make(map[balancer.Key]balancer.Held, len(digest.Loads)), Unreachable: digest.Unreachable, Leaving: digest.Leaving,
 	}
 	if digest.StoreAgeMs > 0 {
 		heard.StoreAnswered = now.Add(-timekeeper.Span(digest.StoreAgeMs))
 	}
 	for _, load := range digest.Loads {
-		heard.Held[load.Replica] = balancer.Held{Running: int(load.Running), Unread: int(load.Unread)}
+		heard.Held[balancer.Key(load.Replica)] = balancer.Held{Running: int(load.Running), Unread: int(load.Unread)}
 	}
 	for _, placed := range digest.Placements {
 		out := Placement{Replica: placed.Replica}
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
@@ -106,19 +107,14 @@
 }
 
 // loadsOf returns what is under way, in a fixed order.
-func loadsOf(held map[string]balancer.Held) []*encoder.PeerLoad {
+func loadsOf(held map[balancer.Key]balancer.Held) []*encoder.PeerLoad {
 	loads := make([]*encoder.PeerLoad, 0, len(held))
-	for replica, at := range held {
+	for key, at := range held {
 		loads = append(loads, &encoder.PeerLoad{
-			Replica: replica, Running: uint32(max(0, at.Running)), Unread: uint32(max(0, at.Unread)),
+			Replica: uint32(key), Running: uint32(max(0, at.Running)), Unread: uint32(max(0, at.Unread)),
 		})
 	}
-	slices.SortFunc(loads, func(a, b *encoder.PeerLoad) int {
-		if a.Replica < b.Replica {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(loads, func(a, b *encoder.PeerLoad) int { return cmp.Compare(a.Replica, b.Replica) })
 	return loads
 }
 
--- a/internal/gossiper/peers.go
+++ b/internal/gossiper/peers.go
@@ -16,6 +16,9 @@
 	forgotten = 10 * timekeeper.Minute
 	// mostPeers bounds the peers; digests at that number are a second apart.
 	mostPeers = 1024
+	// introduceEvery is how often a digest passes on the addresses of others: peers
+	// that the store did not name are found within some seconds.
+	introduceEvery = 16
 	// mostTold bounds the addresses that a digest passes on.
 	mostTold = 16
 )
