--- a/cmd/trefoilseam/experiment.go
+++ b/cmd/trefoilseam/experiment.go
@@ -55,17 +55,11 @@
 		}
 		sweep.Loads = append(sweep.Loads, load)
 	}
-	sweep.Policies = simulator.Policies()
-	if policies != "" {
-		sweep.Policies = nil
-	}
-	for _, text := range strings.FieldsFunc(policies, func(r rune) bool { return r == ',' || r == ' ' }) {
-		policy := simulator.Policy(text)
-		if !slices.Contains(simulator.Policies(), policy) {
-			return eris.Wrapf(errUsage, "policy %q: one of %v", text, simulator.Policies())
-		}
-		sweep.Policies = append(sweep.Policies, policy)
+	chosen, err := readPolicies(policies)
+	if err != nil {
+		return err
 	}
+	sweep.Policies = chosen
 	switch {
 	case sweep.Seeds < 1 || sweep.Seeds > mostSeeds:
 		return eris.Wrapf(errUsage, "seeds is %d: write 1 to %d", sweep.Seeds, mostSeeds)
@@ -76,3 +70,19 @@
 	}
 	return nil
 }
+
+// readPolicies returns the policies that a text names; all when it is empty.
+func readPolicies(text string) ([]simulator.Policy, error) {
+	if text == "" {
+		return simulator.Policies(), nil
+	}
+	var chosen []simulator.Policy
+	for _, name := range strings.Split(text, ",") {
+		policy := simulator.Policy(strings.TrimSpace(name))
+		if !slices.Contains(simulator.Policies(), policy) {
+			return nil, eris.Wrapf(errUsage, "policy %q: one of %v", name, simulator.Policies())
+		}
+		chosen = append(chosen, policy)
+	}
+	return chosen, nil
+}
