--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -107,8 +107,8 @@
 // AskToLeave makes each answer end its connection.
 func (entry *Entry) AskToLeave() { entry.leaving.Store(true) }
 
-// Stop goes on with AskToLeave. Requests that might not be answered by the instant at which it ends are
-// refused, so that none is cut off.
+// Stop follows AskToLeave: requests that might not be answered by the instant at
+// which the entry ends are refused, so that none is cut off.
 func (entry *Entry) Stop(ends timekeeper.Instant) { entry.stops.Store(int64(ends)) }
 
 // Active returns how many requests are on their way.
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -104,7 +104,9 @@
 		return
 	}
 	task.entry.earn(task.service)
-	ctx, cancel := context.WithTimeout(task.r.Context(), (task.patience() + lateness).Duration())
+	// The time counts from the head of the request: what a slow body took is gone.
+	left := task.until.Add(lateness).Since(task.entry.settings.Clock.Now())
+	ctx, cancel := context.WithTimeout(task.r.Context(), left.Duration())
 	defer cancel()
 	task.finish(task.serve(ctx))
 }
