--- a/internal/assembler/announce.go
+++ b/internal/assembler/announce.go
@@ -22,13 +22,13 @@
 // One small message for each change and every 20 seconds costs an entry a few
 // bytes a second, and the store nothing.
 type announcer struct {
-	name     string
-	pool     *dialer.Pool
-	peers    func() []string
-	revision func() uint64
-	told     uint64
-	at       timekeeper.Instant
-	turn     int
+	name      string
+	pool      *dialer.Pool
+	peers     func() []string
+	revision  func() uint64
+	announced uint64
+	at        timekeeper.Instant
+	turn      int
 }
 
 func (announcer *announcer) run(ctx context.Context, clock timekeeper.Clock) {
@@ -40,13 +40,13 @@
 // look tells the next agent in turn when there is something to tell.
 func (announcer *announcer) look(ctx context.Context, now timekeeper.Instant) {
 	revision, peers := announcer.revision(), announcer.peers()
-	if len(peers) == 0 || revision == announcer.told && now.Since(announcer.at) < announceEvery {
+	if len(peers) == 0 || revision == announcer.announced && now.Since(announcer.at) < announceEvery {
 		return
 	}
 	announcer.turn++
 	address := peers[announcer.turn%len(peers)]
 	ask := &encoder.DigestAsk{Asker: announcer.name, Revision: revision}
 	if _, err := publisher.Exchange(ctx, announcer.pool, address, ask); err == nil {
-		announcer.told, announcer.at = revision, now
+		announcer.announced, announcer.at = revision, now
 	}
 }
--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -179,12 +179,12 @@
 	case known.stage == unsure:
 		return Verdict{Step: Insert}
 	}
-	return Verdict{Step: Refuse, Failure: known.told(), Owner: known.owner}
+	return Verdict{Step: Refuse, Failure: known.refusal(), Owner: known.owner}
 }
 
-// told is what a caller learns about a key that is bound, when its owner can't
+// refusal is what a caller learns about a key that is bound, when its owner can't
 // give the answer itself.
-func (known *page) told() classifier.Failure {
+func (known *page) refusal() classifier.Failure {
 	switch {
 	case known.done:
 		return classifier.New(classifier.KeyDone, "")
--- a/internal/reporter/row.go
+++ b/internal/reporter/row.go
@@ -43,7 +43,7 @@
 	changed     uint64
 	newsAt      uint64
 	dead        bool
-	told        string
+	announced   string
 	sent        int
 	newsSent    int
 	sentAt      timekeeper.Instant
--- a/internal/reporter/table.go
+++ b/internal/reporter/table.go
@@ -260,8 +260,8 @@
 func (table *Table) Changes() []Row {
 	var changes []Row
 	for _, row := range table.order {
-		if state := StateOf(*row); state != row.told {
-			row.told = state
+		if state := StateOf(*row); state != row.announced {
+			row.announced = state
 			changes = append(changes, *row)
 		}
 	}
--- a/internal/verifier/rules_calls.go
+++ b/internal/verifier/rules_calls.go
@@ -78,14 +78,14 @@
 
 // wholeAnswers checks promise 2.
 func (index *evidenceIndex) wholeAnswers(verdict *Verdict) {
-	told := map[string]Evidence{}
+	answers := map[string]Evidence{}
 	index.each(recorder.Answered, func(answer Evidence) {
 		verdict.Checked++
-		if first, twice := told[answer.Request]; twice && answer.Detail != recorder.Resumed {
+		if first, twice := answers[answer.Request]; twice && answer.Detail != recorder.Resumed {
 			verdict.breach("one request was answered twice", first, answer)
 		}
 		if answer.Detail != recorder.Resumed {
-			told[answer.Request] = answer
+			answers[answer.Request] = answer
 		}
 		if answer.Complete {
 			index.judgeAnswer(verdict, answer)
