assembler: a stopping entry asks callers to leave before it says that it is not ready

The log of the stop shows why: asking was set by the goroutine that waits for the end, readiness before it was started. Change: asking to leave is set first. Conclusion: the order no longer depends on when the goroutine runs.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -310,6 +310,9 @@
 		}
 		return <-stopped
 	}, func(error) {
+		// Who sees that the entry is not ready must find that its answers ask callers
+		// to leave, so that comes first.
+		direct.front.AskToLeave()
 		direct.readiness.leaving.Store(true)
 		direct.fellows.gossiper.Stop()
 		direct.log.WithField("active", direct.front.Active()).Info("entry stops: not ready, callers are asked to leave")
@@ -328,7 +331,6 @@
 	ends := direct.clock.Now().Add(direct.settings.StopGrace - endMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), (direct.settings.StopGrace - endMargin).Duration())
 	defer cancel()
-	direct.front.AskToLeave()
 	_ = direct.clock.Sleep(ctx, direct.settings.StopDelay)
 	direct.front.Stop(ends)
 	for direct.front.Active() > 0 && direct.clock.Sleep(ctx, stopPoll) == nil {
