balancer: keep one kind of decaying value and weigh each candidate once

Cause: failures, paces, ends of answers, arrivals and a team's grants each had their own copy of a value that fades with time, and a replica's held requests were computed several times for one choice. Change: decaying.go holds the value for all; a candidate carries what its replica holds; what was passed or stored and never read is gone.

--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -10,6 +10,8 @@
 // candidate is a replica with its expected time.
 type candidate struct {
 	*replica
+	// held is how many requests the replica is believed to hold.
+	held     int
 	uncached int
 	// waiting is the time for which the prompt waits before it is read, in
 	// milliseconds.
@@ -55,7 +57,7 @@
 	if len(open) == 0 {
 		return nil, AllFull
 	}
-	return fleet.bounded(fleet.useful(open, ask, now), ask, now)
+	return fleet.bounded(useful(open, ask), ask, now)
 }
 
 // mostDisturbed bounds the time that reading a prompt which another engine has
@@ -73,7 +75,7 @@
 // streams there, so it is full too, and soon all engines read what others have
 // cached. It goes on after the load is gone. A request waits at the entry for
 // the engine that has its prompt, or is told to come back.
-func (fleet *Fleet) useful(open []candidate, ask Ask, now timekeeper.Instant) []candidate {
+func useful(open []candidate, ask Ask) []candidate {
 	if len(ask.Parts) == 0 {
 		return open
 	}
@@ -83,28 +85,29 @@
 			return true
 		}
 		extra := float64(c.uncached-least) / readRate
-		return extra*float64(fleet.heldAt(c.replica, now)) > mostDisturbed
+		return extra*float64(c.held) > mostDisturbed
 	})
 }
 
 // weigh returns a replica with its expected time.
 func (fleet *Fleet) weigh(member *replica, ask Ask, now timekeeper.Instant) candidate {
-	held := float64(fleet.heldAt(member, now))
+	peers := fleet.peersAt(member.key, now)
+	held := member.held(peers, now)
 	cost := member.doubt.penalty(now) + member.pace.over(fleet.paceOf(member.Service), now)
 	cost += float64(member.overdue(now)) * float64(failurePenalty)
 	if member.DataCentre != fleet.settings.DataCentre {
 		cost += distanceCost
 	}
 	if len(ask.Parts) == 0 {
-		expected := max(0, held-float64(member.Slots)+1) * waitCost
-		return candidate{replica: member, expected: expected, cost: cost + expected + held*plainCost}
+		expected := float64(max(0, held-member.Slots+1)) * waitCost
+		return candidate{replica: member, held: held, expected: expected, cost: cost + expected + float64(held)*plainCost}
 	}
 	uncached := fleet.cacheOf(member).uncached(ask.Parts)
-	waiting := member.waitingFor(ask.Priority, fleet.peersAt(member.key, now).Unread) / readRate
-	expected := waiting + float64(uncached)/readRate
+	waiting := member.waitingFor(ask.Priority, peers.Unread) / readRate
 	reading := float64(uncached) / readRate
-	cost += expected + (reuseWeight-1)*reading + disturbance*reading*held + held*crowdCost
-	return candidate{replica: member, uncached: uncached, waiting: waiting, expected: expected, cost: cost}
+	expected := waiting + reading
+	cost += expected + (reuseWeight-1)*reading + (disturbance*reading+crowdCost)*float64(held)
+	return candidate{replica: member, held: held, uncached: uncached, waiting: waiting, expected: expected, cost: cost}
 }
 
 // bounded takes out replicas that hold more than their share.
@@ -118,13 +121,13 @@
 		return nil, AllFull
 	}
 	total := 0
-	for _, member := range open {
-		total += fleet.heldAt(member.replica, now)
+	for _, c := range open {
+		total += c.held
 	}
 	share := margin*fleet.settings.Bound*float64(total)/float64(len(open)) + spare
 	places := 1 - kept*fleet.queue(ask.Service).moreUrgent(ask.Priority, now)
 	free := slices.DeleteFunc(open, func(c candidate) bool {
-		held := float64(fleet.heldAt(c.replica, now))
+		held := float64(c.held)
 		return held > share || held >= places*c.depth()
 	})
 	if len(free) == 0 {
@@ -133,12 +136,12 @@
 	return free, noReason
 }
 
-// heldAt returns how many requests a replica is believed to hold: what this
-// entry and its peers have there, or what the replica said a moment ago.
-func (fleet *Fleet) heldAt(member *replica, now timekeeper.Instant) int {
-	held := member.running + fleet.peersAt(member.key, now).Running
-	if member.report.at != 0 && now.Since(member.report.at) <= reportLife {
-		held = max(held, member.report.running+member.report.waiting)
+// held returns how many requests a replica is believed to hold: what this entry
+// and its peers have there, or what the replica said a moment ago.
+func (known *replica) held(peers Held, now timekeeper.Instant) int {
+	held := known.running + peers.Running
+	if known.reported != 0 && now.Since(known.reported) <= reportLife {
+		held = max(held, known.report.Running+known.report.Waiting)
 	}
 	return held
 }
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -113,7 +113,6 @@
 	best := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	equals := slices.DeleteFunc(candidates, func(c candidate) bool { return c.cost > best.cost+near })
 	chosen := fleet.pick(equals, ask)
-	held := fleet.heldAt(chosen.replica, now)
 	chosen.running++
 	chosen.doubt.tried(now)
 	chosen.unread[ask.Priority] += chosen.uncached
@@ -122,7 +121,7 @@
 	}
 	placement := &Placement{
 		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
-		Held: held, Candidates: count, expected: chosen.expected, at: now, priority: ask.Priority,
+		Held: chosen.held, Candidates: count, at: now, priority: ask.Priority,
 	}
 	chosen.awaited[placement] = struct{}{}
 	return placement, noReason
--- a/internal/balancer/doubt.go
+++ b/internal/balancer/doubt.go
@@ -1,10 +1,6 @@
 package balancer
 
-import (
-	"math"
-
-	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
-)
+import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 
 const (
 	// firstPause and longestPause bound how long a replica that can't be reached
@@ -33,8 +29,7 @@
 	// trial is until when a single request finds out whether it is back.
 	trial timekeeper.Instant
 	// failures are remembered with a half-life.
-	failures float64
-	at       timekeeper.Instant
+	failures decaying
 }
 
 // unreachable notes a refused or silent connection.
@@ -49,8 +44,7 @@
 // failed notes a request that the replica failed, or, with a weight under one,
 // did not take.
 func (doubt *doubt) failed(weight float64, now timekeeper.Instant) {
-	doubt.failures = min(doubt.remembered(now)+weight, mostFailures)
-	doubt.at = now
+	doubt.failures.set(min(doubt.failures.now(failureMemory, now)+weight, mostFailures), now)
 }
 
 // served notes a request that the replica answered.
@@ -58,13 +52,6 @@
 	doubt.until, doubt.pause, doubt.trial = 0, 0, 0
 }
 
-func (doubt *doubt) remembered(now timekeeper.Instant) float64 {
-	if doubt.failures == 0 {
-		return 0
-	}
-	return doubt.failures * math.Exp2(-float64(now.Since(doubt.at))/float64(failureMemory))
-}
-
 // trialSpan is how long one request may take to find out whether a replica is
 // back, before another one tries: the time in which a connection opens.
 const trialSpan = 400 * timekeeper.Millisecond
@@ -84,5 +71,5 @@
 }
 
 func (doubt *doubt) penalty(now timekeeper.Instant) float64 {
-	return doubt.remembered(now) * float64(failurePenalty)
+	return doubt.failures.now(failureMemory, now) * float64(failurePenalty)
 }
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -142,16 +142,15 @@
 	Replica Replica
 	// Uncached is how many tokens the replica is expected to read.
 	Uncached int
-	// Expected is the expected time until the first part of the answer.
+	// Expected is the expected time until the first part of the answer, without
+	// what is doubted of the replica.
 	Expected timekeeper.Span
 	// Held is how many requests the replica was believed to hold before, and
 	// Candidates how many replicas the choice was among.
 	Held, Candidates int
-	// expected is the expected time without what is doubted of the replica.
-	expected float64
-	at       timekeeper.Instant
-	priority int
-	began    bool
+	at               timekeeper.Instant
+	priority         int
+	began            bool
 }
 
 // Began notes the first part of an answer: the prompt has been read.
@@ -160,7 +159,7 @@
 		return
 	}
 	if known, found := fleet.replicas[placement.Replica.ID]; found {
-		excess := float64(now.Since(placement.at)) - placement.expected
+		excess := float64(now.Since(placement.at) - placement.Expected)
 		fleet.paceOf(known.Service).learn(excess, now)
 		known.pace.learn(excess, now)
 		known.doubt.served()
@@ -255,6 +254,6 @@
 // Report takes in what a replica said of itself with an answer.
 func (fleet *Fleet) Report(id string, report LoadReport, now timekeeper.Instant) {
 	if known, found := fleet.replicas[id]; found {
-		known.report = loadReport{report.Running, report.Waiting, report.Slots, now}
+		known.report, known.reported = report, now
 	}
 }
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -1,10 +1,6 @@
 package balancer
 
-import (
-	"math"
-
-	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
-)
+import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 
 const (
 	// paceWeight is the weight of one request in a replica's pace: about five
@@ -28,25 +24,17 @@
 // its whole service, so that what all replicas share (a path, a model) does not
 // count against any.
 type pace struct {
-	excess float64
-	at     timekeeper.Instant
+	excess decaying
 }
 
 func (pace *pace) learn(excess float64, now timekeeper.Instant) {
 	seen := min(max(excess, -mostExcess), mostExcess)
-	pace.excess = (1-paceWeight)*pace.known(now) + paceWeight*seen
-	pace.at = now
-}
-
-func (pace *pace) known(now timekeeper.Instant) float64 {
-	if pace.at == 0 {
-		return 0
-	}
-	return pace.excess * math.Exp2(-float64(now.Since(pace.at))/float64(paceMemory))
+	pace.excess.set((1-paceWeight)*pace.excess.now(paceMemory, now)+paceWeight*seen, now)
 }
 
 // over returns how far a replica's pace lies over that of its service, in
 // milliseconds.
 func (pace *pace) over(service *pace, now timekeeper.Instant) float64 {
-	return max(0, pace.known(now)-max(0, service.known(now))-paceSlack)
+	usual := max(0, service.excess.now(paceMemory, now))
+	return max(0, pace.excess.now(paceMemory, now)-usual-paceSlack)
 }
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"maps"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -17,7 +19,6 @@
 // peerDigest is what a peer has under way everywhere.
 type peerDigest struct {
 	held map[Key]Held
-	at   timekeeper.Instant
 	// until is when it no longer counts: the peer is down, and so are its requests.
 	until timekeeper.Instant
 }
@@ -33,12 +34,8 @@
 // SetPeer takes in what a peer has under way, by the keys of the replicas, and
 // for how long that counts.
 func (fleet *Fleet) SetPeer(peer string, held map[Key]Held, life timekeeper.Span, now timekeeper.Instant) {
-	fleet.peers[peer] = peerDigest{held: held, at: now, until: now.Add(life)}
-	for name, digest := range fleet.peers {
-		if now.Since(digest.at) > timekeeper.Minute {
-			delete(fleet.peers, name)
-		}
-	}
+	fleet.peers[peer] = peerDigest{held: held, until: now.Add(life)}
+	maps.DeleteFunc(fleet.peers, func(_ string, digest peerDigest) bool { return now > digest.until })
 }
 
 // Cached notes prompt parts that a peer has sent to a replica.
--- a/internal/balancer/queue.go
+++ b/internal/balancer/queue.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"slices"
 
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -24,8 +23,8 @@
 // what is more urgent, or be refused there. Refused at once, callers come back
 // together while places are free again. Here the most urgent goes first, among
 // equals who can still be on time, then the team that has had least of late, then
-// who came first; and whoever
-// can't be served in time is told so at once, not when the time is over.
+// who came first; and whoever can't be served in time is told so at once, not when
+// the time is over.
 type Waiter struct {
 	Ask Ask
 	// Rank orders who waits: the lowest is the most urgent.
@@ -71,24 +70,6 @@
 	return before / all
 }
 
-// decaying is a count that halves over a span.
-type decaying struct {
-	count float64
-	at    timekeeper.Instant
-}
-
-func (count *decaying) now(half timekeeper.Span, now timekeeper.Instant) float64 {
-	if count.count == 0 {
-		return 0
-	}
-	return count.count * math.Exp2(-float64(now.Since(count.at))/float64(half))
-}
-
-func (count *decaying) add(amount float64, half timekeeper.Span, now timekeeper.Instant) {
-	count.count = count.now(half, now) + amount
-	count.at = now
-}
-
 func (fleet *Fleet) queue(service string) *serviceQueue {
 	return entryOf(fleet.queues, service)
 }
@@ -127,8 +108,7 @@
 	if waiter.Placement == nil {
 		return false
 	}
-	team := fleet.team(waiter.Team)
-	team.add(1, teamMemory, now)
+	fleet.team(waiter.Team).add(1, teamMemory, now)
 	return true
 }
 
--- a/internal/balancer/queue_test.go
+++ b/internal/balancer/queue_test.go
@@ -77,7 +77,7 @@
 	// that is more urgent goes before the thirty and may wait.
 	fleet := orders(1)
 	taken := fill(t, fleet, start)
-	fleet.queue("orders").ends = decaying{count: 10 * 1.44, at: start}
+	fleet.queue("orders").ends = decaying{value: 10 * 1.44, at: start}
 	for range 30 {
 		waiter := waiterOf(10, "bole", start)
 		waiter.Until = start.Add(timekeeper.Minute)
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -23,7 +23,7 @@
 	Tokens int
 }
 
-// standing is what a fleet believes of one replica.
+// replica is what a fleet believes of one replica.
 type replica struct {
 	Replica
 	key   Key
@@ -37,7 +37,9 @@
 	pace   pace
 	// awaited are this entry's requests there whose answer has not begun.
 	awaited map[*Placement]struct{}
-	report  loadReport
+	// report is what the replica said of itself at reported; zero means never.
+	report   LoadReport
+	reported timekeeper.Instant
 }
 
 // unreadBefore returns the tokens of this entry's requests that the engine reads
@@ -83,13 +85,7 @@
 
 // late reports whether the answer should have begun long ago.
 func (placement *Placement) late(now timekeeper.Instant) bool {
-	return now.Since(placement.at) > timekeeper.Span(placement.expected)+overdueSlack
-}
-
-// loadReport is what a replica said of itself with an answer.
-type loadReport struct {
-	running, waiting, slots int
-	at                      timekeeper.Instant
+	return now.Since(placement.at) > placement.Expected+overdueSlack
 }
 
 // LoadReport is what a replica says of itself: the requests that run and wait
