assembler: test that a configuration never reverts and that a connection too many is closed

Change: one test for each, tables of what arrives in which order. Figures: both fail with the safeguard out (accept puts version 4 over 5; the listener hands out the connection beyond the limit) and pass with it. Conclusion: tests only.

--- a/internal/assembler/direct_callers_test.go
+++ b/internal/assembler/direct_callers_test.go
@@ -77,3 +77,43 @@
 		})
 	}
 }
+
+// offeredConns is a listener that hands out what it holds, and then has ended.
+type offeredConns struct {
+	net.Listener
+	conns []net.Conn
+}
+
+func (offered *offeredConns) Accept() (net.Conn, error) {
+	if len(offered.conns) == 0 {
+		return nil, net.ErrClosed
+	}
+	conn := offered.conns[0]
+	offered.conns = offered.conns[1:]
+	return conn, nil
+}
+
+func TestAConnectionTooManyIsClosedUnread(t *testing.T) {
+	// All connections that callers may take are in use. The next one is closed at
+	// once, which tells its caller that nothing ran; when one ends, the next is
+	// taken.
+	callers := newCallers(timekeeper.NewManual(1).Clock(), otherDescriptors+3) // 2 for callers
+	first, second := &closingConn{}, &closingConn{}
+	for _, conn := range []net.Conn{first, second} {
+		callers.watch(conn, http.StateNew)
+		callers.watch(conn, http.StateActive)
+	}
+	Convey("and one that has room is taken", t, func() {
+		tooMany, taken := &closingConn{}, &closingConn{}
+		listener := boundedListener{Listener: &offeredConns{conns: []net.Conn{tooMany}}, callers: callers}
+		_, err := listener.Accept()
+		So(err, ShouldEqual, net.ErrClosed)
+		So(tooMany.closed, ShouldBeTrue)
+		callers.watch(first, http.StateClosed)
+		listener.Listener = &offeredConns{conns: []net.Conn{taken}}
+		conn, err := listener.Accept()
+		So(err, ShouldBeNil)
+		So(conn, ShouldEqual, taken)
+		So(taken.closed, ShouldBeFalse)
+	})
+}
--- a/internal/assembler/direct_test.go
+++ b/internal/assembler/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http/httptest"
 	"testing"
@@ -12,15 +13,15 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+	"github.com/trefoilseam/trefoilseam/platform"
 	"github.com/trefoilseam/trefoilseam/platform/emulator"
 )
 
-func TestAnActorThatEndsEndsTheProcess(t *testing.T) {
-	// A part of an entry ends that should not, such as the listener for its peers.
-	// The entry stops as a whole, so that it is started again; it must not go on
-	// half, answering callers with what it knew.
+// directOnLoopback returns an entry with a store that holds nothing.
+func directOnLoopback(t *testing.T) (*Direct, func()) {
+	t.Helper()
 	store := httptest.NewServer(emulator.NewStore(timekeeper.Steady()))
-	defer store.Close()
+	t.Cleanup(store.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	settings := loader.Direct{
@@ -31,6 +32,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return direct, release
+}
+
+func TestAnActorThatEndsEndsTheProcess(t *testing.T) {
+	// A part of an entry ends that should not, such as the listener for its peers.
+	// The entry stops as a whole, so that it is started again; it must not go on
+	// half, answering callers with what it knew.
+	direct, release := directOnLoopback(t)
 	defer release()
 	var group run.Group
 	direct.AddTo(&group)
@@ -43,3 +52,30 @@
 		So(err.Error(), ShouldContainSubstring, "serve")
 	})
 }
+
+func TestAConfigurationInForceNeverReverts(t *testing.T) {
+	// A key is taken away. The store's answer and a peer's copy arrive in any order;
+	// if the older one counted, the key would be let in again.
+	direct, release := directOnLoopback(t)
+	defer release()
+	tests := []struct {
+		name     string
+		version  int
+		from     string
+		expected uint64
+	}{
+		{"the first", 5, "store", 5},
+		{"an older one from a peer", 4, "peer 127.0.0.1:1", 5},
+		{"an older one from the store", 3, "store", 5},
+		{"a newer one from a peer", 6, "peer 127.0.0.1:1", 6},
+		{"the one before it from the store", 5, "store", 6},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			document, err := platform.DecodeConfiguration(fmt.Appendf(nil, `{"version":%d}`, test.version))
+			So(err, ShouldBeNil)
+			direct.accept(document, test.from)
+			So(direct.config().Version(), ShouldEqual, test.expected)
+		})
+	}
+}
