--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -138,6 +139,36 @@
 	Convey("several engines have it", t, func() { So(len(held), ShouldBeGreaterThan, 2) })
 }
 
+func TestAnEngineBeyondItsShareGetsNothing(t *testing.T) {
+	// Many callers ask about one thing, and the engine that has its prompt is chosen
+	// again and again while others idle. Beyond its share of the mean load the prompt
+	// is read elsewhere; if not, one engine slows all its callers down.
+	tests := []struct {
+		name       string
+		held, rest int
+		first      bool
+	}{
+		{"the mean", 4, 4, true},
+		{"within its share", 6, 4, true},
+		{"beyond its share", 14, 4, false},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			fleet := planners(4)
+			fleet.Cached("planner-0", chain(1, 9), start)
+			held := map[Key]Held{KeyOf("planner-0"): {Running: test.held}}
+			for _, other := range []string{"planner-1", "planner-2", "planner-3"} {
+				held[KeyOf(other)] = Held{Running: test.rest}
+			}
+			fleet.SetPeer("peer", held, timekeeper.Minute, start)
+			open, reason := fleet.candidates(promptAsk(1, 1), start)
+			So(reason, ShouldEqual, noReason)
+			first := slices.ContainsFunc(open, func(c candidate) bool { return c.ID == "planner-0" })
+			So(first, ShouldEqual, test.first)
+		})
+	}
+}
+
 func TestALeavingReplicaGetsNothing(t *testing.T) {
 	fleet := planners(2)
 	list := replicasOf("planner", 2, 64)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -277,3 +277,41 @@
 		})
 	}
 }
+
+func TestACopyNeverGoesBack(t *testing.T) {
+	// A row was taken away: a replica that left, a key that was revoked. The next
+	// answer comes from a machine of the store that is behind and still has it. If it
+	// counted, work would go to the replica again, and the key would be let in.
+	tests := []struct {
+		name    string
+		changes func(context.Context, Version) ([]Change[int], Version, error)
+	}{
+		{"old changes", func(context.Context, Version) ([]Change[int], Version, error) {
+			return []Change[int]{{Key: "left", Value: 1}}, 3, nil
+		}},
+		{"an old table after the history is lost", func(context.Context, Version) ([]Change[int], Version, error) {
+			return nil, 0, ErrHistoryLost
+		}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			version, rows := Version(5), []Change[int]{{Key: "stays", Value: 1}}
+			var copied map[string]int
+			clock := newClock()
+			follower := New(Settings[int]{
+				Name: "test", Clock: clock.Clock(), Log: quiet(), Apply: func(rows map[string]int) { copied = rows },
+				Source: Source[int]{
+					Snapshot: func(context.Context) ([]Change[int], Version, error) { return rows, version, nil },
+					Changes:  test.changes,
+				},
+			})
+			follower.Step(context.Background())
+			So(follower.version, ShouldEqual, 5)
+			version, rows = 3, []Change[int]{{Key: "stays", Value: 1}, {Key: "left", Value: 1}}
+			clock.Advance(timekeeper.Minute)
+			follower.Step(context.Background())
+			So(follower.version, ShouldEqual, 5)
+			So(copied, ShouldResemble, map[string]int{"stays": 1})
+		})
+	}
+}
--- a/internal/relayer/task_test.go
+++ b/internal/relayer/task_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -33,3 +34,34 @@
 		})
 	}
 }
+
+func TestSendingAgainTakesFromTheRetriesLeft(t *testing.T) {
+	// Replicas fail in numbers, and each caller's request is sent to another. When
+	// the service's retries are used up callers are answered at once; otherwise the
+	// replicas that are left would get all the load again.
+	const retries = 2
+	tests := []struct {
+		name    string
+		verdict verdict
+	}{
+		{"a replica that refused", refused},
+		{"a replica that broke off", broken},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			entry := New(Settings{
+				Scope: tally.NoopScope,
+				Clock: timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour)).Clock(), Sharers: func() int { return 1 },
+				Retries: Retries{Window: timekeeper.Minute, Extra: retries},
+			})
+			again := 0
+			for range 5 {
+				task := &task{entry: entry, service: "orders", route: router.Route{Kind: router.Safe, Replicas: 3}}
+				if task.again(attemptResult{verdict: test.verdict}) {
+					again++
+				}
+			}
+			So(again, ShouldEqual, retries)
+		})
+	}
+}
