gossiper: tell first reads as news, the rest as reminders, in half the bytes

Entries filled replicas that others had filled: LIMIT broke in the first seconds of a cold start. Change: only a part that a replica reads for the first time is news; other placements are reminders, told once where a digest has room. Loads are packed lists, replicas are named by key, the sender by its incarnation alone.

--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -53,7 +53,7 @@
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	fellows := &fellows{direct: direct, store: store, client: &http.Client{Transport: transport}}
 	fellows.gossiper = gossiper.New(gossiper.Settings{
-		Name: direct.settings.Name, Incarnation: newIncarnation(), Clock: direct.clock, Log: direct.log,
+		Incarnation: newIncarnation(), Clock: direct.clock, Log: direct.log,
 		Scope: direct.scope, Conn: conn, Held: direct.held, Version: direct.version, Hear: fellows.hear,
 		StoreAnswered: func() timekeeper.Instant {
 			return max(direct.replicas.Answered(), direct.configurations.Answered())
@@ -124,7 +124,7 @@
 func (fellows *fellows) hear(heard gossiper.Heard) {
 	now := fellows.direct.clock.Now()
 	fellows.direct.fleet.With(func(fleet *balancer.Fleet) {
-		fleet.SetPeer(heard.Name, heard.Held, heard.Life, now)
+		fleet.SetPeer(heard.Address, heard.Held, heard.Life, now)
 		for _, placed := range heard.Placements {
 			fleet.Cached(placed.Replica, placed.Parts, now)
 		}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -44,9 +44,6 @@
 	// equal, in milliseconds. It is the noise of what entries believe of each
 	// other's requests: a request or two.
 	near = 6.0
-	// sharedParts is how many parts a prompt must have for one of them to be
-	// shared: the last one is the request's own.
-	sharedParts = 2
 	// spare is what a replica may hold beyond the bound on its share, so that
 	// few requests at few replicas may lie unevenly. The operators allow three;
 	// what peers have begun since their last digest takes the rest.
@@ -116,12 +113,15 @@
 	chosen.running++
 	chosen.doubt.tried(now)
 	chosen.unread[ask.Priority] += chosen.uncached
+	firstRead := false
 	if len(ask.Parts) > 0 {
-		fleet.cacheOf(chosen.replica).touch(ask.Parts, now)
+		cache := fleet.cacheOf(chosen.replica)
+		firstRead = cache.uncached(SharedParts(ask.Parts)) > 0
+		cache.touch(ask.Parts, now)
 	}
 	placement := &Placement{
 		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
-		Held: chosen.held, Candidates: count, at: now, priority: ask.Priority,
+		Held: chosen.held, Candidates: count, FirstRead: firstRead, at: now, priority: ask.Priority,
 	}
 	chosen.awaited[placement] = struct{}{}
 	return placement, noReason
@@ -131,10 +131,11 @@
 // other requests share, so that all entries agree; else at random, so that
 // entries don't herd.
 func (fleet *Fleet) pick(equals []candidate, ask Ask) candidate {
-	if len(ask.Parts) < sharedParts {
+	if len(SharedParts(ask.Parts)) == 0 {
 		return equals[fleet.draws.IntN(len(equals))]
 	}
-	shared := ask.Parts[len(ask.Parts)-sharedParts].ID
+	parts := SharedParts(ask.Parts)
+	shared := parts[len(parts)-1].ID
 	return slices.MaxFunc(equals, func(a, b candidate) int {
 		return cmp.Compare(rendezvous(shared, a.ID), rendezvous(shared, b.ID))
 	})
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -24,6 +24,7 @@
 	settings Settings
 	draws    *rand.Rand
 	replicas map[string]*replica
+	keys     map[Key]*replica
 	services map[string][]*replica
 	engines  map[string]int
 	peers    map[string]peerDigest
@@ -42,6 +43,7 @@
 		settings: settings,
 		draws:    rand.New(rand.NewPCG(settings.Seed, 11)),
 		replicas: map[string]*replica{},
+		keys:     map[Key]*replica{},
 		services: map[string][]*replica{},
 		engines:  map[string]int{},
 		peers:    map[string]peerDigest{},
@@ -101,7 +103,9 @@
 // group sorts the replicas by service, in an order that all entries share.
 func (fleet *Fleet) group() {
 	clear(fleet.services)
+	clear(fleet.keys)
 	for _, known := range fleet.replicas {
+		fleet.keys[known.key] = known
 		fleet.services[known.Service] = append(fleet.services[known.Service], known)
 	}
 	for _, members := range fleet.services {
@@ -148,9 +152,12 @@
 	// Held is how many requests the replica was believed to hold before, and
 	// Candidates how many replicas the choice was among.
 	Held, Candidates int
-	at               timekeeper.Instant
-	priority         int
-	began            bool
+	// FirstRead reports whether the replica is believed to read a part there for
+	// the first time that other requests share.
+	FirstRead bool
+	at        timekeeper.Instant
+	priority  int
+	began     bool
 }
 
 // Began notes the first part of an answer: the prompt has been read.
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -25,7 +25,7 @@
 
 // Key is a short name of a replica's incarnation, for messages between entries.
 // Two replicas of a fleet have the same one once in a million; then each counts
-// what the other holds as its own.
+// what the other holds as its own, and one of them what the other has cached.
 type Key uint32
 
 // KeyOf returns the key of an incarnation.
@@ -39,8 +39,8 @@
 }
 
 // Cached notes prompt parts that a peer has sent to a replica.
-func (fleet *Fleet) Cached(id string, parts []Part, now timekeeper.Instant) {
-	if known, found := fleet.replicas[id]; found {
+func (fleet *Fleet) Cached(key Key, parts []Part, now timekeeper.Instant) {
+	if known, found := fleet.keys[key]; found {
 		fleet.cacheOf(known).touch(parts, now)
 	}
 }
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -23,6 +23,12 @@
 	Tokens int
 }
 
+// SharedParts returns the parts of a prompt that other requests may share: all
+// but the last, which is the request's own.
+func SharedParts(parts []Part) []Part {
+	return parts[:max(0, len(parts)-1)]
+}
+
 // replica is what a fleet believes of one replica.
 type replica struct {
 	Replica
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -28,7 +29,6 @@
 
 // Heard is what a peer has told.
 type Heard struct {
-	Name string
 	// Address is where the peer is reached, by datagrams and by connections.
 	Address string
 	// Life is how long it counts.
@@ -46,13 +46,12 @@
 
 // Placement is a prompt that a peer has sent to a replica.
 type Placement struct {
-	Replica string
+	Replica balancer.Key
 	Parts   []balancer.Part
 }
 
 // Settings set up a gossiper. All fields but Budget must be set.
 type Settings struct {
-	Name        string
 	Incarnation uint64
 	Clock       timekeeper.Clock
 	Log         logrus.FieldLogger
@@ -105,11 +104,19 @@
 	gossiper.peers.learn(address, now)
 }
 
-// Placed tells peers of a prompt that was sent to a replica.
-func (gossiper *Gossiper) Placed(replica string, parts []balancer.Part) {
+// Placed tells peers of a prompt that was sent to a replica. first says that the
+// replica reads a part there that other requests share, which peers must know
+// soon: they are told of these parts alone, for the last one is the request's own.
+func (gossiper *Gossiper) Placed(replica string, parts []balancer.Part, first bool) {
+	placed := placement{replica: balancer.KeyOf(replica), parts: parts}
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
-	gossiper.outbox.placements.add(placement{replica: replica, parts: parts})
+	if !first {
+		gossiper.outbox.remind(placed)
+		return
+	}
+	placed.parts = balancer.SharedParts(parts)
+	gossiper.outbox.placements.add(placed)
 }
 
 // Unreachable tells peers at once of a replica that takes no connections.
@@ -213,16 +220,17 @@
 
 // next returns the digest to send, and to whom.
 func (gossiper *Gossiper) next() (*encoder.PeerDigest, []string) {
-	loads := loadsOf(gossiper.settings.Held())
+	held := gossiper.settings.Held()
 	gossiper.settings.Scope.Gauge("peers-up").Update(float64(len(gossiper.Up())))
 	version := gossiper.settings.Version()
 	now := gossiper.settings.Clock.Now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	digest := &encoder.PeerDigest{
-		Name: gossiper.settings.Name, Incarnation: gossiper.settings.Incarnation, Configuration: version,
-		IntervalMs: uint32(max(gossiper.span, restful)), Stopping: gossiper.stopping, Loads: loads,
+		Incarnation: gossiper.settings.Incarnation, Configuration: version,
+		IntervalMs: uint32(max(gossiper.span, restful)), Stopping: gossiper.stopping,
 	}
+	fillLoads(digest, held)
 	if gossiper.outbox.empty() && same(gossiper.last, digest) && now.Since(gossiper.lastSent) < restful {
 		return nil, nil
 	}
@@ -233,11 +241,11 @@
 	gossiper.last, gossiper.lastSent = digest, now
 	gossiper.sequence++
 	full := &encoder.PeerDigest{
-		StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
-		Name:       digest.Name, Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
-		Configuration: version, Stopping: digest.Stopping, Loads: loads,
+		Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
+		Configuration: version, Stopping: digest.Stopping, StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
+		Replicas: digest.Replicas, Running: digest.Running, Unread: digest.Unread,
 	}
-	gossiper.outbox.fill(full)
+	gossiper.outbox.fill(full, roomOf(len(due), gossiper.settings.Budget))
 	if gossiper.sequence%introduceEvery == 1 {
 		full.Peers = gossiper.peers.up(now)
 		full.Peers = full.Peers[:min(len(full.Peers), mostTold)]
@@ -256,17 +264,9 @@
 
 // same reports whether a digest says what the last one did.
 func same(last, next *encoder.PeerDigest) bool {
-	if last == nil || last.Configuration != next.Configuration || last.Stopping != next.Stopping ||
-		len(last.Loads) != len(next.Loads) {
-		return false
-	}
-	for i, load := range last.Loads {
-		other := next.Loads[i]
-		if load.Replica != other.Replica || load.Running != other.Running || load.Unread != other.Unread {
-			return false
-		}
-	}
-	return true
+	return last != nil && last.Configuration == next.Configuration && last.Stopping == next.Stopping &&
+		slices.Equal(last.Replicas, next.Replicas) && slices.Equal(last.Running, next.Running) &&
+		slices.Equal(last.Unread, next.Unread)
 }
 
 // settle sets the time until the next digest by what this one costs.
@@ -296,7 +296,7 @@
 
 func (gossiper *Gossiper) take(datagram []byte, from net.Addr) {
 	digest := &encoder.PeerDigest{}
-	if err := proto.Unmarshal(datagram, digest); err != nil || digest.Name == "" {
+	if err := proto.Unmarshal(datagram, digest); err != nil || digest.Incarnation == 0 {
 		gossiper.settings.Scope.Counter("peer-digests-malformed").Inc(1)
 		return
 	}
@@ -325,18 +325,18 @@
 // heardOf decodes a digest. Lists that don't fit together are cut to the shorter.
 func heardOf(digest *encoder.PeerDigest, address string, now timekeeper.Instant) Heard {
 	heard := Heard{
-		Name: digest.Name, Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
+		Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
 		Life: min(max(shortestLife, lifeRounds*timekeeper.Span(digest.IntervalMs)), lifeRounds*longest),
-		Held: make(map[balancer.Key]balancer.Held, len(digest.Loads)), Unreachable: digest.Unreachable, Leaving: digest.Leaving,
+		Held: make(map[balancer.Key]balancer.Held, len(digest.Replicas)), Unreachable: digest.Unreachable, Leaving: digest.Leaving,
 	}
 	if digest.StoreAgeMs > 0 {
 		heard.StoreAnswered = now.Add(-timekeeper.Span(digest.StoreAgeMs))
 	}
-	for _, load := range digest.Loads {
-		heard.Held[balancer.Key(load.Replica)] = balancer.Held{Running: int(load.Running), Unread: int(load.Unread)}
+	for i := range min(len(digest.Replicas), len(digest.Running), len(digest.Unread)) {
+		heard.Held[balancer.Key(digest.Replicas[i])] = balancer.Held{Running: int(digest.Running[i]), Unread: int(digest.Unread[i])}
 	}
 	for _, placed := range digest.Placements {
-		out := Placement{Replica: placed.Replica}
+		out := Placement{Replica: balancer.Key(placed.Replica)}
 		for i := range min(len(placed.Parts), len(placed.Tokens)) {
 			out.Parts = append(out.Parts, balancer.Part{ID: placed.Parts[i], Tokens: int(placed.Tokens[i])})
 		}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -27,7 +27,7 @@
 	heard []Heard
 }
 
-func newListener(t *testing.T, name string, clock timekeeper.Clock) *listener {
+func newListener(t *testing.T, incarnation uint64, clock timekeeper.Clock) *listener {
 	t.Helper()
 	conn, err := (&net.ListenConfig{}).ListenPacket(t.Context(), "udp", "127.0.0.1:0")
 	if err != nil {
@@ -37,7 +37,7 @@
 	log.SetOutput(io.Discard)
 	entry := &listener{conn: conn, held: map[balancer.Key]balancer.Held{}}
 	entry.Gossiper = New(Settings{
-		Name: name, Incarnation: 1, Clock: clock, Log: log, Scope: tally.NoopScope, Conn: conn,
+		Incarnation: incarnation, Clock: clock, Log: log, Scope: tally.NoopScope, Conn: conn,
 		Held: func() map[balancer.Key]balancer.Held { return entry.held }, Version: func() uint64 { return 7 },
 		StoreAnswered: func() timekeeper.Instant { return clock.Now().Add(-250) },
 		Hear: func(heard Heard) {
@@ -72,23 +72,26 @@
 
 func TestWhatADigestTells(t *testing.T) {
 	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
-	first, second := newListener(t, "entry-1", clock.Clock()), newListener(t, "entry-2", clock.Clock())
+	first, second := newListener(t, 1, clock.Clock()), newListener(t, 2, clock.Clock())
 	first.Learn(second.address())
 	first.held[balancer.KeyOf("planner-1")] = balancer.Held{Running: 3, Unread: 9200}
 	parts := []balancer.Part{{ID: 1 << 60, Tokens: 2500}, {ID: 2, Tokens: 580}}
-	first.Placed("planner-1", parts)
+	first.Placed("planner-1", parts, false)
+	first.Placed("planner-2", parts, true)
 	first.Unreachable("planner-2")
 	first.Leaving("planner-3")
 	first.Struck(Strike{Request: 1 << 63, Replica: "planner-2"})
 	first.round()
 	Convey("all of it arrives", t, func() {
 		heard := second.wait(t, 1)[0]
-		So(heard.Name, ShouldEqual, "entry-1")
 		So(heard.Address, ShouldEqual, first.address())
 		So(heard.Configuration, ShouldEqual, 7)
 		So(heard.StoreAnswered, ShouldEqual, clock.Now().Add(-250))
 		So(heard.Held, ShouldResemble, map[balancer.Key]balancer.Held{balancer.KeyOf("planner-1"): {Running: 3, Unread: 9200}})
-		So(heard.Placements, ShouldResemble, []Placement{{Replica: "planner-1", Parts: parts}})
+		So(heard.Placements, ShouldResemble, []Placement{
+			{Replica: balancer.KeyOf("planner-2"), Parts: parts[:1]},
+			{Replica: balancer.KeyOf("planner-1"), Parts: parts},
+		})
 		So(heard.Unreachable, ShouldResemble, []string{"planner-2"})
 		So(heard.Leaving, ShouldResemble, []string{"planner-3"})
 		So(heard.Strikes, ShouldResemble, []Strike{{Request: 1 << 63, Replica: "planner-2"}})
@@ -96,7 +99,7 @@
 	Convey("the peer has heard of the sender, and answers", t, func() {
 		So(second.Up(), ShouldResemble, []string{first.address()})
 		second.round()
-		So(first.wait(t, 1)[0].Name, ShouldEqual, "entry-2")
+		So(first.wait(t, 1)[0].Address, ShouldEqual, second.address())
 	})
 	Convey("news is told twice, in case a datagram is lost, and then no more", t, func() {
 		clock.Advance(restful)
@@ -121,10 +124,10 @@
 	// Datagrams overtake each other, come twice, or are no digests at all. Only a
 	// newer one of the same life, or one of another life, is taken in.
 	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
-	entry := newListener(t, "entry-1", clock.Clock())
+	entry := newListener(t, 1, clock.Clock())
 	from, _ := net.ResolveUDPAddr("udp", "127.0.0.1:9")
 	digest := func(incarnation, sequence uint64) []byte {
-		datagram, _ := proto.Marshal(&encoder.PeerDigest{Name: "entry-2", Incarnation: incarnation, Sequence: sequence})
+		datagram, _ := proto.Marshal(&encoder.PeerDigest{Incarnation: incarnation, Sequence: sequence})
 		return datagram
 	}
 	tests := []struct {
@@ -139,7 +142,7 @@
 		{"another life", digest(2, 1), 3},
 		{"no digest", []byte("GET / HTTP/1.1"), 3},
 		{"nothing", nil, 3},
-		{"without a name", func() []byte { out, _ := proto.Marshal(&encoder.PeerDigest{Sequence: 9}); return out }(), 3},
+		{"without an incarnation", func() []byte { out, _ := proto.Marshal(&encoder.PeerDigest{Sequence: 9}); return out }(), 3},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
@@ -212,7 +215,7 @@
 // in lists that don't fit together.
 func FuzzTake(f *testing.F) {
 	datagram, _ := proto.Marshal(&encoder.PeerDigest{
-		Name: "entry-2", Sequence: 1, Placements: []*encoder.PeerPlacement{{Replica: "a", Parts: []uint64{1, 2}, Tokens: []uint32{3}}},
+		Incarnation: 2, Sequence: 1, Placements: []*encoder.PeerPlacement{{Replica: 7, Parts: []uint64{1, 2}, Tokens: []uint32{3}}},
 	})
 	f.Add(datagram)
 	f.Add([]byte{})
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -1,9 +1,11 @@
 package gossiper
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -20,8 +22,10 @@
 	// repeats is how many digests carry a piece of news, so that a lost datagram
 	// loses none of it.
 	repeats = 2
-	// mostPlacements bounds the placements of a digest; some 40 bytes each.
+	// mostPlacements bounds the placements of a digest; some 30 bytes each.
 	mostPlacements = 64
+	// paced is the time between two digests that reminders may not lengthen.
+	paced = 200 * timekeeper.Millisecond
 	// mostNews bounds the other lists of a digest.
 	mostNews = 64
 )
@@ -34,10 +38,19 @@
 
 // placement is a prompt that was sent to a replica.
 type placement struct {
-	replica string
+	replica balancer.Key
 	parts   []balancer.Part
 }
 
+func (placement placement) message() *encoder.PeerPlacement {
+	message := &encoder.PeerPlacement{Replica: uint32(placement.replica)}
+	for _, part := range placement.parts {
+		message.Parts = append(message.Parts, part.ID)
+		message.Tokens = append(message.Tokens, uint32(part.Tokens))
+	}
+	return message
+}
+
 // news is a list whose members are told a few times.
 type news[T any] struct {
 	items []T
@@ -68,8 +81,16 @@
 }
 
 // outbox gathers what the next digest says.
+//
+// The load: many entries, so that each may send a peer some hundred bytes a
+// second, and prompts by the dozen a second. The harm: digests that tell each
+// placement are ten times as long as what else they say, so they come ten times
+// as seldom, and entries fill replicas that others have filled already. Only a
+// prompt that a replica is about to read for the first time is news. The others
+// are reminders, for entries that have started since: told where there is room.
 type outbox struct {
 	placements  news[placement]
+	reminders   []placement
 	unreachable news[string]
 	leaving     news[string]
 	strikes     news[Strike]
@@ -84,38 +105,64 @@
 	}
 }
 
+// empty reports whether there is no news. Reminders wait for a digest that has
+// something to say.
 func (outbox *outbox) empty() bool {
 	return len(outbox.placements.items)+len(outbox.unreachable.items)+
 		len(outbox.leaving.items)+len(outbox.strikes.items) == 0
 }
 
-// fill moves what there is to tell into a digest.
-func (outbox *outbox) fill(digest *encoder.PeerDigest) {
+// remind notes a placement that peers may have heard of. The oldest is dropped.
+func (outbox *outbox) remind(placed placement) {
+	if len(outbox.reminders) >= mostPlacements {
+		outbox.reminders = slices.Delete(outbox.reminders, 0, 1)
+	}
+	outbox.reminders = append(outbox.reminders, placed)
+}
+
+// fill moves what there is to tell into a digest, reminders up to a size in bytes.
+func (outbox *outbox) fill(digest *encoder.PeerDigest, room int) {
 	for _, placed := range outbox.placements.take() {
-		message := &encoder.PeerPlacement{Replica: placed.replica}
-		for _, part := range placed.parts {
-			message.Parts = append(message.Parts, part.ID)
-			message.Tokens = append(message.Tokens, uint32(part.Tokens))
-		}
-		digest.Placements = append(digest.Placements, message)
+		digest.Placements = append(digest.Placements, placed.message())
 	}
 	digest.Unreachable = outbox.unreachable.take()
 	digest.Leaving = outbox.leaving.take()
 	for _, strike := range outbox.strikes.take() {
 		digest.Strikes = append(digest.Strikes, &encoder.PeerStrike{Request: strike.Request, Replica: strike.Replica})
 	}
+	outbox.fillReminders(digest, room-proto.Size(digest))
+}
+
+// placementFrame is what a placement takes in a digest beside its own bytes.
+const placementFrame = 3
+
+// fillReminders adds reminders up to a size in bytes, the newest first.
+func (outbox *outbox) fillReminders(digest *encoder.PeerDigest, room int) {
+	for len(outbox.reminders) > 0 {
+		last := len(outbox.reminders) - 1
+		message := outbox.reminders[last].message()
+		room -= proto.Size(message) + placementFrame
+		if room < 0 {
+			return
+		}
+		digest.Placements = append(digest.Placements, message)
+		outbox.reminders = outbox.reminders[:last]
+	}
+}
+
+// roomOf returns how many bytes a digest may have so that digests stay paced.
+func roomOf(peers int, budget float64) int {
+	return int(budget * float64(paced) / float64(timekeeper.Second) / float64(max(1, peers)))
 }
 
-// loadsOf returns what is under way, in a fixed order.
-func loadsOf(held map[balancer.Key]balancer.Held) []*encoder.PeerLoad {
-	loads := make([]*encoder.PeerLoad, 0, len(held))
-	for key, at := range held {
-		loads = append(loads, &encoder.PeerLoad{
-			Replica: uint32(key), Running: uint32(max(0, at.Running)), Unread: uint32(max(0, at.Unread)),
-		})
+// fillLoads writes what is under way into a digest, in a fixed order.
+func fillLoads(digest *encoder.PeerDigest, held map[balancer.Key]balancer.Held) {
+	keys := slices.Sorted(maps.Keys(held))
+	for _, key := range keys {
+		digest.Replicas = append(digest.Replicas, uint32(key))
+		digest.Running = append(digest.Running, uint32(max(0, held[key].Running)))
+		digest.Unread = append(digest.Unread, uint32(max(0, held[key].Unread)))
 	}
-	slices.SortFunc(loads, func(a, b *encoder.PeerLoad) int { return cmp.Compare(a.Replica, b.Replica) })
-	return loads
 }
 
 // interval returns the time between two digests of a size to a number of peers
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -45,8 +45,9 @@
 	Crowded func() bool
 	// BodyMemory bounds the request bodies that are held at once, in bytes.
 	BodyMemory int64
-	// Placed is told of prompt parts that were sent to a replica.
-	Placed func(replica string, parts []balancer.Part)
+	// Placed is told of prompt parts that were sent to a replica, and whether it
+	// reads one of them there for the first time.
+	Placed func(replica string, parts []balancer.Part, first bool)
 	// Unreachable is told of a replica that takes no connections.
 	Unreachable func(replica string)
 	// Struck is told of a request that was at a replica when it crashed.
@@ -76,7 +77,7 @@
 // New returns an entry.
 func New(settings Settings) *Entry {
 	if settings.Placed == nil {
-		settings.Placed = func(string, []balancer.Part) {}
+		settings.Placed = func(string, []balancer.Part, bool) {}
 	}
 	if settings.Unreachable == nil {
 		settings.Unreachable = func(string) {}
