follower: readers that tell each other share the calls to the store

Change: pace and wait are a Pacing that grows from four readers on, to 1.3 s and 3 s. A change that one entry reads, the others hear of in a digest; each still reads for itself within the time in which a leaving replica must be known. Nothing changes with up to four entries.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -24,13 +24,6 @@
 )
 
 const (
-	// replicaPace is the least time between two reads of the replicas' list, in
-	// which every heartbeat is a change. A leaving replica must be known well
-	// within the two seconds for which it still serves.
-	replicaPace = 450 * timekeeper.Millisecond
-	// configurationPace is the same for the operator's table, which changes seldom:
-	// a store that answers at once without a change must not be asked in a loop.
-	configurationPace = 25 * timekeeper.Millisecond
 	// replicaLapse is how long a replica that is missing after an outage of the
 	// store stays in use: the replicas write themselves in again within two seconds.
 	replicaLapse = 2200 * timekeeper.Millisecond
@@ -58,6 +51,32 @@
 	endMargin = 300 * timekeeper.Millisecond
 )
 
+// How entries read the store. Up to storeReaders of them each read as often as
+// one alone would; more share the calls, for what one reads all hear of at once.
+const (
+	storeReaders = 4
+	// configurationPace keeps a store that answers at once without a change from
+	// being asked in a loop; the operator's table changes seldom.
+	configurationPace = 25 * timekeeper.Millisecond
+)
+
+var (
+	// replicaPace is the least time between two reads of the replicas' list, in
+	// which every heartbeat is a change. A leaving replica must be known well
+	// within the two seconds for which it still serves, also when what a peer told
+	// is lost.
+	replicaPace = follower.Pacing{
+		Least: 450 * timekeeper.Millisecond, Most: 1300 * timekeeper.Millisecond, Alone: storeReaders,
+	}
+	// storeWait is how long the store may hold a call for changes. A connection
+	// that has gone silent is noticed a second and a half after it, in which a
+	// change must still come into force; where many wait, the first to notice tells
+	// the others.
+	storeWait = follower.Pacing{
+		Least: 1500 * timekeeper.Millisecond, Most: 3 * timekeeper.Second, Alone: storeReaders,
+	}
+)
+
 // Direct is an entry that sends requests to replicas itself, ready to run.
 type Direct struct {
 	settings loader.Direct
@@ -149,7 +168,7 @@
 		Retries: relayer.Retries{
 			Window: direct.settings.Retry.Window, Ratio: direct.settings.Retry.Ratio, Extra: direct.settings.Retry.Extra,
 		},
-		Sharers:     func() int { return max(minSharers, sharersOfPeer*(1+len(direct.fellows.gossiper.Up()))) },
+		Sharers:     func() int { return max(minSharers, sharersOfPeer*direct.fellows.readers()) },
 		Placed:      direct.fellows.gossiper.Placed,
 		Unreachable: direct.fellows.gossiper.Unreachable,
 		Struck: func(request uint64, replica string) {
@@ -183,7 +202,7 @@
 	configurations, key := platform.Configurations(store)
 	direct.configurations = follower.New(follower.Settings[platform.Document]{
 		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: configurations, Seed: newIncarnation(),
-		Pace: configurationPace,
+		Pace: follower.Every(configurationPace), Wait: storeWait, Readers: direct.fellows.readers,
 		Apply: func(rows map[string]platform.Document) {
 			if document := rows[key]; document.Config != nil {
 				direct.accept(document, "store")
@@ -192,7 +211,7 @@
 	})
 	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
 		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store), Seed: newIncarnation(),
-		Pace: replicaPace, Lapse: replicaLapse, Apply: direct.list, OthersServed: direct.fellows.othersServed,
+		Pace: replicaPace, Wait: storeWait, Readers: direct.fellows.readers, Lapse: replicaLapse, Apply: direct.list, OthersServed: direct.fellows.othersServed,
 	})
 }
 
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -62,6 +62,9 @@
 	return fellows, transport.CloseIdleConnections
 }
 
+// readers returns how many entries read the store and tell each other.
+func (fellows *fellows) readers() int { return 1 + len(fellows.gossiper.Up()) }
+
 // held returns what this entry has under way.
 func (direct *Direct) held() (held map[balancer.Key]balancer.Held) {
 	direct.fleet.With(func(fleet *balancer.Fleet) { held = fleet.Held() })
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -33,8 +33,8 @@
 	// Snapshot returns all rows, and the newest version.
 	Snapshot func(ctx context.Context) ([]Change[T], Version, error)
 	// Changes returns what changed after a version, as soon as something did or
-	// after a while, and the version to go on from.
-	Changes func(ctx context.Context, after Version) ([]Change[T], Version, error)
+	// after the wait, and the version to go on from.
+	Changes func(ctx context.Context, after Version, wait timekeeper.Span) ([]Change[T], Version, error)
 }
 
 // Settings set up a follower. Clock, Log, Source and Apply must be set.
@@ -49,7 +49,13 @@
 	// Pace is the least time between two reads; zero means none. Reading a table
 	// whose rows are all written again and again costs a call for each write
 	// otherwise.
-	Pace timekeeper.Span
+	Pace Pacing
+	// Wait is how long the store may hold a read for a change. A connection that
+	// has gone silent is noticed some time after it.
+	Wait Pacing
+	// Readers returns how many processes read the table and tell each other of
+	// changes, this one among them. Nil means that it is the only one.
+	Readers func() int
 	// Lapse is how long a row that is missing after an outage stays; zero means
 	// not at all.
 	Lapse timekeeper.Span
@@ -96,6 +102,9 @@
 	if settings.OthersServed == nil {
 		settings.OthersServed = func(timekeeper.Instant) timekeeper.Instant { return 0 }
 	}
+	if settings.Readers == nil {
+		settings.Readers = func() int { return 1 }
+	}
 	return &Follower[T]{
 		settings: settings,
 		draws:    rand.New(rand.NewPCG(settings.Seed, 23)),
@@ -159,7 +168,7 @@
 	follower.mu.Lock()
 	follower.answered, follower.synced = now, true
 	follower.mu.Unlock()
-	return follower.settings.Pace
+	return follower.settings.Pace.For(follower.settings.Readers())
 }
 
 // errDue ends a read when lapsed rows are due to go.
@@ -190,7 +199,8 @@
 // read returns changes; a snapshot comes as changes too.
 func (follower *Follower[T]) read(ctx context.Context) ([]Change[T], Version, error) {
 	if follower.known {
-		changes, version, err := follower.settings.Source.Changes(ctx, follower.version)
+		wait := follower.settings.Wait.For(follower.settings.Readers())
+		changes, version, err := follower.settings.Source.Changes(ctx, follower.version, wait)
 		if err == nil && version < follower.version {
 			return nil, 0, errStale
 		}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -53,7 +53,7 @@
 			}
 			return rows, table.version - table.stale, table.fail
 		},
-		Changes: func(_ context.Context, after Version) ([]Change[int], Version, error) {
+		Changes: func(_ context.Context, after Version, _ timekeeper.Span) ([]Change[int], Version, error) {
 			if table.fail != nil {
 				return nil, 0, table.fail
 			}
@@ -201,9 +201,9 @@
 		Apply: func(rows map[string]int) { applied <- rows },
 		Source: Source[int]{
 			Snapshot: source.Snapshot,
-			Changes: func(ctx context.Context, after Version) ([]Change[int], Version, error) {
+			Changes: func(ctx context.Context, after Version, wait timekeeper.Span) ([]Change[int], Version, error) {
 				if !waits {
-					return source.Changes(ctx, after)
+					return source.Changes(ctx, after, wait)
 				}
 				close(waiting)
 				<-ctx.Done()
@@ -284,12 +284,12 @@
 	// counted, work would go to the replica again, and the key would be let in.
 	tests := []struct {
 		name    string
-		changes func(context.Context, Version) ([]Change[int], Version, error)
+		changes func(context.Context, Version, timekeeper.Span) ([]Change[int], Version, error)
 	}{
-		{"old changes", func(context.Context, Version) ([]Change[int], Version, error) {
+		{"old changes", func(context.Context, Version, timekeeper.Span) ([]Change[int], Version, error) {
 			return []Change[int]{{Key: "left", Value: 1}}, 3, nil
 		}},
-		{"an old table after the history is lost", func(context.Context, Version) ([]Change[int], Version, error) {
+		{"an old table after the history is lost", func(context.Context, Version, timekeeper.Span) ([]Change[int], Version, error) {
 			return nil, 0, ErrHistoryLost
 		}},
 	}
@@ -315,3 +315,38 @@
 		})
 	}
 }
+
+func TestReadersShareTheCalls(t *testing.T) {
+	// Dozens of processes read one table. Together they read as often as a few
+	// would, and each still for itself within a bound.
+	pacing := Pacing{Least: 450, Most: 1300, Alone: 4}
+	tests := []struct {
+		readers int
+		want    timekeeper.Span
+	}{{0, 450}, {1, 450}, {4, 450}, {6, 675}, {8, 900}, {12, 1300}, {400, 1300}}
+	for _, test := range tests {
+		Convey(test.want.String(), t, func() {
+			So(pacing.For(test.readers), ShouldEqual, test.want)
+			So(Every(25).For(test.readers), ShouldEqual, 25)
+		})
+	}
+	Convey("a follower goes by its readers", t, func() {
+		table, readers := newTable(), 1
+		source := table.source()
+		waited := timekeeper.Span(0)
+		changes := source.Changes
+		source.Changes = func(ctx context.Context, after Version, wait timekeeper.Span) ([]Change[int], Version, error) {
+			waited = wait
+			return changes(ctx, after, wait)
+		}
+		follower := New(Settings[int]{
+			Name: "test", Clock: timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour)).Clock(), Log: quiet(), Source: source,
+			Apply: func(map[string]int) {}, Pace: pacing, Wait: Pacing{Least: 1500, Most: 3000, Alone: 4},
+			Readers: func() int { return readers },
+		})
+		So(follower.Step(t.Context()), ShouldEqual, 450)
+		readers = 8
+		So(follower.Step(t.Context()), ShouldEqual, 900)
+		So(waited, ShouldEqual, 3000)
+	})
+}
--- /dev/null
+++ b/internal/follower/pacing.go
@@ -0,0 +1,30 @@
+package follower
+
+import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+
+// Pacing is a span that grows with how many processes read the same table and
+// tell each other what they find there.
+//
+// The load: dozens of processes before one store that is paid by the call. The
+// harm: each reads every change for itself, so that a change costs as many calls
+// as there are processes; at 24 entries calls were the largest price of a quiet
+// day. A change that one of them reads, the others hear of within tens of
+// milliseconds, so together they read as often as a few would. Each still reads
+// for itself within Most, in case what it is told is lost.
+type Pacing struct {
+	// Least is the span for up to Alone readers, Most for any number.
+	Least, Most timekeeper.Span
+	// Alone is how many readers don't share; zero means any number.
+	Alone int
+}
+
+// Every returns a pacing that does not depend on the number of readers.
+func Every(span timekeeper.Span) Pacing { return Pacing{Least: span, Most: span} }
+
+// For returns the span for a number of readers.
+func (pacing Pacing) For(readers int) timekeeper.Span {
+	if pacing.Alone <= 0 || readers <= pacing.Alone {
+		return pacing.Least
+	}
+	return min(pacing.Least*timekeeper.Span(readers)/timekeeper.Span(pacing.Alone), pacing.Most)
+}
