relayer, balancer, platform, logger: what an engineer on call has to see, and logfmt

Cause: metrics lacked services, queues and waits, pauses, upstream state, the drift of the engines' model, retries left, reuse, store calls, the age of the configuration, dropped lines and the process itself; logs were JSON only. Change: a survey of what the fleet believes, written into gauges once a second; counters where things happen; the process's own figures by the client library; log-format = logfmt, which explain reads too.

--- a/cmd/trefoilseam/direct.go
+++ b/cmd/trefoilseam/direct.go
@@ -27,12 +27,14 @@
 	if len(faults) > 0 {
 		return faults
 	}
-	log, err := newLog(settings.LogLevel)
+	log, err := newLogIn(settings.LogFormat, settings.LogLevel)
 	if err != nil {
 		return err
 	}
-	defer queueLog(log)()
-	direct, release, err := assembler.NewDirect(ctx, settings, file, log)
+	dropped, flush := queueLog(log)
+	defer flush()
+	output := assembler.Output{Log: log, Dropped: dropped}
+	direct, release, err := assembler.NewDirect(ctx, settings, file, output)
 	if err != nil {
 		return err
 	}
@@ -43,11 +45,12 @@
 }
 
 // queueLog sends the log to standard output through a queue that never blocks,
-// and returns a function that writes what waits.
-func queueLog(log *logrus.Logger) func() {
-	queue, release := logger.NewQueue(os.Stdout)
+// and returns how many lines were dropped, and a function that writes what waits.
+func queueLog(log *logrus.Logger) (dropped func() int64, flush func()) {
+	lost := func(dropped int64) []byte { return linesDropped(log, dropped) }
+	queue, release := logger.NewQueue(os.Stdout, lost)
 	log.SetOutput(queue)
-	return func() {
+	return queue.Dropped, func() {
 		giveUp := make(chan struct{})
 		fired, stop := timekeeper.Steady().After(lastLines)
 		defer stop()
@@ -55,3 +58,14 @@
 		release(giveUp)
 	}
 }
+
+// linesDropped returns the line that tells of lines that were dropped.
+func linesDropped(log *logrus.Logger, dropped int64) []byte {
+	entry := log.WithField("dropped", dropped)
+	entry.Level, entry.Message, entry.Time = logrus.WarnLevel, "log lines dropped", timekeeper.Wall().Now().Time()
+	line, err := entry.Bytes()
+	if err != nil {
+		return []byte("log lines dropped\n")
+	}
+	return line
+}
--- a/cmd/trefoilseam/process.go
+++ b/cmd/trefoilseam/process.go
@@ -14,6 +14,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/assembler"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
+	"github.com/trefoilseam/trefoilseam/internal/logger"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -24,8 +25,13 @@
 
 // newLog returns a log that writes one JSON object a line.
 func newLog(level string) (*logrus.Logger, error) {
+	return newLogIn(logger.JSON, level)
+}
+
+// newLogIn returns a log in a format.
+func newLogIn(format logger.Format, level string) (*logrus.Logger, error) {
 	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	log.SetFormatter(format.Formatter())
 	if level == "" {
 		return log, nil
 	}
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -77,21 +77,31 @@
 	}
 )
 
+// Output is the log of a process, and how many of its lines were dropped.
+type Output struct {
+	Log     *logrus.Logger
+	Dropped func() int64
+}
+
 // Direct is an entry that sends requests to replicas itself, ready to run.
 type Direct struct {
 	settings loader.Direct
 	file     string
 	clock    timekeeper.Clock
 	log      logrus.FieldLogger
-	// logger is where the level of the log is set.
+	// logger is where the level of the log is set, dropped counts lines that did
+	// not get through.
 	logger  *logrus.Logger
+	dropped func() int64
 	scope   tally.Scope
 	metrics http.Handler
 
-	fleet     *balancer.Guarded
-	pool      *connector.Pool
-	front     *relayer.Entry
-	document  atomic.Pointer[platform.Document]
+	fleet    *balancer.Guarded
+	pool     *connector.Pool
+	front    *relayer.Entry
+	document atomic.Pointer[platform.Document]
+	// accepted is when the document came into force, for metrics.
+	accepted  atomic.Int64
 	readiness readiness
 	fellows   *fellows
 	callers   *callers
@@ -106,9 +116,9 @@
 // NewDirect returns an entry that listens, and a function that releases what it
 // holds. file is where its settings were read from; they are read again when
 // they change.
-func NewDirect(ctx context.Context, settings loader.Direct, file string, log *logrus.Logger) (*Direct, func(), error) {
-	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), logger: log}
-	direct.log = log.WithField("process", settings.Name)
+func NewDirect(ctx context.Context, settings loader.Direct, file string, output Output) (*Direct, func(), error) {
+	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), logger: output.Log, dropped: output.Dropped}
+	direct.log = output.Log.WithField("process", settings.Name)
 	direct.callers = newCallers(direct.clock, settings.Descriptors)
 	limitMemory(settings)
 	var release func()
@@ -125,7 +135,7 @@
 		Clock: direct.clock, Opened: func() { direct.scope.Counter("connections-opened").Inc(1) },
 	})
 	direct.onRelease(release)
-	store, release := platform.NewStore(settings.Store, direct.log)
+	store, release := platform.NewStore(settings.Store, direct.log, direct.scope)
 	direct.onRelease(release)
 	direct.fellows, release = newFellows(direct, store, direct.listeners.datagrams)
 	direct.onRelease(release)
@@ -227,6 +237,7 @@
 			break
 		}
 	}
+	direct.accepted.Store(int64(direct.clock.Now()))
 	direct.fellows.gossiper.Configured()
 	direct.fleet.With(func(fleet *balancer.Fleet) {
 		for _, service := range config.Services() {
@@ -304,6 +315,7 @@
 	direct.clock.Every(ctx, span, func(context.Context) {
 		direct.pool.Sweep()
 		direct.callers.sweep(direct.idleLimit())
+		direct.survey()
 	})
 }
 
--- /dev/null
+++ b/internal/assembler/direct_survey.go
@@ -0,0 +1,54 @@
+package assembler
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// survey writes what the entry believes into gauges. It is called once a second:
+// what changes faster is counted where it happens.
+func (direct *Direct) survey() {
+	now := direct.clock.Now()
+	var services []balancer.ServiceSurvey
+	direct.fleet.With(func(fleet *balancer.Fleet) { services = fleet.Survey(now) })
+	left := direct.front.RetriesLeft()
+	for _, service := range services {
+		scope := direct.scope.Tagged(map[string]string{"service": service.Service})
+		writeService(scope.SubScope("service"), service)
+		if retries, known := left[service.Service]; known {
+			scope.Gauge("retries-left").Update(retries)
+		}
+	}
+	if accepted := timekeeper.Instant(direct.accepted.Load()); accepted != 0 {
+		direct.scope.Gauge("configuration-age-ms").Update(float64(now.Since(accepted)))
+	}
+	answered := max(direct.replicas.Answered(), direct.configurations.Answered())
+	if answered != 0 {
+		direct.scope.Gauge("store-silent-ms").Update(float64(now.Since(answered)))
+	}
+	direct.scope.Gauge("log-lines-dropped").Update(float64(direct.dropped()))
+	direct.scope.Gauge("requests-active").Update(float64(direct.front.Active()))
+}
+
+// writeService writes the gauges of one service. A service whose replicas are all
+// gone keeps its last values; its configuration names it no more.
+func writeService(scope tally.Scope, service balancer.ServiceSurvey) {
+	gauges := []struct {
+		name  string
+		value float64
+	}{
+		{"replicas-listed", float64(service.Listed)},
+		{"replicas-leaving", float64(service.Leaving)},
+		{"replicas-unreachable", float64(service.Unreachable)},
+		{"requests-running", float64(service.Running)},
+		{"requests-waiting", float64(service.Waiting)},
+		{"held-mean", service.Held},
+		{"held-most", float64(service.Most)},
+		{"later-than-expected-ms", service.Excess},
+	}
+	for _, gauge := range gauges {
+		scope.Gauge(gauge.name).Update(gauge.value)
+	}
+}
--- /dev/null
+++ b/internal/assembler/direct_survey_test.go
@@ -0,0 +1,41 @@
+package assembler
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/platform"
+)
+
+func TestGaugesOfAnEntry(t *testing.T) {
+	// What an engineer on call looks at first: are replicas there, who waits, how old
+	// is the configuration, does the log lack lines.
+	direct, release := directOnLoopback(t)
+	defer release()
+	scope := tally.NewTestScope("", nil)
+	direct.scope = scope
+	document, err := platform.DecodeConfiguration([]byte(`{"version":3,"routes":[],"services":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	direct.accept(document, "test")
+	direct.list(map[string]balancer.Replica{
+		"i-1": {ID: "i-1", Service: "orders", Slots: 6}, "i-2": {ID: "i-2", Service: "orders", Slots: 6, Leaving: true},
+	})
+	direct.survey()
+	gauges := map[string]float64{}
+	for _, gauge := range scope.Snapshot().Gauges() {
+		gauges[gauge.Name()] = gauge.Value()
+	}
+	Convey("each has its value", t, func() {
+		So(gauges["service.replicas-listed"], ShouldEqual, 2)
+		So(gauges["service.replicas-leaving"], ShouldEqual, 1)
+		So(gauges["service.requests-waiting"], ShouldEqual, 0)
+		So(gauges["configuration-version"], ShouldEqual, 3)
+		So(gauges, ShouldContainKey, "configuration-age-ms")
+		So(gauges["log-lines-dropped"], ShouldEqual, 3)
+	})
+}
--- /dev/null
+++ b/internal/balancer/survey.go
@@ -0,0 +1,51 @@
+package balancer
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// ServiceSurvey is what a fleet believes of one service, for metrics.
+type ServiceSurvey struct {
+	Service string
+	// Listed replicas get work unless they are among Leaving or Unreachable.
+	Listed, Leaving, Unreachable int
+	// Running counts this entry's requests, Waiting those that wait for a replica.
+	Running, Waiting int
+	// Held is the mean of what replicas are believed to hold, Most the largest.
+	Held float64
+	Most int
+	// Excess is how much later than expected answers of late began, in
+	// milliseconds; less than zero means sooner. A value that stays away from zero
+	// means that the model of the engines no longer fits them.
+	Excess float64
+}
+
+// Survey returns what the fleet believes, ordered by service.
+func (fleet *Fleet) Survey(now timekeeper.Instant) []ServiceSurvey {
+	out := make([]ServiceSurvey, 0, len(fleet.services))
+	for _, name := range slices.Sorted(maps.Keys(fleet.services)) {
+		survey := ServiceSurvey{
+			Service: name, Waiting: len(fleet.queue(name).waiting), Excess: fleet.paceOf(name).excess.now(paceMemory, now),
+		}
+		total := 0
+		for _, member := range fleet.services[name] {
+			held := member.held(fleet.peersAt(member.key, now), now)
+			survey.Listed++
+			survey.Running += member.running
+			survey.Most = max(survey.Most, held)
+			total += held
+			switch {
+			case member.Leaving:
+				survey.Leaving++
+			case !member.doubt.open(now):
+				survey.Unreachable++
+			}
+		}
+		survey.Held = float64(total) / float64(max(1, survey.Listed))
+		out = append(out, survey)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/balancer/survey_test.go
@@ -0,0 +1,32 @@
+package balancer
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+func TestWhatASurveySays(t *testing.T) {
+	// One planner of three leaves, one takes no connections, and the third answers
+	// its request 200 ms later than expected.
+	fleet := planners(3)
+	list := replicasOf("planner", 3, 64)
+	list[0].Leaving = true
+	fleet.SetReplicas(list)
+	fleet.replicas["planner-1"].doubt.unreachable(start)
+	fleet.SetPeer("peer", map[Key]Held{KeyOf("planner-2"): {Running: 5}}, timekeeper.Minute, start)
+	placement := choose(t, fleet, promptAsk(1, 1), start)
+	fleet.Began(placement, start.Add(placement.Expected+200))
+	fleet.Suspect("planner-1", start.Add(placement.Expected+100))
+	Convey("each state, the load and the drift of the model", t, func() {
+		survey := fleet.Survey(start.Add(placement.Expected + 200))
+		So(survey, ShouldHaveLength, 1)
+		So(survey[0].Excess, ShouldBeGreaterThan, 0)
+		survey[0].Excess = 0
+		So(survey[0], ShouldResemble, ServiceSurvey{
+			Service: "planner", Listed: 3, Leaving: 1, Unreachable: 1, Running: 1, Held: 2, Most: 6,
+		})
+	})
+}
--- a/internal/explainer/story.go
+++ b/internal/explainer/story.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-logfmt/logfmt"
 	"github.com/rotisserie/eris"
 )
 
@@ -57,6 +59,14 @@
 // parse reads one line; anything before the first brace is passed over, such as
 // what a collector of logs has put there.
 func parse(text []byte) (Line, bool) {
+	if line, read := parseObject(text); read {
+		return line, true
+	}
+	return parsePairs(text)
+}
+
+// parseObject reads a line of JSON.
+func parseObject(text []byte) (Line, bool) {
 	begin := slices.Index(text, '{')
 	if begin < 0 {
 		return Line{}, false
@@ -75,10 +85,39 @@
 			line.Rest = append(line.Rest, Field{Name: name, Value: strings.Trim(string(value), `"`)})
 		}
 	}
-	slices.SortFunc(line.Rest, func(a, b Field) int { return strings.Compare(a.Name, b.Name) })
+	line.sort()
 	return line, true
 }
 
+// parsePairs reads a line of logfmt. Words that are no pairs are passed over.
+func parsePairs(text []byte) (Line, bool) {
+	var line Line
+	targets := map[string]*string{
+		"process": &line.Process, "level": &line.Level, "msg": &line.Message, "request-id": &line.Request, "replica": &line.Replica,
+	}
+	pairs := logfmt.NewDecoder(bytes.NewReader(text))
+	for pairs.ScanRecord() {
+		for pairs.ScanKeyval() {
+			name, value := string(pairs.Key()), string(pairs.Value())
+			target, known := targets[name]
+			switch {
+			case known:
+				*target = value
+			case name == "time":
+				line.At, _ = time.Parse(time.RFC3339, value)
+			case pairs.Value() != nil:
+				line.Rest = append(line.Rest, Field{Name: name, Value: value})
+			}
+		}
+	}
+	line.sort()
+	return line, pairs.Err() == nil && line.Message != "" && !line.At.IsZero()
+}
+
+func (line *Line) sort() {
+	slices.SortFunc(line.Rest, func(a, b Field) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // Story is what the logs say about a request.
 type Story struct {
 	Lines []Line
--- a/internal/explainer/story_test.go
+++ b/internal/explainer/story_test.go
@@ -21,6 +21,28 @@
 {"level":"warning","msg":"replica suspected","process":"entry-2","replica":"i-1","time":"2026-12-02T10:00:30.000Z"}
 `
 
+// pairs is a log in logfmt, behind what a collector of logs puts before a line.
+const pairs = `starting up
+node-7 | time="2026-12-02T10:00:03.500Z" level=info msg="request placed" held=2 process=entry-1 replica=i-1 request-id=r1
+node-7 | time="2026-12-02T10:00:04.000Z" level=warning msg="request failed" cause="read tcp {1}: reset" process=entry-1 replica=i-1 request-id=r1
+`
+
+func TestAStoryFromALogInLogfmt(t *testing.T) {
+	// One entry writes JSON and another logfmt, as after a change of its settings.
+	story, err := Read("r1", strings.NewReader(pairs), strings.NewReader(second))
+	var out strings.Builder
+	writing := story.Write(&out)
+	Convey("lines of both are read", t, func() {
+		So(err, ShouldBeNil)
+		So(writing, ShouldBeNil)
+		So(story.Skipped, ShouldEqual, 1)
+		So(out.String(), ShouldEqual, ""+
+			"       0 ms * entry-1                request placed replica=i-1 held=2\n"+
+			"     400 ms   entry-2                replica suspected replica=i-1 reason=refused\n"+
+			"     500 ms * entry-1                request failed replica=i-1 cause=read tcp {1}: reset\n")
+	})
+}
+
 func TestAStoryFromSeveralLogs(t *testing.T) {
 	story, err := Read("r1", strings.NewReader(first), strings.NewReader(second))
 	var out strings.Builder
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 
+	"github.com/trefoilseam/trefoilseam/internal/logger"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -26,6 +27,8 @@
 	Store string `toml:"store"`
 	// LogLevel is a level of logrus; empty means "info".
 	LogLevel string `toml:"log-level"`
+	// LogFormat is how lines are written; empty means JSON.
+	LogFormat logger.Format `toml:"log-format"`
 	// Memory is the process's limit in megabytes; zero means none.
 	Memory int `toml:"memory-megabytes"`
 	// Descriptors is how many descriptors the process may have; zero means 1,024.
@@ -94,6 +97,9 @@
 		check.address("metrics-listen", direct.MetricsListen)
 	}
 	check.level(direct.LogLevel)
+	if !direct.LogFormat.Known() {
+		check.add("log-format", "write json or logfmt", "log-format is %q", string(direct.LogFormat))
+	}
 	numbers := []struct {
 		key   string
 		value float64
--- a/internal/loader/direct_test.go
+++ b/internal/loader/direct_test.go
@@ -37,6 +37,8 @@
 		{"without what has a default", "bound = 2\n\n[retry]\nwindow = \"10s\"\nratio = 0.2\nextra = 52\n", "", nil},
 		{"no store", "store = \"10.200.1.7:8223\"\n", "", []string{":1: store is missing"}},
 		{"a host name", "10.200.1.7:8223", "store.example:80", []string{`:7: store is "store.example:80"`}},
+		{"a log in logfmt", "bound = 2", "bound = 2\nlog-format = \"logfmt\"", nil},
+		{"a log in no format", "bound = 2", "log-format = \"xml\"", []string{`:10: log-format is "xml"`}},
 		{"a bound below zero", "bound = 2", "bound = -2", []string{":10: bound is -2"}},
 		{"a key that is unknown", "bound = 2", "bond = 2", []string{":10: unknown key bond"}},
 		{"a key of the table that is unknown", "extra = 52", "extras = 52", []string{":15: unknown key retry.extras"}},
--- a/internal/logger/queue.go
+++ b/internal/logger/queue.go
@@ -1,7 +1,6 @@
 package logger
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -17,17 +16,18 @@
 	dropped atomic.Int64
 	total   atomic.Int64
 	out     io.Writer
+	lost    func(dropped int64) []byte
 	done    chan struct{}
 	closing sync.Once
 	stop    chan struct{}
 }
 
 // NewQueue returns a queue before out, and a function that writes what waits
-// and ends it. A reader that stalls for good holds up that function only until
+// and ends it. lost returns the line that tells how many were dropped. A reader that stalls for good holds up that function only until
 // the giveUp channel is closed.
-func NewQueue(out io.Writer) (queue *Queue, release func(giveUp <-chan struct{})) {
+func NewQueue(out io.Writer, lost func(dropped int64) []byte) (queue *Queue, release func(giveUp <-chan struct{})) {
 	queue = &Queue{
-		lines: make(chan []byte, room), out: out, done: make(chan struct{}), stop: make(chan struct{}),
+		lines: make(chan []byte, room), out: out, lost: lost, done: make(chan struct{}), stop: make(chan struct{}),
 	}
 	go queue.run()
 	return queue, queue.release
@@ -63,7 +63,7 @@
 
 func (queue *Queue) write(line []byte) {
 	if dropped := queue.dropped.Swap(0); dropped > 0 {
-		_, _ = fmt.Fprintf(queue.out, `{"level":"warning","msg":"log lines dropped","dropped":%d}`+"\n", dropped)
+		_, _ = queue.out.Write(queue.lost(dropped))
 	}
 	_, _ = queue.out.Write(line)
 }
--- a/internal/logger/queue_test.go
+++ b/internal/logger/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -9,12 +10,14 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+func lost(dropped int64) []byte { return fmt.Appendf(nil, "lost %d\n", dropped) }
+
 func TestAStalledReaderHoldsUpNobody(t *testing.T) {
 	// The reader of the output stops reading. Whoever logs goes on at once; lines
 	// beyond the queue are dropped and counted; and once the reader is back it is
 	// told how many it has missed.
 	reader, writer := io.Pipe()
-	queue, release := NewQueue(writer)
+	queue, release := NewQueue(writer, lost)
 	const lines = 3 * room
 	for range lines {
 		_, err := queue.Write([]byte("{}\n"))
@@ -32,7 +35,7 @@
 	_ = writer.Close()
 	<-read
 	Convey("the reader is told, and gets the rest", t, func() {
-		So(out.String(), ShouldContainSubstring, `"msg":"log lines dropped","dropped":`)
+		So(out.String(), ShouldContainSubstring, fmt.Sprintf("lost %d\n", queue.Dropped()))
 		So(strings.Count(out.String(), "{}"), ShouldEqual, lines-queue.Dropped())
 	})
 }
@@ -40,7 +43,7 @@
 func TestAReaderThatNeverComesBackIsGivenUp(*testing.T) {
 	// The process is told to stop while nobody reads its output: it ends all the same.
 	_, writer := io.Pipe()
-	queue, release := NewQueue(writer)
+	queue, release := NewQueue(writer, lost)
 	_, _ = queue.Write([]byte("{}\n"))
 	giveUp := make(chan struct{})
 	close(giveUp)
--- a/internal/measurer/scope.go
+++ b/internal/measurer/scope.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
@@ -18,6 +19,8 @@
 // flushes and closes the scope.
 func New(process string, log logrus.FieldLogger) (tally.Scope, http.Handler, func()) {
 	registry := prometheus.NewRegistry()
+	// Processor time, memory and descriptors of the process, read when asked for.
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	reporter := promreporter.NewReporter(promreporter.Options{
 		Registerer: registry,
 		Gatherer:   registry,
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -236,6 +236,7 @@
 	now := task.entry.settings.Clock.Now()
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, ending, now) })
 	task.entry.queue.freed()
+	task.entry.meters.attempted(task.service, result)
 	if result.verdict == answered && !result.failed {
 		task.entry.strikes.clear(task.fingerprint)
 		return
@@ -268,7 +269,7 @@
 
 func (task *task) logAttempt(result attemptResult) {
 	task.entry.settings.Log.WithFields(logrus.Fields{
-		"request-id": task.call.ID, "replica": result.replica.ID, "service": result.replica.Service,
+		"request-id": task.call.ID, "replica": result.replica.ID, labelService: result.replica.Service,
 		"verdict": result.verdict.String(), "cause": result.why(),
 	}).Info("attempt failed")
 }
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -58,7 +58,7 @@
 // Entry answers callers. It is an http.Handler.
 type Entry struct {
 	settings Settings
-	meters   meters
+	meters   *meters
 	leaving  atomic.Bool
 	// stops is when the entry ends; zero while all requests are taken.
 	stops  atomic.Int64
@@ -246,9 +246,22 @@
 	sharers := entry.settings.Sharers()
 	allowed := false
 	entry.budget(service, func(window *retrier.Window, now timekeeper.Instant) { allowed = window.Spend(sharers, now) })
+	entry.meters.retried(service, allowed)
 	return allowed
 }
 
+// RetriesLeft returns what this entry may still send again, by service.
+func (entry *Entry) RetriesLeft() map[string]float64 {
+	sharers, now := entry.settings.Sharers(), entry.settings.Clock.Now()
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	left := make(map[string]float64, len(entry.budgets))
+	for service, window := range entry.budgets {
+		left[service] = window.Left(sharers, now)
+	}
+	return left
+}
+
 // confirm learns whether a replica that broke off still takes connections, and
 // tells the fleet when it doesn't.
 func (entry *Entry) confirm(replica balancer.Replica) (gone bool) {
@@ -290,6 +303,6 @@
 	entry.settings.Pool.Retire(replica.ID)
 	entry.settings.Unreachable(replica.ID)
 	entry.settings.Log.WithFields(logrus.Fields{
-		"replica": replica.ID, "service": replica.Service, "address": replica.Address, "reason": why,
+		"replica": replica.ID, labelService: replica.Service, "address": replica.Address, "reason": why,
 	}).Warn("replica suspected")
 }
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 const (
@@ -85,6 +86,16 @@
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Began(task.placement, now) })
 }
 
+// markPause notes the time since the last part of a stream, and returns now. No
+// part has come at instant zero.
+func (task *task) markPause(last timekeeper.Instant) timekeeper.Instant {
+	now := task.entry.settings.Clock.Now()
+	if last != 0 {
+		task.longestPause = max(task.longestPause, now.Since(last))
+	}
+	return now
+}
+
 var (
 	errCallerWrite = eris.New("the caller takes no more")
 	errPartOfEvent = eris.New("the stream ended within an event")
@@ -99,10 +110,12 @@
 	control := http.NewResponseController(task.w)
 	buffer := make([]byte, copyBuffer)
 	var pending []byte
+	last := timekeeper.Instant(0)
 	for {
 		read, err := answer.Body.Read(buffer)
 		if read > 0 {
 			task.markFirst()
+			last = task.markPause(last)
 			pending = append(pending, buffer[:read]...)
 			whole := wholeEvents(pending)
 			if len(pending)-whole > longestEvent {
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -52,6 +52,10 @@
 	excluded []string
 	// runs counts replicas that may have run the request.
 	runs int
+	// waited is how long the request waited for replicas, longestPause the longest
+	// time between two parts of its answer.
+	waited       timekeeper.Span
+	longestPause timekeeper.Span
 	// ahead is how many requests waited for a replica when this one came.
 	ahead    int
 	refusals int
@@ -218,7 +222,9 @@
 		Rank: int(task.rank()), Team: task.team.Name,
 		Due: task.arrived.Add(task.route.Target), Until: task.arrived.Add(task.wait()),
 	}
+	asked := task.entry.settings.Clock.Now()
 	task.entry.queue.place(ctx, waiter)
+	task.waited += task.entry.settings.Clock.Now().Since(asked)
 	task.ahead = waiter.Ahead
 	return waiter
 }
@@ -306,10 +312,19 @@
 	task.entry.settings.Dialect.Refuse(task.w, failure, task.call.ID)
 }
 
+// promptTokens returns the length of the prompt.
+func (task *task) promptTokens() int {
+	sum := 0
+	for _, part := range task.call.Parts {
+		sum += part.Tokens
+	}
+	return sum
+}
+
 func (task *task) log(failure classifier.Failure, now timekeeper.Instant) {
 	fields := logrus.Fields{
 		"request-id": task.call.ID, "route": task.route.Name, "team": task.team.Name, "version": task.config.Version(),
-		"service": task.service, "rank": int(task.rank()), "total-ms": int64(now.Since(task.arrived)), "runs": task.runs,
+		labelService: task.service, "rank": int(task.rank()), "total-ms": int64(now.Since(task.arrived)), "runs": task.runs,
 	}
 	if task.ahead > 0 {
 		fields["ahead"] = task.ahead
@@ -340,7 +355,7 @@
 // written before anything is sent, so that it is there if the process ends.
 func (task *task) logPlacement(placement *balancer.Placement) {
 	task.entry.settings.Log.WithFields(logrus.Fields{
-		"request-id": task.call.ID, "replica": placement.Replica.ID, "service": task.service, "route": task.route.Name,
+		"request-id": task.call.ID, "replica": placement.Replica.ID, labelService: task.service, "route": task.route.Name,
 		"version": task.config.Version(), "rank": int(task.rank()), "uncached": placement.Uncached, "held": placement.Held,
 		"candidates": placement.Candidates, "expected-ms": int64(placement.Expected),
 		"waited-ms": int64(task.entry.settings.Clock.Now().Since(task.arrived)),
