--- a/cmd/trefoilseam/config.go
+++ b/cmd/trefoilseam/config.go
@@ -101,11 +101,11 @@
 func configCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "config",
-		ShortUsage: "trefoilseam config <check|render|diff|apply|status|history> [flags]",
+		ShortUsage: "trefoilseam config <check|settings|render|diff|apply|status|history> [flags]",
 		ShortHelp:  "check, accept and follow the configuration of the fleet",
 		FlagSet:    flag.NewFlagSet("trefoilseam config", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
-			checkCommand(), renderCommand(), diffCommand(), applyCommand(), statusCommand(), historyCommand(),
+			checkCommand(), settingsCommand(), renderCommand(), diffCommand(), applyCommand(), statusCommand(), historyCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/cmd/trefoilseam/experiment.go
+++ b/cmd/trefoilseam/experiment.go
@@ -36,9 +36,7 @@
 		ShortHelp:  "play placement policies before model engines in virtual time",
 		LongHelp: "Prints for each load and policy the share of the callers' worth that is served,\n" +
 			"the reuse of prompts, the skew, the share of requests beyond an engine's share,\n" +
-			"and how many answers of each class begin on time. Everything follows from seeds.\n\n" +
-			"  trefoilseam experiment -loads 1,4,8 -policies fleet,rendezvous -hot 0.5\n" +
-			"  trefoilseam experiment -site halls -digest 300 -loads 1,2 -seeds 2",
+			"and how many answers of each class begin on time. Everything follows from seeds.",
 		FlagSet: flags,
 		Exec: func(context.Context, []string) error {
 			sweep := simulator.Sweep{Seeds: *seeds, Hot: *hot, Slow: *slow}
--- a/cmd/trefoilseam/explain.go
+++ b/cmd/trefoilseam/explain.go
@@ -18,8 +18,7 @@
 		ShortUsage: "trefoilseam explain REQUEST-ID [FILE...]",
 		ShortHelp:  "tell the story of one request from the logs of several processes",
 		LongHelp: "Reads logs from the files, or from standard input, and prints in order what was\n" +
-			"decided about the request (*) and what processes believed of its replicas then.\n\n" +
-			"  trefoilseam explain 9c41d07be2a35f68 entry-1.log entry-2.log",
+			"decided about the request (*) and what processes believed of its replicas then.",
 		FlagSet: flag.NewFlagSet("trefoilseam explain", flag.ContinueOnError),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) == 0 {
--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -60,7 +60,7 @@
 }
 
 func rootCommand() *ffcli.Command {
-	return &ffcli.Command{
+	return withExamples(&ffcli.Command{
 		Name:       "trefoilseam",
 		ShortUsage: "trefoilseam <command> [flags]",
 		ShortHelp:  "a router fleet for very many returning chats",
@@ -83,5 +83,5 @@
 			}
 			return flag.ErrHelp
 		},
-	}
+	})
 }
