--- a/internal/marker/fuzz_test.go
+++ b/internal/marker/fuzz_test.go
@@ -1,4 +1,4 @@
-package runner
+package marker
 
 import (
 	"bytes"
@@ -38,14 +38,14 @@
 // marked runs the parts of a stream through a marker. It returns what came out
 // and the place that the last id names.
 func marked(parts ...[]byte) (out []byte, offset uint64, ok bool) {
-	marker := eventMarker{id: EventID{Instance: "planner-1"}}
+	marker := Marker{id: EventID{Instance: "planner-1"}}
 	for _, part := range parts {
 		var err error
-		if out, err = marker.mark(out, part); err != nil {
+		if out, err = marker.Mark(out, part); err != nil {
 			return nil, 0, false
 		}
 	}
-	return append(out, marker.rest()...), marker.id.Offset, true
+	return append(out, marker.Rest()...), marker.id.Offset, true
 }
 
 // requireIDs checks the ids of a stream of whole events.
--- a/internal/marker/marker.go
+++ b/internal/marker/marker.go
@@ -1,89 +1,15 @@
-package runner
+package marker
 
 import (
 	"bytes"
-	"strconv"
-	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 )
 
-// EventID names a place in a streamed answer. It stands in the id field of
-// each server-sent event (WHATWG HTML, section 9.2), and a caller whose
-// connection broke sends it back as Last-Event-ID. It is short, since each
-// token of an answer carries one.
-type EventID struct {
-	// Instance is the replica that holds the answer.
-	Instance string
-	// Mark is a hash of the agent's incarnation; another incarnation knows
-	// nothing of the answer.
-	Mark uint32
-	// Serial counts the runs of the incarnation.
-	Serial uint64
-	// Offset is where the bytes after the event begin.
-	Offset uint64
-}
-
-// errEventID is returned for a Last-Event-ID that no agent has written.
-var errEventID = eris.New("not an event id of this fleet")
-
-const (
-	eventIDParts = 4
-	base36       = 36
-	// offsetDigits is the fixed width of an offset: with it the length of an
-	// event is known before its id is written. It holds 36^7 bytes, 78 GB.
-	offsetDigits = 7
-)
-
-// markOf returns the mark of an incarnation.
-func markOf(incarnation uint64) uint32 {
-	return uint32(xxhash.Sum64String(strconv.FormatUint(incarnation, base36)))
-}
-
-// String returns the id as it stands in an event.
-func (id EventID) String() string {
-	return string(id.append(nil))
-}
-
-// append appends the id to out.
-func (id EventID) append(out []byte) []byte {
-	out = append(out, id.Instance...)
-	out = append(out, '.')
-	out = strconv.AppendUint(out, uint64(id.Mark), base36)
-	out = append(out, '.')
-	out = strconv.AppendUint(out, id.Serial, base36)
-	out = append(out, '.')
-	var digits [16]byte
-	offset := strconv.AppendUint(digits[:0], id.Offset, base36)
-	for range offsetDigits - len(offset) {
-		out = append(out, '0')
-	}
-	return append(out, offset...)
-}
-
-// ParseEventID reads a Last-Event-ID.
-func ParseEventID(text string) (EventID, error) {
-	const longest = 256
-	parts := strings.Split(text, ".")
-	if len(text) > longest || len(parts) < eventIDParts {
-		return EventID{}, errEventID
-	}
-	numbers := parts[len(parts)-3:]
-	mark, errMark := strconv.ParseUint(numbers[0], base36, 32)
-	serial, errSerial := strconv.ParseUint(numbers[1], base36, 64)
-	offset, errOffset := strconv.ParseUint(numbers[2], base36, 64)
-	if errMark != nil || errSerial != nil || errOffset != nil {
-		return EventID{}, errEventID
-	}
-	instance := strings.Join(parts[:len(parts)-3], ".")
-	return EventID{Instance: instance, Mark: uint32(mark), Serial: serial, Offset: offset}, nil
-}
-
-// eventMarker rewrites a stream of server-sent events so that each carries the
+// Marker rewrites a stream of server-sent events so that each carries the
 // id of the place behind it. An id of the upstream's own is left out, since a
 // caller can send back only one.
-type eventMarker struct {
+type Marker struct {
 	id      EventID
 	pending []byte
 	// width is the length of an id of this stream, which is fixed; zero until
@@ -91,14 +17,17 @@
 	width int
 }
 
+// New returns a marker for a stream whose first event begins at id.
+func New(id EventID) *Marker { return &Marker{id: id} }
+
 // longestEvent bounds the bytes held back while an event is not whole.
 const longestEvent = 256 << 10
 
 var errEventTooLong = eris.New("an event of the stream is over the limit")
 
-// mark appends to out the whole events among the bytes so far, with ids. It
+// Mark appends to out the whole events among the bytes so far, with ids. It
 // returns an error for an event over longestEvent bytes.
-func (marker *eventMarker) mark(out, part []byte) ([]byte, error) {
+func (marker *Marker) Mark(out, part []byte) ([]byte, error) {
 	marker.pending = append(marker.pending, part...)
 	stream := marker.pending
 	for {
@@ -116,8 +45,8 @@
 	return out, nil
 }
 
-// rest returns what is left when the stream ended inside an event.
-func (marker *eventMarker) rest() []byte {
+// Rest returns what is left when the stream ended inside an event.
+func (marker *Marker) Rest() []byte {
 	return marker.pending
 }
 
@@ -144,7 +73,7 @@
 	return at + len(blank)
 }
 
-func (marker *eventMarker) rewrite(out, event []byte) []byte {
+func (marker *Marker) rewrite(out, event []byte) []byte {
 	const field, newline = "id: ", "\n"
 	if marker.width == 0 {
 		marker.width = len(marker.id.append(nil))
--- a/internal/marker/marker_test.go
+++ b/internal/marker/marker_test.go
@@ -1,4 +1,4 @@
-package runner
+package marker
 
 import (
 	"strings"
@@ -47,15 +47,15 @@
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			marker := eventMarker{id: EventID{Instance: "planner-1"}}
+			marker := Marker{id: EventID{Instance: "planner-1"}}
 			var out string
 			for i := range len(test.stream) {
-				part, err := marker.mark(nil, []byte(test.stream[i:i+1]))
+				part, err := marker.Mark(nil, []byte(test.stream[i:i+1]))
 				So(err, ShouldBeNil)
 				out += string(part)
 			}
-			out += string(marker.rest())
-			So(marker.id.Offset, ShouldEqual, len(out)-len(marker.rest()))
+			out += string(marker.Rest())
+			So(marker.id.Offset, ShouldEqual, len(out)-len(marker.Rest()))
 			for _, line := range strings.Split(out, "\n") {
 				if id, ok := strings.CutPrefix(line, "id: "); ok {
 					out = strings.Replace(out, id, "I", 1)
@@ -65,8 +65,8 @@
 		})
 	}
 	Convey("an event without end is refused", t, func() {
-		marker := eventMarker{}
-		_, err := marker.mark(nil, make([]byte, longestEvent+1))
+		marker := Marker{}
+		_, err := marker.Mark(nil, make([]byte, longestEvent+1))
 		So(err, ShouldEqual, errEventTooLong)
 	})
 }
--- a/internal/replayer/answer.go
+++ b/internal/replayer/answer.go
@@ -1,4 +1,4 @@
-package runner
+package replayer
 
 import (
 	"context"
@@ -13,19 +13,19 @@
 )
 
 const (
-	// window is how many bytes of an answer may wait for their reader. It
+	// Window is how many bytes of an answer may wait for their reader. It
 	// bounds memory when a caller reads slowly; past it the upstream is held
 	// back, so flow control reaches from the caller to the engine.
-	window = 256 << 10
-	// kept is how many bytes behind the reader stay for a resume.
-	kept = 1 << 20
-	// chunkSize is the most that one Chunk frame carries.
-	chunkSize = 32 << 10
+	Window = 256 << 10
+	// Kept is how many bytes behind the reader stay for a resume.
+	Kept = 1 << 20
+	// ChunkSize is the most that one Chunk frame carries.
+	ChunkSize = 32 << 10
 )
 
-// answer holds one upstream answer between the goroutine that reads it from
+// Answer holds one upstream answer between the goroutine that reads it from
 // the upstream and the one that relays it.
-type answer struct {
+type Answer struct {
 	mu      sync.Mutex
 	changed chan struct{}
 	head    *encoder.Head
@@ -35,40 +35,46 @@
 	digest  *xxhash.Digest
 	end     *encoder.End
 	// unread says that nobody reads and that the upstream is drained all the same.
-	unread bool
-	// opened, if set, is called once the head is there.
-	opened func()
-	// now, if set, returns what the end brings of the agent, or nil.
-	now func() *encoder.Digest
+	unread   bool
+	settings Settings
 }
 
-func newAnswer() *answer {
-	return &answer{changed: make(chan struct{}), digest: xxhash.New()}
+// Settings set up an answer. Each may be nil.
+type Settings struct {
+	// Opened is called once the head is there.
+	Opened func()
+	// Now returns what the end brings of the agent, or nil.
+	Now func() *encoder.Digest
+}
+
+// New returns an answer that nothing is known of yet.
+func New(settings Settings) *Answer {
+	return &Answer{settings: settings, changed: make(chan struct{}), digest: xxhash.New()}
 }
 
 // wake tells all waiters that something changed; the lock must be held.
-func (answer *answer) wake() {
+func (answer *Answer) wake() {
 	close(answer.changed)
 	answer.changed = make(chan struct{})
 }
 
-// open sets the head of the answer.
-func (answer *answer) open(head *encoder.Head) {
+// Open sets the head of the answer.
+func (answer *Answer) Open(head *encoder.Head) {
 	answer.mu.Lock()
 	answer.head = head
 	answer.wake()
 	answer.mu.Unlock()
-	if answer.opened != nil {
-		answer.opened()
+	if answer.settings.Opened != nil {
+		answer.settings.Opened()
 	}
 }
 
-// add appends bytes of the body. It waits while more than window bytes are
+// Add appends bytes of the body. It waits while more than Window bytes are
 // unread, and returns the error of ctx if that ends first. An answer that is
 // drained waits for nobody.
-func (answer *answer) add(ctx context.Context, part []byte) error {
+func (answer *Answer) Add(ctx context.Context, part []byte) error {
 	answer.mu.Lock()
-	for !answer.unread && answer.length() > answer.read+window {
+	for !answer.unread && answer.length() > answer.read+Window {
 		changed := answer.changed
 		answer.mu.Unlock()
 		select {
@@ -89,17 +95,18 @@
 	return nil
 }
 
-func (answer *answer) length() uint64 {
+// length returns the length of the body so far; the lock must be held.
+func (answer *Answer) length() uint64 {
 	return answer.base + uint64(len(answer.data))
 }
 
-// close ends the answer. Only the first call counts.
-func (answer *answer) close(requestID string, complete bool, failure classifier.Failure) {
+// Close ends the answer. Only the first call counts.
+func (answer *Answer) Close(requestID string, complete bool, failure classifier.Failure) {
 	// A broken answer brings nothing: its engine may be back sooner than the word of
 	// its loss fades. The agent's lock is taken before the answer's, never after it.
 	var now *encoder.Digest
-	if answer.now != nil && complete {
-		now = answer.now()
+	if answer.settings.Now != nil && complete {
+		now = answer.settings.Now()
 	}
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
@@ -120,19 +127,19 @@
 	answer.wake()
 }
 
-// trim forgets bytes that lie more than kept bytes behind the reader.
-func (answer *answer) trim() {
-	if answer.read <= answer.base+kept {
+// trim forgets bytes that lie more than Kept bytes behind the reader.
+func (answer *Answer) trim() {
+	if answer.read <= answer.base+Kept {
 		return
 	}
-	drop := answer.read - kept - answer.base
+	drop := answer.read - Kept - answer.base
 	answer.data = append([]byte(nil), answer.data[drop:]...)
 	answer.base += drop
 }
 
 // next returns the frames that follow offset, waiting until there are some.
 // The head is among them only when headSent is false.
-func (answer *answer) next(ctx context.Context, offset uint64, headSent bool) ([]*encoder.Frame, error) {
+func (answer *Answer) next(ctx context.Context, offset uint64, headSent bool) ([]*encoder.Frame, error) {
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
 	for {
@@ -158,14 +165,14 @@
 	}
 }
 
-func (answer *answer) ready(offset uint64, headSent bool) []*encoder.Frame {
+func (answer *Answer) ready(offset uint64, headSent bool) []*encoder.Frame {
 	var frames []*encoder.Frame
 	if answer.head != nil && !headSent {
 		frames = append(frames, encoder.Of(answer.head))
 	}
 	if offset < answer.length() && offset >= answer.base {
 		from := offset - answer.base
-		to := min(from+chunkSize, uint64(len(answer.data)))
+		to := min(from+ChunkSize, uint64(len(answer.data)))
 		part := append([]byte(nil), answer.data[from:to]...)
 		return append(frames, encoder.Of(&encoder.Chunk{Offset: offset, Data: part}))
 	}
@@ -178,30 +185,30 @@
 // errDropped says that the bytes that a reader is to get are no longer held.
 var errDropped = eris.New("the answer's bytes are no longer held")
 
-// drain lets the upstream write on with nobody reading.
+// Drain lets the upstream write on with nobody reading.
 //
 // The failure: the caller of an order leaves, the order's answer is longer
-// than the window, and the run may not be ended. The symptom: the upstream is
-// held back and the slot stays taken until the longest call. Drained, the run
+// than the Window, and the run may not be ended. The symptom: the upstream is
+// Held back and the slot stays taken until the longest call. Drained, the run
 // ends as soon as the upstream does, and its last bytes, kept of them, wait for
 // a look-up; one that asks for earlier bytes is told that they are not kept.
-func (answer *answer) drain() {
+func (answer *Answer) Drain() {
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
 	answer.unread = true
 	answer.wake()
 }
 
-// rewind makes the upstream wait again, for a reader that has come to offset.
-func (answer *answer) rewind(offset uint64) {
+// Rewind makes the upstream wait again, for a reader that has come to offset.
+func (answer *Answer) Rewind(offset uint64) {
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
 	answer.unread = false
 	answer.read = min(answer.read, offset)
 }
 
-// passed notes that the reader has taken all bytes before offset.
-func (answer *answer) passed(offset uint64) {
+// Passed notes that the reader has taken all bytes before offset.
+func (answer *Answer) Passed(offset uint64) {
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
 	if offset > answer.read {
@@ -211,15 +218,15 @@
 	}
 }
 
-// resumable reports whether the bytes from offset on are still held.
-func (answer *answer) resumable(offset uint64) bool {
+// Resumable reports whether the bytes from offset on are still held.
+func (answer *Answer) Resumable(offset uint64) bool {
 	answer.mu.Lock()
 	defer answer.mu.Unlock()
 	return offset >= answer.base && offset <= answer.length()
 }
 
-// follow sends the answer from offset on until its end.
-func (answer *answer) follow(ctx context.Context, stream *encoder.Stream, offset uint64) error {
+// Follow sends the answer from offset on until its end.
+func (answer *Answer) Follow(ctx context.Context, stream *encoder.Stream, offset uint64) error {
 	headSent := false
 	carried := xxhash.New()
 	for {
@@ -238,7 +245,7 @@
 				return nil
 			}
 		}
-		answer.passed(offset)
+		answer.Passed(offset)
 	}
 }
 
@@ -255,3 +262,25 @@
 		}
 	}
 }
+
+// End returns how the answer ended, or nil while it goes on.
+func (answer *Answer) End() *encoder.End {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	return answer.end
+}
+
+// Held returns how many bytes of the body are kept.
+func (answer *Answer) Held() int {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	return len(answer.data)
+}
+
+// Drop forgets the body. What was read of it can't be read again.
+func (answer *Answer) Drop() {
+	answer.mu.Lock()
+	defer answer.mu.Unlock()
+	answer.base = answer.length()
+	answer.data = nil
+}
--- a/internal/runner/doc.go
+++ b/internal/runner/doc.go
@@ -6,5 +6,5 @@
 // refuses it; the Run frame commits it; the upstream's answer is kept while it
 // is relayed, so that a caller whose connection broke can resume.
 //
-// Lock order: Agent.mu before answer.mu; neither is held during I/O.
+// Lock order: Agent.mu before the lock of a replayer.Answer; neither is held during I/O.
 package runner
--- a/internal/runner/kept.go
+++ b/internal/runner/kept.go
@@ -29,7 +29,7 @@
 	ended.ended = now
 	size := 0
 	if ended.answer != nil {
-		size = ended.answer.held()
+		size = ended.answer.Held()
 	}
 	agent.kept.order = append(agent.kept.order, keptRun{run: ended, size: size})
 	agent.kept.bytes += size
@@ -63,23 +63,8 @@
 		if oldest.size == 0 || oldest.run.readers > 0 {
 			continue
 		}
-		oldest.run.answer.drop()
+		oldest.run.answer.Drop()
 		kept.bytes -= oldest.size
 		oldest.size = 0
 	}
 }
-
-// held returns how many bytes of the body are kept.
-func (answer *answer) held() int {
-	answer.mu.Lock()
-	defer answer.mu.Unlock()
-	return len(answer.data)
-}
-
-// drop forgets the body. What was read of it can't be read again.
-func (answer *answer) drop() {
-	answer.mu.Lock()
-	defer answer.mu.Unlock()
-	answer.base = answer.length()
-	answer.data = nil
-}
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -131,9 +131,7 @@
 
 // endKey notes the end of a run for its key; Agent.mu must be held.
 func (agent *Agent) endKey(ended *run) {
-	ended.answer.mu.Lock()
-	end := ended.answer.end
-	ended.answer.mu.Unlock()
+	end := ended.answer.End()
 	agent.keys.book.End(ended.id, end.GetComplete(), end.GetDigest())
 }
 
--- a/internal/runner/once_test.go
+++ b/internal/runner/once_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/imitator"
+	"github.com/trefoilseam/trefoilseam/internal/replayer"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -228,8 +229,11 @@
 	const each = 1 << 20
 	for i := range mostKept/each + 1 {
 		id := "run-" + strconv.Itoa(i)
-		ended := &run{id: id, team: "rig", answer: newAnswer()}
-		ended.answer.data = make([]byte, each)
+		ended := &run{id: id, team: "rig", answer: replayer.New(replayer.Settings{})}
+		ended.answer.Drain()
+		if err := ended.answer.Add(t.Context(), make([]byte, each)); err != nil {
+			t.Fatal(err)
+		}
 		agent.mu.Lock()
 		agent.runs[id] = ended
 		agent.keep(ended, timekeeper.Instant(i+1))
@@ -242,7 +246,7 @@
 		So(newest.GetState(), ShouldEqual, encoder.RunState_RUN_STATE_DONE)
 		total := 0
 		for _, kept := range agent.runs {
-			total += kept.answer.held()
+			total += kept.answer.Held()
 		}
 		So(total, ShouldEqual, mostKept)
 	})
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -5,6 +5,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/internal/replayer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -75,14 +76,13 @@
 }
 
 // recordEnd records how a run ended; the load is what stays when it is gone.
-func (agent *Agent) recordEnd(offer *encoder.Offer, answer *answer) {
+func (agent *Agent) recordEnd(offer *encoder.Offer, answer *replayer.Answer) {
 	event := agent.event(recorder.Ended, offer)
-	answer.mu.Lock()
-	event.Complete = answer.end.GetComplete()
-	event.Length = answer.end.GetLength()
-	event.Digest = answer.end.GetDigest()
-	event.Reason = answer.end.GetKind()
-	answer.mu.Unlock()
+	end := answer.End()
+	event.Complete = end.GetComplete()
+	event.Length = end.GetLength()
+	event.Digest = end.GetDigest()
+	event.Reason = end.GetKind()
 	if event.Reason != "" {
 		event.Ran = string(classifier.AnswerOf(classifier.KindOf(event.Reason)).Ran)
 	}
--- a/internal/runner/resume.go
+++ b/internal/runner/resume.go
@@ -7,6 +7,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/marker"
 )
 
 // follow relays a run's answer until its end or until the reader is gone.
@@ -21,7 +22,7 @@
 		defer cancel()
 		agent.watch(ctx, run, frames)
 	}()
-	_ = run.answer.follow(ctx, stream, offset)
+	_ = run.answer.Follow(ctx, stream, offset)
 }
 
 // watch returns when the reader is gone. A yamux stream whose far side was
@@ -47,7 +48,7 @@
 	defer agent.mu.Unlock()
 	run.readers++
 	if run.readers == 1 {
-		run.answer.rewind(offset)
+		run.answer.Rewind(offset)
 	}
 }
 
@@ -66,7 +67,7 @@
 	alone := run.readers == 0 && run.ended == 0
 	abandoned := alone && run.idempotent
 	if alone && !run.idempotent {
-		run.answer.drain()
+		run.answer.Drain()
 	}
 	agent.mu.Unlock()
 	if abandoned {
@@ -101,7 +102,7 @@
 	if lookup.GetEventId() == "" {
 		return classifier.Failure{}, true
 	}
-	id, err := ParseEventID(lookup.GetEventId())
+	id, err := marker.ParseEventID(lookup.GetEventId())
 	if err != nil {
 		return classifier.New(classifier.BadRequest, err.Error()), false
 	}
@@ -115,8 +116,8 @@
 	return classifier.Failure{}, true
 }
 
-func (agent *Agent) runOf(id EventID) *run {
-	if id.Instance != agent.settings.Name || id.Mark != markOf(agent.settings.Incarnation) {
+func (agent *Agent) runOf(id marker.EventID) *run {
+	if id.Instance != agent.settings.Name || id.Mark != marker.MarkOf(agent.settings.Incarnation) {
 		return nil
 	}
 	agent.mu.Lock()
@@ -127,7 +128,7 @@
 // serveCancel ends a run at the word of its team.
 func (agent *Agent) serveCancel(stream *encoder.Stream, cancel *encoder.Cancel) {
 	found := &encoder.Found{State: encoder.RunState_RUN_STATE_FORGOTTEN, Incarnation: agent.settings.Incarnation}
-	id, err := ParseEventID(cancel.GetEventId())
+	id, err := marker.ParseEventID(cancel.GetEventId())
 	if err == nil {
 		if known := agent.runOf(id); known != nil && known.team == cancel.GetTeam() {
 			agent.cancelRun(known, "its caller canceled it")
--- a/internal/runner/run.go
+++ b/internal/runner/run.go
@@ -6,6 +6,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
+	"github.com/trefoilseam/trefoilseam/internal/replayer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -18,7 +19,7 @@
 	serial     uint64
 	idempotent bool
 	tomb       bool
-	answer     *answer
+	answer     *replayer.Answer
 	cancel     context.CancelFunc
 	ended      timekeeper.Instant
 	// readers is how many streams follow the answer now, and left counts how
@@ -46,11 +47,12 @@
 		team:       offer.GetTeam(),
 		chat:       offer.GetChat(),
 		idempotent: offer.GetIdempotent(),
-		answer:     newAnswer(),
 		cancel:     cancel,
 	}
-	started.answer.opened = func() { agent.opened(started.id) }
-	started.answer.now = func() *encoder.Digest { return agent.atEnd(offer) }
+	started.answer = replayer.New(replayer.Settings{
+		Opened: func() { agent.opened(started.id) },
+		Now:    func() *encoder.Digest { return agent.atEnd(offer) },
+	})
 	agent.mu.Lock()
 	if known := agent.runs[started.id]; known != nil {
 		agent.mu.Unlock()
@@ -74,7 +76,7 @@
 		defer cancel()
 		whole, failure := agent.upstream.call(ctx, agent.settings, offer, commit, started)
 		agent.landed(started, ctx.Err() != nil, whole, failure)
-		started.answer.close(started.id, whole, failure)
+		started.answer.Close(started.id, whole, failure)
 		agent.recordEnd(offer, started.answer)
 		agent.hold(ctx)
 		agent.finish(started)
@@ -131,7 +133,7 @@
 	default:
 		found.State = encoder.RunState_RUN_STATE_RUNNING
 	}
-	if !known.answer.resumable(lookup.GetOffset()) {
+	if !known.answer.Resumable(lookup.GetOffset()) {
 		found.State = encoder.RunState_RUN_STATE_FORGOTTEN
 		return found, nil
 	}
--- a/internal/runner/slopes_test.go
+++ b/internal/runner/slopes_test.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/replayer"
 )
 
 // inUse returns the bytes of heap in use after two collections: pools of
@@ -28,13 +29,13 @@
 func (bench *bench) endRuns(count, size int) {
 	token := []byte(strings.Repeat("w", 40))
 	for i := range count {
-		ended := &run{id: "entry-1-1y2p0ij32e8e7-" + strconv.Itoa(i), team: "team-1", serial: uint64(i + 1), answer: newAnswer()}
-		ended.answer.open(&encoder.Head{RequestId: ended.id, Status: 200})
+		ended := &run{id: "entry-1-1y2p0ij32e8e7-" + strconv.Itoa(i), team: "team-1", serial: uint64(i + 1), answer: replayer.New(replayer.Settings{})}
+		ended.answer.Open(&encoder.Head{RequestId: ended.id, Status: 200})
 		for range size / len(token) {
-			_ = ended.answer.add(bench.t.Context(), token)
+			_ = ended.answer.Add(bench.t.Context(), token)
 		}
-		ended.answer.passed(uint64(size))
-		ended.answer.close(ended.id, true, classifier.Failure{})
+		ended.answer.Passed(uint64(size))
+		ended.answer.Close(ended.id, true, classifier.Failure{})
 		bench.agent.mu.Lock()
 		bench.agent.runs[ended.id] = ended
 		bench.agent.bySerial[ended.serial] = ended
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -9,6 +9,8 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/marker"
+	"github.com/trefoilseam/trefoilseam/internal/replayer"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 )
 
@@ -51,7 +53,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	stream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-	started.answer.open(&encoder.Head{
+	started.answer.Open(&encoder.Head{
 		RequestId:   started.id,
 		Incarnation: settings.Incarnation,
 		Status:      uint32(response.StatusCode),
@@ -114,15 +116,15 @@
 	if !stream {
 		return body
 	}
-	id := EventID{Instance: settings.Name, Mark: markOf(settings.Incarnation), Serial: started.serial}
-	return &markedReader{body: body, marker: eventMarker{id: id}}
+	id := marker.EventID{Instance: settings.Name, Mark: marker.MarkOf(settings.Incarnation), Serial: started.serial}
+	return &markedReader{body: body, marker: marker.New(id)}
 }
 
-// markedReader reads a stream through an eventMarker. Its two buffers are used
+// markedReader reads a stream through a Marker. Its two buffers are used
 // again for each part, since a stream has a part for every token.
 type markedReader struct {
 	body   io.Reader
-	marker eventMarker
+	marker *marker.Marker
 	part   []byte
 	marked []byte
 	ready  []byte
@@ -147,23 +149,23 @@
 		reader.part = make([]byte, size)
 	}
 	n, err := reader.body.Read(reader.part)
-	marked, errMark := reader.marker.mark(reader.marked[:0], reader.part[:n])
+	marked, errMark := reader.marker.Mark(reader.marked[:0], reader.part[:n])
 	reader.marked, reader.ready, reader.err = marked, marked, err
 	if errMark != nil {
 		reader.err = errMark
 	}
 	if err == io.EOF {
-		reader.ready = append(reader.ready, reader.marker.rest()...)
+		reader.ready = append(reader.ready, reader.marker.Rest()...)
 	}
 }
 
-func copyBody(ctx context.Context, body io.Reader, answer *answer, ending *terminal) error {
-	buffer := make([]byte, chunkSize)
+func copyBody(ctx context.Context, body io.Reader, answer *replayer.Answer, ending *terminal) error {
+	buffer := make([]byte, replayer.ChunkSize)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
 			ending.note(buffer[:n])
-			if err := answer.add(ctx, buffer[:n]); err != nil {
+			if err := answer.Add(ctx, buffer[:n]); err != nil {
 				return err
 			}
 		}
