balancer, gossiper, follower: a replica that a peer saw leave stays out

Cause: what a peer told of a leaving replica held until the entry took its own list in again. An entry that the store turns away takes its old list in again when lapsed rows are due to go, and the replica got work after it had left. Change: a leave is told with the version of the store at which it was seen; a list of an older version does not bring the replica back, a newer one may.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -213,7 +213,7 @@
 	direct.configurations = follower.New(follower.Settings[platform.Document]{
 		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: configurations, Seed: newIncarnation(),
 		Pace: follower.Every(configurationPace), Wait: storeWait, Readers: direct.fellows.readers,
-		Apply: func(rows map[string]platform.Document) {
+		Apply: func(rows map[string]platform.Document, _ follower.Version) {
 			if document := rows[key]; document.Config != nil {
 				direct.accept(document, "store")
 			}
@@ -253,19 +253,19 @@
 }
 
 // list takes in the platform's list of replicas.
-func (direct *Direct) list(rows map[string]balancer.Replica) {
+func (direct *Direct) list(rows map[string]balancer.Replica, version follower.Version) {
 	list := make([]balancer.Replica, 0, len(rows))
 	for _, replica := range rows {
 		list = append(list, replica)
 	}
 	var changes []balancer.Change
-	direct.fleet.With(func(fleet *balancer.Fleet) { changes = fleet.SetReplicas(list) })
+	direct.fleet.With(func(fleet *balancer.Fleet) { changes = fleet.SetReplicas(list, uint64(version)) })
 	for _, change := range changes {
 		if change.Gone {
 			direct.pool.Retire(change.Replica.ID)
 		}
 		if change.Gone || change.Replica.Leaving {
-			direct.fellows.gossiper.Leaving(change.Replica.ID)
+			direct.fellows.gossiper.Leaving(gossiper.Leave{Replica: change.Replica.ID, Version: uint64(version)})
 		}
 		direct.log.WithFields(logrus.Fields{
 			"replica": change.Replica.ID, "service": change.Replica.Service, "address": change.Replica.Address,
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -134,8 +134,8 @@
 		for _, replica := range heard.Unreachable {
 			fleet.Suspect(replica, now)
 		}
-		for _, replica := range heard.Leaving {
-			fleet.Leave(replica)
+		for _, leave := range heard.Leaves {
+			fleet.Leave(leave.Replica, leave.Version)
 		}
 	})
 	for _, strike := range heard.Strikes {
--- a/internal/assembler/direct_survey_test.go
+++ b/internal/assembler/direct_survey_test.go
@@ -24,7 +24,7 @@
 	direct.accept(document, "test")
 	direct.list(map[string]balancer.Replica{
 		"i-1": {ID: "i-1", Service: "orders", Slots: 6}, "i-2": {ID: "i-2", Service: "orders", Slots: 6, Leaving: true},
-	})
+	}, 1)
 	direct.survey()
 	gauges := map[string]float64{}
 	for _, gauge := range scope.Snapshot().Gauges() {
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -25,6 +26,8 @@
 	draws    *rand.Rand
 	replicas map[string]*replica
 	keys     map[Key]*replica
+	// leaves are replicas that peers saw leave, by the version of the list.
+	leaves   map[string]uint64
 	services map[string][]*replica
 	engines  map[string]int
 	peers    map[string]peerDigest
@@ -32,7 +35,9 @@
 	queues   map[string]*serviceQueue
 	teams    map[string]*decaying
 	number   uint64
-	heats    heats
+	// version is that of the list which was taken in last.
+	version uint64
+	heats   heats
 }
 
 // New returns a fleet without replicas.
@@ -45,6 +50,7 @@
 		draws:    rand.New(rand.NewPCG(settings.Seed, 11)),
 		replicas: map[string]*replica{},
 		keys:     map[Key]*replica{},
+		leaves:   map[string]uint64{},
 		services: map[string][]*replica{},
 		engines:  map[string]int{},
 		peers:    map[string]peerDigest{},
@@ -72,13 +78,19 @@
 	Gone    bool
 }
 
-// SetReplicas takes in the platform's list and returns what changed by it. What
-// is known of an incarnation stays while it is listed.
-func (fleet *Fleet) SetReplicas(list []Replica) []Change {
+// SetReplicas takes in the platform's list of a version and returns what changed
+// by it. What is known of an incarnation stays while it is listed. What a peer saw
+// leave at a newer version stays out.
+func (fleet *Fleet) SetReplicas(list []Replica, version uint64) []Change {
+	fleet.version = version
+	maps.DeleteFunc(fleet.leaves, func(_ string, seen uint64) bool { return seen <= version })
 	var changes []Change
 	listed := make(map[string]bool, len(list))
 	for _, listing := range list {
 		listed[listing.ID] = true
+		if _, left := fleet.leaves[listing.ID]; left {
+			listing.Leaving = true
+		}
 		known, found := fleet.replicas[listing.ID]
 		if found && known.Replica == listing {
 			continue
@@ -252,9 +264,22 @@
 	}
 }
 
-// Leave notes that a peer has seen a replica leave. The platform's list says the
-// same when it is read next.
-func (fleet *Fleet) Leave(id string) {
+// mostLeaves bounds the replicas that peers saw leave and the own list still has.
+const mostLeaves = 4096
+
+// Leave notes that a peer has seen a replica leave at a version of the list.
+//
+// The failure: the store turns this entry away, and its own list is older than
+// the peer's. The symptom: the old list is taken in once more, when rows that
+// lapsed are due to go, and the replica gets work after it has left. A list
+// counts only if it is as new as what the peer saw.
+func (fleet *Fleet) Leave(id string, version uint64) {
+	if version <= fleet.version {
+		return
+	}
+	if len(fleet.leaves) < mostLeaves {
+		fleet.leaves[id] = max(fleet.leaves[id], version)
+	}
 	if known, found := fleet.replicas[id]; found {
 		known.Leaving = true
 	}
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -18,13 +18,13 @@
 func planners(count int) *Fleet {
 	fleet := New(Settings{DataCentre: "bole", Seed: 1})
 	fleet.SetEngine("planner", 300000)
-	fleet.SetReplicas(replicasOf("planner", count, 64))
+	fleet.SetReplicas(replicasOf("planner", count, 64), 1)
 	return fleet
 }
 
 func orders(count int) *Fleet {
 	fleet := New(Settings{DataCentre: "bole", Seed: 1})
-	fleet.SetReplicas(replicasOf("orders", count, 6))
+	fleet.SetReplicas(replicasOf("orders", count, 6), 1)
 	return fleet
 }
 
@@ -104,7 +104,7 @@
 	// prompts are remembered all the same; else the entry would take these engines
 	// for empty as long as it lives.
 	fleet := New(Settings{DataCentre: "bole", Seed: 1})
-	fleet.SetReplicas(replicasOf("planner", 9, 64))
+	fleet.SetReplicas(replicasOf("planner", 9, 64), 1)
 	fleet.Cached(KeyOf("planner-3"), chain(1, 1), start)
 	fleet.SetEngine("planner", 300000)
 	Convey("what comes after the configuration is known", t, func() {
@@ -174,23 +174,23 @@
 	fleet := planners(2)
 	list := replicasOf("planner", 2, 64)
 	list[0].Leaving = true
-	changes := fleet.SetReplicas(list)
+	changes := fleet.SetReplicas(list, 1)
 	Convey("the change is told", t, func() {
 		So(changes, ShouldResemble, []Change{{Replica: list[0]}})
-		So(fleet.SetReplicas(list), ShouldBeEmpty)
+		So(fleet.SetReplicas(list, 1), ShouldBeEmpty)
 	})
 	Convey("all goes to the other, also what was cached at it", t, func() {
 		fleet.Cached(KeyOf("planner-0"), chain(1, 1), start)
 		for own := range uint64(5) {
 			So(choose(t, fleet, promptAsk(1, own), start).Replica.ID, ShouldEqual, "planner-1")
 		}
-		fleet.Leave("planner-1")
+		fleet.Leave("planner-1", 2)
 		_, reason := fleet.Choose(promptAsk(1, 9), start)
 		So(reason, ShouldEqual, NoReplicas)
 		So(fleet.Count("planner"), ShouldEqual, 0)
 	})
 	Convey("one that is gone is forgotten", t, func() {
-		So(fleet.SetReplicas(nil), ShouldHaveLength, 2)
+		So(fleet.SetReplicas(nil, 1), ShouldHaveLength, 2)
 		_, found := fleet.Replica("planner-1")
 		So(found, ShouldBeFalse)
 	})
--- a/internal/balancer/survey_test.go
+++ b/internal/balancer/survey_test.go
@@ -14,7 +14,7 @@
 	fleet := planners(3)
 	list := replicasOf("planner", 3, 64)
 	list[0].Leaving = true
-	fleet.SetReplicas(list)
+	fleet.SetReplicas(list, 1)
 	fleet.replicas["planner-1"].doubt.unreachable(start)
 	fleet.SetPeer("peer", map[Key]Held{KeyOf("planner-2"): {Running: 5}}, timekeeper.Minute, start)
 	placement := choose(t, fleet, promptAsk(1, 1), start)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,8 +44,9 @@
 	Clock  timekeeper.Clock
 	Log    logrus.FieldLogger
 	Source Source[T]
-	// Apply takes each new copy. It must not keep the map.
-	Apply func(rows map[string]T)
+	// Apply takes each new copy, and the version of the store that it is of. It must
+	// not keep the map.
+	Apply func(rows map[string]T, version Version)
 	// Pace is the least time between two reads; zero means none. Reading a table
 	// whose rows are all written again and again costs a call for each write
 	// otherwise.
@@ -146,7 +147,7 @@
 	if context.Cause(bounded) == errDue {
 		// Rows are due to go; the read goes on in the next step.
 		if follower.expire(now) {
-			follower.settings.Apply(maps.Clone(follower.rows))
+			follower.settings.Apply(maps.Clone(follower.rows), follower.version)
 		}
 		return 0
 	}
@@ -163,7 +164,7 @@
 	changed = follower.expire(now) || changed
 	if changed || !follower.known {
 		follower.known = true
-		follower.settings.Apply(maps.Clone(follower.rows))
+		follower.settings.Apply(maps.Clone(follower.rows), follower.version)
 	}
 	follower.mu.Lock()
 	follower.answered, follower.synced = now, true
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -76,7 +76,7 @@
 	var last map[string]int
 	follower := New(Settings[int]{
 		Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: lapse,
-		Apply: func(rows map[string]int) { last = rows },
+		Apply: func(rows map[string]int, _ Version) { last = rows },
 	})
 	return follower, func() map[string]int { return last }
 }
@@ -198,7 +198,7 @@
 	applied := make(chan map[string]int, 8)
 	follower := New(Settings[int]{
 		Name: "test", Clock: clock.Clock(), Log: quiet(), Lapse: 2200,
-		Apply: func(rows map[string]int) { applied <- rows },
+		Apply: func(rows map[string]int, _ Version) { applied <- rows },
 		Source: Source[int]{
 			Snapshot: source.Snapshot,
 			Changes: func(ctx context.Context, after Version, wait timekeeper.Span) ([]Change[int], Version, error) {
@@ -255,7 +255,7 @@
 			copied := map[string]int{}
 			follower := New(Settings[int]{
 				Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: 2200,
-				Apply: func(rows map[string]int) { copied = rows },
+				Apply: func(rows map[string]int, _ Version) { copied = rows },
 				OthersServed: func(begin timekeeper.Instant) timekeeper.Instant {
 					from = begin
 					if test.served == 0 {
@@ -299,7 +299,7 @@
 			var copied map[string]int
 			clock := newClock()
 			follower := New(Settings[int]{
-				Name: "test", Clock: clock.Clock(), Log: quiet(), Apply: func(rows map[string]int) { copied = rows },
+				Name: "test", Clock: clock.Clock(), Log: quiet(), Apply: func(rows map[string]int, _ Version) { copied = rows },
 				Source: Source[int]{
 					Snapshot: func(context.Context) ([]Change[int], Version, error) { return rows, version, nil },
 					Changes:  test.changes,
@@ -341,7 +341,7 @@
 		}
 		follower := New(Settings[int]{
 			Name: "test", Clock: timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour)).Clock(), Log: quiet(), Source: source,
-			Apply: func(map[string]int) {}, Pace: pacing, Wait: Pacing{Least: 1500, Most: 3000, Alone: 4},
+			Apply: func(map[string]int, Version) {}, Pace: pacing, Wait: Pacing{Least: 1500, Most: 3000, Alone: 4},
 			Readers: func() int { return readers },
 		})
 		So(follower.Step(t.Context()), ShouldEqual, 450)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -40,7 +40,7 @@
 	Stopping      bool
 	Placements    []Placement
 	Unreachable   []string
-	Leaving       []string
+	Leaves        []Leave
 	Strikes       []Strike
 }
 
@@ -128,9 +128,9 @@
 }
 
 // Leaving tells peers at once of a replica that the store lists as leaving or gone.
-func (gossiper *Gossiper) Leaving(replica string) {
+func (gossiper *Gossiper) Leaving(leave Leave) {
 	gossiper.mu.Lock()
-	gossiper.outbox.leaving.add(replica)
+	gossiper.outbox.leaves.add(leave)
 	gossiper.mu.Unlock()
 	gossiper.kick()
 }
@@ -327,7 +327,7 @@
 	heard := Heard{
 		Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
 		Life: min(max(shortestLife, lifeRounds*timekeeper.Span(digest.IntervalMs)), lifeRounds*longest),
-		Held: make(map[balancer.Key]balancer.Held, len(digest.Replicas)), Unreachable: digest.Unreachable, Leaving: digest.Leaving,
+		Held: make(map[balancer.Key]balancer.Held, len(digest.Replicas)), Unreachable: digest.Unreachable,
 	}
 	if digest.StoreAgeMs > 0 {
 		heard.StoreAnswered = now.Add(-timekeeper.Span(digest.StoreAgeMs))
@@ -342,6 +342,9 @@
 		}
 		heard.Placements = append(heard.Placements, out)
 	}
+	for _, leave := range digest.Leaves {
+		heard.Leaves = append(heard.Leaves, Leave{Replica: leave.Replica, Version: leave.Version})
+	}
 	for _, strike := range digest.Strikes {
 		heard.Strikes = append(heard.Strikes, Strike{Request: strike.Request, Replica: strike.Replica})
 	}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -79,7 +79,7 @@
 	first.Placed("planner-1", parts, false)
 	first.Placed("planner-2", parts, true)
 	first.Unreachable("planner-2")
-	first.Leaving("planner-3")
+	first.Leaving(Leave{Replica: "planner-3", Version: 12})
 	first.Struck(Strike{Request: 1 << 63, Replica: "planner-2"})
 	first.round()
 	Convey("all of it arrives", t, func() {
@@ -93,7 +93,7 @@
 			{Replica: balancer.KeyOf("planner-1"), Parts: parts},
 		})
 		So(heard.Unreachable, ShouldResemble, []string{"planner-2"})
-		So(heard.Leaving, ShouldResemble, []string{"planner-3"})
+		So(heard.Leaves, ShouldResemble, []Leave{{Replica: "planner-3", Version: 12}})
 		So(heard.Strikes, ShouldResemble, []Strike{{Request: 1 << 63, Replica: "planner-2"}})
 	})
 	Convey("the peer has heard of the sender, and answers", t, func() {
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -36,6 +36,12 @@
 	Replica string
 }
 
+// Leave is a replica that the store listed as leaving, or no more, at a version.
+type Leave struct {
+	Replica string
+	Version uint64
+}
+
 // placement is a prompt that was sent to a replica.
 type placement struct {
 	replica balancer.Key
@@ -92,7 +98,7 @@
 	placements  news[placement]
 	reminders   []placement
 	unreachable news[string]
-	leaving     news[string]
+	leaves      news[Leave]
 	strikes     news[Strike]
 }
 
@@ -100,7 +106,7 @@
 	return &outbox{
 		placements:  news[placement]{most: mostPlacements},
 		unreachable: news[string]{most: mostNews},
-		leaving:     news[string]{most: mostNews},
+		leaves:      news[Leave]{most: mostNews},
 		strikes:     news[Strike]{most: mostNews},
 	}
 }
@@ -109,7 +115,7 @@
 // something to say.
 func (outbox *outbox) empty() bool {
 	return len(outbox.placements.items)+len(outbox.unreachable.items)+
-		len(outbox.leaving.items)+len(outbox.strikes.items) == 0
+		len(outbox.leaves.items)+len(outbox.strikes.items) == 0
 }
 
 // remind notes a placement that peers may have heard of. The oldest is dropped.
@@ -126,7 +132,9 @@
 		digest.Placements = append(digest.Placements, placed.message())
 	}
 	digest.Unreachable = outbox.unreachable.take()
-	digest.Leaving = outbox.leaving.take()
+	for _, leave := range outbox.leaves.take() {
+		digest.Leaves = append(digest.Leaves, &encoder.PeerLeave{Replica: leave.Replica, Version: leave.Version})
+	}
 	for _, strike := range outbox.strikes.take() {
 		digest.Strikes = append(digest.Strikes, &encoder.PeerStrike{Request: strike.Request, Replica: strike.Replica})
 	}
--- a/internal/relayer/entry_bench_test.go
+++ b/internal/relayer/entry_bench_test.go
@@ -43,7 +43,7 @@
 	clock := timekeeper.Steady()
 	fleet := balancer.New(balancer.Settings{})
 	fleet.SetEngine("planner", 300000)
-	fleet.SetReplicas([]balancer.Replica{{ID: "i-1", Service: "planner", Address: replica}})
+	fleet.SetReplicas([]balancer.Replica{{ID: "i-1", Service: "planner", Address: replica}}, 1)
 	pool, release := connector.NewPool(connector.Settings{Clock: clock})
 	t.Cleanup(release)
 	config := router.New(router.Content{Version: 1, Routes: []router.Route{{
--- a/internal/simulator/run.go
+++ b/internal/simulator/run.go
@@ -124,7 +124,7 @@
 	site := run.settings.Site
 	fleet := balancer.New(balancer.Settings{Seed: run.settings.Seed + number, Bound: site.Bound})
 	fleet.SetEngine("planner", site.Engine.Memory)
-	fleet.SetReplicas(run.replicas)
+	fleet.SetReplicas(run.replicas, 1)
 	return &entry{fleet: fleet, running: make([]int, site.Engines), waiting: map[*balancer.Waiter]*request{}}
 }
 
