relayer: a refusal outlives the body that was not read

A caller that asks for its connection to be closed is refused before its body has been read; net/http then closes at once, which resets the connection. The caller sees a reset in place of the refusal, and can't know that its request has not run. Change: behind a refusal on such a connection the rest of the body is read, 256 KB and half a second at most; the refusal goes out first.

--- /dev/null
+++ b/internal/relayer/absorb.go
@@ -0,0 +1,36 @@
+package relayer
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// absorbPatience bounds the time for which the rest of a refused body is read:
+	// callers whose last bytes take longer have lost their path.
+	absorbPatience = 500 * timekeeper.Millisecond
+	// absorbBytes bounds what is read of it; net/http reads as much where the
+	// connection is kept.
+	absorbBytes = 256 << 10
+)
+
+// absorb reads what is left of a request's body behind a refusal.
+//
+// The failure: a caller asks for its connection to be closed, and is refused
+// before its body has been read. Closed with unread bytes, the connection is
+// reset. The symptom: the caller sees a reset in place of the refusal, and can't
+// know that its request has not run. The refusal goes out first, so nobody waits
+// for the rest; where the connection is kept, net/http does the same.
+func absorb(w http.ResponseWriter, r *http.Request) {
+	if !r.Close || r.ContentLength == 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	if control.Flush() != nil {
+		return
+	}
+	_ = control.SetReadDeadline(timekeeper.In(absorbPatience))
+	_, _ = io.CopyN(io.Discard, r.Body, absorbBytes)
+}
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -135,31 +135,31 @@
 	arrived := entry.settings.Clock.Now()
 	call, err := entry.settings.Dialect.ReadCall(r)
 	if err != nil {
-		entry.refuseEarly(w, call, classifier.New(classifier.BadRequest, err.Error()))
+		entry.refuseEarly(w, r, call, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
 	if entry.pressure.refuses(entry.draw()) {
-		entry.refuseLate(w, call)
+		entry.refuseLate(w, r, call)
 		return
 	}
 	config := entry.settings.Config()
 	if config == nil {
 		failure := classifier.New(classifier.NotReady, "no configuration is known yet")
-		entry.refuseEarly(w, call, failure.WithRetryAfter(timekeeper.Second))
+		entry.refuseEarly(w, r, call, failure.WithRetryAfter(timekeeper.Second))
 		return
 	}
 	if limit := config.Limits().HeaderBytes; limit > 0 && headBytes(r) > limit {
-		entry.refuseEarly(w, call, classifier.New(classifier.HeadersTooLarge, ""))
+		entry.refuseEarly(w, r, call, classifier.New(classifier.HeadersTooLarge, ""))
 		return
 	}
 	route, found := config.Route(r.Host, r.URL.Path)
 	if !found {
-		entry.refuseEarly(w, call, classifier.New(classifier.NotFound, "version "+formatVersion(config.Version())))
+		entry.refuseEarly(w, r, call, classifier.New(classifier.NotFound, "version "+formatVersion(config.Version())))
 		return
 	}
 	access := config.Access(route, call.Key)
 	if !access.Allowed {
-		entry.refuseEarly(w, call, classifier.New(classifier.Unauthorized, "version "+formatVersion(config.Version())))
+		entry.refuseEarly(w, r, call, classifier.New(classifier.Unauthorized, "version "+formatVersion(config.Version())))
 		return
 	}
 	task := &task{
@@ -195,25 +195,31 @@
 )
 
 // refuseLate answers a request that the entry has no time for, at the least cost.
-func (entry *Entry) refuseLate(w http.ResponseWriter, call Call) {
+func (entry *Entry) refuseLate(w http.ResponseWriter, r *http.Request, call Call) {
 	draw := entry.draw()
 	failure := classifier.New(classifier.Overloaded, "the entry is behind")
 	failure = failure.WithRetryAfter(lateComeBack + timekeeper.Span(draw*lateComeBackWidth))
 	if draw < lateLogged {
-		entry.refuseEarly(w, call, failure)
+		entry.refuseEarly(w, r, call, failure)
 		return
 	}
 	entry.meters.refused(failure.Kind)
-	entry.settings.Dialect.Refuse(w, failure, call.ID)
+	entry.refuse(w, r, failure, call.ID)
+}
+
+// refuse gives a caller its refusal.
+func (entry *Entry) refuse(w http.ResponseWriter, r *http.Request, failure classifier.Failure, id string) {
+	entry.settings.Dialect.Refuse(w, failure, id)
+	absorb(w, r)
 }
 
 // refuseEarly answers a request that got no route.
-func (entry *Entry) refuseEarly(w http.ResponseWriter, call Call, failure classifier.Failure) {
+func (entry *Entry) refuseEarly(w http.ResponseWriter, r *http.Request, call Call, failure classifier.Failure) {
 	entry.meters.refused(failure.Kind)
 	entry.settings.Log.WithFields(logrus.Fields{
 		"request-id": call.ID, "kind": failure.Kind.String(), "detail": failure.Detail,
 	}).Info("request refused")
-	entry.settings.Dialect.Refuse(w, failure, call.ID)
+	entry.refuse(w, r, failure, call.ID)
 }
 
 func (entry *Entry) draw() float64 {
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -309,7 +309,7 @@
 	if failure.Kind == classifier.SlowCaller {
 		task.w.Header().Set("Connection", "close")
 	}
-	task.entry.settings.Dialect.Refuse(task.w, failure, task.call.ID)
+	task.entry.refuse(task.w, task.r, failure, task.call.ID)
 }
 
 // promptTokens returns the length of the prompt.
