cmd, assembler: a hang-up that comes early doesn't end the process

Cause: TestSettingsAreReadAgain failed once of five runs beside twenty-four busy processes. An entry asked for hang-ups only after it had begun to serve; one that came before ended it.

--- a/cmd/trefoilseam/direct.go
+++ b/cmd/trefoilseam/direct.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
@@ -23,6 +25,11 @@
 	if file == "" {
 		return eris.Wrap(errUsage, "name the settings: trefoilseam entry -direct -settings FILE")
 	}
+	// First of all: a hang-up that comes before it is asked for ends the process. An
+	// operator who changes settings while entries start would lose entries.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	settings, faults := loader.ReadDirect(file)
 	if len(faults) > 0 {
 		return faults
@@ -33,8 +40,8 @@
 	}
 	dropped, flush := queueLog(log)
 	defer flush()
-	output := assembler.Output{Log: log, Dropped: dropped}
-	direct, release, err := assembler.NewDirect(ctx, settings, file, output)
+	from := assembler.Surroundings{Log: log, Dropped: dropped, HangUps: hangUps}
+	direct, release, err := assembler.NewDirect(ctx, settings, file, from)
 	if err != nil {
 		return err
 	}
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 
@@ -77,10 +78,14 @@
 	}
 )
 
-// Output is the log of a process, and how many of its lines were dropped.
-type Output struct {
-	Log     *logrus.Logger
+// Surroundings are what a process gets from where it runs.
+type Surroundings struct {
+	Log *logrus.Logger
+	// Dropped returns how many lines of the log were dropped.
 	Dropped func() int64
+	// HangUps are signals that the settings have changed. A process must ask for
+	// them first of all: one that comes before ends it.
+	HangUps <-chan os.Signal
 }
 
 // Direct is an entry that sends requests to replicas itself, ready to run.
@@ -93,6 +98,7 @@
 	// not get through.
 	logger  *logrus.Logger
 	dropped func() int64
+	hangUps <-chan os.Signal
 	scope   tally.Scope
 	metrics http.Handler
 
@@ -116,9 +122,9 @@
 // NewDirect returns an entry that listens, and a function that releases what it
 // holds. file is where its settings were read from; they are read again when
 // they change.
-func NewDirect(ctx context.Context, settings loader.Direct, file string, output Output) (*Direct, func(), error) {
-	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), logger: output.Log, dropped: output.Dropped}
-	direct.log = output.Log.WithField("process", settings.Name)
+func NewDirect(ctx context.Context, settings loader.Direct, file string, from Surroundings) (*Direct, func(), error) {
+	direct := &Direct{settings: settings, file: file, clock: timekeeper.Steady(), logger: from.Log, dropped: from.Dropped, hangUps: from.HangUps}
+	direct.log = from.Log.WithField("process", settings.Name)
 	direct.callers = newCallers(direct.clock, settings.Descriptors)
 	limitMemory(settings)
 	var release func()
--- a/internal/assembler/direct_settings.go
+++ b/internal/assembler/direct_settings.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,9 +18,6 @@
 // watchSettings reads the settings again when a signal says so, and when the
 // file has changed without one.
 func (direct *Direct) watchSettings(ctx context.Context) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
 	written := modified(direct.file)
 	for {
 		fired, release := direct.clock.After(settingsEvery)
@@ -30,7 +25,7 @@
 		case <-ctx.Done():
 			release()
 			return
-		case <-hangUp:
+		case <-direct.hangUps:
 			written = modified(direct.file)
 			direct.reload("signal")
 		case <-fired:
