--- a/cmd/trefoilseam/dev.go
+++ b/cmd/trefoilseam/dev.go
@@ -21,13 +21,17 @@
 	listen := flags.String("listen", "127.0.0.1:8080", "address of the first entry")
 	level := flags.String("log-level", "info", "debug, info, warn or error")
 	standIns := flags.Bool("stand-ins-only", false, "run only the platform and the upstreams")
+	direct := flags.Bool("direct", false, "run an entry without agents before the emulator of the users' platform")
 	return &ffcli.Command{
 		Name:       "dev",
-		ShortUsage: "trefoilseam dev [-listen ADDRESS]",
+		ShortUsage: "trefoilseam dev [-direct] [-listen ADDRESS]",
 		ShortHelp:  "run a small site, stand-ins and all, in one process",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, _ []string) error {
+			if *direct {
+				return runDevDirect(ctx, *listen, *level)
+			}
 			return runDev(ctx, assembler.DevSettings{Listen: *listen, StandInsOnly: *standIns}, *level)
 		},
 	}
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -155,6 +155,9 @@
 	return direct, direct.release, nil
 }
 
+// Address returns where callers reach the entry.
+func (direct *Direct) Address() string { return addressOf(direct.listeners.front) }
+
 func limitMemory(settings loader.Direct) {
 	megabytes := settings.Memory
 	if megabytes == 0 {
--- a/internal/balancer/queue_test.go
+++ b/internal/balancer/queue_test.go
@@ -197,3 +197,39 @@
 		})
 	}
 }
+
+func TestPlacesAreKeptForWhatIsMoreUrgent(t *testing.T) {
+	// Long answers that are least urgent come while places are free, and nearly all
+	// others are more urgent. If they took every place, the next urgent request would
+	// wait until one of them ends, ten times as long as it takes itself.
+	tests := []struct {
+		name           string
+		urgent, held   int
+		priority       int
+		placed         bool
+		waitsForAPlace bool
+	}{
+		{"least urgent among urgent ones, places left", 20, 5, 9, true, false},
+		{"least urgent among urgent ones, few places left", 20, 8, 9, false, true},
+		{"urgent, few places left", 20, 8, 0, true, false},
+		{"least urgent, and nobody is more urgent", 0, 8, 9, true, false},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			fleet := New(Settings{Seed: 1})
+			fleet.SetEngine("planner", 300000)
+			fleet.SetReplicas(replicasOf("planner", 1, 10), 1)
+			for range test.urgent {
+				fleet.queue("planner").arrivals[0].add(1, rateMemory, start)
+			}
+			fleet.SetPeer("peer", map[Key]Held{KeyOf("planner-0"): {Running: test.held}}, timekeeper.Minute, start)
+			waiter := &Waiter{
+				Ask: Ask{Service: "planner", Parts: chain(1, 1), Priority: test.priority}, Rank: test.priority,
+				Due: start.Add(300), Until: start.Add(600),
+			}
+			fleet.Join(waiter, start)
+			So(waiter.Placement != nil, ShouldEqual, test.placed)
+			So(fleet.Waiting() == 1, ShouldEqual, test.waitsForAPlace)
+		})
+	}
+}
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -67,8 +67,8 @@
 	defaultRetryExtra  = 20
 )
 
-// withDefaults fills in what is left out.
-func (direct Direct) withDefaults() Direct {
+// WithDefaults returns the settings with what is left out filled in.
+func (direct Direct) WithDefaults() Direct {
 	direct.StopDelay = cmp.Or(direct.StopDelay, defaultStopDelay)
 	direct.StopGrace = cmp.Or(direct.StopGrace, defaultStopGrace)
 	direct.Bound = cmp.Or(direct.Bound, defaultBound)
@@ -82,7 +82,7 @@
 func ReadDirect(file string) (Direct, resolver.Faults) {
 	var direct Direct
 	faults := read(file, &direct, func(check *checker) { check.direct(direct) })
-	return direct.withDefaults(), faults
+	return direct.WithDefaults(), faults
 }
 
 // direct checks the settings of an entry that sends requests itself.
