reporter, simulator, gossiper: standard terms, a file an algorithm

Change: Rules.Indirect, mostIntroduced, beforeAnswer; entries of the simulator in a file of their own.

--- a/internal/assembler/control.go
+++ b/internal/assembler/control.go
@@ -67,7 +67,7 @@
 func rulesOf(settings controlSettings) reporter.Rules {
 	const roundsOfSilence, roundsToCool = 8, 10
 	round := settings.process.MembershipRound
-	return reporter.Rules{Told: settings.self == nil, Silence: roundsOfSilence * round, Cool: roundsToCool * round}
+	return reporter.Rules{Indirect: settings.self == nil, Silence: roundsOfSilence * round, Cool: roundsToCool * round}
 }
 
 // counter returns what takes spending to the metrics.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -248,7 +248,7 @@
 	gossiper.outbox.fill(full, roomOf(len(due), gossiper.settings.Budget))
 	if gossiper.sequence%introduceEvery == 1 {
 		full.Peers = gossiper.peers.up(now)
-		full.Peers = full.Peers[:min(len(full.Peers), mostTold)]
+		full.Peers = full.Peers[:min(len(full.Peers), mostIntroduced)]
 	}
 	return full, due
 }
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -74,7 +74,7 @@
 
 // take returns what is to be told now, and forgets what was told often enough.
 func (news *news[T]) take() []T {
-	told := slices.Clone(news.items)
+	due := slices.Clone(news.items)
 	items, left := news.items[:0], news.left[:0]
 	for i, item := range news.items {
 		if news.left[i] > 1 {
@@ -83,7 +83,7 @@
 	}
 	clear(news.items[len(items):])
 	news.items, news.left = items, left
-	return told
+	return due
 }
 
 // outbox gathers what the next digest says.
--- a/internal/gossiper/peers.go
+++ b/internal/gossiper/peers.go
@@ -19,8 +19,8 @@
 	// introduceEvery is how often a digest passes on the addresses of others: peers
 	// that the store did not name are found within some seconds.
 	introduceEvery = 16
-	// mostTold bounds the addresses that a digest passes on.
-	mostTold = 16
+	// mostIntroduced bounds the addresses that a digest passes on.
+	mostIntroduced = 16
 )
 
 // peer is another entry, by its address.
--- a/internal/imitator/engine_control.go
+++ b/internal/imitator/engine_control.go
@@ -87,9 +87,9 @@
 func (engine *Engine) takeEvents() []CacheEvent {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
-	told := engine.settings.Clock.Now().Add(-engine.settings.EventLag)
+	visible := engine.settings.Clock.Now().Add(-engine.settings.EventLag)
 	due := 0
-	for due < len(engine.events) && engine.events[due].at <= told {
+	for due < len(engine.events) && engine.events[due].at <= visible {
 		due++
 	}
 	events := engine.events[:due]
--- a/internal/reporter/drive_test.go
+++ b/internal/reporter/drive_test.go
@@ -91,7 +91,7 @@
 	}
 	one.view = NewView(Settings{
 		Directory: storekeeper.Directory{List: func(context.Context) ([]storekeeper.Instance, error) { return driven.listed, nil }},
-		Clock:     driven.manual.Clock(), Log: log, Budget: one.budget, Rules: Rules{Told: one.service == ""},
+		Clock:     driven.manual.Clock(), Log: log, Budget: one.budget, Rules: Rules{Indirect: one.service == ""},
 		Service: one.service, Seed: seed,
 	})
 	settings := ExchangeSettings{View: one.view, Open: driven.open(one), Name: one.name, Site: one.site}
--- a/internal/reporter/judge.go
+++ b/internal/reporter/judge.go
@@ -84,7 +84,7 @@
 
 // deadBy reports whether a replica has been silent for too long.
 func (table *Table) deadBy(now timekeeper.Instant, row *Row, limit timekeeper.Span) bool {
-	if table.rules.Told {
+	if table.rules.Indirect {
 		return row.gone() || row.fails >= failsToDie && now.Since(row.failed) <= table.rules.Cool
 	}
 	if row.fails >= failsToDie {
@@ -128,11 +128,11 @@
 }
 
 // forget drops rows that have been silent for long and that no list names. A
-// table of a Told process drops only those that were called dead or leaving.
+// table of an Indirect process drops only those that were called dead or leaving.
 func (table *Table) forget(now timekeeper.Instant) {
 	for name, row := range table.rows {
 		quiet := now.Since(max(row.Said, row.news)) > table.rules.Forget
-		if quiet && !row.Listed && (!table.rules.Told || row.dead || row.leaving()) {
+		if quiet && !row.Listed && (!table.rules.Indirect || row.dead || row.leaving()) {
 			delete(table.rows, name)
 			table.order = slices.DeleteFunc(table.order, func(row *Row) bool { return row.Name == name })
 			maps.DeleteFunc(table.ids, func(_ uint32, of string) bool { return of == name })
--- a/internal/reporter/table.go
+++ b/internal/reporter/table.go
@@ -21,9 +21,9 @@
 	// Cool is after what time an entry tries a replica again that it could not
 	// reach, though agents call it live; zero means 10 seconds.
 	Cool timekeeper.Span
-	// Told says that others judge silence (an entry, which hears of most
+	// Indirect says that others judge silence (an entry, which hears of most
 	// replicas rarely); only verdicts of agents and failed dials count then.
-	Told bool
+	Indirect bool
 }
 
 const (
@@ -109,7 +109,7 @@
 		// An incarnation that drains never serves again.
 		merged.State = known.State
 	}
-	if !table.rules.Told || merged.Incarnation != known.Incarnation {
+	if !table.rules.Indirect || merged.Incarnation != known.Incarnation {
 		// For an agent, hearsay of a peer proves it alive. An entry must reach it
 		// itself: others may speak to a replica that is cut off from the entry.
 		merged.fails = 0
@@ -230,7 +230,7 @@
 // Fail notes that a dial to a replica, or a question to its agent, failed.
 func (table *Table) Fail(now timekeeper.Instant, name string) {
 	if row := table.rows[name]; row != nil {
-		if table.rules.Told && now.Since(row.failed) > table.rules.Cool {
+		if table.rules.Indirect && now.Since(row.failed) > table.rules.Cool {
 			// An entry seldom speaks to most replicas. Two failures an hour apart
 			// are two accidents, and no replica that can't be reached.
 			row.fails = 0
--- a/internal/reporter/table_test.go
+++ b/internal/reporter/table_test.go
@@ -112,7 +112,7 @@
 		So(len(table.Live()), ShouldBeGreaterThanOrEqualTo, 5)
 	})
 	Convey("an entry that can't reach a replica goes by that, not by hearsay, for a while", t, func() {
-		table := full(9, Rules{Told: true})
+		table := full(9, Rules{Indirect: true})
 		table.Fail(at, "r0")
 		table.Fail(at, "r0")
 		table.Merge(at, said("r0", 10, 8, live))
@@ -122,7 +122,7 @@
 		So(stateOf(table, "r0"), ShouldEqual, "live")
 	})
 	Convey("an entry whose agents call most dead keeps half, however that came about", t, func() {
-		table := full(9, Rules{Told: true})
+		table := full(9, Rules{Indirect: true})
 		for i := range 7 {
 			table.Merge(at, said("r"+strconv.Itoa(i), 10, 5, gone))
 			table.Judge(at)
@@ -153,7 +153,7 @@
 		So(len(table.Live()), ShouldEqual, 9)
 	})
 	Convey("an entry takes the agents' verdict, and a later word over it", t, func() {
-		table := full(9, Rules{Told: true})
+		table := full(9, Rules{Indirect: true})
 		table.Merge(at, said("r0", 10, 5, gone))
 		table.Judge(at)
 		So(stateOf(table, "r0"), ShouldEqual, "dead")
@@ -191,7 +191,7 @@
 
 func TestTheListIsAHint(t *testing.T) {
 	Convey("a list that names the dead and omits the live changes neither", t, func() {
-		table := full(4, Rules{Told: true})
+		table := full(4, Rules{Indirect: true})
 		table.Merge(start, said("r0", 10, 5, gone))
 		table.List(start, []storekeeper.Instance{{Name: "r0", Address: "a"}, {Name: "r1", Address: "b"}})
 		table.Judge(start)
--- a/internal/reporter/view_test.go
+++ b/internal/reporter/view_test.go
@@ -78,7 +78,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	manual := timekeeper.NewManual(start)
-	view := NewView(Settings{Clock: manual.Clock(), Log: log, Budget: budgeter.New(budgeter.Settings{}), Rules: Rules{Told: true}})
+	view := NewView(Settings{Clock: manual.Clock(), Log: log, Budget: budgeter.New(budgeter.Settings{}), Rules: Rules{Indirect: true}})
 	for _, name := range []string{"r0", "r1", "r2"} {
 		view.Learn(said(name, 10, 1, live))
 	}
--- a/internal/runner/strikes.go
+++ b/internal/runner/strikes.go
@@ -225,13 +225,13 @@
 // or taken back; a store that is slower than that is treated as down.
 const strikeWait = 500 * timekeeper.Millisecond
 
-// beforeTold writes to the table of strikes before the caller is told how its
+// beforeAnswer writes to the table of strikes before the caller is told how its
 // request ended. The failure: the caller resends at once, through any entry, and
 // the table doesn't know yet. The symptom: a bad request that shares its second
 // engine with others, who are then struck twice and refused; or an innocent one
 // that is still barred. Only requests with strikes come here, so no other answer
 // waits.
-func (agent *Agent) beforeTold(write func()) {
+func (agent *Agent) beforeAnswer(write func()) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -253,7 +253,7 @@
 	if !changed {
 		return
 	}
-	agent.beforeTold(func() {
+	agent.beforeAnswer(func() {
 		var err error
 		if whole {
 			_, err = agent.strikes.book.Lift(context.Background(), flight.Fingerprint)
@@ -285,7 +285,7 @@
 	if strike.Saved {
 		return
 	}
-	agent.beforeTold(func() { agent.saveStrike(strike) })
+	agent.beforeAnswer(func() { agent.saveStrike(strike) })
 }
 
 func (agent *Agent) saveStrike(strike striker.Strike) {
--- /dev/null
+++ b/internal/simulator/entry.go
@@ -0,0 +1,35 @@
+package simulator
+
+import "github.com/trefoilseam/trefoilseam/internal/balancer"
+
+// entry is one entry in virtual time.
+type entry struct {
+	fleet   *balancer.Fleet
+	running []int
+	waiting map[*balancer.Waiter]*request
+	placed  []placedPrompt
+}
+
+type placedPrompt struct {
+	engine int
+	parts  []balancer.Part
+}
+
+// newEntry returns an entry that knows the engines and nothing else.
+func (run *run) newEntry(number uint64) *entry {
+	site := run.settings.Site
+	fleet := balancer.New(balancer.Settings{Seed: run.settings.Seed + number, Bound: site.Bound})
+	fleet.SetEngine("planner", site.Engine.Memory)
+	fleet.SetReplicas(run.replicas, 1)
+	return &entry{fleet: fleet, running: make([]int, site.Engines), waiting: map[*balancer.Waiter]*request{}}
+}
+
+// restart replaces the entry whose turn it is. What it has under way goes on; who
+// waits there leaves.
+func (run *run) restart(now float64) {
+	run.restarts++
+	run.entries[run.restarts%len(run.entries)] = run.newEntry(uint64(len(run.entries) + run.restarts))
+	if now < run.last() {
+		run.at(now+float64(run.settings.Restart), run.restart)
+	}
+}
--- a/internal/simulator/run.go
+++ b/internal/simulator/run.go
@@ -25,19 +25,6 @@
 	waitTargets, waitShare = 2.0, 0.3
 )
 
-// entry is one entry in virtual time.
-type entry struct {
-	fleet   *balancer.Fleet
-	running []int
-	waiting map[*balancer.Waiter]*request
-	placed  []placedPrompt
-}
-
-type placedPrompt struct {
-	engine int
-	parts  []balancer.Part
-}
-
 // request is one try of a caller.
 type request struct {
 	class    *Class
@@ -119,25 +106,6 @@
 	run.at(tick, run.sample)
 }
 
-// newEntry returns an entry that knows the engines and nothing else.
-func (run *run) newEntry(number uint64) *entry {
-	site := run.settings.Site
-	fleet := balancer.New(balancer.Settings{Seed: run.settings.Seed + number, Bound: site.Bound})
-	fleet.SetEngine("planner", site.Engine.Memory)
-	fleet.SetReplicas(run.replicas, 1)
-	return &entry{fleet: fleet, running: make([]int, site.Engines), waiting: map[*balancer.Waiter]*request{}}
-}
-
-// restart replaces the entry whose turn it is. What it has under way goes on; who
-// waits there leaves.
-func (run *run) restart(now float64) {
-	run.restarts++
-	run.entries[run.restarts%len(run.entries)] = run.newEntry(uint64(len(run.entries) + run.restarts))
-	if now < run.last() {
-		run.at(now+float64(run.settings.Restart), run.restart)
-	}
-}
-
 // last is when the run ends for what repeats.
 func (run *run) last() float64 { return float64(run.settings.Length) + 5000 }
 
