assembler: a property of the configuration in force over all schedules

Cause: that a configuration never reverts was tested for five deliveries in a row. Change: store and peers bring versions in any order at once, while a request looks.

--- a/internal/assembler/direct_test.go
+++ b/internal/assembler/direct_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
 
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -79,3 +82,51 @@
 		})
 	}
 }
+
+// TestNoScheduleRevertsAConfiguration lets the store and two peers bring versions
+// in any order, at the same time, while a request looks at the one in force again
+// and again. It never sees an older one after a newer one, and in the end the
+// newest is in force, whoever brought it.
+func TestNoScheduleRevertsAConfiguration(t *testing.T) {
+	direct, release := directOnLoopback(t)
+	defer release()
+	base := uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		sources := make([][]uint64, 3)
+		newest := direct.version()
+		for i := range sources {
+			sources[i] = rapid.SliceOfN(rapid.Uint64Range(base+1, base+20), 1, 10).Draw(t, "versions")
+			newest = max(newest, slices.Max(sources[i]))
+		}
+		base += 10
+		var bringing sync.WaitGroup
+		for _, versions := range sources {
+			bringing.Go(func() {
+				for _, version := range versions {
+					document, err := platform.DecodeConfiguration(fmt.Appendf(nil, `{"version":%d}`, version))
+					if err == nil {
+						direct.accept(document, "test")
+					}
+				}
+			})
+		}
+		ended := make(chan struct{})
+		go func() { bringing.Wait(); close(ended) }()
+		last := uint64(0)
+		for over := false; !over; {
+			select {
+			case <-ended:
+				over = true
+			default:
+			}
+			now := direct.version()
+			if now < last {
+				t.Fatalf("version %d after %d", now, last)
+			}
+			last = now
+		}
+		if last != newest {
+			t.Fatalf("version %d in force, %d was brought", last, newest)
+		}
+	})
+}
