balancer: one pass for the place in the rank

Change: one hash for each engine, and the place is counted only for those that could be cheaper than the first one.

--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -22,6 +22,8 @@
 	// cost is what the choice goes by, in milliseconds, and reading the part of it
 	// that the prompt's reading makes.
 	cost, reading float64
+	// weight is what the rank for a prompt part goes by; see rendezvous.
+	weight float64
 }
 
 // candidates returns the replicas that may get the request.
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -150,17 +150,38 @@
 	if count := fleet.holders(deepest, candidates, now); count > 1 {
 		return fleet.pickHolder(candidates, deepest, count)
 	}
-	byRank(candidates, deepest)
-	step := fleet.rankStep()
-	best, least := candidates[0], math.Inf(1)
-	for rank, c := range candidates {
-		if cost := c.cost + float64(rank)*step; cost < least {
+	weigh(candidates, deepest)
+	return cheapest(candidates, fleet.rankStep())
+}
+
+// cheapest returns the candidate that costs least with the price of its place in
+// the rank. Most cost more than the first one does, whatever their place, so only
+// of few the place has to be counted: one pass among hundreds of engines.
+func cheapest(candidates []candidate, step float64) candidate {
+	best := slices.MaxFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.weight, b.weight) })
+	least := best.cost
+	for _, c := range candidates {
+		if c.cost+step >= least {
+			continue
+		}
+		if cost := c.cost + step*float64(placeOf(c, candidates)); cost < least {
 			best, least = c, cost
 		}
 	}
 	return best
 }
 
+// placeOf returns the place of a candidate in the rank, from zero.
+func placeOf(one candidate, candidates []candidate) int {
+	place := 0
+	for i := range candidates {
+		if candidates[i].weight > one.weight {
+			place++
+		}
+	}
+	return place
+}
+
 // rankStep returns what each place in the rank of a prompt adds to the cost of an
 // engine, in milliseconds.
 //
@@ -181,11 +202,11 @@
 	return rankCost * max(1, float64(fleet.staleness())/float64(fresh))
 }
 
-// byRank sorts candidates by rendezvous for a prompt part, the first one first.
-func byRank(candidates []candidate, part uint64) {
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Compare(rendezvous(part, b.ID), rendezvous(part, a.ID))
-	})
+// weigh sets the weights that the rank for a prompt part goes by.
+func weigh(candidates []candidate, part uint64) {
+	for i := range candidates {
+		candidates[i].weight = rendezvous(part, candidates[i].ID)
+	}
 }
 
 // within returns the candidates that cost little more than the cheapest. One of
@@ -195,7 +216,8 @@
 	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.cost > best.cost+band })
 }
 
-// rendezvous returns the rank of a replica for a prompt part, from [0, 1).
+// rendezvous returns the weight of a replica for a prompt part, from [0, 1); the
+// heaviest ranks first.
 func rendezvous(part uint64, id string) float64 {
 	digest := xxhash.NewWithSeed(part)
 	_, _ = digest.WriteString(id)
