balancer: preference order, not rank

Cause: the newcomer's reading: rank is the urgency of a request in glossary and router, and stood for the order of engines too.

--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -22,7 +22,7 @@
 	// cost is what the choice goes by, in milliseconds, and reading the part of it
 	// that the prompt's reading makes.
 	cost, reading float64
-	// weight is what the rank for a prompt part goes by; see rendezvous.
+	// weight is what the preference order of the prompt goes by; see rendezvous.
 	weight float64
 }
 
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -44,11 +44,12 @@
 	// equal, in milliseconds: the noise of what entries believe of each other's
 	// requests, one or two.
 	plainBand = 6.0
-	// rankCost is what each place in the rank of a prompt adds to the cost of an
-	// engine, in milliseconds, while digests are fresh. See rankStep.
-	rankCost = 40.0
+	// preferenceCost is what each place in the preference order of a prompt adds to
+	// the cost of an engine, in milliseconds, while digests are fresh. See
+	// preferenceStep.
+	preferenceCost = 40.0
 	// fresh is the time between two digests of a peer among a few entries. Where it
-	// is longer rankCost grows with it, as the noise of what is believed does.
+	// is longer preferenceCost grows with it, as the noise of what is believed does.
 	fresh = 100 * timekeeper.Millisecond
 	// spare is what a replica may hold beyond the bound on its share, so that few
 	// requests at few replicas may lie unevenly. The operators allow three; what
@@ -139,7 +140,7 @@
 
 // pick chooses among candidates: for plain calls one of the cheapest, for prompts
 // one of the engines that share a hot part, or else the one that is cheapest with
-// the price of its place in the rank.
+// the price of its place in the preference order of the prompt.
 func (fleet *Fleet) pick(candidates []candidate, ask Ask, now timekeeper.Instant) candidate {
 	shared := SharedParts(ask.Parts)
 	if len(shared) == 0 {
@@ -150,13 +151,14 @@
 	if count := fleet.holders(deepest, candidates, now); count > 1 {
 		return fleet.pickHolder(candidates, deepest, count)
 	}
-	weigh(candidates, deepest)
-	return cheapest(candidates, fleet.rankStep())
+	setWeights(candidates, deepest)
+	return cheapest(candidates, fleet.preferenceStep())
 }
 
 // cheapest returns the candidate that costs least with the price of its place in
-// the rank. Most cost more than the first one does, whatever their place, so only
-// of few the place has to be counted: one pass among hundreds of engines.
+// the preference order. Most cost more than the first one does, whatever their
+// place, so only of few the place has to be counted: one pass among hundreds of
+// engines.
 func cheapest(candidates []candidate, step float64) candidate {
 	best := slices.MaxFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.weight, b.weight) })
 	least := best.cost
@@ -171,7 +173,7 @@
 	return best
 }
 
-// placeOf returns the place of a candidate in the rank, from zero.
+// placeOf returns the place of a candidate in the preference order, from zero.
 func placeOf(one candidate, candidates []candidate) int {
 	place := 0
 	for i := range candidates {
@@ -182,28 +184,28 @@
 	return place
 }
 
-// rankStep returns what each place in the rank of a prompt adds to the cost of an
-// engine, in milliseconds.
+// preferenceStep returns what each place in the preference order of a prompt adds
+// to the cost of an engine, in milliseconds.
 //
 // The load: entries that start again and know nothing of what engines have
 // cached, and dozens of entries whose digests are hundreds of milliseconds old.
 // The harm: what an entry knows sends a prompt to the engine that is empty, the
 // next entry knows something else, and each engine reads it once. What all agree
-// on, whatever they know, is the rank. So a prompt leaves the engine that ranks
-// first when that is 40 ms dearer than the second, and goes there.
+// on, whatever they know, is the preference order. So a prompt leaves its first
+// engine when that is 40 ms dearer than the second, and goes there.
 //
 // Simulated, an entry of four replaced every half second, 521 thousand tokens
-// were read again with the rank among equals only, 302 thousand with this; where
+// were read again with the order among equals only, 302 thousand with this; where
 // none is replaced 41 and 63. In trials on the twelve standard days of the users'
 // sites 20, 40 and 80 ms earned 0.841, 0.845 and 0.843 of the worth on average, the
-// rank among equals only 0.834; on their larger sites 0.777, 0.782 and 0.781, and
+// order among equals only 0.834; on their larger sites 0.777, 0.782 and 0.781, and
 // 0.762.
-func (fleet *Fleet) rankStep() float64 {
-	return rankCost * max(1, float64(fleet.staleness())/float64(fresh))
+func (fleet *Fleet) preferenceStep() float64 {
+	return preferenceCost * max(1, float64(fleet.staleness())/float64(fresh))
 }
 
-// weigh sets the weights that the rank for a prompt part goes by.
-func weigh(candidates []candidate, part uint64) {
+// setWeights sets the weights that the preference order of a prompt part goes by.
+func setWeights(candidates []candidate, part uint64) {
 	for i := range candidates {
 		candidates[i].weight = rendezvous(part, candidates[i].ID)
 	}
@@ -217,7 +219,7 @@
 }
 
 // rendezvous returns the weight of a replica for a prompt part, from [0, 1); the
-// heaviest ranks first.
+// heaviest is preferred.
 func rendezvous(part uint64, id string) float64 {
 	digest := xxhash.NewWithSeed(part)
 	_, _ = digest.WriteString(id)
--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -10,9 +10,9 @@
 //
 // Engines are ranked by rendezvous hashing (Thaler and Ravishankar, "Using
 // name-based mappings to increase hit rates", 1998) of the deepest shared prompt
-// part, and each place in the rank has its price. So requests for a part meet at
-// one engine although they came by different entries, one of which may have
-// started just now. The bound on a replica's share follows "consistent hashing with
+// part, and each place in this preference order has its price. So requests for a
+// part meet at one engine although they came by different entries, one of which may
+// have started just now. The bound on a replica's share follows "consistent hashing with
 // bounded loads" (Mirrokni, Thorup and Zadimoghaddam, 2018).
 //
 // The package is decision logic: no I/O, no goroutines, no clock. A Fleet is
--- a/internal/balancer/heats.go
+++ b/internal/balancer/heats.go
@@ -77,7 +77,7 @@
 	other := func(c candidate) float64 { return c.cost - c.reading }
 	best := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(other(a), other(b)) })
 	sound := slices.DeleteFunc(candidates, func(c candidate) bool { return other(c) > other(best)+holderBand })
-	weigh(sound, part)
+	setWeights(sound, part)
 	slices.SortFunc(sound, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
 	return sound[fleet.draws.IntN(min(count, len(sound)))]
 }
--- a/internal/simulator/run_test.go
+++ b/internal/simulator/run_test.go
@@ -125,7 +125,7 @@
 	// One entry of four is replaced every half second, a rolling update at its
 	// fastest. The new ones know nothing of what engines have cached. If they went by
 	// load, they would read prompts into other engines than the rest, 521 and 750
-	// thousand tokens of them; they follow the rank that the rest goes by too.
+	// thousand tokens of them; they follow the preference order that the rest follows.
 	tests := []struct {
 		load  float64
 		again float64
