--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -55,9 +55,7 @@
 	fellows.gossiper = gossiper.New(gossiper.Settings{
 		Incarnation: newIncarnation(), Clock: direct.clock, Log: direct.log,
 		Scope: direct.scope, Conn: conn, Held: direct.held, Version: direct.version, Hear: fellows.hear,
-		StoreAnswered: func() timekeeper.Instant {
-			return max(direct.replicas.Answered(), direct.configurations.Answered())
-		},
+		StoreAnswered: direct.storeAnswered,
 	})
 	return fellows, transport.CloseIdleConnections
 }
@@ -71,6 +69,11 @@
 	return held
 }
 
+// storeAnswered returns when the store answered last; zero means never.
+func (direct *Direct) storeAnswered() timekeeper.Instant {
+	return max(direct.replicas.Answered(), direct.configurations.Answered())
+}
+
 // version returns the version in force; zero means that none is known.
 func (direct *Direct) version() uint64 {
 	if document := direct.document.Load(); document != nil {
--- a/internal/assembler/direct_survey.go
+++ b/internal/assembler/direct_survey.go
@@ -24,8 +24,7 @@
 	if accepted := timekeeper.Instant(direct.accepted.Load()); accepted != 0 {
 		direct.scope.Gauge("configuration-age-ms").Update(float64(now.Since(accepted)))
 	}
-	answered := max(direct.replicas.Answered(), direct.configurations.Answered())
-	if answered != 0 {
+	if answered := direct.storeAnswered(); answered != 0 {
 		direct.scope.Gauge("store-silent-ms").Update(float64(now.Since(answered)))
 	}
 	direct.scope.Gauge("log-lines-dropped").Update(float64(direct.dropped()))
--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -127,11 +127,7 @@
 	if len(open) == 0 {
 		return nil, AllFull
 	}
-	total := 0
-	for _, c := range open {
-		total += c.held
-	}
-	share := margin*fleet.settings.Bound*float64(total)/float64(len(open)) + spare
+	share := margin*fleet.settings.Bound*meanHeld(open) + spare
 	places := 1 - kept*fleet.queue(ask.Service).moreUrgent(ask.Priority, now)
 	free := slices.DeleteFunc(open, func(c candidate) bool {
 		held := float64(c.held)
@@ -143,6 +139,15 @@
 	return free, noReason
 }
 
+// meanHeld returns the mean of what candidates hold; there must be one.
+func meanHeld(candidates []candidate) float64 {
+	total := 0
+	for _, c := range candidates {
+		total += c.held
+	}
+	return float64(total) / float64(len(candidates))
+}
+
 // held returns how many requests a replica is believed to hold: what this entry
 // and its peers have there, or what the replica said a moment ago.
 func (known *replica) held(peers Held, now timekeeper.Instant) int {
--- a/internal/balancer/heats.go
+++ b/internal/balancer/heats.go
@@ -62,12 +62,7 @@
 	seen := max(0, fleet.heats.count(part, now)-oneTime)
 	perMillisecond := seen * math.Ln2 / float64(heatMemory) * float64(len(fleet.peers)+1)
 	span := min(heldFor, heldGaps*fleet.staleness())
-	total := 0
-	for _, c := range candidates {
-		total += c.held
-	}
-	mean := float64(total) / float64(len(candidates))
-	return 1 + int(perMillisecond*float64(span)/max(leastShare, mean))
+	return 1 + int(perMillisecond*float64(span)/max(leastShare, meanHeld(candidates)))
 }
 
 // pickHolder chooses at random among the engines that share a hot part: those
--- a/internal/balancer/prefix_cache.go
+++ b/internal/balancer/prefix_cache.go
@@ -36,7 +36,7 @@
 func (cache *prefixCache) uncached(parts []Part) int {
 	for i, part := range parts {
 		if _, found := cache.parts[part.ID]; !found {
-			return tokensOf(parts[i:])
+			return TokensOf(parts[i:])
 		}
 	}
 	return 0
@@ -68,7 +68,8 @@
 	delete(cache.parts, oldest)
 }
 
-func tokensOf(parts []Part) int {
+// TokensOf returns the length of prompt parts.
+func TokensOf(parts []Part) int {
 	total := 0
 	for _, part := range parts {
 		total += part.Tokens
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -99,6 +100,6 @@
 	}
 	if task.placement != nil && len(task.call.Parts) > 0 {
 		scope.Counter("uncached-tokens").Inc(int64(task.placement.Uncached))
-		scope.Counter("cached-tokens").Inc(int64(task.promptTokens() - task.placement.Uncached))
+		scope.Counter("cached-tokens").Inc(int64(balancer.TokensOf(task.call.Parts) - task.placement.Uncached))
 	}
 }
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -312,15 +312,6 @@
 	task.entry.refuse(task.w, task.r, failure, task.call.ID)
 }
 
-// promptTokens returns the length of the prompt.
-func (task *task) promptTokens() int {
-	sum := 0
-	for _, part := range task.call.Parts {
-		sum += part.Tokens
-	}
-	return sum
-}
-
 func (task *task) log(failure classifier.Failure, now timekeeper.Instant) {
 	fields := logrus.Fields{
 		"request-id": task.call.ID, "route": task.route.Name, "team": task.team.Name, "version": task.config.Version(),
