assembler: no connection is closed under a request that was passed on

Cause, by reading: the entry closes idle connections of callers (too long idle, too many, or as it stops) from a list made under a lock that is free again when they are closed, and the server's own shutdown does the same. A request that has been read in between was passed on, and its connection closed without an answer. That is the one way found in which an entry does so without any other failure; of the request's own ways only a caller that left, or an answer that has begun, ends a connection without an answer.

Change: a request and a close take turns on a connection of its own type; a close that comes second is dropped, a request that comes second is not passed on.

Test: fails both ways with either half of the safeguard taken out.

--- /dev/null
+++ b/internal/assembler/caller_conn_test.go
@@ -0,0 +1,95 @@
+package assembler
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// callerServer serves a handler as an entry serves its callers. active is called with a
+// connection on which the server has just read a request, before the handler is.
+func callerServer(t *testing.T, handler http.Handler, late func(), active func(conn net.Conn)) net.Addr {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{
+		Handler: unlessClosed(handler, late), ConnContext: withConn, ReadHeaderTimeout: headerPatience.Duration(),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateActive {
+				active(conn)
+			}
+		},
+	}
+	go func() { _ = server.Serve(callerListener{listener}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr()
+}
+
+// ask sends a request on a connection and returns the answer's body.
+func ask(conn net.Conn) (string, error) {
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		return "", err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+func TestAConnectionIsNotClosedUnderARequest(t *testing.T) {
+	// A kept connection has been idle, so the entry closes it to make room, or because
+	// it stops. In the same moment its caller sends the next request. First the close
+	// wins: the request is not passed on, so its caller may send it again. Then the
+	// request wins: its answer is whole, and the connection stays.
+	tests := []struct {
+		name string
+		// before and within close the connection before the handler is called, and in it.
+		before, within bool
+		ran            int64
+		body           string
+	}{
+		{"nobody closes it", false, false, 1, "whole"},
+		{"closed before the request is passed on", true, false, 0, ""},
+		{"closed while the request runs", false, true, 1, "whole"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			var ran, late atomic.Int64
+			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				ran.Add(1)
+				if test.within {
+					_ = r.Context().Value(connKey{}).(net.Conn).Close()
+				}
+				_, _ = io.WriteString(w, "whole")
+			})
+			address := callerServer(t, handler, func() { late.Add(1) }, func(conn net.Conn) {
+				if test.before {
+					_ = conn.Close()
+				}
+			})
+			conn, err := net.Dial(address.Network(), address.String())
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			body, err := ask(conn)
+			So(err == nil, ShouldEqual, test.body != "")
+			So(body, ShouldEqual, test.body)
+			So(ran.Load(), ShouldEqual, test.ran)
+			So(late.Load(), ShouldEqual, 1-test.ran)
+			if test.within {
+				again, err := ask(conn)
+				So(err, ShouldBeNil)
+				So(again, ShouldEqual, "whole")
+			}
+		})
+	}
+}
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -350,10 +350,11 @@
 // addFront adds the server that callers reach.
 func (direct *Direct) addFront(group *run.Group) {
 	server := &http.Server{
-		Handler: direct.front, ReadHeaderTimeout: headerPatience.Duration(), IdleTimeout: idlePatience.Duration(),
-		MaxHeaderBytes: mostHeader, ConnState: direct.callers.watch,
+		Handler:           unlessClosed(direct.front, func() { direct.scope.Counter("requests-on-closed-connections").Inc(1) }),
+		ReadHeaderTimeout: headerPatience.Duration(), IdleTimeout: idlePatience.Duration(),
+		MaxHeaderBytes: mostHeader, ConnState: direct.callers.watch, ConnContext: withConn,
 	}
-	front := boundedListener{Listener: direct.listeners.front, callers: direct.callers}
+	front := callerListener{boundedListener{Listener: direct.listeners.front, callers: direct.callers}}
 	stopped := make(chan error, 1)
 	group.Add(func() error {
 		if err := server.Serve(front); !eris.Is(err, http.ErrServerClosed) {
