--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -59,7 +59,8 @@
 )
 
 // How entries read the store. Up to storeReaders of them each read as often as
-// one alone would; more share the calls, for what one reads all hear of at once.
+// one alone would; of more only a few read, together as often as one would, and tell
+// the others.
 const (
 	storeReaders = 4
 	// configurationPace keeps a store that answers at once without a change from
@@ -70,17 +71,20 @@
 var (
 	// replicaPace is the least time between two reads of the replicas' list, in
 	// which every heartbeat is a change. A leaving replica must be known well
-	// within the two seconds for which it still serves, also when what a peer told
-	// is lost.
+	// within the two seconds for which it still serves, also when what a reader told
+	// is lost. Readers of a large fleet take turns: a reader each 450 ms.
 	replicaPace = follower.Pacing{
-		Least: 450 * timekeeper.Millisecond, Most: 4 * timekeeper.Second, Alone: storeReaders,
+		Least: 450 * timekeeper.Millisecond, Most: 4 * timekeeper.Second, Alone: 1,
 	}
-	// storeWait is how long the store may hold a call for changes. A connection
-	// that has gone silent is noticed a second and a half after it, in which a
-	// change must still come into force; where many wait, the first to notice tells
+	// replicaWait is how long the store may hold a call for a change of that list. Where
+	// there are replicas, heartbeats end it within that time, so silence is a fault.
+	replicaWait = follower.Every(1500 * timekeeper.Millisecond)
+	// configurationWait is the same for the operator's table, which changes seldom. A
+	// connection that has gone silent is noticed a second and a half after it, in which
+	// a change must still come into force; where several wait, the first to notice tells
 	// the others.
-	storeWait = follower.Pacing{
-		Least: 1500 * timekeeper.Millisecond, Most: 8 * timekeeper.Second, Alone: storeReaders,
+	configurationWait = follower.Pacing{
+		Least: 1500 * timekeeper.Millisecond, Most: 5 * timekeeper.Second, Alone: 1,
 	}
 )
 
@@ -112,10 +116,10 @@
 	pool     *connector.Pool
 	front    *relayer.Entry
 	document atomic.Pointer[platform.Document]
-	// listed is the list of replicas as it was taken in last; nil before.
-	listed atomic.Pointer[gossiper.ReplicaList]
 	// accepted is when the document came into force, for metrics.
-	accepted  atomic.Int64
+	accepted atomic.Int64
+	// reader is whether the entry read the store for all when that was last looked at.
+	reader    atomic.Bool
 	readiness readiness
 	fellows   *fellows
 	callers   *callers
@@ -228,19 +232,25 @@
 // follow sets up what is read of the platform's store.
 func (direct *Direct) follow(store *platform.Store) {
 	configurations, key := platform.Configurations(store)
+	fellows := direct.fellows
 	direct.configurations = follower.New(follower.Settings[platform.Document]{
 		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: configurations, Seed: newIncarnation(),
-		Pace: follower.Every(configurationPace), Wait: storeWait, Readers: direct.fellows.sharers,
+		Pace: follower.Every(configurationPace), Wait: configurationWait,
+		Readers: fellows.takingTurns, Sharers: fellows.sharers, Reads: fellows.readsConfiguration,
 		Apply: func(rows map[string]platform.Document, _ follower.Version) {
 			if document := rows[key]; document.Config != nil {
 				direct.accept(document, "store")
 			}
 		},
+		// What others have they offer by its version; there is nothing else to miss.
+		Doubted: func() bool { return true },
 	})
 	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
 		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store), Seed: newIncarnation(),
-		Pace: replicaPace, Wait: storeWait, Readers: direct.fellows.sharers, Lapse: replicaLapse,
-		Apply: direct.list, OthersServed: direct.fellows.othersServed, Copy: direct.fellows.copyReplicas,
+		Pace: replicaPace, Wait: replicaWait, Lapse: replicaLapse,
+		Readers: fellows.takingTurns, Sharers: fellows.sharers, Reads: fellows.reads, Doubted: fellows.doubted,
+		Apply: direct.list, Sum: gossiper.SumOf, Tell: direct.tellListed,
+		OthersServed: fellows.othersServed, Copy: fellows.copyReplicas,
 	})
 }
 
@@ -277,16 +287,12 @@
 	for _, replica := range rows {
 		list = append(list, replica)
 	}
-	direct.listed.Store(&gossiper.ReplicaList{Version: uint64(version), Replicas: list})
 	var changes []balancer.Change
 	direct.fleet.With(func(fleet *balancer.Fleet) { changes = fleet.SetReplicas(list, uint64(version)) })
 	for _, change := range changes {
 		if change.Gone || change.Restarted {
 			direct.pool.Retire(change.Replica.ID)
 		}
-		if change.Gone || change.Replica.Leaving {
-			direct.fellows.gossiper.Leaving(gossiper.Leave{Replica: change.Replica.ID, Version: uint64(version)})
-		}
 		direct.log.WithFields(logrus.Fields{
 			"replica": change.Replica.ID, "service": change.Replica.Service, "address": change.Replica.Address,
 			"leaving": change.Replica.Leaving, "gone": change.Gone, "restarted": change.Restarted,
@@ -294,6 +300,22 @@
 	}
 }
 
+// mostTold bounds the changes of a reading that peers are told one by one, some 60
+// bytes each. Of more than that they fetch the list.
+const mostTold = 32
+
+// tellListed tells peers what this entry's reading has changed in the list of replicas.
+func (direct *Direct) tellListed(news gossiper.ReplicaNews) {
+	for _, change := range news.Changes {
+		if change.Removed || change.Value.Leaving {
+			direct.fellows.gossiper.Leaving(gossiper.Leave{Replica: change.Key, Version: uint64(news.Version)})
+		}
+	}
+	if len(news.Changes) <= mostTold {
+		direct.fellows.gossiper.Listed(news)
+	}
+}
+
 // serving reports whether callers can be served.
 func (direct *Direct) serving() bool {
 	return direct.config() != nil && direct.replicas.Synced()
@@ -383,13 +405,21 @@
 	ends := direct.clock.Now().Add(direct.settings.StopGrace - endMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), (direct.settings.StopGrace - endMargin).Duration())
 	defer cancel()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		direct.fellows.leave(ctx)
+	}()
 	_ = direct.clock.Sleep(ctx, direct.settings.StopDelay)
 	direct.front.Stop(ends)
 	for direct.front.Active() > 0 && direct.clock.Sleep(ctx, stopPoll) == nil {
 		continue
 	}
 	err := server.Shutdown(ctx)
-	direct.fellows.leave()
+	select {
+	case <-left:
+	case <-ctx.Done():
+	}
 	direct.log.WithField("cut", direct.front.Active()).WithField("whole", err == nil).Info("entry stopped")
 	return nil
 }
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -25,17 +26,11 @@
 	pathConfiguration = "/v1/configuration"
 	// pathReplicas is where it gives them its list of replicas.
 	pathReplicas = "/v1/replicas"
-	// fetchDelay leaves the store the time to bring a new version by itself.
-	fetchDelay = 150 * timekeeper.Millisecond
-	// fetchPatience bounds the fetch of a configuration from a peer.
-	fetchPatience = 800 * timekeeper.Millisecond
 	// fetchLimit bounds a configuration from a peer, in bytes.
 	fetchLimit = 16 << 20
 	// firstRegister and lastRegister bound the time between two tries to register.
 	firstRegister = 150 * timekeeper.Millisecond
 	lastRegister  = 3 * timekeeper.Second
-	// leavePatience bounds what a stopping entry waits for the store.
-	leavePatience = 300 * timekeeper.Millisecond
 )
 
 // fellows are the other entries: what is heard of them, and what is fetched.
@@ -45,8 +40,16 @@
 	gossiper *gossiper.Gossiper
 	client   *http.Client
 
+	turns    turns
+	transfer transfers
+
 	mu       sync.Mutex
 	fetching bool
+	// offered is the peer to fetch a newer configuration from, wanted the newest version
+	// that was offered, and wantedSince since when one that this entry lacks is known.
+	offered     offer
+	wanted      uint64
+	wantedSince timekeeper.Instant
 	// served are instants at which the store answered peers, in order.
 	served []timekeeper.Instant
 }
@@ -57,9 +60,10 @@
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	fellows := &fellows{direct: direct, store: store, client: &http.Client{Transport: transport}}
 	fellows.gossiper = gossiper.New(gossiper.Settings{
-		Incarnation: newIncarnation(), Clock: direct.clock, Log: direct.log,
+		Incarnation: newIncarnation(), DataCentre: direct.settings.DataCentre, Clock: direct.clock, Log: direct.log,
 		Scope: direct.scope, Conn: conn, Held: direct.held, Version: direct.version, Hear: fellows.hear,
-		StoreAnswered: direct.storeAnswered,
+		StoreAnswered: direct.storeAnswered, StoreFailing: direct.storeFailing,
+		Listing: func() (follower.Listing, bool) { return direct.replicas.Listing() },
 	})
 	return fellows, transport.CloseIdleConnections
 }
@@ -67,15 +71,6 @@
 // readers returns how many entries read the store and tell each other.
 func (fellows *fellows) readers() int { return 1 + len(fellows.gossiper.Up()) }
 
-// near is within what time a peer must have been heard of to share the reading of the
-// store: digests come a second apart at the slowest. A replica that leaves may get
-// work for two seconds more, so an entry that is cut off from its peers has to read for
-// itself before that.
-const near = 1200 * timekeeper.Millisecond
-
-// sharers returns how many entries share the reading of the store right now.
-func (fellows *fellows) sharers() int { return 1 + fellows.gossiper.Near(near) }
-
 // held returns what this entry has under way.
 func (direct *Direct) held() (held map[balancer.Key]balancer.Held) {
 	direct.fleet.With(func(fleet *balancer.Fleet) { held = fleet.Held() })
@@ -87,6 +82,11 @@
 	return max(direct.replicas.Answered(), direct.configurations.Answered())
 }
 
+// storeFailing reports whether the store did not answer the last call.
+func (direct *Direct) storeFailing() bool {
+	return direct.replicas.Failing() || direct.configurations.Failing()
+}
+
 // version returns the version in force; zero means that none is known.
 func (direct *Direct) version() uint64 {
 	if document := direct.document.Load(); document != nil {
@@ -130,10 +130,9 @@
 	return nil
 }
 
-// leave takes the entry's address out of the store.
-func (fellows *fellows) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), leavePatience.Duration())
-	defer cancel()
+// leave takes the entry's address out of the store, while the last calls end: what it
+// waits for the store must not keep a stopping entry beyond its time.
+func (fellows *fellows) leave(ctx context.Context) {
 	if err := platform.Unregister(ctx, fellows.store, fellows.direct.settings.Name); err != nil {
 		fellows.direct.log.WithField("cause", err.Error()).Warn("entry's address stays in the store")
 	}
@@ -166,8 +165,15 @@
 		fellows.direct.front.Strike(strike.Request, strike.Replica)
 	}
 	fellows.noteServed(heard.StoreAnswered)
+	for _, news := range heard.Listed {
+		fellows.direct.replicas.Told(news)
+	}
+	if heard.Listing != nil {
+		fellows.turns.noteReader(heard.Address)
+		fellows.direct.replicas.Compare(*heard.Listing)
+	}
 	if heard.Configuration > fellows.direct.version() {
-		fellows.fetchSoon(heard.Address)
+		fellows.offer(offer{address: heard.Address, version: heard.Configuration, sameCentre: heard.SameCentre})
 	}
 }
 
@@ -212,45 +218,6 @@
 	return 0
 }
 
-// fetchSoon fetches a newer configuration from a peer, if the store does not
-// bring it first.
-//
-// The failure: the store turns this entry away, or an answer of it is lost,
-// while it serves others. The symptom: callers get by this entry what the
-// operator has taken away. Any peer that has the new version is enough.
-func (fellows *fellows) fetchSoon(address string) {
-	fellows.mu.Lock()
-	defer fellows.mu.Unlock()
-	if fellows.fetching {
-		return
-	}
-	fellows.fetching = true
-	go func() {
-		defer func() {
-			fellows.mu.Lock()
-			defer fellows.mu.Unlock()
-			fellows.fetching = false
-		}()
-		fellows.fetch(address)
-	}()
-}
-
-func (fellows *fellows) fetch(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), (fetchDelay + fetchPatience).Duration())
-	defer cancel()
-	before := fellows.direct.version()
-	_ = fellows.direct.clock.Sleep(ctx, fetchDelay)
-	if fellows.direct.version() != before {
-		return
-	}
-	document, err := fellows.get(ctx, address)
-	if err != nil {
-		fellows.direct.log.WithFields(logrus.Fields{"peer": address, "cause": err.Error()}).Warn("configuration not fetched")
-		return
-	}
-	fellows.direct.accept(document, "peer "+address)
-}
-
 func (fellows *fellows) get(ctx context.Context, address string) (platform.Document, error) {
 	raw, err := fellows.read(ctx, address, pathConfiguration)
 	if err != nil {
@@ -285,6 +252,9 @@
 	defer cancel()
 	peers := fellows.gossiper.Up()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if reader := fellows.turns.reader(); slices.Contains(peers, reader) {
+		peers = slices.Insert(peers, 0, reader)
+	}
 	for _, peer := range peers {
 		raw, err := fellows.read(ctx, peer, pathReplicas)
 		if err != nil {
@@ -304,8 +274,16 @@
 	return nil, 0, errNoCopy
 }
 
-// encoded returns a list for a peer, or nil if it can't be written.
-func (fellows *fellows) encoded(list *gossiper.ReplicaList) []byte {
+// encoded returns the list of replicas for a peer, or nil if there is none.
+func (fellows *fellows) encoded() []byte {
+	rows, version, known := fellows.direct.replicas.Rows()
+	if !known {
+		return nil
+	}
+	list := gossiper.ReplicaList{Version: uint64(version)}
+	for _, row := range rows {
+		list.Replicas = append(list.Replicas, row.Value)
+	}
 	text, err := list.Encode()
 	if err != nil {
 		fellows.direct.log.WithField("cause", err.Error()).Error("list of replicas can't be written")
@@ -316,6 +294,11 @@
 
 // ServeHTTP gives a peer the configuration in force, or the list of replicas.
 func (fellows *fellows) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !fellows.transfer.begin() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer fellows.transfer.end()
 	var text []byte
 	switch r.URL.Path {
 	case pathConfiguration:
@@ -323,9 +306,7 @@
 			text = document.Raw
 		}
 	case pathReplicas:
-		if list := fellows.direct.listed.Load(); list != nil {
-			text = fellows.encoded(list)
-		}
+		text = fellows.encoded()
 	}
 	if text == nil {
 		w.WriteHeader(http.StatusNotFound)
--- a/internal/assembler/direct_survey.go
+++ b/internal/assembler/direct_survey.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
@@ -27,10 +28,27 @@
 	if answered := direct.storeAnswered(); answered != 0 {
 		direct.scope.Gauge("store-silent-ms").Update(float64(now.Since(answered)))
 	}
+	if fresh := direct.replicas.Fresh(); fresh != 0 {
+		direct.scope.Gauge("replicas-confirmed-ago-ms").Update(float64(now.Since(fresh)))
+	}
+	direct.surveyReaders()
 	direct.scope.Gauge("log-lines-dropped").Update(float64(direct.dropped()))
 	direct.scope.Gauge("requests-active").Update(float64(direct.front.Active()))
 }
 
+// surveyReaders writes who reads the store, as this entry sees it, and logs when its own
+// part changes.
+func (direct *Direct) surveyReaders() {
+	reads, readers := direct.fellows.reads(), direct.fellows.takingTurns()
+	direct.scope.Gauge("store-reads").Update(map[bool]float64{true: 1}[reads])
+	direct.scope.Gauge("store-readers").Update(float64(readers))
+	if was := direct.reader.Swap(reads); was != reads {
+		direct.log.WithFields(logrus.Fields{
+			"reads": reads, "readers": readers, "entries-near": direct.fellows.sharers(),
+		}).Info("part in reading the store changes")
+	}
+}
+
 // writeService writes the gauges of one service. A service whose replicas are all
 // gone keeps its last values; its configuration names it no more.
 func writeService(scope tally.Scope, service balancer.ServiceSurvey) {
--- /dev/null
+++ b/internal/elector/elector_test.go
@@ -0,0 +1,161 @@
+package elector_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilseam/trefoilseam/internal/elector"
+)
+
+// fleet returns members spread over data centres in turn.
+func fleet(members, centres int) []elector.Member {
+	out := make([]elector.Member, members)
+	for number := range out {
+		out[number] = elector.Member{
+			Address: fmt.Sprintf("10.%d.0.%d:7340", number%centres, number), DataCentre: uint32(number % centres),
+		}
+	}
+	return out
+}
+
+func addresses(members []elector.Member) []string {
+	var out []string
+	for _, member := range members {
+		out = append(out, member.Address)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func TestHowManyRead(t *testing.T) {
+	const alone = 4
+	tests := []struct {
+		name                   string
+		members, centres, want int
+	}{
+		{"a few read all", 4, 3, 4},
+		{"one data centre", 24, 1, 4},
+		{"three data centres, two in each", 24, 3, 6},
+		{"four, one in each", 31, 4, 4},
+		{"six, one in each", 103, 6, 6},
+		{"the design size", 380, 8, 8},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			readers := elector.Readers(fleet(test.members, test.centres), alone)
+			So(readers, ShouldHaveLength, test.want)
+		})
+	}
+}
+
+func TestWhoReadsWhenReadersGo(t *testing.T) {
+	// Readers are lost, turned away or stop. The next in their data centres take their
+	// places, and the other readers stay: nobody changes its duty without need.
+	members := fleet(103, 6)
+	readers := elector.Readers(members, 4)
+	first := readers[0]
+	tests := []struct {
+		name   string
+		change func(member elector.Member) (elector.Member, bool)
+		want   int
+	}{
+		{"one is gone", func(member elector.Member) (elector.Member, bool) {
+			return member, member.Address != first.Address
+		}, 6},
+		{"one is turned away", func(member elector.Member) (elector.Member, bool) {
+			member.Failing = member.Address == first.Address
+			return member, true
+		}, 6},
+		{"one stops", func(member elector.Member) (elector.Member, bool) {
+			member.Stopping = member.Address == first.Address
+			return member, true
+		}, 6},
+		{"all are lost at once", func(member elector.Member) (elector.Member, bool) {
+			return member, !elector.Has(readers, member.Address)
+		}, 6},
+		{"its data centre is lost", func(member elector.Member) (elector.Member, bool) {
+			return member, member.DataCentre != first.DataCentre
+		}, 5},
+		{"all are turned away", func(member elector.Member) (elector.Member, bool) {
+			member.Failing = true
+			return member, true
+		}, 0},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			var left []elector.Member
+			for _, member := range members {
+				if changed, stays := test.change(member); stays {
+					left = append(left, changed)
+				}
+			}
+			now := elector.Readers(left, 4)
+			So(now, ShouldHaveLength, test.want)
+			if test.want != 6 {
+				return
+			}
+			centres := map[uint32]bool{}
+			for _, reader := range now {
+				centres[reader.DataCentre] = true
+			}
+			So(centres, ShouldHaveLength, 6)
+			So(elector.Has(now, first.Address), ShouldBeFalse)
+			if test.name == "all are lost at once" {
+				return
+			}
+			for _, reader := range readers[1:] {
+				So(elector.Has(now, reader.Address), ShouldBeTrue)
+			}
+		})
+	}
+}
+
+func TestSomebodyReads(t *testing.T) {
+	// Whatever the fleet looks like, as long as one member can read, at least one does;
+	// the order in which members are heard of plays no part.
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(rapid.IntRange(1, 60).Draw(t, "members"), rapid.IntRange(1, 9).Draw(t, "centres"))
+		able := 0
+		for i := range members {
+			members[i].Failing = rapid.Bool().Draw(t, "failing")
+			members[i].Stopping = rapid.Bool().Draw(t, "stopping")
+			if !members[i].Failing && !members[i].Stopping {
+				able++
+			}
+		}
+		alone := rapid.IntRange(1, 6).Draw(t, "alone")
+		readers := addresses(elector.Readers(members, alone))
+		if able > 0 && len(readers) < min(able, 1) {
+			t.Fatalf("%d could read, %d do", able, len(readers))
+		}
+		slices.Reverse(members)
+		if !slices.Equal(readers, addresses(elector.Readers(members, alone))) {
+			t.Fatal("the order of the members decides")
+		}
+	})
+}
+
+func ExampleReaders() {
+	members := []elector.Member{
+		{Address: "10.0.0.1:7340", DataCentre: 1}, {Address: "10.0.0.2:7340", DataCentre: 1, Failing: true},
+		{Address: "10.0.0.3:7340", DataCentre: 1}, {Address: "10.1.0.1:7340", DataCentre: 2},
+	}
+	readers := elector.Readers(members, 1)
+	fmt.Println(len(readers), elector.Has(readers, "10.1.0.1:7340"), elector.Has(readers, "10.0.0.2:7340"))
+	// Output: 2 true false
+}
+
+func BenchmarkReaders(b *testing.B) {
+	for _, size := range []int{24, 103, 380} {
+		members := fleet(size, 6)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				elector.Readers(members, 4)
+			}
+		})
+	}
+}
--- a/internal/follower/borrow.go
+++ b/internal/follower/borrow.go
@@ -20,22 +20,37 @@
 // answer of that version; that the store has not answered stays known.
 func (follower *Follower[T]) borrow(ctx context.Context) {
 	now := follower.settings.Clock.Now()
-	if follower.settings.Copy == nil || follower.known && now.Since(follower.borrowed) < borrowEvery {
+	known, _ := follower.position()
+	if follower.settings.Copy == nil || known && now.Since(follower.borrowed) < borrowEvery {
 		return
 	}
 	follower.borrowed = now
+	follower.fetch(ctx)
+}
+
+// fetch takes in another process's copy and reports whether it was newer.
+func (follower *Follower[T]) fetch(ctx context.Context) bool {
 	rows, version, err := follower.settings.Copy(ctx)
+	now := follower.settings.Clock.Now()
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
 	if err != nil || version <= follower.version {
-		return
+		return false
 	}
-	changed := follower.take(follower.compare(rows), now)
 	first := !follower.known
+	changed := follower.take(follower.changesOf(answer[T]{rows: rows, whole: true}), now)
 	follower.version, follower.known = version, true
-	follower.log("rows taken from another process's copy")
+	follower.log("rows taken from another process's copy", version)
 	if changed || first {
-		follower.settings.Apply(maps.Clone(follower.rows), follower.version)
+		follower.apply()
 	}
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	follower.synced = true
+	return true
+}
+
+// apply hands on the copy; the lock must be held.
+func (follower *Follower[T]) apply() {
+	follower.settings.Apply(maps.Clone(follower.rows), follower.version)
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -57,6 +57,24 @@
 	// Readers returns how many processes read the table and tell each other of
 	// changes, this one among them. Nil means that it is the only one.
 	Readers func() int
+	// Sharers returns how many processes there are, those among them that leave the
+	// reading to others. While the store fails they share the calls that find out when
+	// it is back. Nil means that this is the only one.
+	Sharers func() int
+	// Reads reports whether this process reads the table right now; otherwise others
+	// tell it of changes. Nil means that it always does. One that has no copy yet reads
+	// in any case.
+	Reads func() bool
+	// Sum returns a checksum of a row, by which copies are compared. It must be set for
+	// anything that others tell to count.
+	Sum func(key string, value T) uint64
+	// Tell is called with what a read of this process has changed. It must not call
+	// the follower. Nil means that there is nobody to tell.
+	Tell func(news News[T])
+	// Doubted reports whether another process finds the store failing: then it is no use
+	// to read only because nobody tells anything, and rows that are missing afterwards
+	// may have lapsed. Nil means that nothing is known of others.
+	Doubted func() bool
 	// Lapse is how long a row that is missing after an outage stays; zero means
 	// not at all.
 	Lapse timekeeper.Span
@@ -78,25 +96,40 @@
 	firstPause   = 60 * timekeeper.Millisecond
 	longestPause = 600 * timekeeper.Millisecond
 	// outage is how long the store must have failed for rows that are missing
-	// afterwards to count as lapsed: shorter gaps make no row lapse.
-	outage = timekeeper.Second
+	// afterwards to count as lapsed: shorter gaps make no row lapse. sharedOutage is the
+	// same where others found it failing: what they last confirmed may be a second old.
+	outage       = timekeeper.Second
+	sharedOutage = 2 * timekeeper.Second
 )
 
 // Follower keeps a copy of a table.
+//
+// One goroutine reads; others may call Told, Compare, Listing and Rows. The copy is
+// under the lock copying, with which Apply, Tell, Sum and OthersServed are called; the
+// other functions of the settings are called without it, and may look at the follower.
+// The lock mu comes after it.
 type Follower[T any] struct {
 	settings Settings[T]
 	draws    *rand.Rand
 
+	// pause is how long to wait before the next call of a store that fails.
+	pause timekeeper.Span
+	// borrowed is when another process was asked last.
+	borrowed timekeeper.Instant
+
+	copying sync.Mutex
 	rows    map[string]T
 	lapsing map[string]timekeeper.Instant
 	version Version
 	known   bool
-	pause   timekeeper.Span
 	failing timekeeper.Instant
-	// borrowed is when another process was asked last.
-	borrowed timekeeper.Instant
 	// lenient is until when missing rows stay, settles until when the table may fill.
 	lenient, settles timekeeper.Instant
+	// sum is the checksum of all rows.
+	sum uint64
+	// fresh is when the copy was last known to be the table's, by an own reading or by
+	// another's; behind is since when others have a newer one; zero means that none has.
+	fresh, behind timekeeper.Instant
 
 	mu       sync.Mutex
 	answered timekeeper.Instant
@@ -111,6 +144,21 @@
 	if settings.Readers == nil {
 		settings.Readers = func() int { return 1 }
 	}
+	if settings.Sharers == nil {
+		settings.Sharers = func() int { return 1 }
+	}
+	if settings.Reads == nil {
+		settings.Reads = func() bool { return true }
+	}
+	if settings.Sum == nil {
+		settings.Sum = func(string, T) uint64 { return 0 }
+	}
+	if settings.Tell == nil {
+		settings.Tell = func(News[T]) {}
+	}
+	if settings.Doubted == nil {
+		settings.Doubted = func() bool { return false }
+	}
 	return &Follower[T]{
 		settings: settings,
 		draws:    rand.New(rand.NewPCG(settings.Seed, 23)),
@@ -136,28 +184,28 @@
 // Run follows the table until ctx ends.
 func (follower *Follower[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := follower.Step(ctx)
-		if follower.failing == 0 {
-			follower.rest(ctx)
+		duty := follower.duty()
+		if duty == idle {
+			_ = follower.settings.Clock.Sleep(ctx, lookEvery)
 			continue
 		}
-		if follower.settings.Clock.Sleep(ctx, pause) != nil {
-			return
+		if duty == catchUp && follower.catchUp(ctx) {
+			continue
 		}
+		follower.Step(ctx)
+		follower.rest(ctx)
 	}
 }
 
 // Step reads once and returns how long to wait before the next step.
 func (follower *Follower[T]) Step(ctx context.Context) timekeeper.Span {
 	bounded, release := follower.untilDue(ctx)
-	changes, version, err := follower.read(bounded)
+	answer, err := follower.read(bounded)
 	release()
 	now := follower.settings.Clock.Now()
 	if context.Cause(bounded) == errDue {
 		// Rows are due to go; the read goes on in the next step.
-		if follower.expire(now) {
-			follower.settings.Apply(maps.Clone(follower.rows), follower.version)
-		}
+		follower.dropLapsed(now)
 		return 0
 	}
 	if ctx.Err() != nil {
@@ -169,21 +217,52 @@
 		follower.borrow(ctx)
 		return pause
 	}
-	follower.recovered(now)
-	changed := follower.take(changes, now)
-	follower.version = version
-	changed = follower.expire(now) || changed
-	if changed || !follower.known {
-		if !follower.known {
-			follower.settles = now.Add(settling)
-		}
-		follower.known = true
-		follower.settings.Apply(maps.Clone(follower.rows), follower.version)
+	follower.takeIn(answer, follower.settings.Doubted(), now)
+	return follower.pace()
+}
+
+// takeIn takes in what the store answered. doubted says that others found it failing.
+func (follower *Follower[T]) takeIn(answer answer[T], doubted bool, now timekeeper.Instant) {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	follower.recovered(doubted, now)
+	// What others told meanwhile may be newer than the answer.
+	if answer.version >= follower.version {
+		follower.takeNewer(answer, now)
 	}
+	follower.fresh, follower.behind = now, 0
 	follower.mu.Lock()
 	follower.answered, follower.synced = now, true
 	follower.mu.Unlock()
-	return follower.pace()
+}
+
+// takeNewer takes in an answer that is as new as the copy; the lock must be held.
+func (follower *Follower[T]) takeNewer(answer answer[T], now timekeeper.Instant) {
+	first := !follower.known
+	before := maps.Clone(follower.rows)
+	changed := follower.take(follower.changesOf(answer), now)
+	follower.version = answer.version
+	changed = follower.expire(now) || changed
+	if first {
+		follower.known, follower.settles = true, now.Add(settling)
+	}
+	if changed || first {
+		follower.apply()
+	}
+	if !first {
+		follower.tell(before)
+	}
+}
+
+// dropLapsed removes rows that are due to go, outside of a read.
+func (follower *Follower[T]) dropLapsed(now timekeeper.Instant) {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	before := maps.Clone(follower.rows)
+	if follower.expire(now) {
+		follower.apply()
+		follower.tell(before)
+	}
 }
 
 // errDue ends a read when lapsed rows are due to go.
@@ -192,12 +271,14 @@
 // untilDue bounds a read by when the next lapsed row is due to go: reads wait for
 // changes, and there may be none for long.
 func (follower *Follower[T]) untilDue(ctx context.Context) (context.Context, func()) {
-	if len(follower.lapsing) == 0 {
+	follower.copying.Lock()
+	lapsing := slices.Collect(maps.Values(follower.lapsing))
+	follower.copying.Unlock()
+	if len(lapsing) == 0 {
 		return ctx, func() {}
 	}
-	due := slices.Min(slices.Collect(maps.Values(follower.lapsing)))
 	ctx, cancel := context.WithCancelCause(ctx)
-	fired, release := follower.settings.Clock.After(due.Since(follower.settings.Clock.Now()))
+	fired, release := follower.settings.Clock.After(slices.Min(lapsing).Since(follower.settings.Clock.Now()))
 	go func() {
 		select {
 		case <-fired:
@@ -211,42 +292,63 @@
 	}
 }
 
-// read returns changes; a snapshot comes as changes too.
-func (follower *Follower[T]) read(ctx context.Context) ([]Change[T], Version, error) {
-	if follower.known {
+// answer is what a read of the store brought.
+type answer[T any] struct {
+	rows    []Change[T]
+	version Version
+	// whole reports that rows are all rows of the table, not what has changed.
+	whole bool
+}
+
+// read reads what has changed, or everything.
+func (follower *Follower[T]) read(ctx context.Context) (answer[T], error) {
+	known, version := follower.position()
+	if known {
 		pacing := follower.settings.Wait
 		wait := pacing.spread(pacing.For(follower.settings.Readers()), follower.draws.Float64())
-		changes, version, err := follower.settings.Source.Changes(ctx, follower.version, wait)
-		if err == nil && version < follower.version {
-			return nil, 0, errStale
+		changes, newest, err := follower.settings.Source.Changes(ctx, version, wait)
+		if err == nil && newest < version {
+			return answer[T]{}, errStale
 		}
 		if !eris.Is(err, ErrHistoryLost) {
-			return changes, version, err
+			return answer[T]{rows: changes, version: newest}, err
 		}
-		follower.log("changes lost, reading everything")
+		follower.log("changes lost, reading everything", version)
 	}
-	rows, version, err := follower.settings.Source.Snapshot(ctx)
-	if err == nil && version < follower.version {
-		return nil, 0, errStale
+	rows, newest, err := follower.settings.Source.Snapshot(ctx)
+	if err == nil && newest < version {
+		return answer[T]{}, errStale
 	}
-	return follower.compare(rows), version, err
+	return answer[T]{rows: rows, version: newest, whole: true}, err
+}
+
+// position returns whether there is a copy, and of which version it is.
+func (follower *Follower[T]) position() (known bool, version Version) {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	return follower.known, follower.version
 }
 
 // errStale is a read that is behind what is known already.
 var errStale = eris.New("the store's answer is older than what is known")
 
-// compare adds a removal for each known row that a snapshot lacks.
-func (follower *Follower[T]) compare(rows []Change[T]) []Change[T] {
-	there := make(map[string]bool, len(rows))
-	for _, row := range rows {
+// changesOf returns the changes of an answer: one that is whole also removes each row
+// that it lacks.
+func (follower *Follower[T]) changesOf(answer answer[T]) []Change[T] {
+	if !answer.whole {
+		return answer.rows
+	}
+	changes := answer.rows
+	there := make(map[string]bool, len(changes))
+	for _, row := range changes {
 		there[row.Key] = true
 	}
 	for key := range follower.rows {
 		if !there[key] {
-			rows = append(rows, Change[T]{Key: key, Removed: true})
+			changes = append(changes, Change[T]{Key: key, Removed: true})
 		}
 	}
-	return rows
+	return changes
 }
 
 // take applies changes and reports whether there were any.
@@ -255,7 +357,7 @@
 	for _, change := range changes {
 		if !change.Removed {
 			delete(follower.lapsing, change.Key)
-			follower.rows[change.Key] = change.Value
+			follower.put(change.Key, change.Value)
 			changed = true
 			continue
 		}
@@ -264,15 +366,29 @@
 		}
 		if now < follower.lenient {
 			follower.lapsing[change.Key] = follower.lenient
-			follower.log("row lapsed in an outage, kept for a while: " + change.Key)
+			follower.log("row lapsed in an outage, kept for a while: "+change.Key, follower.version)
 			continue
 		}
-		delete(follower.rows, change.Key)
+		follower.drop(change.Key)
 		changed = true
 	}
 	return changed
 }
 
+// put and drop change one row of the copy and its checksum.
+func (follower *Follower[T]) put(key string, value T) {
+	follower.drop(key)
+	follower.rows[key] = value
+	follower.sum ^= follower.settings.Sum(key, value)
+}
+
+func (follower *Follower[T]) drop(key string) {
+	if value, found := follower.rows[key]; found {
+		follower.sum ^= follower.settings.Sum(key, value)
+		delete(follower.rows, key)
+	}
+}
+
 // expire removes lapsed rows that did not come back.
 func (follower *Follower[T]) expire(now timekeeper.Instant) bool {
 	changed := false
@@ -281,14 +397,16 @@
 			continue
 		}
 		delete(follower.lapsing, key)
-		delete(follower.rows, key)
-		follower.log("lapsed row is gone: " + key)
+		follower.drop(key)
+		follower.log("lapsed row is gone: "+key, follower.version)
 		changed = true
 	}
 	return changed
 }
 
 func (follower *Follower[T]) failed(err error, now timekeeper.Instant) timekeeper.Span {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
 	if follower.failing == 0 {
 		follower.failing = now
 		follower.settings.Log.WithFields(logrus.Fields{
@@ -299,28 +417,54 @@
 	return timekeeper.Span(float64(follower.pause) * (0.5 + follower.draws.Float64()/2))
 }
 
-func (follower *Follower[T]) recovered(now timekeeper.Instant) {
+// recovered notes that the store answered, and what to think of rows that are missing
+// since; the lock must be held.
+func (follower *Follower[T]) recovered(doubted bool, now timekeeper.Instant) {
 	follower.pause = 0
+	from, away := follower.outageBegan(doubted, now)
+	if away {
+		back := now
+		if served := follower.settings.OthersServed(from); served != 0 {
+			back = min(back, served)
+		}
+		follower.lenient, follower.settles = back.Add(follower.settings.Lapse), now.Add(settling)
+	}
 	if follower.failing == 0 {
 		return
 	}
-	away := now.Since(follower.failing)
-	back := now
-	if served := follower.settings.OthersServed(follower.failing); served != 0 {
-		back = min(back, served)
-	}
-	follower.failing = 0
-	if away >= outage {
-		follower.lenient, follower.settles = back.Add(follower.settings.Lapse), now.Add(settling)
-	}
 	follower.settings.Log.WithFields(logrus.Fields{
-		"table": follower.settings.Name, "away-ms": int64(away),
-		"back-for-others-ms": int64(now.Since(back)),
+		"table": follower.settings.Name, "away-ms": int64(now.Since(follower.failing)), "outage": away,
 	}).Info("store regained")
+	follower.failing = 0
+}
+
+// outageBegan returns since when the store may have been away for all, and whether that
+// is long enough for rows to have lapsed; the lock must be held.
+//
+// The failure: a few processes read for all, and the store is away for seconds. The
+// first one that it serves again may never have failed itself, having left the reading
+// to others. The symptom: it takes the rows that lapsed for replicas that are gone, and
+// tells everyone; for two seconds there is hardly a replica to send work to.
+func (follower *Follower[T]) outageBegan(doubted bool, now timekeeper.Instant) (timekeeper.Instant, bool) {
+	if doubted && follower.known {
+		return follower.fresh, now.Since(follower.fresh) >= sharedOutage
+	}
+	if follower.failing == 0 {
+		return now, false
+	}
+	began := max(follower.failing, follower.fresh)
+	return began, now.Since(began) >= outage
+}
+
+// Failing reports whether the store did not answer the last call.
+func (follower *Follower[T]) Failing() bool {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	return follower.failing != 0
 }
 
-func (follower *Follower[T]) log(text string) {
+func (follower *Follower[T]) log(text string, version Version) {
 	follower.settings.Log.WithFields(logrus.Fields{
-		"table": follower.settings.Name, "version": uint64(follower.version),
+		"table": follower.settings.Name, "version": uint64(version),
 	}).Info(text)
 }
--- a/internal/follower/rest.go
+++ b/internal/follower/rest.go
@@ -18,20 +18,54 @@
 	clock := follower.settings.Clock
 	began, factor := clock.Now(), follower.draws.Float64()
 	for {
-		left := follower.settings.Pace.spread(follower.pace(), factor) - clock.Now().Since(began)
+		left := follower.due(factor) - clock.Now().Since(began)
 		if left <= 0 || clock.Sleep(ctx, min(left, lookEvery)) != nil {
 			return
 		}
 	}
 }
 
-// pace returns the time from one read to the next. While rows may be due to go it is
+// due returns how long after a read the next one is due, by a factor that is drawn
+// from [0, 1).
+func (follower *Follower[T]) due(factor float64) timekeeper.Span {
+	if !follower.Failing() {
+		return follower.settings.Pace.spread(follower.pace(), factor)
+	}
+	probing := probing(follower.pause)
+	return probing.spread(probing.For(follower.settings.Sharers()), factor)
+}
+
+// probing returns the pacing of calls to a store that fails, by the pause of a process
+// that is alone.
+//
+// The load: a hundred processes, and a store that is away for seconds. The harm: each
+// asks twice a second whether it is back, and each call is paid; on a day with two
+// outages that was more than all other calls. One that finds the store back tells the
+// others, so together they ask as often as a few would.
+func probing(pause timekeeper.Span) Pacing {
+	return Pacing{Least: pause, Most: longestProbe, Alone: probers}
+}
+
+const (
+	// probers is how many processes ask a store that fails as often as one would.
+	probers = 4
+	// longestProbe is the longest time between two calls of one process then: a hundred
+	// of them still notice the store's return within a few hundred milliseconds.
+	longestProbe = 15 * timekeeper.Second
+)
+
+// pace returns the time from one read to the next. What others have read newer is read
+// at once. While rows may be due to go it is
 // the shortest, since who still has them must hear from the store; while the table
 // may still fill it is short.
 func (follower *Follower[T]) pace() timekeeper.Span {
 	pacing, now := follower.settings.Pace, follower.settings.Clock.Now()
 	shared := pacing.For(follower.settings.Readers())
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
 	switch {
+	case follower.isBehind(now):
+		return 0
 	case len(follower.lapsing) > 0 || now < follower.lenient:
 		return pacing.Least
 	case now < follower.settles:
--- /dev/null
+++ b/internal/follower/told.go
@@ -0,0 +1,179 @@
+package follower
+
+import (
+	"context"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// News is what a read has changed in a reader's copy, for others.
+type News[T any] struct {
+	// Version is that of the table at which the rows were so.
+	Version Version
+	Changes []Change[T]
+}
+
+// Listing says how a copy of a table was.
+type Listing struct {
+	Version Version
+	// Sum is the checksum of all rows.
+	Sum uint64
+	// At is when the store answered.
+	At timekeeper.Instant
+}
+
+const (
+	// listingLife is for how long a process tells others of its last reading.
+	listingLife = 10 * timekeeper.Second
+	// staleAfter is how long a process goes without hearing that its copy is the table's
+	// before it reads for itself. Readers read within 450 ms of each other and tell once
+	// a second, so it takes several in a row that are lost.
+	staleAfter = 3 * timekeeper.Second
+	// behindFor is how long another's copy must have been newer before it is fetched:
+	// the change itself mostly comes in the same digest, or in the next.
+	behindFor = 400 * timekeeper.Millisecond
+)
+
+// duty is what a process has to do for its copy.
+type duty uint8
+
+const (
+	idle duty = iota
+	readTable
+	catchUp
+)
+
+// duty decides whether the process reads the table, fetches another's copy, or leaves
+// the work to those who read for all.
+//
+// The load: a hundred processes that need the same table. The harm: as many calls for
+// each change. Only a few read, and this one does where it is one of them, where it has
+// no copy, where it has lost the store itself, or where it has not heard for seconds
+// that its copy holds.
+func (follower *Follower[T]) duty() duty {
+	reads := follower.settings.Reads()
+	doubted := follower.settings.Doubted()
+	now := follower.settings.Clock.Now()
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	switch {
+	case reads || !follower.known || follower.failing != 0 || len(follower.lapsing) > 0:
+		return readTable
+	case follower.isBehind(now):
+		return catchUp
+	case now.Since(follower.fresh) > staleAfter && !doubted:
+		return readTable
+	}
+	return idle
+}
+
+// isBehind reports whether another's copy has been newer for a while; the lock must be
+// held.
+func (follower *Follower[T]) isBehind(now timekeeper.Instant) bool {
+	return follower.behind != 0 && now.Since(follower.behind) >= behindFor
+}
+
+// Fresh returns when the copy was last known to be the table's; zero means never.
+func (follower *Follower[T]) Fresh() timekeeper.Instant {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	return follower.fresh
+}
+
+// Listing returns what the last reading of this process found; false means that it has
+// none to tell of, or that its copy holds rows which the table has no more.
+func (follower *Follower[T]) Listing() (Listing, bool) {
+	answered := follower.Answered()
+	now := follower.settings.Clock.Now()
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	listing := Listing{Version: follower.version, Sum: follower.sum, At: answered}
+	return listing, answered != 0 && now.Since(answered) <= listingLife && len(follower.lapsing) == 0
+}
+
+// Rows returns the copy as rows of a table, and of which version it is; false means
+// that there is none.
+func (follower *Follower[T]) Rows() (rows []Change[T], version Version, known bool) {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	for key, value := range follower.rows {
+		rows = append(rows, Change[T]{Key: key, Value: value})
+	}
+	return rows, follower.version, follower.known
+}
+
+// Told takes in what another process has read. It reports whether that was news.
+//
+// A change counts where it is newer than the copy. The copy's version stays: there may
+// be changes before this one that have not been told.
+func (follower *Follower[T]) Told(news News[T]) bool {
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	if !follower.known || news.Version <= follower.version {
+		return false
+	}
+	before := follower.sum
+	for _, change := range news.Changes {
+		delete(follower.lapsing, change.Key)
+		if change.Removed {
+			follower.drop(change.Key)
+			continue
+		}
+		follower.put(change.Key, change.Value)
+	}
+	if follower.sum == before {
+		return false
+	}
+	follower.apply()
+	return true
+}
+
+// Compare takes in what another process's copy is like. One that is newer and the same
+// makes this copy as new; one that is newer and different has to be fetched, if the
+// changes between them don't come by themselves.
+func (follower *Follower[T]) Compare(other Listing) {
+	now := follower.settings.Clock.Now()
+	follower.copying.Lock()
+	defer follower.copying.Unlock()
+	same := other.Sum == follower.sum
+	switch {
+	case !follower.known || other.Version < follower.version:
+		return
+	case same:
+		follower.version = other.Version
+		follower.fresh, follower.behind = max(follower.fresh, other.At), 0
+	case other.Version > follower.version && follower.behind == 0:
+		follower.behind = now
+	}
+}
+
+// catchUp fetches the copy of a process that has a newer one, and reports whether there
+// was one.
+func (follower *Follower[T]) catchUp(ctx context.Context) bool {
+	follower.copying.Lock()
+	follower.behind = 0
+	follower.copying.Unlock()
+	if follower.settings.Copy == nil {
+		return false
+	}
+	return follower.fetch(ctx)
+}
+
+// tell tells others what has changed since an earlier copy; the lock must be held.
+func (follower *Follower[T]) tell(before map[string]T) {
+	news := News[T]{Version: follower.version}
+	for key, value := range follower.rows {
+		known, found := before[key]
+		if !found || follower.settings.Sum(key, known) != follower.settings.Sum(key, value) {
+			news.Changes = append(news.Changes, Change[T]{Key: key, Value: value})
+		}
+	}
+	for key := range before {
+		if _, found := follower.rows[key]; !found {
+			news.Changes = append(news.Changes, Change[T]{Key: key, Removed: true})
+		}
+	}
+	if len(news.Changes) > 0 {
+		follower.settings.Tell(news)
+	}
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -8,12 +8,15 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/elector"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/follower"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -42,20 +45,33 @@
 	Unreachable   []string
 	Leaves        []Leave
 	Strikes       []Strike
+	// SameCentre reports whether the peer stands in the same data centre.
+	SameCentre bool
+	// Listing is what the peer's last reading of the list of replicas found; nil where
+	// it leaves the reading to others.
+	Listing *follower.Listing
+	// Listed are changes of the list that the peer has read.
+	Listed []ReplicaNews
 }
 
+// ReplicaNews is a change of the list of replicas.
+type ReplicaNews = follower.News[balancer.Replica]
+
 // Placement is a prompt that a peer has sent to a replica.
 type Placement struct {
 	Replica balancer.Key
 	Parts   []balancer.Part
 }
 
-// Settings set up a gossiper. All fields but Budget must be set.
+// Settings set up a gossiper. All fields but Budget, StoreFailing and Listing must be
+// set.
 type Settings struct {
 	Incarnation uint64
-	Clock       timekeeper.Clock
-	Log         logrus.FieldLogger
-	Scope       tally.Scope
+	// DataCentre is where the entry stands.
+	DataCentre string
+	Clock      timekeeper.Clock
+	Log        logrus.FieldLogger
+	Scope      tally.Scope
 	// Conn carries the datagrams; its address is the one that peers know.
 	Conn net.PacketConn
 	// Held returns what this entry has under way.
@@ -64,6 +80,12 @@
 	Version func() uint64
 	// StoreAnswered returns when the store answered this entry last; zero means never.
 	StoreAnswered func() timekeeper.Instant
+	// StoreFailing reports whether the store did not answer the last call. Nil means
+	// that it did.
+	StoreFailing func() bool
+	// Listing returns what the last own reading of the list of replicas found; false
+	// means that there is none to tell of. Nil means that there never is.
+	Listing func() (follower.Listing, bool)
 	// Hear takes what a peer tells.
 	Hear func(heard Heard)
 	// Budget is in bytes a second; zero means 7,700.
@@ -90,6 +112,12 @@
 	if settings.Budget == 0 {
 		settings.Budget = defaultBudget
 	}
+	if settings.StoreFailing == nil {
+		settings.StoreFailing = func() bool { return false }
+	}
+	if settings.Listing == nil {
+		settings.Listing = func() (follower.Listing, bool) { return follower.Listing{}, false }
+	}
 	return &Gossiper{
 		settings: settings, kicked: make(chan struct{}, 1),
 		outbox: newOutbox(), peers: newPeers(settings.Conn.LocalAddr().String()), span: shortest,
@@ -135,6 +163,14 @@
 	gossiper.kick()
 }
 
+// Listed tells peers at once of a change of the list of replicas.
+func (gossiper *Gossiper) Listed(news ReplicaNews) {
+	gossiper.mu.Lock()
+	gossiper.outbox.listed.add(news)
+	gossiper.mu.Unlock()
+	gossiper.kick()
+}
+
 // Struck tells peers at once of a request that was at a replica when it crashed.
 func (gossiper *Gossiper) Struck(strike Strike) {
 	gossiper.mu.Lock()
@@ -177,6 +213,14 @@
 	return len(gossiper.peers.heardWithin(span, now))
 }
 
+// Members returns the peers that have been heard of within a span.
+func (gossiper *Gossiper) Members(span timekeeper.Span) []elector.Member {
+	now := gossiper.settings.Clock.Now()
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.peers.members(span, now)
+}
+
 // Run sends digests until ctx ends.
 func (gossiper *Gossiper) Run(ctx context.Context) {
 	for {
@@ -231,11 +275,13 @@
 	held := gossiper.settings.Held()
 	gossiper.settings.Scope.Gauge("peers-up").Update(float64(len(gossiper.Up())))
 	version := gossiper.settings.Version()
+	failing := gossiper.settings.StoreFailing()
+	listing, reads := gossiper.settings.Listing()
 	now := gossiper.settings.Clock.Now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	digest := &encoder.PeerDigest{
-		Incarnation: gossiper.settings.Incarnation, Configuration: version,
+		Incarnation: gossiper.settings.Incarnation, Configuration: version, StoreFailing: failing,
 		IntervalMs: uint32(max(gossiper.span, restful)), Stopping: gossiper.stopping,
 	}
 	fillLoads(digest, held)
@@ -252,6 +298,10 @@
 		Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
 		Configuration: version, Stopping: digest.Stopping, StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
 		Replicas: digest.Replicas, Running: digest.Running, Unread: digest.Unread,
+		DataCentre: CentreKey(gossiper.settings.DataCentre), StoreFailing: failing,
+	}
+	if reads {
+		full.Listing = &encoder.PeerListing{Version: uint64(listing.Version), Sum: listing.Sum, AgeMs: ageOf(listing.At, now)}
 	}
 	gossiper.outbox.fill(full, roomOf(len(due), gossiper.settings.Budget))
 	if gossiper.sequence%introduceEvery == 1 {
@@ -261,6 +311,9 @@
 	return full, due
 }
 
+// CentreKey returns the short name of a data centre in digests.
+func CentreKey(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 // ageOf returns how long ago an instant is, at least a millisecond; zero means
 // that there is none.
 func ageOf(at, now timekeeper.Instant) uint32 {
@@ -273,6 +326,7 @@
 // same reports whether a digest says what the last one did.
 func same(last, next *encoder.PeerDigest) bool {
 	return last != nil && last.Configuration == next.Configuration && last.Stopping == next.Stopping &&
+		last.StoreFailing == next.StoreFailing &&
 		slices.Equal(last.Replicas, next.Replicas) && slices.Equal(last.Running, next.Running) &&
 		slices.Equal(last.Unread, next.Unread)
 }
@@ -312,6 +366,11 @@
 	address := from.String()
 	gossiper.mu.Lock()
 	fresh := gossiper.peers.hear(address, digest.Incarnation, digest.Sequence, now)
+	if fresh {
+		gossiper.peers.describe(elector.Member{
+			Address: address, DataCentre: digest.DataCentre, Failing: digest.StoreFailing, Stopping: digest.Stopping,
+		})
+	}
 	for _, other := range digest.Peers {
 		if _, err := netip.ParseAddrPort(other); err == nil {
 			gossiper.peers.learn(other, now)
@@ -319,7 +378,9 @@
 	}
 	gossiper.mu.Unlock()
 	if fresh {
-		gossiper.settings.Hear(heardOf(digest, address, now))
+		heard := heardOf(digest, address, now)
+		heard.SameCentre = digest.DataCentre == CentreKey(gossiper.settings.DataCentre)
+		gossiper.settings.Hear(heard)
 	}
 }
 
@@ -353,6 +414,14 @@
 	for _, leave := range digest.Leaves {
 		heard.Leaves = append(heard.Leaves, Leave{Replica: leave.Replica, Version: leave.Version})
 	}
+	if listing := digest.Listing; listing != nil && listing.AgeMs > 0 {
+		heard.Listing = &follower.Listing{
+			Version: follower.Version(listing.Version), Sum: listing.Sum, At: now.Add(-timekeeper.Span(listing.AgeMs)),
+		}
+	}
+	for _, listed := range digest.Listed {
+		heard.Listed = append(heard.Listed, newsOf(listed))
+	}
 	for _, strike := range digest.Strikes {
 		heard.Strikes = append(heard.Strikes, Strike{Request: strike.Request, Replica: strike.Replica})
 	}
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -28,6 +28,9 @@
 	paced = 200 * timekeeper.Millisecond
 	// mostNews bounds the other lists of a digest.
 	mostNews = 64
+	// mostListed bounds the readings of the list of replicas whose changes a digest
+	// tells; some 60 bytes a replica.
+	mostListed = 4
 )
 
 // Strike is a request that was at a replica when it crashed.
@@ -100,6 +103,7 @@
 	unreachable news[string]
 	leaves      news[Leave]
 	strikes     news[Strike]
+	listed      news[ReplicaNews]
 }
 
 func newOutbox() *outbox {
@@ -108,6 +112,7 @@
 		unreachable: news[string]{most: mostNews},
 		leaves:      news[Leave]{most: mostNews},
 		strikes:     news[Strike]{most: mostNews},
+		listed:      news[ReplicaNews]{most: mostListed},
 	}
 }
 
@@ -115,7 +120,7 @@
 // something to say.
 func (outbox *outbox) empty() bool {
 	return len(outbox.placements.items)+len(outbox.unreachable.items)+
-		len(outbox.leaves.items)+len(outbox.strikes.items) == 0
+		len(outbox.leaves.items)+len(outbox.strikes.items)+len(outbox.listed.items) == 0
 }
 
 // remind notes a placement that peers may have heard of. The oldest is dropped.
@@ -138,6 +143,9 @@
 	for _, strike := range outbox.strikes.take() {
 		digest.Strikes = append(digest.Strikes, &encoder.PeerStrike{Request: strike.Request, Replica: strike.Replica})
 	}
+	for _, listed := range outbox.listed.take() {
+		digest.Listed = append(digest.Listed, messageOf(listed))
+	}
 	outbox.fillReminders(digest, room-proto.Size(digest))
 }
 
--- a/internal/gossiper/peers.go
+++ b/internal/gossiper/peers.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/trefoilseam/trefoilseam/internal/elector"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -33,6 +34,8 @@
 	// incarnation and sequence are those of its last digest.
 	incarnation uint64
 	sequence    uint64
+	// member is what its last digest says of its reading of the store.
+	member elector.Member
 }
 
 // peers are the entries that are known.
@@ -71,6 +74,22 @@
 	return true
 }
 
+// describe notes what a peer that was heard says of itself.
+func (peers *peers) describe(member elector.Member) {
+	if known, found := peers.known[member.Address]; found {
+		known.member = member
+	}
+}
+
+// members returns the peers that were heard of within a span.
+func (peers *peers) members(span timekeeper.Span, now timekeeper.Instant) []elector.Member {
+	var members []elector.Member
+	for _, address := range peers.heardWithin(span, now) {
+		members = append(members, peers.known[address].member)
+	}
+	return members
+}
+
 // due returns the addresses that get the next digest.
 func (peers *peers) due(now timekeeper.Instant) []string {
 	var due []string
--- a/internal/gossiper/replicas.go
+++ b/internal/gossiper/replicas.go
@@ -1,11 +1,15 @@
 package gossiper
 
 import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/follower"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -19,10 +23,7 @@
 func (list ReplicaList) Encode() ([]byte, error) {
 	message := &encoder.ReplicaList{Version: list.Version}
 	for _, replica := range list.Replicas {
-		message.Replicas = append(message.Replicas, &encoder.ReplicaRow{
-			Id: replica.ID, BornMs: int64(replica.Born), Service: replica.Service, Address: replica.Address,
-			DataCentre: replica.DataCentre, Slots: uint32(max(0, replica.Slots)), Leaving: replica.Leaving,
-		})
+		message.Replicas = append(message.Replicas, rowOf(replica))
 	}
 	text, err := proto.Marshal(message)
 	return text, eris.Wrap(err, "list of replicas")
@@ -43,10 +44,56 @@
 		if row.Id == "" || row.Address == "" {
 			return ReplicaList{}, eris.New("a replica without ID or address")
 		}
-		list.Replicas = append(list.Replicas, balancer.Replica{
-			ID: row.Id, Born: timekeeper.Instant(row.BornMs), Service: row.Service, Address: row.Address,
-			DataCentre: row.DataCentre, Slots: int(row.Slots), Leaving: row.Leaving,
-		})
+		list.Replicas = append(list.Replicas, replicaOf(row))
 	}
 	return list, nil
 }
+
+func rowOf(replica balancer.Replica) *encoder.ReplicaRow {
+	return &encoder.ReplicaRow{
+		Id: replica.ID, BornMs: int64(replica.Born), Service: replica.Service, Address: replica.Address,
+		DataCentre: replica.DataCentre, Slots: uint32(max(0, replica.Slots)), Leaving: replica.Leaving,
+	}
+}
+
+func replicaOf(row *encoder.ReplicaRow) balancer.Replica {
+	return balancer.Replica{
+		ID: row.Id, Born: timekeeper.Instant(row.BornMs), Service: row.Service, Address: row.Address,
+		DataCentre: row.DataCentre, Slots: int(row.Slots), Leaving: row.Leaving,
+	}
+}
+
+// SumOf returns the checksum of a row of the list, in which every field counts.
+func SumOf(id string, replica balancer.Replica) uint64 {
+	text := fmt.Sprintf("%q %d %q %q %q %d %t", id, replica.Born, replica.Service, replica.Address,
+		replica.DataCentre, replica.Slots, replica.Leaving)
+	return xxhash.Sum64String(text)
+}
+
+// messageOf writes a change of the list, newsOf reads one. A row without ID or address
+// names no replica and is left out.
+func messageOf(news ReplicaNews) *encoder.PeerListed {
+	message := &encoder.PeerListed{Version: uint64(news.Version)}
+	for _, change := range news.Changes {
+		if change.Removed {
+			message.Gone = append(message.Gone, change.Key)
+			continue
+		}
+		message.Rows = append(message.Rows, rowOf(change.Value))
+	}
+	return message
+}
+
+func newsOf(message *encoder.PeerListed) ReplicaNews {
+	news := ReplicaNews{Version: follower.Version(message.Version)}
+	for _, row := range message.Rows {
+		if row.Id == "" || row.Address == "" {
+			continue
+		}
+		news.Changes = append(news.Changes, follower.Change[balancer.Replica]{Key: row.Id, Value: replicaOf(row)})
+	}
+	for _, id := range message.Gone {
+		news.Changes = append(news.Changes, follower.Change[balancer.Replica]{Key: id, Removed: true})
+	}
+	return news
+}
--- a/internal/gossiper/replicas_test.go
+++ b/internal/gossiper/replicas_test.go
@@ -6,6 +6,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/elector"
+	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 func TestAListOfReplicas(t *testing.T) {
@@ -37,6 +40,53 @@
 	}
 }
 
+func TestWhatAReaderTells(t *testing.T) {
+	// An entry reads the list of replicas for others: it tells at once what has changed,
+	// and with each digest how the list is, so that who missed a change finds out.
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	reader, other := newListener(t, 1, clock.Clock()), newListener(t, 2, clock.Clock())
+	reader.settings.DataCentre, other.settings.DataCentre = "bole", "merkato"
+	reader.settings.StoreFailing = func() bool { return true }
+	reader.settings.Listing = func() (follower.Listing, bool) {
+		return follower.Listing{Version: 40, Sum: 1 << 63, At: clock.Now().Add(-30)}, true
+	}
+	joined := balancer.Replica{
+		ID: "i-1", Born: 1700000000123, Service: "planner", Address: "10.0.0.1:80", DataCentre: "bole", Slots: 64,
+	}
+	news := ReplicaNews{Version: 39, Changes: []follower.Change[balancer.Replica]{
+		{Key: "i-1", Value: joined}, {Key: "i-2", Removed: true},
+	}}
+	reader.Learn(other.address())
+	reader.Listed(news)
+	reader.round()
+	heard := other.wait(t, 1)[0]
+	Convey("all of it arrives", t, func() {
+		So(heard.Listed, ShouldResemble, []ReplicaNews{news})
+		So(*heard.Listing, ShouldResemble, follower.Listing{Version: 40, Sum: 1 << 63, At: clock.Now().Add(-30)})
+		So(heard.SameCentre, ShouldBeFalse)
+		So(other.Members(timekeeper.Second), ShouldResemble, []elector.Member{
+			{Address: reader.address(), DataCentre: CentreKey("bole"), Failing: true},
+		})
+	})
+	Convey("a row that names no replica is left out", t, func() {
+		message := messageOf(ReplicaNews{Version: 3, Changes: []follower.Change[balancer.Replica]{{Key: "i-3"}}})
+		So(newsOf(message).Changes, ShouldBeEmpty)
+	})
+	Convey("each field of a row counts in its checksum", t, func() {
+		changed := []balancer.Replica{joined, joined, joined, joined, joined, joined}
+		changed[0].Born++
+		changed[1].Service = "orders"
+		changed[2].Address = "10.0.0.1:81"
+		changed[3].DataCentre = "ayat"
+		changed[4].Slots++
+		changed[5].Leaving = true
+		for _, replica := range changed {
+			So(SumOf("i-1", replica), ShouldNotEqual, SumOf("i-1", joined))
+		}
+		So(SumOf("i-2", joined), ShouldNotEqual, SumOf("i-1", joined))
+	})
+}
+
 func FuzzDecodeReplicas(f *testing.F) {
 	text, _ := ReplicaList{Version: 1, Replicas: []balancer.Replica{{ID: "i", Address: "a"}}}.Encode()
 	f.Add(text)
