balancer: what all peers have at an engine is a sum, not a search

Cause: each decision asked each peer's digest for each engine: 18,000 look-ups a request at 103 entries before 180 engines, 152,000 at 380 before 400.

Change: the sums are kept as digests come and lapse.

--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -46,6 +46,7 @@
 
 // candidates returns the replicas that may get the request.
 func (fleet *Fleet) candidates(ask Ask, held []holding, now timekeeper.Instant) ([]candidate, Reason) {
+	fleet.dropSilent(now)
 	listed, untried, reached := 0, 0, 0
 	open := make([]candidate, 0, len(held))
 	sources := fleet.sourcesOf(ask, held, now)
@@ -113,7 +114,7 @@
 
 // weigh returns a replica with its expected time.
 func (fleet *Fleet) weigh(member holding, ask Ask, sources sources, now timekeeper.Instant) candidate {
-	peers := fleet.peersAt(member.key, now)
+	peers := fleet.peersAt(member.key)
 	held := member.held(peers, now)
 	cost := member.doubt.penalty(now) + member.pace.over(fleet.paceOf(member.Service), now)
 	cost += float64(member.overdue(now)) * float64(failurePenalty)
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -37,6 +37,8 @@
 	services map[string][]*replica
 	engines  map[string]Engine
 	peers    map[string]peerDigest
+	// peerSums are what all peers have under way, by replica.
+	peerSums map[Key]Held
 	paces    map[string]*pace
 	queues   map[string]*serviceQueue
 	teams    map[string]*decaying
@@ -66,6 +68,7 @@
 		services: map[string][]*replica{},
 		engines:  map[string]Engine{},
 		peers:    map[string]peerDigest{},
+		peerSums: map[Key]Held{},
 		paces:    map[string]*pace{},
 		queues:   map[string]*serviceQueue{},
 		teams:    map[string]*decaying{},
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -1,8 +1,6 @@
 package balancer
 
 import (
-	"maps"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -44,9 +42,39 @@
 	digest := peerDigest{held: held, until: now.Add(life), heard: now, gap: life / gapsOfLife}
 	if before, found := fleet.peers[peer]; found {
 		digest.gap = now.Since(before.heard)
+		fleet.addPeer(before, -1)
 	}
 	fleet.peers[peer] = digest
-	maps.DeleteFunc(fleet.peers, func(_ string, digest peerDigest) bool { return now > digest.until })
+	fleet.addPeer(digest, 1)
+	fleet.dropSilent(now)
+}
+
+// addPeer adds what a peer has under way to the sums of all peers, or takes it out.
+//
+// The load: a hundred entries before 180 engines, of which each decision looks at all.
+// The harm: asking each peer's digest for each engine takes 18,000 look-ups a request,
+// some 0.6 ms; a sum for each engine is one.
+func (fleet *Fleet) addPeer(digest peerDigest, sign int) {
+	for key, held := range digest.held {
+		sum := fleet.peerSums[key]
+		sum.Running += sign * held.Running
+		sum.Unread += sign * held.Unread
+		if sum == (Held{}) {
+			delete(fleet.peerSums, key)
+			continue
+		}
+		fleet.peerSums[key] = sum
+	}
+}
+
+// dropSilent takes out peers whose digests no longer count.
+func (fleet *Fleet) dropSilent(now timekeeper.Instant) {
+	for peer, digest := range fleet.peers {
+		if now > digest.until {
+			fleet.addPeer(digest, -1)
+			delete(fleet.peers, peer)
+		}
+	}
 }
 
 // staleness returns the mean time between two digests of a peer: what an entry
@@ -81,16 +109,6 @@
 	return held
 }
 
-// peersAt sums what peers have under way at a replica.
-func (fleet *Fleet) peersAt(key Key, now timekeeper.Instant) Held {
-	var sum Held
-	for _, digest := range fleet.peers {
-		if now > digest.until {
-			continue
-		}
-		held := digest.held[key]
-		sum.Running += held.Running
-		sum.Unread += held.Unread
-	}
-	return sum
-}
+// peersAt returns what peers have under way at a replica. Peers that no longer count
+// must have been taken out.
+func (fleet *Fleet) peersAt(key Key) Held { return fleet.peerSums[key] }
--- a/internal/balancer/restart_test.go
+++ b/internal/balancer/restart_test.go
@@ -54,7 +54,7 @@
 		fleet.SetPeer("peer", map[Key]Held{old.key: {Running: 9}}, timekeeper.Minute, start)
 		fresh := fleet.replicas["planner-0"]
 		So(fleet.cacheOf(fresh).uncached(chain(1, 1)), ShouldEqual, 9080)
-		So(fleet.peersAt(fresh.key, start).Running, ShouldEqual, 0)
+		So(fleet.peersAt(fresh.key).Running, ShouldEqual, 0)
 	})
 }
 
--- a/internal/balancer/survey.go
+++ b/internal/balancer/survey.go
@@ -32,7 +32,7 @@
 		}
 		total := 0
 		for _, member := range fleet.services[name] {
-			held := member.held(fleet.peersAt(member.key, now), now)
+			held := member.held(fleet.peersAt(member.key), now)
 			survey.Listed++
 			survey.Running += member.running
 			survey.Most = max(survey.Most, held)
