balancer, simulator: what is remembered of all engines together is bounded

Cause: an entry remembers up to 4,096 prompt parts of each engine, 660 MB before 3,100 of them (computed), where a daemon may hold 128. At that bound each further part also took a look through all 4,096.

Change: 262,144 parts of all engines together, an equal share each; up to 64 engines nothing changes. The simulator counts what operators pay for reading again and moving.

Reuse with the 84 parts that an engine of 3,100 has, in simulation of 31 entries before 56 engines, within 0.01 of that with 4,096 (test).

--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -24,6 +24,9 @@
 	// ReadRate is how many prompt tokens an engine reads in a millisecond; zero means
 	// 40. See DefaultReadRate.
 	ReadRate float64
+	// KnownParts is how many prompt parts are remembered of all replicas together; zero
+	// means 262,144. See DefaultKnownParts.
+	KnownParts int
 }
 
 // Fleet is what an entry believes of all replicas. It must be made by New.
@@ -59,6 +62,9 @@
 	if settings.ReadRate == 0 {
 		settings.ReadRate = DefaultReadRate
 	}
+	if settings.KnownParts == 0 {
+		settings.KnownParts = DefaultKnownParts
+	}
 	return &Fleet{
 		settings: settings,
 		draws:    rand.New(rand.NewPCG(settings.Seed, 11)),
@@ -146,7 +152,11 @@
 func (fleet *Fleet) group() {
 	clear(fleet.services)
 	clear(fleet.keys)
+	share := shareOfParts(fleet.settings.KnownParts, len(fleet.replicas))
 	for _, known := range fleet.replicas {
+		if known.cache != nil {
+			known.cache.most = share
+		}
 		fleet.keys[known.key] = known
 		fleet.services[known.Service] = append(fleet.services[known.Service], known)
 	}
@@ -178,7 +188,8 @@
 // cacheOf returns the guess of what a replica has cached.
 func (fleet *Fleet) cacheOf(known *replica) *prefixCache {
 	if known.cache == nil {
-		known.cache = newPrefixCache(fleet.engines[known.Service].Memory)
+		share := shareOfParts(fleet.settings.KnownParts, len(fleet.replicas))
+		known.cache = newPrefixCache(fleet.engines[known.Service].Memory, share)
 	}
 	return known.cache
 }
--- a/internal/simulator/entry.go
+++ b/internal/simulator/entry.go
@@ -15,10 +15,20 @@
 	parts  []balancer.Part
 }
 
+// thousand tokens are what ReadPrice is for.
+const thousand = 1000
+
 // newEntry returns an entry that knows the engines and nothing else.
 func (run *run) newEntry(number uint64) *entry {
 	site := run.settings.Site
-	fleet := balancer.New(balancer.Settings{Seed: run.settings.Seed + number, Bound: site.Bound, ReadRate: run.settings.ReadRate})
+	settings := balancer.Settings{
+		Seed: run.settings.Seed + number, Bound: site.Bound, ReadRate: run.settings.ReadRate,
+		KnownParts: run.settings.KnownParts,
+	}
+	if site.ReadPrice > 0 {
+		settings.MovePrice = thousand * site.MovePrice / site.ReadPrice
+	}
+	fleet := balancer.New(settings)
 	fleet.SetEngine("planner", balancer.Engine{
 		Memory: site.Engine.Memory, TokenBytes: site.Engine.TokenBytes, LinkRate: site.Engine.LinkRate,
 	})
--- a/internal/simulator/policy.go
+++ b/internal/simulator/policy.go
@@ -102,6 +102,9 @@
 	// ReadRate is what entries take the engines to read in a millisecond; zero means
 	// what they take without being told.
 	ReadRate float64
+	// KnownParts is how many prompt parts an entry remembers of all engines together;
+	// zero means what it remembers without being told.
+	KnownParts int
 	// Hot is the share of each class's requests that are about one thing.
 	Hot  float64
 	Seed uint64
--- a/internal/simulator/report.go
+++ b/internal/simulator/report.go
@@ -32,6 +32,9 @@
 	// Worth is the share of the callers' worth that was served on time, with half
 	// of it for late answers.
 	Worth float64
+	// Price is what reading again and moving cost the operators, as a share of the
+	// callers' worth.
+	Price float64
 	// ReadAgain are shared tokens that an engine read though another had them.
 	ReadAgain int
 	// Fetched are shared tokens that an engine got from another one.
@@ -45,6 +48,9 @@
 	Overfull float64
 }
 
+// Net returns the share of the callers' worth that is left after the price.
+func (report Report) Net() float64 { return report.Worth - report.Price }
+
 // Reuse returns the share of the shared tokens that were found cached.
 func (report Report) Reuse() float64 {
 	return share(report.Kept, report.Kept+report.Read+report.Fetched)
@@ -58,7 +64,7 @@
 	}
 	slices.Sort(names)
 	var out strings.Builder
-	fmt.Fprintf(&out, "worth %.3f reuse %.3f read-again %d fetched %d skew %.2f overfull %.3f", report.Worth, report.Reuse(),
+	fmt.Fprintf(&out, "worth %.3f price %.3f reuse %.3f read-again %d fetched %d skew %.2f overfull %.3f", report.Worth, report.Price, report.Reuse(),
 		report.ReadAgain, report.Fetched, report.Skew, report.Overfull)
 	for _, name := range names {
 		tally := report.Classes[name]
--- a/internal/simulator/run.go
+++ b/internal/simulator/run.go
@@ -25,6 +25,9 @@
 	waitTargets, waitShare = 2.0, 0.3
 )
 
+// gigabyte is in bytes.
+const gigabyte = 1e9
+
 // request is one try of a caller.
 type request struct {
 	class    *Class
@@ -383,6 +386,10 @@
 		earned += class.Worth * (float64(tally.OnTime) + float64(tally.Late)/2)
 	}
 	run.report.Worth = earned / math.Max(owed, 1)
+	site := run.settings.Site
+	again := site.ReadPrice * float64(run.report.ReadAgain) / thousand
+	moved := site.MovePrice * float64(run.report.Fetched) * site.Engine.TokenBytes / gigabyte
+	run.report.Price = (again + moved) / math.Max(owed, 1)
 	run.report.Skew = run.skew / math.Max(float64(run.samples), 1)
 	run.report.Overfull = share(run.overfull, run.placed)
 	return run.report
--- a/internal/simulator/run_test.go
+++ b/internal/simulator/run_test.go
@@ -234,6 +234,22 @@
 	}
 }
 
+func TestEntriesThatRememberLittleOfEachEngine(t *testing.T) {
+	// At 3,100 engines an entry remembers 84 prompt parts of each, of those that were
+	// used last. Callers come back with prompts that it has forgotten; the preference
+	// order, which needs no memory, finds their engine.
+	const each = 84
+	for _, load := range []float64{1, 2} {
+		settings := Settings{Site: Halls(), Load: load, Length: 6 * timekeeper.Second}
+		Convey("reuse stays the same", t, func() {
+			reuse, earned := mean(settings, Report.Reuse), mean(settings, worth)
+			settings.KnownParts = each * settings.Site.Engines
+			So(mean(settings, Report.Reuse), ShouldBeGreaterThan, reuse-0.01)
+			So(mean(settings, worth), ShouldBeGreaterThan, earned-0.01)
+		})
+	}
+}
+
 func TestASourceThatIsGone(t *testing.T) {
 	// From the middle of the run on one engine hands on nothing. Requests that name
 	// it read their prompt after all; callers don't notice.
--- a/internal/simulator/site.go
+++ b/internal/simulator/site.go
@@ -37,6 +37,10 @@
 	Digest timekeeper.Span
 	// Bound is how many times the mean a replica may hold.
 	Bound float64
+	// ReadPrice is what the operators pay for a thousand shared tokens that are read
+	// again, MovePrice for a gigabyte that engines hand each other, both in the unit of
+	// worth. Entries are told their ratio; where one is zero they go by their default.
+	ReadPrice, MovePrice float64
 }
 
 // Kitchen returns a site of today's size: four entries before nine engines, long
@@ -107,6 +111,16 @@
 	}
 }
 
+// Heavy returns a site whose engines read a third as fast as those of the counter and
+// have nine times as much memory for a token, so that moving a prompt costs the
+// operators a quarter more than reading it again.
+func Heavy() Site {
+	site := Counter().WithTransfers(300000, 1.375e8)
+	site.Engine.ReadRate, site.Engine.Memory = 30, 300000
+	site.ReadPrice, site.MovePrice = 0.63, 2.7
+	return site
+}
+
 // WithTransfers returns the site with engines that hand on what they have cached:
 // the memory of a token in bytes, and the bytes that a link carries in a millisecond.
 func (site Site) WithTransfers(tokenBytes, linkRate float64) Site {
@@ -114,6 +128,12 @@
 	return site
 }
 
+// WithPrices returns the site with what reading again and moving cost.
+func (site Site) WithPrices(read, move float64) Site {
+	site.ReadPrice, site.MovePrice = read, move
+	return site
+}
+
 // WithBound returns the site with another bound.
 func (site Site) WithBound(bound float64) Site {
 	site.Bound = bound
