--- a/internal/assembler/caller_conn_test.go
+++ b/internal/assembler/caller_conn_test.go
@@ -15,7 +15,7 @@
 // connection on which the server has just read a request, before the handler is.
 func callerServer(t *testing.T, handler http.Handler, late func(), active func(conn net.Conn)) net.Addr {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +77,7 @@
 					_ = conn.Close()
 				}
 			})
-			conn, err := net.Dial(address.Network(), address.String())
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), address.Network(), address.String())
 			So(err, ShouldBeNil)
 			defer func() { _ = conn.Close() }()
 			body, err := ask(conn)
--- a/internal/assembler/direct_readers.go
+++ b/internal/assembler/direct_readers.go
@@ -53,7 +53,7 @@
 	if turns := &fellows.turns; turns.chosen == 0 || now.Since(turns.chosen) >= electEvery {
 		others := fellows.gossiper.Members(near)
 		turns.failing = slices.ContainsFunc(others, func(other elector.Member) bool { return other.Failing })
-		members := append(others, fellows.own())
+		members := slices.Concat(others, []elector.Member{fellows.own()})
 		turns.chosen, turns.members = now, len(members)
 		turns.readers = elector.Readers(members, storeReaders)
 	}
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -23,7 +23,7 @@
 }
 
 func addresses(members []elector.Member) []string {
-	var out []string
+	out := make([]string, 0, len(members))
 	for _, member := range members {
 		out = append(out, member.Address)
 	}
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -61,6 +61,13 @@
 	table.changed = make(chan struct{})
 }
 
+// list writes rows of replicas that are ready.
+func (table *sharedTable) list(replicas int) {
+	for number := range replicas {
+		table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
+	}
+}
+
 // now returns the rows, and how many calls there have been.
 func (table *sharedTable) now() (rows map[string]string, calls int) {
 	table.mu.Lock()
@@ -410,61 +417,70 @@
 	for _, test := range tests {
 		for seed := range uint64(5) {
 			t.Run(fmt.Sprint(test.name, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					defer cancel()
-					table := newSharedTable()
-					for number := range 12 {
-						table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
-					}
-					fleet := startProcesses(ctx, table, 24, 3, test.loss, seed)
-					go heartbeats(ctx, fleet.clock, table, 12)
-					_ = fleet.clock.Sleep(ctx, 10*timekeeper.Second)
-					var readers []*process
-					for _, one := range fleet.all {
-						if one.reads() {
-							readers = append(readers, one)
-						}
-					}
-					if len(readers) < 4 || len(readers) > 9 {
-						t.Fatalf("%d readers", len(readers))
-					}
-					_, before := table.now()
-					test.fail(fleet, readers)
-					_ = fleet.clock.Sleep(ctx, timekeeper.Span(seed)*200)
-					written := fleet.clock.Now()
-					table.write(
-						follower.Change[string]{Key: "r1", Value: "leaving"}, follower.Change[string]{Key: "r2", Removed: true},
-						follower.Change[string]{Key: "new", Value: "ready"},
-					)
-					_ = fleet.clock.Sleep(ctx, 10*timekeeper.Second)
-					rows, calls := table.now()
-					if calls-before > test.calls {
-						t.Errorf("%d calls", calls-before)
-					}
-					for _, one := range fleet.all {
-						if one.gone.Load() {
-							continue
-						}
-						one.mu.Lock()
-						for _, what := range []string{"r1=leaving", "r2 gone", "new=ready"} {
-							if at, found := one.known[what]; !found || at.Since(written) > leaveBound {
-								t.Errorf("%s: %s known after %d ms", one.own.Address, what, at.Since(written))
-							}
-						}
-						if !maps.Equal(one.rows, rows) {
-							t.Errorf("%s: %v of %v", one.own.Address, one.rows, rows)
-						}
-						one.mu.Unlock()
-					}
-					cancel()
-					synctest.Wait()
-				})
+				synctest.Test(t, func(t *testing.T) { playFailure(t, test.loss, test.fail, test.calls, seed) })
 			})
 		}
 	}
 }
 
+// playFailure breaks something in a fleet, lets a replica leave, one go and one join, and
+// checks when that is known and what it costs.
+func playFailure(
+	t *testing.T, loss float64, fail func(fleet *processes, readers []*process), calls int, seed uint64,
+) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer cancel()
+	table := newSharedTable()
+	table.list(12)
+	fleet := startProcesses(ctx, table, 24, 3, loss, seed)
+	go heartbeats(ctx, fleet.clock, table, 12)
+	_ = fleet.clock.Sleep(ctx, 10*timekeeper.Second)
+	var readers []*process
+	for _, one := range fleet.all {
+		if one.reads() {
+			readers = append(readers, one)
+		}
+	}
+	if len(readers) < 4 || len(readers) > 9 {
+		t.Fatalf("%d readers", len(readers))
+	}
+	_, before := table.now()
+	fail(fleet, readers)
+	_ = fleet.clock.Sleep(ctx, timekeeper.Span(seed)*200)
+	written := fleet.clock.Now()
+	table.write(
+		follower.Change[string]{Key: "r1", Value: "leaving"}, follower.Change[string]{Key: "r2", Removed: true},
+		follower.Change[string]{Key: "new", Value: "ready"},
+	)
+	_ = fleet.clock.Sleep(ctx, 10*timekeeper.Second)
+	rows, after := table.now()
+	if after-before > calls {
+		t.Errorf("%d calls", after-before)
+	}
+	for _, one := range fleet.all {
+		if !one.gone.Load() {
+			one.check(t, rows, written)
+		}
+	}
+}
+
+// check checks that a process knows the rows, and knew what was written soon after.
+func (one *process) check(t *testing.T, rows map[string]string, written timekeeper.Instant) {
+	t.Helper()
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	for _, what := range []string{"r1=leaving", "r2 gone", "new=ready"} {
+		if at, found := one.known[what]; !found || at.Since(written) > leaveBound {
+			t.Errorf("%s: %s known after %d ms", one.own.Address, what, at.Since(written))
+		}
+	}
+	if !maps.Equal(one.rows, rows) {
+		t.Errorf("%s: %v of %v", one.own.Address, one.rows, rows)
+	}
+}
+
 func TestAnOutageCostsFewCalls(t *testing.T) {
 	// The store is away for eight seconds, drops its history and has lost rows that
 	// lapsed meanwhile, all but one of which are written again. A hundred processes do
@@ -474,9 +490,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		table := newSharedTable()
-		for number := range 12 {
-			table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
-		}
+		table.list(12)
 		fleet := startProcesses(ctx, table, 100, 6, 0, 1)
 		go heartbeats(ctx, fleet.clock, table, 12)
 		_ = fleet.clock.Sleep(ctx, 10*timekeeper.Second)
--- a/internal/gossiper/peers.go
+++ b/internal/gossiper/peers.go
@@ -83,8 +83,9 @@
 
 // members returns the peers that were heard of within a span.
 func (peers *peers) members(span timekeeper.Span, now timekeeper.Instant) []elector.Member {
-	var members []elector.Member
-	for _, address := range peers.heardWithin(span, now) {
+	near := peers.heardWithin(span, now)
+	members := make([]elector.Member, 0, len(near))
+	for _, address := range near {
 		members = append(members, peers.known[address].member)
 	}
 	return members
