timekeeper, cmd: entries and agents go by the time since the machine started

Cause: the processes of the product's own interface measured deadlines, leases and silence by the time of day. Set two minutes ahead, an entry took a planner's lease from its holder; a steady clock alone would let a suspended holder go on.

--- a/cmd/trefoilseam/dev.go
+++ b/cmd/trefoilseam/dev.go
@@ -43,7 +43,7 @@
 		return err
 	}
 	var group run.Group
-	dev, release, err := assembler.NewDev(ctx, settings, assembler.Environment{Clock: timekeeper.Wall(), Log: log}, &group)
+	dev, release, err := assembler.NewDev(ctx, settings, assembler.Environment{Clock: timekeeper.SinceBoot(), Log: log}, &group)
 	if err != nil {
 		return err
 	}
--- a/cmd/trefoilseam/process.go
+++ b/cmd/trefoilseam/process.go
@@ -50,7 +50,7 @@
 		return assembler.Environment{}, nil, err
 	}
 	platform, closePlatform := storekeeper.Remote(process.Platform)
-	return assembler.Environment{Clock: timekeeper.Wall(), Log: log, Platform: platform}, closePlatform, nil
+	return assembler.Environment{Clock: timekeeper.SinceBoot(), Log: log, Platform: platform}, closePlatform, nil
 }
 
 // runGroup runs a group until an actor ends or the process is told to stop.
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -61,7 +61,7 @@
 // addServer adds an HTTP server. Its stop waits for calls in flight up to longest.
 func addServer(group *run.Group, listener net.Listener, handler http.Handler, longest time.Duration) {
 	// A server whose readiness nobody asks for stops without delay.
-	new(readiness).addFront(group, listener, handler, timekeeper.Wall(), 0, timekeeper.Span(longest/time.Millisecond))
+	new(readiness).addFront(group, listener, handler, timekeeper.SinceBoot(), 0, timekeeper.Span(longest/time.Millisecond))
 }
 
 // newServer returns a server with the limits that all share.
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -96,7 +96,7 @@
 func NewPool(settings Settings) (*Pool, func()) {
 	settings = settings.withDefaults()
 	plain := net.Dialer{Timeout: settings.DialTimeout.Duration()}
-	pool := &Pool{settings: settings, now: timekeeper.Wall().Now, peers: map[string]*peer{}}
+	pool := &Pool{settings: settings, now: timekeeper.SinceBoot().Now, peers: map[string]*peer{}}
 	pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return plain.DialContext(ctx, "tcp", address)
 	}
--- a/internal/planner/lease_test.go
+++ b/internal/planner/lease_test.go
@@ -203,3 +203,39 @@
 		So(loads, ShouldBeGreaterThan, 55)
 	})
 }
+
+func TestAClockThatIsSetMakesNoSecondHolder(t *testing.T) {
+	// The time of day jumps two minutes ahead at the entry that does not hold the lease,
+	// and later back. By the time of day it would take the lease while its holder gives
+	// orders; a clock that is not set lets it wait until the lease has run out.
+	terms := Terms{Span: 15 * timekeeper.Second, LongestOrder: 5 * timekeeper.Second}
+	const jump = 2 * timekeeper.Minute
+	tests := []struct {
+		name string
+		// other returns what the other entry's clock shows at a true instant.
+		other func(now timekeeper.Instant) timekeeper.Instant
+		taken bool
+	}{
+		{"by the time of day", func(now timekeeper.Instant) timekeeper.Instant {
+			if now > 1_004_000 && now < 1_010_000 {
+				return now.Add(jump)
+			}
+			return now
+		}, true},
+		{"by a clock that is not set", func(now timekeeper.Instant) timekeeper.Instant { return now }, false},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			row, taken := Lease{}, false
+			for now := timekeeper.Instant(1_000_000); now < 1_060_000; now = now.Add(500) {
+				if next, step := row.Next("holder", terms, now); step != Leave && row.Holder != "other" {
+					row = next
+				}
+				if next, step := row.Next("other", terms, test.other(now)); step != Leave {
+					row, taken = next, true
+				}
+			}
+			So(taken, ShouldEqual, test.taken)
+		})
+	}
+}
