follower: an answer that was long on its way brings back nothing

Cause, found by reading the change: a peer tells what it read at version 60 while this entry's own read, answered at 55, is still on its way. The answer was taken over the news: a replica that leaves was ready again until the next read.

Change: rows that were told keep their version until an answer is as new.

Tests fail without it: such an answer, as changes and as a whole table; a property over news, answers and copies of any age in any order.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -127,6 +127,8 @@
 	lenient, settles timekeeper.Instant
 	// sum is the checksum of all rows.
 	sum uint64
+	// told are rows that others told of, by the version at which they were so.
+	told map[string]Version
 	// fresh is when the copy was last known to be the table's, by an own reading or by
 	// another's; behind is since when others have a newer one; zero means that none has.
 	fresh, behind timekeeper.Instant
@@ -164,6 +166,7 @@
 		draws:    rand.New(rand.NewPCG(settings.Seed, 23)),
 		rows:     map[string]T{},
 		lapsing:  map[string]timekeeper.Instant{},
+		told:     map[string]Version{},
 	}
 }
 
@@ -240,7 +243,7 @@
 func (follower *Follower[T]) takeNewer(answer answer[T], now timekeeper.Instant) {
 	first := !follower.known
 	before := maps.Clone(follower.rows)
-	changed := follower.take(follower.changesOf(answer), now)
+	changed := follower.take(follower.notOlder(answer), now)
 	follower.version = answer.version
 	changed = follower.expire(now) || changed
 	if first {
@@ -332,6 +335,20 @@
 // errStale is a read that is behind what is known already.
 var errStale = eris.New("the store's answer is older than what is known")
 
+// notOlder returns the changes of an answer but for rows of which others have told
+// something newer; the lock must be held.
+//
+// The failure: an answer is on its way for long, and meanwhile another process reads, and
+// tells, that a replica leaves. The symptom: the answer brings the row as it was before,
+// and the replica gets work again until the next read.
+func (follower *Follower[T]) notOlder(answer answer[T]) []Change[T] {
+	maps.DeleteFunc(follower.told, func(_ string, version Version) bool { return version <= answer.version })
+	return slices.DeleteFunc(follower.changesOf(answer), func(change Change[T]) bool {
+		_, newer := follower.told[change.Key]
+		return newer
+	})
+}
+
 // changesOf returns the changes of an answer: one that is whole also removes each row
 // that it lacks.
 func (follower *Follower[T]) changesOf(answer answer[T]) []Change[T] {
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -114,6 +115,10 @@
 	}
 	before := follower.sum
 	for _, change := range news.Changes {
+		if news.Version < follower.told[change.Key] {
+			continue
+		}
+		follower.told[change.Key] = news.Version
 		delete(follower.lapsing, change.Key)
 		if change.Removed {
 			follower.drop(change.Key)
@@ -141,6 +146,7 @@
 		return
 	case same:
 		follower.version = other.Version
+		maps.DeleteFunc(follower.told, func(_ string, version Version) bool { return version <= other.Version })
 		follower.fresh, follower.behind = max(follower.fresh, other.At), 0
 	case other.Version > follower.version && follower.behind == 0:
 		follower.behind = now
--- /dev/null
+++ b/internal/follower/told_test.go
@@ -0,0 +1,117 @@
+package follower
+
+import (
+	"context"
+	"maps"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+func TestAnAnswerThatWasLongOnItsWay(t *testing.T) {
+	// A read is answered at version 55, and the answer takes long. Meanwhile a reader
+	// tells that at version 60 one replica leaves, one is gone and one is new. The answer
+	// must not bring back what was before.
+	tests := []struct {
+		name  string
+		whole bool
+	}{{"what has changed", false}, {"the whole table", true}}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			var copied map[string]int
+			clock := newClock()
+			var follower *Follower[int]
+			old := []Change[int]{{Key: "leaves", Value: 1}, {Key: "goes", Value: 1}, {Key: "stays", Value: 1}}
+			first := true
+			follower = New(Settings[int]{
+				Name: "test", Clock: clock.Clock(), Log: quiet(), Sum: func(key string, value int) uint64 { return uint64(len(key) + 100*value) },
+				Apply: func(rows map[string]int, _ Version) { copied = rows },
+				Source: Source[int]{
+					Snapshot: func(context.Context) ([]Change[int], Version, error) {
+						if first {
+							first = false
+							return old, 50, nil
+						}
+						return old, 55, nil
+					},
+					Changes: func(context.Context, Version, timekeeper.Span) ([]Change[int], Version, error) {
+						So(follower.Told(News[int]{Version: 60, Changes: []Change[int]{
+							{Key: "leaves", Value: 2}, {Key: "goes", Removed: true}, {Key: "comes", Value: 1},
+						}}), ShouldBeTrue)
+						if test.whole {
+							return nil, 0, ErrHistoryLost
+						}
+						return old, 55, nil
+					},
+				},
+			})
+			follower.Step(t.Context())
+			follower.Step(t.Context())
+			So(copied, ShouldResemble, map[string]int{"leaves": 2, "stays": 1, "comes": 1})
+			Convey("and a later one counts", func() {
+				follower.takeIn(answer[int]{version: 61, rows: []Change[int]{{Key: "leaves", Removed: true}}}, false, clock.Now())
+				So(copied, ShouldResemble, map[string]int{"stays": 1, "comes": 1})
+				So(follower.told, ShouldBeEmpty)
+			})
+		})
+	}
+}
+
+func TestToldCopiesNeverGoBack(t *testing.T) {
+	// News, listings, copies and answers of any age come in any order. No row is ever
+	// older than the newest that was heard of it, and once all is told the copy is the
+	// table.
+	rapid.Check(t, func(t *rapid.T) {
+		table, clock := newTable(), newClock()
+		sum := func(key string, value int) uint64 { return uint64(key[0])<<32 + uint64(value) }
+		var copied map[string]int
+		follower := New(Settings[int]{
+			Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Sum: sum,
+			Apply: func(rows map[string]int, _ Version) { copied = rows },
+		})
+		follower.Step(context.Background())
+		newest := map[string]int{}
+		value := 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				value++
+				table.put(key, value)
+			case 1:
+				from := rapid.IntRange(0, len(table.log)).Draw(t, "told from")
+				for i, change := range table.log[from:] {
+					version := table.kept + Version(from+i) + 1
+					if version > follower.version {
+						follower.Told(News[int]{Version: version, Changes: []Change[int]{change}})
+						newest[change.Key] = max(newest[change.Key], change.Value)
+					}
+				}
+			case 2:
+				follower.takeIn(answer[int]{
+					rows: table.log[follower.version-table.kept:], version: table.version,
+				}, false, clock.Now())
+			default:
+				behind := rapid.IntRange(0, int(table.version-follower.version)).Draw(t, "behind")
+				upTo := table.version - Version(behind)
+				follower.takeIn(answer[int]{
+					rows: table.log[follower.version-table.kept : upTo-table.kept], version: upTo,
+				}, false, clock.Now())
+			}
+			for key, value := range newest {
+				if copied[key] < value {
+					t.Fatalf("%s is %d, %d was told", key, copied[key], value)
+				}
+			}
+		}
+		follower.takeIn(answer[int]{
+			rows: table.log[follower.version-table.kept:], version: table.version,
+		}, false, clock.Now())
+		if !maps.Equal(copied, table.rows) && len(copied)+len(table.rows) > 0 {
+			t.Fatalf("%v of %v", copied, table.rows)
+		}
+	})
+}
