balancer: how full an engine is counts whole whatever the slack

Cause: with time counted by slack, what each request at an engine adds to its cost was discounted too, so an engine with a hot prompt was filled closer to its share before the next one read it. TestNoEngineHoldsMoreThanItsShare caught it (0.0166 of the requests beyond the share where 0.01 are allowed).

Change: only waiting and reading count by slack. What operators pay while engines have slack stays within its bounds (TestOperatorsPayLittleWhileEnginesHaveSlack).

--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -145,7 +145,7 @@
 	expected := waiting + fetch.time + reading
 	weight := sources.weight.at(expected)
 	read := readCost(reading, held, weight) + fetch.price + weight*fetch.time
-	cost += weight*(waiting+crowdCost*float64(held)) + read
+	cost += weight*waiting + crowdCost*float64(held) + read
 	return candidate{
 		replica: member.replica, held: held, uncached: uncached, waiting: waiting, expected: expected, cost: cost,
 		reading: read, fetch: fetch,
