--- a/internal/assembler/caller_conn_test.go
+++ b/internal/assembler/caller_conn_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -51,28 +50,30 @@
 	// it stops. In the same moment its caller sends the next request. First the close
 	// wins: the request is not passed on, so its caller may send it again. Then the
 	// request wins: its answer is whole, and the connection stays.
+	const passedOn, dropped = "passed on", "dropped"
 	tests := []struct {
 		name string
 		// before and within close the connection before the handler is called, and in it.
 		before, within bool
-		ran            int64
-		body           string
+		became, body   string
 	}{
-		{"nobody closes it", false, false, 1, "whole"},
-		{"closed before the request is passed on", true, false, 0, ""},
-		{"closed while the request runs", false, true, 1, "whole"},
+		{"nobody closes it", false, false, passedOn, "whole"},
+		{"closed before the request is passed on", true, false, dropped, ""},
+		{"closed while the request runs", false, true, passedOn, "whole"},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			var ran, late atomic.Int64
+			// The caller may see the end of the connection before the server has read the
+			// request, so what became of it is waited for.
+			became := make(chan string, 2)
 			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				ran.Add(1)
+				became <- passedOn
 				if test.within {
 					_ = r.Context().Value(connKey{}).(net.Conn).Close()
 				}
 				_, _ = io.WriteString(w, "whole")
 			})
-			address := callerServer(t, handler, func() { late.Add(1) }, func(conn net.Conn) {
+			address := callerServer(t, handler, func() { became <- dropped }, func(conn net.Conn) {
 				if test.before {
 					_ = conn.Close()
 				}
@@ -83,8 +84,7 @@
 			body, err := ask(conn)
 			So(err == nil, ShouldEqual, test.body != "")
 			So(body, ShouldEqual, test.body)
-			So(ran.Load(), ShouldEqual, test.ran)
-			So(late.Load(), ShouldEqual, 1-test.ran)
+			So(<-became, ShouldEqual, test.became)
 			if test.within {
 				again, err := ask(conn)
 				So(err, ShouldBeNil)
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -58,36 +58,6 @@
 	endMargin = 300 * timekeeper.Millisecond
 )
 
-// How entries read the store. Up to storeReaders of them each read as often as
-// one alone would; of more only a few read, together as often as one would, and tell
-// the others.
-const (
-	storeReaders = 4
-	// configurationPace keeps a store that answers at once without a change from
-	// being asked in a loop; the operator's table changes seldom.
-	configurationPace = 25 * timekeeper.Millisecond
-)
-
-var (
-	// replicaPace is the least time between two reads of the replicas' list, in
-	// which every heartbeat is a change. A leaving replica must be known well
-	// within the two seconds for which it still serves, also when what a reader told
-	// is lost. Readers of a large fleet take turns: a reader each 450 ms.
-	replicaPace = follower.Pacing{
-		Least: 450 * timekeeper.Millisecond, Most: 4 * timekeeper.Second, Alone: 1,
-	}
-	// replicaWait is how long the store may hold a call for a change of that list. Where
-	// there are replicas, heartbeats end it within that time, so silence is a fault.
-	replicaWait = follower.Every(1500 * timekeeper.Millisecond)
-	// configurationWait is the same for the operator's table, which changes seldom. A
-	// connection that has gone silent is noticed a second and a half after it, in which
-	// a change must still come into force; where several wait, the first to notice tells
-	// the others.
-	configurationWait = follower.Pacing{
-		Least: 1500 * timekeeper.Millisecond, Most: 5 * timekeeper.Second, Alone: 1,
-	}
-)
-
 // Surroundings are what a process gets from where it runs.
 type Surroundings struct {
 	Log *logrus.Logger
@@ -229,93 +199,6 @@
 	return nil
 }
 
-// follow sets up what is read of the platform's store.
-func (direct *Direct) follow(store *platform.Store) {
-	configurations, key := platform.Configurations(store)
-	fellows := direct.fellows
-	direct.configurations = follower.New(follower.Settings[platform.Document]{
-		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: configurations, Seed: newIncarnation(),
-		Pace: follower.Every(configurationPace), Wait: configurationWait,
-		Readers: fellows.takingTurns, Sharers: fellows.sharers, Reads: fellows.readsConfiguration,
-		Apply: func(rows map[string]platform.Document, _ follower.Version) {
-			if document := rows[key]; document.Config != nil {
-				direct.accept(document, "store")
-			}
-		},
-		// What others have they offer by its version; there is nothing else to miss.
-		Doubted: func() bool { return true },
-	})
-	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
-		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store), Seed: newIncarnation(),
-		Pace: replicaPace, Wait: replicaWait, Lapse: replicaLapse,
-		Readers: fellows.takingTurns, Sharers: fellows.sharers, Reads: fellows.reads, Doubted: fellows.doubted,
-		Apply: direct.list, Sum: gossiper.SumOf, Tell: direct.tellListed,
-		OthersServed: fellows.othersServed, Copy: fellows.copyReplicas,
-	})
-}
-
-// accept puts a configuration in force, unless a newer one is.
-func (direct *Direct) accept(document platform.Document, from string) {
-	config := document.Config
-	for {
-		current := direct.document.Load()
-		if current != nil && current.Config.Version() >= config.Version() {
-			return
-		}
-		if direct.document.CompareAndSwap(current, &document) {
-			break
-		}
-	}
-	direct.accepted.Store(int64(direct.clock.Now()))
-	direct.fellows.gossiper.Configured()
-	direct.fleet.With(func(fleet *balancer.Fleet) {
-		for _, service := range config.Services() {
-			if service.Engine != nil {
-				fleet.SetEngine(service.Name, engineOf(*service.Engine))
-			}
-		}
-	})
-	direct.scope.Gauge("configuration-version").Update(float64(config.Version()))
-	direct.log.WithFields(logrus.Fields{
-		"version": config.Version(), "routes": config.Routes(), "keys": config.Teams(), "from": from,
-	}).Info("configuration in force")
-}
-
-// list takes in the platform's list of replicas.
-func (direct *Direct) list(rows map[string]balancer.Replica, version follower.Version) {
-	list := make([]balancer.Replica, 0, len(rows))
-	for _, replica := range rows {
-		list = append(list, replica)
-	}
-	var changes []balancer.Change
-	direct.fleet.With(func(fleet *balancer.Fleet) { changes = fleet.SetReplicas(list, uint64(version)) })
-	for _, change := range changes {
-		if change.Gone || change.Restarted {
-			direct.pool.Retire(change.Replica.ID)
-		}
-		direct.log.WithFields(logrus.Fields{
-			"replica": change.Replica.ID, "service": change.Replica.Service, "address": change.Replica.Address,
-			"leaving": change.Replica.Leaving, "gone": change.Gone, "restarted": change.Restarted,
-		}).Info("replica listed")
-	}
-}
-
-// mostTold bounds the changes of a reading that peers are told one by one, some 60
-// bytes each. Of more than that they fetch the list.
-const mostTold = 32
-
-// tellListed tells peers what this entry's reading has changed in the list of replicas.
-func (direct *Direct) tellListed(news gossiper.ReplicaNews) {
-	for _, change := range news.Changes {
-		if change.Removed || change.Value.Leaving {
-			direct.fellows.gossiper.Leaving(gossiper.Leave{Replica: change.Key, Version: uint64(news.Version)})
-		}
-	}
-	if len(news.Changes) <= mostTold {
-		direct.fellows.gossiper.Listed(news)
-	}
-}
-
 // serving reports whether callers can be served.
 func (direct *Direct) serving() bool {
 	return direct.config() != nil && direct.replicas.Synced()
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"slices"
 	"testing"
 
@@ -372,129 +371,6 @@
 	})
 }
 
-func TestWhatIsRememberedOfManyEnginesIsBounded(t *testing.T) {
-	// Thousands of engines, each of which is told of thousands of prompts. What an entry
-	// remembers of all together stays the same; few engines are remembered as before.
-	tests := []struct{ engines, want int }{{1, mostParts}, {64, mostParts}, {186, 1409}, {3100, 84}, {10000, leastParts}}
-	for _, test := range tests {
-		Convey(fmt.Sprint(test.engines), t, func() {
-			So(shareOfParts(DefaultKnownParts, test.engines), ShouldEqual, test.want)
-		})
-	}
-	Convey("an engine's share shrinks as others join", t, func() {
-		fleet := New(Settings{KnownParts: 1000})
-		fleet.SetEngine("planner", Engine{Memory: 1 << 30})
-		fleet.SetReplicas(replicasOf("planner", 1, 64), 1)
-		told := func() {
-			for id := range uint64(2000) {
-				fleet.Cached(KeyOf("planner-0"), []Part{{ID: id, Tokens: 10}}, start.Add(timekeeper.Span(id)))
-			}
-		}
-		told()
-		So(len(fleet.replicas["planner-0"].cache.parts), ShouldBeBetweenOrEqual, 800, 1000)
-		fleet.SetReplicas(replicasOf("planner", 10, 64), 2)
-		told()
-		So(len(fleet.replicas["planner-0"].cache.parts), ShouldBeBetweenOrEqual, 80, 100)
-		So(fleet.replicas["planner-0"].cache.uncached([]Part{{ID: 1999, Tokens: 10}}), ShouldEqual, 0)
-	})
-}
-
-func BenchmarkKnownParts(b *testing.B) {
-	for _, engines := range []int{64, 400, 3100} {
-		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
-			for b.Loop() {
-				before := heapInUse()
-				fleet := planners(engines)
-				fleet.SetEngine("planner", Engine{Memory: 1 << 30})
-				list := replicasOf("planner", engines, 64)
-				for number := range uint64(2 * DefaultKnownParts) {
-					key := list[int(number)%engines].Key()
-					fleet.Cached(key, []Part{{ID: number, Tokens: 10}}, start.Add(timekeeper.Span(number/1000)))
-				}
-				held := heapInUse() - before
-				runtime.KeepAlive(fleet)
-				b.ReportMetric(held/1e6, "MB")
-				if held > mostKnownBytes {
-					b.Fatalf("%.0f bytes, at most %d", held, mostKnownBytes)
-				}
-			}
-		})
-	}
-}
-
-// mostKnownBytes is a quarter of what a daemon may hold at the design size.
-const mostKnownBytes = 32 << 20
-
-// heapInUse returns the bytes that live on the heap.
-func heapInUse() float64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
-
-func TestSumsOfPeersFollowTheirDigests(t *testing.T) {
-	// Digests of many peers come, replace each other and lapse in any order. What all
-	// peers have at a replica is the sum of those that count; a sum that drifted would
-	// make a replica look full, or empty, for good.
-	rapid.Check(t, func(t *rapid.T) {
-		fleet, now := planners(4), start
-		type told struct {
-			held  map[Key]Held
-			until timekeeper.Instant
-		}
-		all := map[string]told{}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(timekeeper.Span(rapid.IntRange(0, 400).Draw(t, "pause")))
-			peer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "peer")
-			life := timekeeper.Span(rapid.IntRange(1, 1500).Draw(t, "life"))
-			held := map[Key]Held{}
-			for _, key := range rapid.SliceOfDistinct(rapid.Uint32Range(1, 4), rapid.ID[uint32]).Draw(t, "keys") {
-				held[Key(key)] = Held{Running: rapid.IntRange(0, 9).Draw(t, "running"), Unread: rapid.IntRange(0, 9).Draw(t, "unread")}
-			}
-			fleet.SetPeer(peer, held, life, now)
-			all[peer] = told{held: held, until: now.Add(life)}
-			now = now.Add(timekeeper.Span(rapid.IntRange(0, 400).Draw(t, "wait")))
-			fleet.dropSilent(now)
-			for key := range Key(5) {
-				var want Held
-				for _, digest := range all {
-					if now <= digest.until {
-						want.Running += digest.held[key].Running
-						want.Unread += digest.held[key].Unread
-					}
-				}
-				if got := fleet.peersAt(key); got != want {
-					t.Fatalf("%+v at %d, not %+v", got, key, want)
-				}
-			}
-		}
-	})
-}
-
-func BenchmarkChooseAmongPeers(b *testing.B) {
-	for _, size := range []struct{ entries, replicas int }{{4, 9}, {103, 180}, {380, 400}} {
-		b.Run(fmt.Sprintf("entries=%d,replicas=%d", size.entries, size.replicas), func(b *testing.B) {
-			fleet := planners(size.replicas)
-			list := replicasOf("planner", size.replicas, 64)
-			for peer := range size.entries - 1 {
-				held := map[Key]Held{}
-				for number := range 20 {
-					held[list[(peer*7+number*13)%len(list)].Key()] = Held{Running: 1, Unread: 100}
-				}
-				fleet.SetPeer(fmt.Sprint(peer), held, timekeeper.Hour, start)
-			}
-			own := uint64(0)
-			for b.Loop() {
-				own++
-				if placement, _ := fleet.Choose(promptAsk(own%26, own), start); placement != nil {
-					fleet.End(placement, Served, start)
-				}
-			}
-		})
-	}
-}
-
 func BenchmarkChoose(b *testing.B) {
 	for _, replicas := range []int{9, 56, 400} {
 		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
--- /dev/null
+++ b/internal/balancer/peers_test.go
@@ -0,0 +1,72 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+func TestSumsOfPeersFollowTheirDigests(t *testing.T) {
+	// Digests of many peers come, replace each other and lapse in any order. What all
+	// peers have at a replica is the sum of those that count; a sum that drifted would
+	// make a replica look full, or empty, for good.
+	rapid.Check(t, func(t *rapid.T) {
+		fleet, now := planners(4), start
+		type told struct {
+			held  map[Key]Held
+			until timekeeper.Instant
+		}
+		all := map[string]told{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(timekeeper.Span(rapid.IntRange(0, 400).Draw(t, "pause")))
+			peer := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "peer")
+			life := timekeeper.Span(rapid.IntRange(1, 1500).Draw(t, "life"))
+			held := map[Key]Held{}
+			for _, key := range rapid.SliceOfDistinct(rapid.Uint32Range(1, 4), rapid.ID[uint32]).Draw(t, "keys") {
+				held[Key(key)] = Held{Running: rapid.IntRange(0, 9).Draw(t, "running"), Unread: rapid.IntRange(0, 9).Draw(t, "unread")}
+			}
+			fleet.SetPeer(peer, held, life, now)
+			all[peer] = told{held: held, until: now.Add(life)}
+			now = now.Add(timekeeper.Span(rapid.IntRange(0, 400).Draw(t, "wait")))
+			fleet.dropSilent(now)
+			for key := range Key(5) {
+				var want Held
+				for _, digest := range all {
+					if now <= digest.until {
+						want.Running += digest.held[key].Running
+						want.Unread += digest.held[key].Unread
+					}
+				}
+				if got := fleet.peersAt(key); got != want {
+					t.Fatalf("%+v at %d, not %+v", got, key, want)
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkChooseAmongPeers(b *testing.B) {
+	for _, size := range []struct{ entries, replicas int }{{4, 9}, {103, 180}, {380, 400}} {
+		b.Run(fmt.Sprintf("entries=%d,replicas=%d", size.entries, size.replicas), func(b *testing.B) {
+			fleet := planners(size.replicas)
+			list := replicasOf("planner", size.replicas, 64)
+			for peer := range size.entries - 1 {
+				held := map[Key]Held{}
+				for number := range 20 {
+					held[list[(peer*7+number*13)%len(list)].Key()] = Held{Running: 1, Unread: 100}
+				}
+				fleet.SetPeer(fmt.Sprint(peer), held, timekeeper.Hour, start)
+			}
+			own := uint64(0)
+			for b.Loop() {
+				own++
+				if placement, _ := fleet.Choose(promptAsk(own%26, own), start); placement != nil {
+					fleet.End(placement, Served, start)
+				}
+			}
+		})
+	}
+}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
@@ -30,39 +29,6 @@
 // kickSpan is the least time between two digests when there is urgent news.
 const kickSpan = 15 * timekeeper.Millisecond
 
-// Heard is what a peer has told.
-type Heard struct {
-	// Address is where the peer is reached, by datagrams and by connections.
-	Address string
-	// Life is how long it counts.
-	Life          timekeeper.Span
-	Held          map[balancer.Key]balancer.Held
-	Configuration uint64
-	// StoreAnswered is when the store answered the peer last; zero means never.
-	StoreAnswered timekeeper.Instant
-	Stopping      bool
-	Placements    []Placement
-	Unreachable   []string
-	Leaves        []Leave
-	Strikes       []Strike
-	// SameCentre reports whether the peer stands in the same data centre.
-	SameCentre bool
-	// Listing is what the peer's last reading of the list of replicas found; nil where
-	// it leaves the reading to others.
-	Listing *follower.Listing
-	// Listed are changes of the list that the peer has read.
-	Listed []ReplicaNews
-}
-
-// ReplicaNews is a change of the list of replicas.
-type ReplicaNews = follower.News[balancer.Replica]
-
-// Placement is a prompt that a peer has sent to a replica.
-type Placement struct {
-	Replica balancer.Key
-	Parts   []balancer.Part
-}
-
 // Settings set up a gossiper. All fields but Budget, StoreFailing and Listing must be
 // set.
 type Settings struct {
@@ -311,9 +277,6 @@
 	return full, due
 }
 
-// CentreKey returns the short name of a data centre in digests.
-func CentreKey(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
-
 // ageOf returns how long ago an instant is, at least a millisecond; zero means
 // that there is none.
 func ageOf(at, now timekeeper.Instant) uint32 {
@@ -383,47 +346,3 @@
 		gossiper.settings.Hear(heard)
 	}
 }
-
-const (
-	// lifeRounds is how many intervals a digest counts.
-	lifeRounds = 3
-	// shortestLife lets a few datagrams in a row be lost.
-	shortestLife = 800 * timekeeper.Millisecond
-)
-
-// heardOf decodes a digest. Lists that don't fit together are cut to the shorter.
-func heardOf(digest *encoder.PeerDigest, address string, now timekeeper.Instant) Heard {
-	heard := Heard{
-		Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
-		Life: min(max(shortestLife, lifeRounds*timekeeper.Span(digest.IntervalMs)), lifeRounds*longest),
-		Held: make(map[balancer.Key]balancer.Held, len(digest.Replicas)), Unreachable: digest.Unreachable,
-	}
-	if digest.StoreAgeMs > 0 {
-		heard.StoreAnswered = now.Add(-timekeeper.Span(digest.StoreAgeMs))
-	}
-	for i := range min(len(digest.Replicas), len(digest.Running), len(digest.Unread)) {
-		heard.Held[balancer.Key(digest.Replicas[i])] = balancer.Held{Running: int(digest.Running[i]), Unread: int(digest.Unread[i])}
-	}
-	for _, placed := range digest.Placements {
-		out := Placement{Replica: balancer.Key(placed.Replica)}
-		for i := range min(len(placed.Parts), len(placed.Tokens)) {
-			out.Parts = append(out.Parts, balancer.Part{ID: placed.Parts[i], Tokens: int(placed.Tokens[i])})
-		}
-		heard.Placements = append(heard.Placements, out)
-	}
-	for _, leave := range digest.Leaves {
-		heard.Leaves = append(heard.Leaves, Leave{Replica: leave.Replica, Version: leave.Version})
-	}
-	if listing := digest.Listing; listing != nil && listing.AgeMs > 0 {
-		heard.Listing = &follower.Listing{
-			Version: follower.Version(listing.Version), Sum: listing.Sum, At: now.Add(-timekeeper.Span(listing.AgeMs)),
-		}
-	}
-	for _, listed := range digest.Listed {
-		heard.Listed = append(heard.Listed, newsOf(listed))
-	}
-	for _, strike := range digest.Strikes {
-		heard.Strikes = append(heard.Strikes, Strike{Request: strike.Request, Replica: strike.Replica})
-	}
-	return heard
-}
--- /dev/null
+++ b/internal/gossiper/heard.go
@@ -0,0 +1,90 @@
+package gossiper
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Heard is what a peer has told.
+type Heard struct {
+	// Address is where the peer is reached, by datagrams and by connections.
+	Address string
+	// Life is how long it counts.
+	Life          timekeeper.Span
+	Held          map[balancer.Key]balancer.Held
+	Configuration uint64
+	// StoreAnswered is when the store answered the peer last; zero means never.
+	StoreAnswered timekeeper.Instant
+	Stopping      bool
+	Placements    []Placement
+	Unreachable   []string
+	Leaves        []Leave
+	Strikes       []Strike
+	// SameCentre reports whether the peer stands in the same data centre.
+	SameCentre bool
+	// Listing is what the peer's last reading of the list of replicas found; nil where
+	// it leaves the reading to others.
+	Listing *follower.Listing
+	// Listed are changes of the list that the peer has read.
+	Listed []ReplicaNews
+}
+
+// ReplicaNews is a change of the list of replicas.
+type ReplicaNews = follower.News[balancer.Replica]
+
+// Placement is a prompt that a peer has sent to a replica.
+type Placement struct {
+	Replica balancer.Key
+	Parts   []balancer.Part
+}
+
+// CentreKey returns the short name of a data centre in digests.
+func CentreKey(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+const (
+	// lifeRounds is how many intervals a digest counts.
+	lifeRounds = 3
+	// shortestLife lets a few datagrams in a row be lost.
+	shortestLife = 800 * timekeeper.Millisecond
+)
+
+// heardOf decodes a digest. Lists that don't fit together are cut to the shorter.
+func heardOf(digest *encoder.PeerDigest, address string, now timekeeper.Instant) Heard {
+	heard := Heard{
+		Address: address, Configuration: digest.Configuration, Stopping: digest.Stopping,
+		Life: min(max(shortestLife, lifeRounds*timekeeper.Span(digest.IntervalMs)), lifeRounds*longest),
+		Held: make(map[balancer.Key]balancer.Held, len(digest.Replicas)), Unreachable: digest.Unreachable,
+	}
+	if digest.StoreAgeMs > 0 {
+		heard.StoreAnswered = now.Add(-timekeeper.Span(digest.StoreAgeMs))
+	}
+	for i := range min(len(digest.Replicas), len(digest.Running), len(digest.Unread)) {
+		heard.Held[balancer.Key(digest.Replicas[i])] = balancer.Held{Running: int(digest.Running[i]), Unread: int(digest.Unread[i])}
+	}
+	for _, placed := range digest.Placements {
+		out := Placement{Replica: balancer.Key(placed.Replica)}
+		for i := range min(len(placed.Parts), len(placed.Tokens)) {
+			out.Parts = append(out.Parts, balancer.Part{ID: placed.Parts[i], Tokens: int(placed.Tokens[i])})
+		}
+		heard.Placements = append(heard.Placements, out)
+	}
+	for _, leave := range digest.Leaves {
+		heard.Leaves = append(heard.Leaves, Leave{Replica: leave.Replica, Version: leave.Version})
+	}
+	if listing := digest.Listing; listing != nil && listing.AgeMs > 0 {
+		heard.Listing = &follower.Listing{
+			Version: follower.Version(listing.Version), Sum: listing.Sum, At: now.Add(-timekeeper.Span(listing.AgeMs)),
+		}
+	}
+	for _, listed := range digest.Listed {
+		heard.Listed = append(heard.Listed, newsOf(listed))
+	}
+	for _, strike := range digest.Strikes {
+		heard.Strikes = append(heard.Strikes, Strike{Request: strike.Request, Replica: strike.Replica})
+	}
+	return heard
+}
