--- /dev/null
+++ b/internal/follower/shared_table_test.go
@@ -0,0 +1,137 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+var errAway = eris.New("away")
+
+// sharedTable is a table of the store that many processes follow.
+type sharedTable struct {
+	mu      sync.Mutex
+	rows    map[string]string
+	log     []follower.Change[string]
+	version follower.Version
+	kept    follower.Version
+	away    bool
+	calls   int
+	changed chan struct{}
+}
+
+func newSharedTable() *sharedTable {
+	return &sharedTable{rows: map[string]string{}, changed: make(chan struct{})}
+}
+
+func (table *sharedTable) write(changes ...follower.Change[string]) {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	for _, change := range changes {
+		table.version++
+		table.log = append(table.log, change)
+		if change.Removed {
+			delete(table.rows, change.Key)
+			continue
+		}
+		table.rows[change.Key] = change.Value
+	}
+	close(table.changed)
+	table.changed = make(chan struct{})
+}
+
+// list writes rows of replicas that are ready.
+func (table *sharedTable) list(replicas int) {
+	for number := range replicas {
+		table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
+	}
+}
+
+// now returns the rows, and how many calls there have been.
+func (table *sharedTable) now() (rows map[string]string, calls int) {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	return maps.Clone(table.rows), table.calls
+}
+
+// setAway switches the store off or on.
+func (table *sharedTable) setAway(away bool) {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	table.away = away
+}
+
+// forget drops the history.
+func (table *sharedTable) forget() {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	table.log, table.kept = nil, table.version
+}
+
+// call counts a call and reports whether the store serves it.
+func (table *sharedTable) call(ctx context.Context, by *process) error {
+	table.mu.Lock()
+	table.calls++
+	away := table.away || by.turnedAway.Load()
+	table.mu.Unlock()
+	_ = by.clock.Sleep(ctx, storeTakes)
+	if by.hangs.Load() {
+		_ = by.clock.Sleep(ctx, 1500*timekeeper.Millisecond)
+		return errAway
+	}
+	if away {
+		return errAway
+	}
+	return ctx.Err()
+}
+
+func (table *sharedTable) source(by *process) follower.Source[string] {
+	return follower.Source[string]{
+		Snapshot: func(ctx context.Context) ([]follower.Change[string], follower.Version, error) {
+			if err := table.call(ctx, by); err != nil {
+				return nil, 0, err
+			}
+			table.mu.Lock()
+			defer table.mu.Unlock()
+			var rows []follower.Change[string]
+			for key, value := range table.rows {
+				rows = append(rows, follower.Change[string]{Key: key, Value: value})
+			}
+			return rows, table.version, nil
+		},
+		Changes: func(
+			ctx context.Context, after follower.Version, wait timekeeper.Span,
+		) ([]follower.Change[string], follower.Version, error) {
+			if err := table.call(ctx, by); err != nil {
+				return nil, 0, err
+			}
+			fired, release := by.clock.After(wait)
+			defer release()
+			for {
+				table.mu.Lock()
+				if after < table.kept {
+					table.mu.Unlock()
+					return nil, 0, follower.ErrHistoryLost
+				}
+				rows, version, changed := table.log[after-table.kept:], table.version, table.changed
+				table.mu.Unlock()
+				if len(rows) > 0 {
+					return rows, version, nil
+				}
+				select {
+				case <-changed:
+				case <-fired:
+					return nil, version, nil
+				case <-ctx.Done():
+					return nil, 0, ctx.Err()
+				}
+			}
+		},
+	}
+}
