--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -56,7 +56,8 @@
 	// that nothing is known of others.
 	OthersServed func(from timekeeper.Instant) timekeeper.Instant
 	// Copy asks another process for its copy of the table and the version that it is
-	// of, where the store fails. Nil means that nobody can be asked.
+	// of, where the store fails or others have a newer copy. Nil means that nobody can
+	// be asked.
 	Copy func(ctx context.Context) ([]Change[T], Version, error)
 	Seed uint64
 }
