--- a/internal/assembler/direct_offers_test.go
+++ b/internal/assembler/direct_offers_test.go
@@ -68,7 +68,7 @@
 	defer release()
 	ask := func() int {
 		answer := httptest.NewRecorder()
-		direct.fellows.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, pathConfiguration, http.NoBody))
+		direct.fellows.ServeHTTP(answer, httptest.NewRequestWithContext(t.Context(), http.MethodGet, pathConfiguration, http.NoBody))
 		return answer.Code
 	}
 	Convey("and the next once one has ended", t, func() {
