--- a/internal/assembler/direct_readers.go
+++ b/internal/assembler/direct_readers.go
@@ -61,7 +61,9 @@
 	return turns.last
 }
 
-// elect brings the choice of readers up to date and calls look with it.
+// elect brings the choice of readers up to date and calls look with it. Lock order: the
+// lock of turns comes before the gossiper's and a follower's, which call here without
+// theirs.
 func (fellows *fellows) elect(look func(turns *turns)) {
 	now := fellows.direct.clock.Now()
 	fellows.turns.mu.Lock()
