assembler: a connection on which a request arrives is not idle

Change: what closes idle connections, the entry itself and the stop, leaves one on which bytes lie unread or a request is being read; the stop waits until these are answered, and until connections that wait at the listener have been taken.

Tests fail without it: requests that lie unread, are half read, served or over, in a stop and before; callers that nobody has taken.

--- a/internal/assembler/caller_conn.go
+++ b/internal/assembler/caller_conn.go
@@ -5,22 +5,41 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // callerConn is a caller's connection that is not closed under a request.
 //
 // The failure: a connection looks idle, and while it is being closed, to make room or
-// because the entry stops, the next request on it has just been read. The symptom: the
-// request is passed on to a replica and runs, and its caller finds the connection closed
-// without an answer; one that must not run twice can't be sent again. A request and a
-// close take their turn here: whichever comes second finds out. A close that loses is
-// dropped, for the server closes the connection itself after the answer where it has to;
-// a request that loses is not passed on.
+// because the entry stops, the next request on it comes. On a machine that gets a tenth
+// of a core it may have been there for a quarter of a second, unread. The symptom: the
+// request gets neither an answer nor a refusal, and where it had just been read and was
+// passed on it runs as well; one that must not run twice can't be sent again. So a
+// connection is closed as idle only where no request is served or has begun to arrive; a
+// request that comes after that finds out and is not passed on.
 type callerConn struct {
 	net.Conn
+	// stopping is set while the entry stops; from then on the server closes connections
+	// that look idle to it.
+	stopping *atomic.Bool
+
+	mu sync.Mutex
+	// arriving is set from the first byte of a request until it is served.
+	arriving, serving, closed bool
+}
 
-	mu              sync.Mutex
-	serving, closed bool
+// Read reads, and notes that a request arrives.
+func (conn *callerConn) Read(buffer []byte) (int, error) {
+	count, err := conn.Conn.Read(buffer)
+	if count > 0 {
+		conn.mu.Lock()
+		conn.arriving = conn.arriving || !conn.serving
+		conn.mu.Unlock()
+	}
+	return count, err
 }
 
 // begin reports whether a request on the connection may be passed on. If so it must be
@@ -28,7 +47,7 @@
 func (conn *callerConn) begin() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.serving = !conn.closed
+	conn.serving, conn.arriving = !conn.closed, false
 	return conn.serving
 }
 
@@ -38,8 +57,12 @@
 	conn.serving = false
 }
 
-// Close closes the connection, unless a request on it is being served.
+// Close closes the connection. One on which a request is served is closed by the server
+// after the answer; while the entry stops one with a request that arrives stays too.
 func (conn *callerConn) Close() error {
+	if conn.stopping.Load() {
+		return conn.closeIdle()
+	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if conn.serving {
@@ -49,6 +72,55 @@
 	return conn.Conn.Close()
 }
 
+// closeIdle closes the connection, unless a request on it is served or arrives.
+func (conn *callerConn) closeIdle() error {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if conn.serving || conn.arriving || unread(conn.Conn) {
+		return nil
+	}
+	conn.closed = true
+	return conn.Conn.Close()
+}
+
+// unread reports whether bytes have come that nobody has read yet. A connection that
+// can't tell has none.
+func unread(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	_ = control.Control(func(fd uintptr) {
+		var first [1]byte
+		count, _, err = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && count > 0
+}
+
+// knocking reports whether connections wait at a listener that nobody has taken yet:
+// closed now, it would reset them with the requests on them. A listener that can't tell
+// has none.
+func knocking(listener net.Listener) bool {
+	raw, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	_ = control.Control(func(fd uintptr) {
+		ready, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
 // CloseWrite ends what the caller is sent, as the server does before it closes a
 // connection on which bytes are left unread.
 func (conn *callerConn) CloseWrite() error {
@@ -59,7 +131,10 @@
 }
 
 // callerListener takes callers' connections as callerConns.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	stopping *atomic.Bool
+}
 
 // Accept returns the next connection.
 func (listener callerListener) Accept() (net.Conn, error) {
@@ -67,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn}, nil
+	return &callerConn{Conn: conn, stopping: listener.stopping}, nil
 }
 
 // connKey is where the context of a request holds its connection.
--- a/internal/assembler/caller_conn_test.go
+++ b/internal/assembler/caller_conn_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -26,7 +28,7 @@
 			}
 		},
 	}
-	go func() { _ = server.Serve(callerListener{listener}) }()
+	go func() { _ = server.Serve(callerListener{Listener: listener, stopping: new(atomic.Bool)}) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr()
 }
@@ -93,3 +95,102 @@
 		})
 	}
 }
+
+// connPair returns both ends of a connection, the first as an entry takes it.
+func connPair(t *testing.T) (*callerConn, net.Conn) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := callerListener{Listener: listener, stopping: new(atomic.Bool)}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = conn.(*callerConn).Conn.Close()
+	})
+	return conn.(*callerConn), caller
+}
+
+func TestAConnectionOnWhichARequestArrivesIsNotIdle(t *testing.T) {
+	// An entry stops, or makes room, on a machine that is busy: a caller's request lies
+	// unread, or is half read, on a connection that looks idle. Closed then, it would get
+	// neither an answer nor a refusal. One on which nothing comes is closed.
+	arrive := func(conn *callerConn, caller net.Conn) {
+		_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n")
+		for !unread(conn.Conn) {
+			runtime.Gosched()
+		}
+	}
+	read := func(conn *callerConn, caller net.Conn) {
+		arrive(conn, caller)
+		_, _ = conn.Read(make([]byte, 100))
+	}
+	tests := []struct {
+		name   string
+		happen func(conn *callerConn, caller net.Conn)
+		closed bool
+	}{
+		{"nothing came", func(*callerConn, net.Conn) {}, true},
+		{"a request lies unread", arrive, false},
+		{"a request is being read", read, false},
+		{"a request is served", func(conn *callerConn, caller net.Conn) { read(conn, caller); conn.begin() }, false},
+		{"a request was served", func(conn *callerConn, caller net.Conn) { read(conn, caller); conn.begin(); conn.end() }, true},
+	}
+	for _, test := range tests {
+		for _, stopping := range []bool{false, true} {
+			Convey(test.name, t, func() {
+				conn, caller := connPair(t)
+				test.happen(conn, caller)
+				conn.stopping.Store(stopping)
+				if stopping {
+					So(conn.Close(), ShouldBeNil)
+				} else {
+					So(conn.closeIdle(), ShouldBeNil)
+				}
+				So(conn.closed, ShouldEqual, test.closed)
+				So(conn.begin(), ShouldEqual, !test.closed)
+			})
+		}
+	}
+	Convey("the server itself closes one whose request it can't read", t, func() {
+		conn, caller := connPair(t)
+		read(conn, caller)
+		So(conn.Close(), ShouldBeNil)
+		So(conn.closed, ShouldBeTrue)
+	})
+}
+
+func TestCallersThatKnock(t *testing.T) {
+	// A caller has connected, and nobody has taken the connection. A listener that is
+	// closed now resets it.
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	Convey("are seen until they are taken", t, func() {
+		So(knocking(listener), ShouldBeFalse)
+		caller, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer func() { _ = caller.Close() }()
+		for !knocking(listener) {
+			runtime.Gosched()
+		}
+		taken, err := listener.Accept()
+		So(err, ShouldBeNil)
+		defer func() { _ = taken.Close() }()
+		So(knocking(listener), ShouldBeFalse)
+		So(knocking(offeredListener{}), ShouldBeFalse)
+	})
+}
+
+// offeredListener is a listener without a socket.
+type offeredListener struct{ net.Listener }
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -259,7 +259,9 @@
 		ReadHeaderTimeout: headerPatience.Duration(), IdleTimeout: idlePatience.Duration(),
 		MaxHeaderBytes: mostHeader, ConnState: direct.callers.watch, ConnContext: withConn,
 	}
-	front := callerListener{boundedListener{Listener: direct.listeners.front, callers: direct.callers}}
+	front := callerListener{
+		Listener: boundedListener{Listener: direct.listeners.front, callers: direct.callers}, stopping: &direct.readiness.leaving,
+	}
 	stopped := make(chan error, 1)
 	group.Add(func() error {
 		if err := server.Serve(front); !eris.Is(err, http.ErrServerClosed) {
@@ -295,10 +297,16 @@
 	}()
 	_ = direct.clock.Sleep(ctx, direct.settings.StopDelay)
 	direct.front.Stop(ends)
-	for direct.front.Active() > 0 && direct.clock.Sleep(ctx, stopPoll) == nil {
-		continue
+	for direct.front.Active() > 0 || knocking(direct.listeners.front) {
+		if direct.clock.Sleep(ctx, stopPoll) != nil {
+			break
+		}
 	}
 	err := server.Shutdown(ctx)
+	// Connections on which a request had just come were left open; they get their answers.
+	for direct.callers.count() > 0 && direct.clock.Sleep(ctx, stopPoll) == nil {
+		continue
+	}
 	select {
 	case <-left:
 	case <-ctx.Done():
--- a/internal/assembler/direct_callers.go
+++ b/internal/assembler/direct_callers.go
@@ -88,10 +88,21 @@
 func (callers *callers) sweep(longest timekeeper.Span) {
 	now := callers.clock.Now()
 	for _, conn := range callers.closable(longest, now) {
+		if caller, ok := conn.(*callerConn); ok {
+			_ = caller.closeIdle()
+			continue
+		}
 		_ = conn.Close()
 	}
 }
 
+// count returns how many connections are open.
+func (callers *callers) count() int {
+	callers.mu.Lock()
+	defer callers.mu.Unlock()
+	return len(callers.open)
+}
+
 func (callers *callers) closable(longest timekeeper.Span, now timekeeper.Instant) []net.Conn {
 	callers.mu.Lock()
 	defer callers.mu.Unlock()
