assembler: a caller who was told of the last answer waits for nothing

Cause, by reading: while the entry stops its server's own close, after an answer that asks the caller to leave, was dropped too where bytes lay unread; the caller would have waited for the end of the process.

Change: a connection whose last answer has begun in the stop is closed as before. Two tests, one for an answer that began before the stop.

--- a/internal/assembler/caller_conn.go
+++ b/internal/assembler/caller_conn.go
@@ -27,8 +27,9 @@
 	stopping *atomic.Bool
 
 	mu sync.Mutex
-	// arriving is set from the first byte of a request until it is served.
-	arriving, serving, closed bool
+	// arriving is set from the first byte of a request until it is served, last once a
+	// request has begun that the stopping entry answers with the end of the connection.
+	arriving, serving, closed, last bool
 }
 
 // Read reads, and notes that a request arrives.
@@ -47,7 +48,7 @@
 func (conn *callerConn) begin() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.serving, conn.arriving = !conn.closed, false
+	conn.serving, conn.arriving, conn.last = !conn.closed, false, conn.stopping.Load()
 	return conn.serving
 }
 
@@ -58,25 +59,27 @@
 }
 
 // Close closes the connection. One on which a request is served is closed by the server
-// after the answer; while the entry stops one with a request that arrives stays too.
+// after the answer. While the entry stops one with a request that arrives stays too,
+// unless its caller has been told that the answer before was the last.
 func (conn *callerConn) Close() error {
-	if conn.stopping.Load() {
-		return conn.closeIdle()
-	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.serving {
-		return nil
-	}
-	conn.closed = true
-	return conn.Conn.Close()
+	return conn.closeUnless(conn.serving || conn.stopping.Load() && !conn.last && conn.used())
 }
 
 // closeIdle closes the connection, unless a request on it is served or arrives.
 func (conn *callerConn) closeIdle() error {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.serving || conn.arriving || unread(conn.Conn) {
+	return conn.closeUnless(conn.serving || conn.used())
+}
+
+// used reports whether a request arrives; the lock must be held.
+func (conn *callerConn) used() bool { return conn.arriving || unread(conn.Conn) }
+
+// closeUnless closes the connection unless it has to stay; the lock must be held.
+func (conn *callerConn) closeUnless(stays bool) error {
+	if stays {
 		return nil
 	}
 	conn.closed = true
--- a/internal/assembler/caller_conn_test.go
+++ b/internal/assembler/caller_conn_test.go
@@ -160,6 +160,26 @@
 			})
 		}
 	}
+	Convey("one whose caller was told of the last answer is closed in a stop", t, func() {
+		conn, caller := connPair(t)
+		conn.stopping.Store(true)
+		read(conn, caller)
+		conn.begin()
+		conn.end()
+		arrive(conn, caller)
+		So(conn.Close(), ShouldBeNil)
+		So(conn.closed, ShouldBeTrue)
+	})
+	Convey("one whose answer began before the stop is not", t, func() {
+		conn, caller := connPair(t)
+		read(conn, caller)
+		conn.begin()
+		conn.stopping.Store(true)
+		conn.end()
+		arrive(conn, caller)
+		So(conn.Close(), ShouldBeNil)
+		So(conn.closed, ShouldBeFalse)
+	})
 	Convey("the server itself closes one whose request it can't read", t, func() {
 		conn, caller := connPair(t)
 		read(conn, caller)
