assembler: a connection that the server reads no more is closed

Change: when the server is through with a connection it is closed, whatever came; the caller is told at once that nothing was read. Test fails without it.

--- a/internal/assembler/caller_conn.go
+++ b/internal/assembler/caller_conn.go
@@ -67,6 +67,15 @@
 	return conn.closeUnless(conn.serving || conn.stopping.Load() && !conn.last && conn.used())
 }
 
+// abandon closes the connection once the server reads it no more. Its own close may have
+// been dropped for a request that had come by then, and that nobody would ever read.
+func (conn *callerConn) abandon() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.closed = true
+	_ = conn.Conn.Close()
+}
+
 // closeIdle closes the connection, unless a request on it is served or arrives.
 func (conn *callerConn) closeIdle() error {
 	conn.mu.Lock()
--- a/internal/assembler/caller_conn_test.go
+++ b/internal/assembler/caller_conn_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 // callerServer serves a handler as an entry serves its callers. active is called with a
@@ -180,6 +182,19 @@
 		So(conn.Close(), ShouldBeNil)
 		So(conn.closed, ShouldBeFalse)
 	})
+	Convey("one that the server reads no more is closed, whatever came", t, func() {
+		conn, caller := connPair(t)
+		callers := newCallers(timekeeper.NewManual(1).Clock(), otherDescriptors+10)
+		callers.watch(conn, http.StateNew)
+		arrive(conn, caller)
+		conn.stopping.Store(true)
+		So(conn.Close(), ShouldBeNil)
+		So(conn.closed, ShouldBeFalse)
+		callers.watch(conn, http.StateClosed)
+		So(conn.closed, ShouldBeTrue)
+		_, err := caller.Read(make([]byte, 1))
+		So(err, ShouldNotBeNil)
+	})
 	Convey("the server itself closes one whose request it can't read", t, func() {
 		conn, caller := connPair(t)
 		read(conn, caller)
--- a/internal/assembler/direct_callers.go
+++ b/internal/assembler/direct_callers.go
@@ -66,6 +66,9 @@
 		callers.open[conn] = busy
 	case http.StateClosed, http.StateHijacked:
 		delete(callers.open, conn)
+		if caller, ok := conn.(*callerConn); ok && state == http.StateClosed {
+			caller.abandon()
+		}
 	}
 }
 
