follower: the log tells which version a copy is of and how it got there

Change: a line when another's copy makes this one newer (version before and now, rows lapsing and told), when a lapsed row is back, and when an answer is older than the copy. What is kept or back names the version that said so, not the one before.

--- a/internal/follower/borrow.go
+++ b/internal/follower/borrow.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	first := !follower.known
-	changed := follower.take(follower.notOlder(answer[T]{rows: rows, version: version, whole: true}), now)
+	changed := follower.take(follower.notOlder(answer[T]{rows: rows, version: version, whole: true}), version, now)
 	follower.version, follower.known = version, true
 	follower.log("rows taken from another process's copy", version)
 	if changed || first {
--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -15,6 +15,8 @@
 	// What others told meanwhile may be newer than the answer.
 	if answer.version >= follower.version {
 		follower.takeNewer(answer, now)
+	} else {
+		follower.log("answer is older than the copy", answer.version)
 	}
 	follower.fresh, follower.behind = now, 0
 	follower.mu.Lock()
@@ -26,7 +28,7 @@
 func (follower *Follower[T]) takeNewer(answer answer[T], now timekeeper.Instant) {
 	first := !follower.known
 	before := maps.Clone(follower.rows)
-	changed := follower.take(follower.notOlder(answer), now)
+	changed := follower.take(follower.notOlder(answer), answer.version, now)
 	follower.version = answer.version
 	changed = follower.expire(now) || changed
 	if first {
@@ -84,12 +86,12 @@
 	return changes
 }
 
-// take applies changes and reports whether there were any.
-func (follower *Follower[T]) take(changes []Change[T], now timekeeper.Instant) bool {
+// take applies the changes up to a version and reports whether there were any.
+func (follower *Follower[T]) take(changes []Change[T], version Version, now timekeeper.Instant) bool {
 	changed := false
 	for _, change := range changes {
 		if !change.Removed {
-			delete(follower.lapsing, change.Key)
+			follower.returned(change.Key, version)
 			follower.put(change.Key, change.Value)
 			changed = true
 			continue
@@ -99,7 +101,7 @@
 		}
 		if now < follower.lenient {
 			follower.lapsing[change.Key] = follower.lenient
-			follower.log("row lapsed in an outage, kept for a while: "+change.Key, follower.version)
+			follower.log("row lapsed in an outage, kept for a while: "+change.Key, version)
 			continue
 		}
 		follower.drop(change.Key)
@@ -108,6 +110,14 @@
 	return changed
 }
 
+// returned notes that a row is in the table again; the lock must be held.
+func (follower *Follower[T]) returned(key string, version Version) {
+	if _, lapsing := follower.lapsing[key]; lapsing {
+		delete(follower.lapsing, key)
+		follower.log("lapsed row is back: "+key, version)
+	}
+}
+
 // put and drop change one row of the copy and its checksum.
 func (follower *Follower[T]) put(key string, value T) {
 	follower.drop(key)
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -119,7 +121,7 @@
 			continue
 		}
 		follower.told[change.Key] = news.Version
-		delete(follower.lapsing, change.Key)
+		follower.returned(change.Key, news.Version)
 		if change.Removed {
 			follower.drop(change.Key)
 			continue
@@ -145,6 +147,7 @@
 	case !follower.known || other.Version < follower.version:
 		return
 	case same:
+		follower.logConfirmed(other.Version)
 		follower.version = other.Version
 		maps.DeleteFunc(follower.told, func(_ string, version Version) bool { return version <= other.Version })
 		follower.fresh, follower.behind = max(follower.fresh, other.At), 0
@@ -153,6 +156,18 @@
 	}
 }
 
+// logConfirmed logs that another's copy moves the version of this one; the lock must be
+// held. Only what the copy is of tells afterwards whether a row went by an own reading.
+func (follower *Follower[T]) logConfirmed(version Version) {
+	if version == follower.version {
+		return
+	}
+	follower.settings.Log.WithFields(logrus.Fields{
+		"table": follower.settings.Name, "version": uint64(version), "version-before": uint64(follower.version),
+		"rows": len(follower.rows), "rows-lapsing": len(follower.lapsing), "rows-told": len(follower.told),
+	}).Info("another's copy is the same and newer")
+}
+
 // catchUp fetches the copy of a process that has a newer one, and reports whether there
 // was one.
 func (follower *Follower[T]) catchUp(ctx context.Context) bool {
