--- /dev/null
+++ b/internal/follower/lapse_test.go
@@ -0,0 +1,81 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// lapsing and dead are how many replicas' rows lapse, and how many of these died.
+	lapsing, dead = 48, 2
+	// goneAfter is within what time after the store's return a replica that died must
+	// be known to be gone.
+	goneAfter = 3500 * timekeeper.Millisecond
+	// startsAgain is how long a process takes that ends and starts again.
+	startsAgain = 2200 * timekeeper.Millisecond
+)
+
+func TestRowsThatAllLapseInAnOutage(t *testing.T) {
+	// The store is away for six seconds and all rows lapse; as it returns, half of the
+	// processes start again, and within two seconds each replica that lives writes its
+	// row. Callers found half of the replicas, and a quarter of those of a small service,
+	// out of use until the day's end: the others had all work, and went over their share.
+	// Each process must go on with all replicas that live, and drop those that died.
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playLapse(t, seed) })
+		})
+	}
+}
+
+func playLapse(t *testing.T, seed uint64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer cancel()
+	table := newSharedTable()
+	table.list(lapsing)
+	fleet := startProcesses(ctx, table, 24, 4, 0, seed)
+	sleep := func(span timekeeper.Span) { _ = fleet.clock.Sleep(ctx, span) }
+	sleep(10 * timekeeper.Second)
+	table.setAway(true)
+	sleep(4 * timekeeper.Second)
+	for number := range lapsing {
+		table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Removed: true})
+	}
+	sleep(1900)
+	for number := range 14 {
+		go fleet.restart(ctx, number, startsAgain, seed+100)
+	}
+	sleep(400)
+	table.setAway(false)
+	for number := range lapsing - dead {
+		go func() {
+			sleep(timekeeper.Span(200 + (number*37+int(seed)*101)%1700))
+			table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
+		}()
+	}
+	lived := fleet.running()[14:]
+	for _, one := range lived {
+		one.works()
+	}
+	sleep(goneAfter)
+	for _, one := range lived {
+		if _, fewest := one.works(); fewest < lapsing-dead {
+			t.Errorf("%s, which went on: %d replicas could get work at the least", one.own.Address, fewest)
+		}
+	}
+	for _, later := range []timekeeper.Span{0, 5 * timekeeper.Second, 15 * timekeeper.Second} {
+		sleep(later)
+		for _, one := range fleet.running() {
+			if now, _ := one.works(); now != lapsing-dead {
+				t.Errorf("%s: %d replicas can get work %d ms later", one.own.Address, now, later)
+			}
+		}
+	}
+}
--- a/internal/follower/processes_test.go
+++ b/internal/follower/processes_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/elector"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -20,7 +22,15 @@
 	member  elector.Member
 	listing follower.Listing
 	reads   bool
+	served  timekeeper.Instant
 	news    []follower.News[string]
+	leaves  []leave
+}
+
+// leave is a replica that a process saw leave or go, at a version of the table.
+type leave struct {
+	replica string
+	version follower.Version
 }
 
 // flag is a fault that a test switches on.
@@ -50,12 +60,21 @@
 
 	turnedAway, hangs, cutOff, gone flag
 
-	mu    sync.Mutex
-	heard map[string]elector.Member
-	at    map[string]timekeeper.Instant
-	news  []follower.News[string]
-	known map[string]timekeeper.Instant
-	rows  map[string]string
+	// stop ends the process.
+	stop context.CancelFunc
+
+	mu     sync.Mutex
+	heard  map[string]elector.Member
+	at     map[string]timekeeper.Instant
+	served []timekeeper.Instant
+	news   []follower.News[string]
+	leaves []leave
+	known  map[string]timekeeper.Instant
+	rows   map[string]string
+	// fleet is what the process would choose from, fewest how many replicas could get
+	// work at the least since that was reset.
+	balancer *balancer.Fleet
+	fewest   int
 }
 
 // processes is a fleet of them.
@@ -63,9 +82,12 @@
 	clock timekeeper.Clock
 	table *sharedTable
 	all   []*process
-	mu    sync.Mutex
-	draws *rand.Rand
-	loss  float64
+	// centres is over how many data centres the processes are spread.
+	centres int
+	log     logrus.FieldLogger
+	mu      sync.Mutex
+	draws   *rand.Rand
+	loss    float64
 }
 
 func (fleet *processes) lost() bool {
@@ -82,32 +104,64 @@
 }
 
 func startProcesses(ctx context.Context, table *sharedTable, count, centres int, loss float64, seed uint64) *processes {
-	fleet := &processes{clock: timekeeper.Steady(), table: table, loss: loss, draws: rand.New(rand.NewPCG(seed, 5))}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	for number := range count {
-		one := &process{
-			fleet: fleet, clock: fleet.clock, heard: map[string]elector.Member{}, at: map[string]timekeeper.Instant{},
-			known: map[string]timekeeper.Instant{},
-			own:   elector.Member{Address: fmt.Sprintf("10.0.0.%d:7", number), DataCentre: uint32(number % centres)},
-		}
-		one.follower = follower.New(follower.Settings[string]{
-			Name: "test", Clock: fleet.clock, Log: log, Source: table.source(one), Seed: seed + uint64(number),
-			Apply: one.apply, Lapse: 2200, Sum: func(key, value string) uint64 { return xxhash.Sum64String(key + "=" + value) },
-			Pace: follower.Pacing{Least: 450, Most: 4000, Alone: 1}, Wait: follower.Every(1500),
-			Readers: one.takingTurns, Sharers: func() int { return len(one.members()) }, Reads: one.reads, Doubted: one.doubted,
-			Tell: one.tell, Copy: one.copy,
-		})
-		fleet.all = append(fleet.all, one)
+	fleet := &processes{
+		clock: timekeeper.Steady(), table: table, centres: centres, loss: loss, log: log, all: make([]*process, count),
+		draws: rand.New(rand.NewPCG(seed, 5)),
+	}
+	for number := range fleet.all {
+		fleet.all[number] = fleet.make(number, seed)
 	}
 	for _, one := range fleet.all {
-		go one.follower.Run(ctx)
-		go one.digests(ctx)
+		one.start(ctx)
 	}
 	return fleet
 }
 
-func (one *process) apply(rows map[string]string, _ follower.Version) {
+// make returns a process that has not started.
+func (fleet *processes) make(number int, seed uint64) *process {
+	one := &process{
+		fleet: fleet, clock: fleet.clock, heard: map[string]elector.Member{}, at: map[string]timekeeper.Instant{},
+		known: map[string]timekeeper.Instant{}, balancer: balancer.New(balancer.Settings{Seed: seed}),
+		own: elector.Member{Address: fmt.Sprintf("10.0.0.%d:7", number), DataCentre: uint32(number % fleet.centres)},
+	}
+	one.follower = follower.New(follower.Settings[string]{
+		Name: "test", Clock: fleet.clock, Log: fleet.log, Source: fleet.table.source(one), Seed: seed + uint64(number),
+		Apply: one.apply, Lapse: 2200, Sum: func(key, value string) uint64 { return xxhash.Sum64String(key + "=" + value) },
+		Pace: follower.Pacing{Least: 450, Most: 4000, Alone: 1}, Wait: follower.Every(1500),
+		Readers: one.takingTurns, Sharers: func() int { return len(one.members()) }, Reads: one.reads, Doubted: one.doubted,
+		Tell: one.tell, Copy: one.copy, OthersServed: one.othersServed,
+	})
+	return one
+}
+
+func (one *process) start(ctx context.Context) {
+	ctx, one.stop = context.WithCancel(ctx)
+	go one.follower.Run(ctx)
+	go one.digests(ctx)
+}
+
+// restart ends a process without a word; the same one starts with nothing after a while.
+func (fleet *processes) restart(ctx context.Context, number int, after timekeeper.Span, seed uint64) {
+	fleet.all[number].gone.Store(true)
+	fleet.all[number].stop()
+	_ = fleet.clock.Sleep(ctx, after)
+	one := fleet.make(number, seed)
+	fleet.mu.Lock()
+	fleet.all[number] = one
+	fleet.mu.Unlock()
+	one.start(ctx)
+}
+
+// running returns the processes as they are now.
+func (fleet *processes) running() []*process {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	return slices.Clone(fleet.all)
+}
+
+func (one *process) apply(rows map[string]string, version follower.Version) {
 	now := one.clock.Now()
 	one.mu.Lock()
 	defer one.mu.Unlock()
@@ -122,9 +176,24 @@
 		}
 	}
 	one.rows = rows
+	list := make([]balancer.Replica, 0, len(rows))
+	for key, value := range rows {
+		list = append(list, balancer.Replica{ID: key, Service: "planner", Leaving: value == "leaving"})
+	}
+	one.balancer.SetReplicas(list, uint64(version))
+	one.fewest = min(one.fewest, one.balancer.Count("planner"))
+}
+
+// works returns how many replicas could get work, and how many at the least since the
+// last call.
+func (one *process) works() (now, fewest int) {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	now, fewest = one.balancer.Count("planner"), one.fewest
+	one.fewest = now
+	return now, fewest
 }
 
-// members returns the processes that are near, this one among them.
 func (one *process) members() []elector.Member {
 	now := one.clock.Now()
 	own := one.own
@@ -161,16 +230,26 @@
 	return false
 }
 
+// mostTold is how many changes are told one by one, as entries do.
+const mostTold = 32
+
 func (one *process) tell(news follower.News[string]) {
 	one.mu.Lock()
-	one.news = append(one.news, news)
+	for _, change := range news.Changes {
+		if change.Removed || change.Value == "leaving" {
+			one.leaves = append(one.leaves, leave{replica: change.Key, version: news.Version})
+		}
+	}
+	if len(news.Changes) <= mostTold {
+		one.news = append(one.news, news)
+	}
 	one.mu.Unlock()
 	// A lock of the follower is held; the digest goes out on its own.
 	go one.send()
 }
 
 func (one *process) copy(context.Context) ([]follower.Change[string], follower.Version, error) {
-	for _, other := range one.fleet.all {
+	for _, other := range one.fleet.running() {
 		if other != one && !other.unheard() && !one.unheard() {
 			if rows, version, known := other.follower.Rows(); known {
 				return rows, version, nil
@@ -180,6 +259,21 @@
 	return nil, 0, errAway
 }
 
+// servedLater is how much later than an outage began an answer to another process must
+// be to count as given after it.
+const servedLater = 500 * timekeeper.Millisecond
+
+func (one *process) othersServed(from timekeeper.Instant) timekeeper.Instant {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	for _, at := range one.served {
+		if at > from.Add(servedLater) {
+			return at
+		}
+	}
+	return 0
+}
+
 func (one *process) unheard() bool { return one.cutOff.Load() || one.gone.Load() }
 
 // digests sends a digest now and then.
@@ -197,11 +291,12 @@
 	out := digest{member: one.own}
 	out.member.Failing = one.follower.Failing()
 	out.listing, out.reads = one.follower.Listing()
+	out.served = one.follower.Answered()
 	one.mu.Lock()
-	out.news = one.news
-	one.news = nil
+	out.news, out.leaves = one.news, one.leaves
+	one.news, one.leaves = nil, nil
 	one.mu.Unlock()
-	for _, other := range one.fleet.all {
+	for _, other := range one.fleet.running() {
 		if other != one && !other.unheard() && !one.fleet.lost() {
 			other.hear(out)
 		}
@@ -211,6 +306,11 @@
 func (one *process) hear(in digest) {
 	one.mu.Lock()
 	one.heard[in.member.Address], one.at[in.member.Address] = in.member, one.clock.Now()
+	one.served = append(one.served, in.served)
+	for _, leave := range in.leaves {
+		one.balancer.Leave(leave.replica, uint64(leave.version))
+	}
+	one.fewest = min(one.fewest, one.balancer.Count("planner"))
 	one.mu.Unlock()
 	for _, news := range in.news {
 		one.follower.Told(news)
