follower: rows that another found again lapse no more

Cause: a process that keeps missing rows hears that another's copy is the same and newer, takes over the version, and so never reads that the rows were written again; they stay marked as missing, are dropped when their time is over, and their replicas told to leave. Logged: version 158 to 169 with 11 of 48 rows lapsing, dropped 1 s later.

Why it holds: a copy with rows that its table lacks is told to nobody (Listing), so one that is the same at a newer version has each row. At the same version it says nothing: the table was read to lack the row there.

Test: TestRowsThatAnotherFoundAgain, fails without.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -237,6 +237,57 @@
 	})
 }
 
+func TestRowsThatAnotherFoundAgain(t *testing.T) {
+	// Rows lapse in an outage, and a process keeps them for a while. They are written
+	// again; before the process reads that, another tells of a copy that is the same and
+	// newer, so the changes up to then are never read here. The rows were dropped when
+	// their time was over, and callers lost replicas that live.
+	tests := []struct {
+		name string
+		// newer is by how many versions the other's copy is newer, other what it has.
+		newer Version
+		other map[string]int
+		want  map[string]int
+	}{
+		{"the other has them at a newer version", 2, map[string]int{"a": 1, "b": 1}, map[string]int{"a": 1, "b": 1}},
+		{"the other has them at the version that lacks them", 0, map[string]int{"a": 1, "b": 1}, map[string]int{}},
+		{"the other has one of them", 1, map[string]int{"a": 1}, map[string]int{}},
+	}
+	sum := func(key string, value int) uint64 { return uint64(key[0])<<32 + uint64(value) }
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			table, clock := newTable(), newClock()
+			table.put("a", 1)
+			table.put("b", 1)
+			copied := map[string]int{}
+			follower := New(Settings[int]{
+				Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: 2200, Sum: sum,
+				Apply: func(rows map[string]int, _ Version) { copied = rows },
+			})
+			step := func() { follower.Step(context.Background()) }
+			step()
+			table.fail = eris.New("away")
+			step()
+			clock.Advance(3000)
+			table.fail = nil
+			table.remove("a")
+			table.remove("b")
+			step()
+			So(copied, ShouldResemble, map[string]int{"a": 1, "b": 1})
+			listing := Listing{Version: table.version + test.newer}
+			for key, value := range test.other {
+				listing.Sum ^= sum(key, value)
+			}
+			follower.Compare(listing)
+			table.version = listing.Version
+			table.compact()
+			clock.Advance(2200)
+			follower.dropLapsed(clock.Now())
+			So(copied, ShouldResemble, test.want)
+		})
+	}
+}
+
 func TestRowsThatWentWhileOthersWereServed(t *testing.T) {
 	// The store turns this process away for seconds and serves others. A row that
 	// is missing afterwards has not lapsed: its replica has left, and peers know.
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -147,8 +147,7 @@
 	case !follower.known || other.Version < follower.version:
 		return
 	case same:
-		follower.logConfirmed(other.Version)
-		follower.version = other.Version
+		follower.confirm(other.Version)
 		maps.DeleteFunc(follower.told, func(_ string, version Version) bool { return version <= other.Version })
 		follower.fresh, follower.behind = max(follower.fresh, other.At), 0
 	case other.Version > follower.version && follower.behind == 0:
@@ -156,9 +155,16 @@
 	}
 }
 
-// logConfirmed logs that another's copy moves the version of this one; the lock must be
-// held. Only what the copy is of tells afterwards whether a row went by an own reading.
-func (follower *Follower[T]) logConfirmed(version Version) {
+// confirm moves the copy to a version at which another's was the same; the lock must be
+// held.
+//
+// The failure: rows lapse in an outage, and this process keeps those that are missing.
+// They are written again, and before it reads that, another tells that its copy is the
+// same and newer. The symptom: the changes up to then are never read, the rows count as
+// missing still and are dropped when their time is over, and all are told that replicas
+// leave which live. A copy that holds rows which its table lacks is told to nobody, so
+// one that is the same at a newer version says that each row is there again.
+func (follower *Follower[T]) confirm(version Version) {
 	if version == follower.version {
 		return
 	}
@@ -166,6 +172,8 @@
 		"table": follower.settings.Name, "version": uint64(version), "version-before": uint64(follower.version),
 		"rows": len(follower.rows), "rows-lapsing": len(follower.lapsing), "rows-told": len(follower.told),
 	}).Info("another's copy is the same and newer")
+	follower.version = version
+	clear(follower.lapsing)
 }
 
 // catchUp fetches the copy of a process that has a newer one, and reports whether there
