balancer, follower: what a peer saw leave counts until the own list is as new

Cause: an entry keeps a peer's word on a leave, with the version of the list at which the peer saw it, until its own list is as new. That was noticed only where a row of the list changed: a copy that became newer by another's word (Compare), or by a reading or a fetched copy that brought no change, told the fleet nothing, so the mark stayed for good.

Change: each newer version of the copy is handed on, by Settings.Confirm where no row has changed, and the fleet gives back what a peer's word alone had taken (Fleet.Confirm). A line says so.

Why it holds: the copy of version V has every row as the table had it at V, so a word of V or before that disagrees with it was wrong or is over; a later word stays.

--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -60,7 +60,7 @@
 		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store), Seed: newIncarnation(),
 		Pace: replicaPace, Wait: replicaWait, Lapse: replicaLapse,
 		Readers: fellows.takingTurns, Sharers: fellows.sharers, Reads: fellows.reads, Doubted: fellows.doubted,
-		Apply: direct.list, Sum: gossiper.SumOf, Tell: direct.tellListed,
+		Apply: direct.list, Confirm: direct.confirmList, Sum: gossiper.SumOf, Tell: direct.tellListed,
 		OthersServed: fellows.othersServed, Copy: fellows.copyReplicas,
 	})
 }
@@ -111,6 +111,17 @@
 	}
 }
 
+// confirmList notes that the list of replicas is also that of a newer version.
+func (direct *Direct) confirmList(version follower.Version) {
+	var back []string
+	direct.fleet.With(func(fleet *balancer.Fleet) { back = fleet.Confirm(uint64(version)) })
+	for _, replica := range back {
+		direct.log.WithFields(logrus.Fields{
+			"replica": replica, "version": uint64(version),
+		}).Info("replica gets work again, the list is as new as what a peer saw")
+	}
+}
+
 // mostTold bounds the changes of a reading that peers are told one by one, some 60
 // bytes each. Of more than that they fetch the list.
 const mostTold = 32
--- a/internal/assembler/direct_test.go
+++ b/internal/assembler/direct_test.go
@@ -23,7 +23,13 @@
 // directOnLoopback returns an entry with a store that holds nothing.
 func directOnLoopback(t *testing.T) (*Direct, func()) {
 	t.Helper()
-	store := httptest.NewServer(emulator.NewStore(timekeeper.Steady()))
+	return directBefore(t, emulator.NewStore(timekeeper.Steady()))
+}
+
+// directBefore returns an entry before a store.
+func directBefore(t *testing.T, emulated *emulator.Store) (*Direct, func()) {
+	t.Helper()
+	store := httptest.NewServer(emulated)
 	t.Cleanup(store.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -107,20 +107,27 @@
 	listed := make(map[string]bool, len(list))
 	for _, listing := range list {
 		listed[listing.ID] = true
-		if _, left := fleet.leaves[listing.ID]; left {
-			listing.Leaving = true
-		}
 		known, found := fleet.replicas[listing.ID]
-		if found && (known.Replica == listing || listing.precedes(known.Replica)) {
+		_, left := fleet.leaves[listing.ID]
+		if found && listing.precedes(known.Replica) {
+			known.takeBack(left)
+			continue
+		}
+		toldLeaving := left && !listing.Leaving
+		listing.Leaving = listing.Leaving || left
+		if found && known.Replica == listing {
+			known.toldLeaving = toldLeaving
 			continue
 		}
 		restarted := found && listing.succeeds(known.Replica)
 		changes = append(changes, Change{Replica: listing, Restarted: restarted})
 		if found && !restarted {
 			known.relist(listing)
+			known.toldLeaving = toldLeaving
 			continue
 		}
 		fleet.replicas[listing.ID] = newReplica(listing)
+		fleet.replicas[listing.ID].toldLeaving = toldLeaving
 	}
 	for id, known := range fleet.replicas {
 		if !listed[id] {
@@ -139,6 +146,16 @@
 	known.Replica, known.key = listing, listing.Key()
 }
 
+// takeBack ends what a peer said of a replica's leaving, unless it is told still, and
+// reports whether the replica gets work again.
+func (known *replica) takeBack(told bool) bool {
+	if told || !known.toldLeaving {
+		return false
+	}
+	known.Leaving, known.toldLeaving = false, false
+	return true
+}
+
 // placed returns the replica that has a placement, if that incarnation is listed.
 func (fleet *Fleet) placed(placement *Placement) (*replica, bool) {
 	known, found := fleet.replicas[placement.Replica.ID]
@@ -334,10 +351,32 @@
 	if !found || known.Leaving {
 		return false
 	}
-	known.Leaving = true
+	known.Leaving, known.toldLeaving = true, true
 	return true
 }
 
+// Confirm notes that the list which was taken in last is also that of a version. It
+// returns the replicas that get work again, which a peer saw leave at that version or
+// before it and the list has ready.
+//
+// The failure: a peer takes a replica for gone that lives, and tells; or one that has
+// left is back under its ID. The list that says so reaches this entry, or was there all
+// the while, and nothing in it changes, so it isn't taken in anew. The symptom: the
+// replica gets no work from this entry until its row changes, which may be never.
+func (fleet *Fleet) Confirm(version uint64) (back []string) {
+	fleet.version = version
+	for id, seen := range fleet.leaves {
+		if seen > version {
+			continue
+		}
+		delete(fleet.leaves, id)
+		if known, found := fleet.replicas[id]; found && known.takeBack(false) {
+			back = append(back, id)
+		}
+	}
+	return back
+}
+
 // Report takes in what a replica said of itself with an answer.
 func (fleet *Fleet) Report(id string, report LoadReport, now timekeeper.Instant) {
 	if known, found := fleet.replicas[id]; found {
--- a/internal/balancer/leave_test.go
+++ b/internal/balancer/leave_test.go
@@ -49,6 +49,59 @@
 	})
 }
 
+func TestALeaveThatTheListCorrects(t *testing.T) {
+	// A peer tells that a replica leaves, and it doesn't, or is back. The list that has it
+	// ready is as new, and no row of it changes: only its version is told. The replica got
+	// no work from this entry for the rest of the day.
+	tests := []struct {
+		name            string
+		told, confirmed uint64
+		// listed is the version of a list that comes after the word; zero means none.
+		listed         uint64
+		leaving, works bool
+	}{
+		{"the list is as new", 12, 12, 0, false, true},
+		{"it is newer", 12, 20, 0, false, true},
+		{"it is older", 12, 11, 0, false, false},
+		{"an older list came between", 12, 15, 10, false, true},
+		{"an older list came between, and it is older", 12, 11, 10, false, false},
+		{"the list itself says that it leaves", 12, 20, 10, true, false},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			fleet := planners(2)
+			list := replicasOf("planner", 2, 64)
+			fleet.SetReplicas(list, 8)
+			So(fleet.Leave("planner-0", test.told), ShouldBeTrue)
+			list[0].Leaving = test.leaving
+			if test.listed > 0 {
+				fleet.SetReplicas(list, test.listed)
+			}
+			back, want := fleet.Confirm(test.confirmed), 1
+			if test.works {
+				want = 2
+				So(back, ShouldResemble, []string{"planner-0"})
+			} else {
+				So(back, ShouldBeEmpty)
+			}
+			So(fleet.Count("planner"), ShouldEqual, want)
+			So(fleet.Leave("planner-0", test.confirmed), ShouldBeFalse)
+		})
+	}
+	Convey("a listing of an earlier life says nothing of the later one", t, func() {
+		fleet := planners(1)
+		list := replicasOf("planner", 1, 64)
+		list[0].Born = 20
+		fleet.SetReplicas(list, 8)
+		fleet.Leave("planner-0", 12)
+		list[0].Born = 10
+		fleet.SetReplicas(list, 10)
+		So(fleet.Count("planner"), ShouldEqual, 0)
+		fleet.SetReplicas(list, 13)
+		So(fleet.Count("planner"), ShouldEqual, 1)
+	})
+}
+
 // leaver is a store on which replicas begin to leave and go, for good, and an
 // entry that reads it late.
 type leaver struct {
@@ -98,6 +151,18 @@
 	}
 }
 
+// confirm moves the entry to the newest version whose list is the one that it has.
+func (play *leaver) confirm() {
+	own := play.history[play.read-1]
+	for version := uint64(len(play.history)); version > play.read; version-- {
+		if slices.Equal(play.history[version-1], own) {
+			play.read = version
+			play.fleet.Confirm(version)
+			return
+		}
+	}
+}
+
 // tell lets a peer tell of a replica that has left.
 func (play *leaver) tell(id string) {
 	if at := play.left[id]; at != 0 {
@@ -115,13 +180,15 @@
 		play := newLeaver(count)
 		for step := range rapid.IntRange(5, 60).Draw(t, "steps") {
 			which := rapid.IntRange(0, count-1).Draw(t, "which")
-			switch rapid.SampledFrom([]string{"leave", "read", "again", "tell", "ask"}).Draw(t, "what") {
+			switch rapid.SampledFrom([]string{"leave", "read", "again", "confirm", "tell", "ask"}).Draw(t, "what") {
 			case "leave":
 				play.leave(which, rapid.Bool().Draw(t, "silently"))
 			case "read":
 				play.take(rapid.Uint64Range(play.read, uint64(len(play.history))).Draw(t, "version"))
 			case "again":
 				play.take(play.read)
+			case "confirm":
+				play.confirm()
 			case "tell":
 				play.tell(replicasOf("planner", count, 64)[which].ID)
 			case "ask":
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -77,8 +77,10 @@
 // replica is what a fleet believes of one replica.
 type replica struct {
 	Replica
-	key   Key
-	cache *prefixCache
+	// toldLeaving reports that it is leaving by a peer's word alone.
+	toldLeaving bool
+	key         Key
+	cache       *prefixCache
 	// running counts this entry's requests at the replica.
 	running int
 	// unread are tokens of this entry's requests whose first event is due, by the
--- a/internal/follower/borrow.go
+++ b/internal/follower/borrow.go
@@ -41,15 +41,23 @@
 	changed := follower.take(follower.notOlder(answer[T]{rows: rows, version: version, whole: true}), version, now)
 	follower.version, follower.known = version, true
 	follower.log("rows taken from another process's copy", version)
-	if changed || first {
-		follower.apply()
-	}
+	follower.handOn(changed || first)
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	follower.synced = true
 	return true
 }
 
+// handOn hands on a copy of a newer version, or the version alone where nothing in the
+// copy has changed; the lock must be held.
+func (follower *Follower[T]) handOn(changed bool) {
+	if changed {
+		follower.apply()
+		return
+	}
+	follower.settings.Confirm(follower.version)
+}
+
 // apply hands on the copy; the lock must be held.
 func (follower *Follower[T]) apply() {
 	follower.settings.Apply(maps.Clone(follower.rows), follower.version)
--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -34,9 +34,7 @@
 	if first {
 		follower.known, follower.settles = true, now.Add(settling)
 	}
-	if changed || first {
-		follower.apply()
-	}
+	follower.handOn(changed || first)
 	if !first {
 		follower.tell(before)
 	}
--- a/internal/follower/processes_test.go
+++ b/internal/follower/processes_test.go
@@ -128,7 +128,7 @@
 	}
 	one.follower = follower.New(follower.Settings[string]{
 		Name: "test", Clock: fleet.clock, Log: fleet.log, Source: fleet.table.source(one), Seed: seed + uint64(number),
-		Apply: one.apply, Lapse: 2200, Sum: func(key, value string) uint64 { return xxhash.Sum64String(key + "=" + value) },
+		Apply: one.apply, Confirm: one.confirm, Lapse: 2200, Sum: func(key, value string) uint64 { return xxhash.Sum64String(key + "=" + value) },
 		Pace: follower.Pacing{Least: 450, Most: 4000, Alone: 1}, Wait: follower.Every(1500),
 		Readers: one.takingTurns, Sharers: func() int { return len(one.members()) }, Reads: one.reads, Doubted: one.doubted,
 		Tell: one.tell, Copy: one.copy, OthersServed: one.othersServed,
@@ -184,6 +184,12 @@
 	one.fewest = min(one.fewest, one.balancer.Count("planner"))
 }
 
+func (one *process) confirm(version follower.Version) {
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	one.balancer.Confirm(uint64(version))
+}
+
 // works returns how many replicas could get work, and how many at the least since the
 // last call.
 func (one *process) works() (now, fewest int) {
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -19,6 +19,9 @@
 	// Apply takes each new copy, and the version of the store that it is of. It must
 	// not keep the map.
 	Apply func(rows map[string]T, version Version)
+	// Confirm takes a newer version that the last copy is also of. Nil means that nobody
+	// needs to know.
+	Confirm func(version Version)
 	// Pace is the least time between two reads; zero means none. Reading a table
 	// whose rows are all written again and again costs a call for each write
 	// otherwise.
@@ -67,6 +70,9 @@
 	if settings.OthersServed == nil {
 		settings.OthersServed = func(timekeeper.Instant) timekeeper.Instant { return 0 }
 	}
+	if settings.Confirm == nil {
+		settings.Confirm = func(Version) {}
+	}
 	if settings.Readers == nil {
 		settings.Readers = func() int { return 1 }
 	}
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -174,6 +174,7 @@
 	}).Info("another's copy is the same and newer")
 	follower.version = version
 	clear(follower.lapsing)
+	follower.settings.Confirm(version)
 }
 
 // catchUp fetches the copy of a process that has a newer one, and reports whether there
--- a/internal/follower/told_test.go
+++ b/internal/follower/told_test.go
@@ -60,6 +60,46 @@
 	}
 }
 
+func TestEachNewerVersionIsHandedOn(t *testing.T) {
+	// What was believed until a version of the table ends with that version, also where no
+	// row of the copy changes by it: a replica that a peer took for gone got no work until
+	// its row changed.
+	tests := []struct {
+		name string
+		// move makes the copy one of version 60, in which nothing has changed.
+		move func(follower *Follower[int])
+	}{
+		{"a read that brings nothing", func(follower *Follower[int]) {
+			follower.takeIn(answer[int]{version: 60}, false, follower.settings.Clock.Now())
+		}},
+		{"a whole read", func(follower *Follower[int]) {
+			follower.takeIn(answer[int]{version: 60, rows: []Change[int]{{Key: "a", Value: 1}}, whole: true}, false, follower.settings.Clock.Now())
+		}},
+		{"another's copy that is the same", func(follower *Follower[int]) { follower.Compare(Listing{Version: 60, Sum: follower.sum}) }},
+		{"another's copy that was fetched", func(follower *Follower[int]) { follower.fetch(context.Background()) }},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			newest := Version(0)
+			follower := New(Settings[int]{
+				Name: "test", Clock: newClock().Clock(), Log: quiet(), Sum: func(string, int) uint64 { return 7 },
+				Apply:   func(_ map[string]int, version Version) { newest = version },
+				Confirm: func(version Version) { newest = version },
+				Copy: func(context.Context) ([]Change[int], Version, error) {
+					return []Change[int]{{Key: "a", Value: 1}}, 60, nil
+				},
+				Source: Source[int]{Snapshot: func(context.Context) ([]Change[int], Version, error) {
+					return []Change[int]{{Key: "a", Value: 1}}, 50, nil
+				}},
+			})
+			follower.Step(t.Context())
+			So(newest, ShouldEqual, Version(50))
+			test.move(follower)
+			So(newest, ShouldEqual, Version(60))
+		})
+	}
+}
+
 func TestToldCopiesNeverGoBack(t *testing.T) {
 	// News, listings, copies and answers of any age come in any order. No row is ever
 	// older than the newest that was heard of it, and once all is told the copy is the
