follower: lapsed rows go after a last look at the table

Callers saw: within three seconds after an outage some replicas that live got no work for half a second.

Cause: a row that is missing after an outage is due to go 2.2 s after the store's return. Where that passed between two reads, the next read was ended as it began and the row dropped, though the table had it again.

Change: a read has at least 300 ms before rows go without it. With a pause of 450 ms before it a row goes at the latest 2.95 s after the store's return, within the 3 s from which on a leaving replica must get nothing.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -130,8 +130,16 @@
 // errDue ends a read when lapsed rows are due to go.
 var errDue = eris.New("lapsed rows are due")
 
+// lastLook is how long a read has at least before lapsed rows go without it. With a
+// pause before it a row still goes within three seconds of the store's return.
+const lastLook = 300 * timekeeper.Millisecond
+
 // untilDue bounds a read by when the next lapsed row is due to go: reads wait for
 // changes, and there may be none for long.
+//
+// The failure: a row is written again shortly before it is due, between two reads, and
+// the time is over when the next one begins. The symptom: the row goes unread, and all
+// are told that a replica leaves which lives. So each read has time for an answer.
 func (follower *Follower[T]) untilDue(ctx context.Context) (context.Context, func()) {
 	follower.copying.Lock()
 	lapsing := slices.Collect(maps.Values(follower.lapsing))
@@ -140,7 +148,8 @@
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	fired, release := follower.settings.Clock.After(slices.Min(lapsing).Since(follower.settings.Clock.Now()))
+	due := slices.Min(lapsing).Since(follower.settings.Clock.Now())
+	fired, release := follower.settings.Clock.After(max(due, lastLook))
 	go func() {
 		select {
 		case <-fired:
--- a/internal/follower/lapse_test.go
+++ b/internal/follower/lapse_test.go
@@ -79,3 +79,44 @@
 		}
 	}
 }
+
+func TestARowThatComesBackAtTheLastMoment(t *testing.T) {
+	// After an outage a replica's row is missing. It is written again in time, after one
+	// read and before the next, which begins when the time is over. The row was dropped
+	// without that read, and each process was told that the replica leaves.
+	for late := timekeeper.Span(0); late < replicaRest; late += 50 {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playLastMoment(t, late) })
+		})
+	}
+}
+
+// replicaRest is the time between two reads while rows may be due to go.
+const replicaRest = 450 * timekeeper.Millisecond
+
+func playLastMoment(t *testing.T, late timekeeper.Span) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer cancel()
+	table := newSharedTable()
+	table.list(2)
+	fleet := startProcesses(ctx, table, 1, 1, 0, 1)
+	go heartbeats(ctx, fleet.clock, table, 1)
+	one := fleet.all[0]
+	_ = fleet.clock.Sleep(ctx, 10*timekeeper.Second)
+	table.setAway(true)
+	_ = fleet.clock.Sleep(ctx, 4*timekeeper.Second)
+	table.write(follower.Change[string]{Key: "r1", Removed: true})
+	table.setAway(false)
+	for one.follower.Failing() {
+		_ = fleet.clock.Sleep(ctx, 1)
+	}
+	one.works()
+	_ = fleet.clock.Sleep(ctx, 2200-late)
+	table.write(follower.Change[string]{Key: "r1", Value: "ready"})
+	_ = fleet.clock.Sleep(ctx, 5*timekeeper.Second)
+	if now, fewest := one.works(); now != 2 || fewest != 2 {
+		t.Errorf("written again %d ms before its time was over: %d replicas can get work, %d at the least", late, now, fewest)
+	}
+}
