follower: an outage that only others noticed counts, also once it is over

Callers saw: for up to half a second after an outage, up to a third of the replicas that live got no work from any entry.

Cause: an entry that leaves the reading to others never failed itself. It read after all others had found the store back, so nobody was failing any more, took the rows that were missing for replicas that left, and told everyone.

Change: that another process finds the store failing is remembered until the copy is next known to be the table's; a reading that ends such a span of two seconds or more keeps missing rows as after an outage of its own.

Why it holds: a store that turns one process away alone leaves the others reading, and their word keeps the copy known to be the table's, so nothing is kept then.

Test: TestAnOutageThatOnlyOthersNoticed, fails without.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -237,6 +237,49 @@
 	})
 }
 
+func TestAnOutageThatOnlyOthersNoticed(t *testing.T) {
+	// The store is away for seconds, and rows lapse. This process leaves the reading to
+	// others and never asked; when it reads, all others have found the store back. It took
+	// the rows for gone and told everyone, and callers lost replicas that live.
+	tests := []struct {
+		name string
+		// confirmed reports that a reader told of its copy after the outage.
+		confirmed bool
+		want      map[string]int
+	}{
+		{"nobody has told of the table since", false, map[string]int{"lives": 1}},
+		{"a reader has told that the copy holds", true, map[string]int{}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			table, clock := newTable(), newClock()
+			table.put("lives", 1)
+			copied, doubted := map[string]int{}, false
+			follower := New(Settings[int]{
+				Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: 2200,
+				Sum:   func(string, int) uint64 { return 7 },
+				Apply: func(rows map[string]int, _ Version) { copied = rows },
+				Reads: func() bool { return false }, Doubted: func() bool { return doubted },
+			})
+			follower.Step(t.Context())
+			clock.Advance(1000)
+			doubted = true
+			So(follower.duty(), ShouldEqual, idle)
+			clock.Advance(3000)
+			doubted = false
+			if test.confirmed {
+				follower.Compare(Listing{Version: table.version, Sum: 7, At: clock.Now()})
+			}
+			table.remove("lives")
+			follower.Step(t.Context())
+			So(copied, ShouldResemble, test.want)
+			clock.Advance(2200)
+			follower.Step(t.Context())
+			So(copied, ShouldBeEmpty)
+		})
+	}
+}
+
 func TestRowsThatAnotherFoundAgain(t *testing.T) {
 	// Rows lapse in an outage, and a process keeps them for a while. They are written
 	// again; before the process reads that, another tells of a copy that is the same and
--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -57,11 +57,13 @@
 // is long enough for rows to have lapsed; the lock must be held.
 //
 // The failure: a few processes read for all, and the store is away for seconds. The
-// first one that it serves again may never have failed itself, having left the reading
-// to others. The symptom: it takes the rows that lapsed for replicas that are gone, and
-// tells everyone; for two seconds there is hardly a replica to send work to.
+// one that reads first, or after all others have found it back, may never have failed
+// itself, having left the reading to others. The symptom: it takes the rows that lapsed
+// for replicas that are gone, and tells everyone; for two seconds there is hardly a
+// replica to send work to. That anyone found the store failing since the copy was last
+// known to be the table's is enough.
 func (follower *Follower[T]) outageBegan(doubted bool, now timekeeper.Instant) (timekeeper.Instant, bool) {
-	if doubted && follower.known {
+	if follower.known && (doubted || follower.doubted > follower.fresh) {
 		return follower.fresh, now.Since(follower.fresh) >= sharedOutage
 	}
 	if follower.failing == 0 {
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -59,6 +59,9 @@
 	now := follower.settings.Clock.Now()
 	follower.copying.Lock()
 	defer follower.copying.Unlock()
+	if doubted {
+		follower.doubted = now
+	}
 	switch {
 	case reads || !follower.known || follower.failing != 0 || len(follower.lapsing) > 0:
 		return readTable
@@ -121,11 +124,12 @@
 			continue
 		}
 		follower.told[change.Key] = news.Version
-		follower.returned(change.Key, news.Version)
 		if change.Removed {
+			delete(follower.lapsing, change.Key)
 			follower.drop(change.Key)
 			continue
 		}
+		follower.returned(change.Key, news.Version)
 		follower.put(change.Key, change.Value)
 	}
 	if follower.sum == before {
