follower, gossiper: a copy says which of its rows the table lacks

Callers would see: an entry that the store turns away right after an outage sends work to a replica that died in it, for good, and tells others that the table has it.

Cause: a copy for others held rows that are kept though missing, without a word of it. Who took it counted them as the table's.

Change: each such row says how much longer it stays; who takes the copy drops it then, reads the table meanwhile, and tells nobody of its copy until then.

Test: TestACopyThatKeepsMissingRows, fails without; TestAListOfReplicas.

--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -268,7 +268,7 @@
 		}
 		rows := make([]follower.Change[balancer.Replica], len(list.Replicas))
 		for i, replica := range list.Replicas {
-			rows[i] = follower.Change[balancer.Replica]{Key: replica.ID, Value: replica}
+			rows[i] = follower.Change[balancer.Replica]{Key: replica.ID, Value: replica, Lapses: list.Lapses[replica.ID]}
 		}
 		return rows, follower.Version(list.Version), nil
 	}
@@ -281,9 +281,10 @@
 	if !known {
 		return nil
 	}
-	list := gossiper.ReplicaList{Version: uint64(version)}
+	list := gossiper.ReplicaList{Version: uint64(version), Lapses: map[string]timekeeper.Span{}}
 	for _, row := range rows {
 		list.Replicas = append(list.Replicas, row.Value)
+		list.Lapses[row.Key] = row.Lapses
 	}
 	text, err := list.Encode()
 	if err != nil {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -237,6 +237,64 @@
 	})
 }
 
+func TestACopyThatKeepsMissingRows(t *testing.T) {
+	// The store is back after an outage for one process, which keeps rows that lapsed
+	// meanwhile, and turns another away, which takes that copy. One replica writes its row
+	// again, the other died. Who took the copy had the dead one for good, gave it work, and
+	// told others that the table has it.
+	table, clock := newTable(), newClock()
+	table.put("lives", 1)
+	table.put("died", 1)
+	sum := func(key string, value int) uint64 { return uint64(len(key) + 100*value) }
+	lender := New(Settings[int]{
+		Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: 2200, Sum: sum,
+		Apply: func(map[string]int, Version) {},
+	})
+	lender.Step(t.Context())
+	table.fail = eris.New("away")
+	lender.Step(t.Context())
+	clock.Advance(3000)
+	table.fail = nil
+	table.remove("lives")
+	table.remove("died")
+	lender.Step(t.Context())
+	copied, turnedAway := map[string]int{}, true
+	source := table.source()
+	borrower := New(Settings[int]{
+		Name: "test", Clock: clock.Clock(), Log: quiet(), Lapse: 2200, Sum: sum,
+		Apply: func(rows map[string]int, _ Version) { copied = rows },
+		Copy: func(context.Context) ([]Change[int], Version, error) {
+			rows, version, _ := lender.Rows()
+			return rows, version, nil
+		},
+		Source: Source[int]{
+			Snapshot: func(context.Context) ([]Change[int], Version, error) { return nil, 0, eris.New("turned away") },
+			Changes: func(ctx context.Context, after Version, wait timekeeper.Span) ([]Change[int], Version, error) {
+				if turnedAway {
+					return nil, 0, eris.New("turned away")
+				}
+				return source.Changes(ctx, after, wait)
+			},
+		},
+	})
+	borrower.Step(t.Context())
+	Convey("it serves with all rows and tells nobody of them", t, func() {
+		So(copied, ShouldResemble, map[string]int{"lives": 1, "died": 1})
+		borrower.answered = clock.Now()
+		_, tells := borrower.Listing()
+		So(tells, ShouldBeFalse)
+	})
+	clock.Advance(900)
+	table.put("lives", 2)
+	turnedAway = false
+	borrower.Step(t.Context())
+	clock.Advance(1300)
+	borrower.Step(t.Context())
+	Convey("the dead one goes when its time is over", t, func() {
+		So(copied, ShouldResemble, map[string]int{"lives": 2})
+	})
+}
+
 func TestAnOutageThatOnlyOthersNoticed(t *testing.T) {
 	// The store is away for seconds, and rows lapse. This process leaves the reading to
 	// others and never asked; when it reads, all others have found the store back. It took
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -99,11 +99,20 @@
 
 // Rows returns the copy as rows of a table, and of which version it is; false means
 // that there is none.
+//
+// The failure: a copy that keeps rows which the table lacks since an outage is given to
+// a process that the store turns away. The symptom: who has it keeps replicas for good
+// that died in the outage, and tells others so. Each such row says how long it stays.
 func (follower *Follower[T]) Rows() (rows []Change[T], version Version, known bool) {
+	now := follower.settings.Clock.Now()
 	follower.copying.Lock()
 	defer follower.copying.Unlock()
 	for key, value := range follower.rows {
-		rows = append(rows, Change[T]{Key: key, Value: value})
+		row := Change[T]{Key: key, Value: value}
+		if due, lapsing := follower.lapsing[key]; lapsing {
+			row.Lapses = max(1, due.Since(now))
+		}
+		rows = append(rows, row)
 	}
 	return rows, follower.version, follower.known
 }
--- a/internal/gossiper/replicas.go
+++ b/internal/gossiper/replicas.go
@@ -17,13 +17,17 @@
 type ReplicaList struct {
 	Version  uint64
 	Replicas []balancer.Replica
+	// Lapses is how much longer the peer keeps rows that the store lacks since an outage.
+	Lapses map[string]timekeeper.Span
 }
 
 // Encode writes the list for a peer that asks.
 func (list ReplicaList) Encode() ([]byte, error) {
 	message := &encoder.ReplicaList{Version: list.Version}
 	for _, replica := range list.Replicas {
-		message.Replicas = append(message.Replicas, rowOf(replica))
+		row := rowOf(replica)
+		row.LapsesInMs = uint32(list.Lapses[replica.ID])
+		message.Replicas = append(message.Replicas, row)
 	}
 	text, err := proto.Marshal(message)
 	return text, eris.Wrap(err, "list of replicas")
@@ -39,12 +43,15 @@
 	if message.Version == 0 {
 		return ReplicaList{}, eris.New("a list of replicas without a version")
 	}
-	list := ReplicaList{Version: message.Version}
+	list := ReplicaList{Version: message.Version, Lapses: map[string]timekeeper.Span{}}
 	for _, row := range message.Replicas {
 		if row.Id == "" || row.Address == "" {
 			return ReplicaList{}, eris.New("a replica without ID or address")
 		}
 		list.Replicas = append(list.Replicas, replicaOf(row))
+		if row.LapsesInMs > 0 {
+			list.Lapses[row.Id] = timekeeper.Span(row.LapsesInMs)
+		}
 	}
 	return list, nil
 }
