follower: copies of one version that differ are read anew

Cause: a wrong copy whose version is the table's is corrected by no later change. Entries heard all the while that others have a different copy of that version; only newer ones counted.

Change: where that lasts three seconds, readers read everything once; others do after six, when readers agree. Not while rows are missing or were told ahead, and not again within 30 s, so that builds which count rows differently do not read for good.

Why it holds: it needs no knowledge of what made the copy wrong.

--- a/internal/follower/borrow.go
+++ b/internal/follower/borrow.go
@@ -20,7 +20,7 @@
 // answer of that version; that the store has not answered stays known.
 func (follower *Follower[T]) borrow(ctx context.Context) {
 	now := follower.settings.Clock.Now()
-	known, _ := follower.position()
+	known, _, _ := follower.position()
 	if follower.settings.Copy == nil || known && now.Since(follower.borrowed) < borrowEvery {
 		return
 	}
--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -19,6 +19,9 @@
 		follower.log("answer is older than the copy", answer.version)
 	}
 	follower.fresh, follower.behind = now, 0
+	if answer.whole {
+		follower.settle(now)
+	}
 	follower.mu.Lock()
 	follower.answered, follower.synced = now, true
 	follower.mu.Unlock()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -72,6 +72,9 @@
 	// fresh is when the copy was last known to be the table's, by an own reading or by
 	// another's; behind is since when others have a newer one; zero means that none has.
 	fresh, behind timekeeper.Instant
+	// differs is since when another's copy of the same version is different, differed when
+	// that was seen last, settled when everything was read for it.
+	differs, differed, settled timekeeper.Instant
 
 	mu       sync.Mutex
 	answered timekeeper.Instant
@@ -178,8 +181,11 @@
 
 // read reads what has changed, or everything.
 func (follower *Follower[T]) read(ctx context.Context) (answer[T], error) {
-	known, version := follower.position()
-	if known {
+	known, version, sound := follower.position()
+	if known && !sound {
+		follower.log("copies of one version differ, reading everything", version)
+	}
+	if known && sound {
 		pacing := follower.settings.Wait
 		wait := pacing.spread(pacing.For(follower.settings.Readers()), follower.draws.Float64())
 		changes, newest, err := follower.settings.Source.Changes(ctx, version, wait)
@@ -198,11 +204,13 @@
 	return answer[T]{rows: rows, version: newest, whole: true}, err
 }
 
-// position returns whether there is a copy, and of which version it is.
-func (follower *Follower[T]) position() (known bool, version Version) {
+// position returns whether there is a copy, of which version it is, and whether others
+// have the same.
+func (follower *Follower[T]) position() (known bool, version Version, sound bool) {
+	now := follower.settings.Clock.Now()
 	follower.copying.Lock()
 	defer follower.copying.Unlock()
-	return follower.known, follower.version
+	return follower.known, follower.version, !follower.disputed(now, disputedFor)
 }
 
 // errStale is a read that is behind what is known already.
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -51,8 +51,8 @@
 //
 // The load: a hundred processes that need the same table. The harm: as many calls for
 // each change. Only a few read, and this one does where it is one of them, where it has
-// no copy, where it has lost the store itself, or where it has not heard for seconds
-// that its copy holds.
+// no copy, where it has lost the store itself, where it has not heard for seconds that
+// its copy holds, or where readers that have read anew still have another one.
 func (follower *Follower[T]) duty() duty {
 	reads := follower.settings.Reads()
 	doubted := follower.settings.Doubted()
@@ -65,6 +65,8 @@
 	switch {
 	case reads || !follower.known || follower.failing != 0 || len(follower.lapsing) > 0:
 		return readTable
+	case follower.disputed(now, 2*disputedFor):
+		return readTable
 	case follower.isBehind(now):
 		return catchUp
 	case now.Since(follower.fresh) > staleAfter && !doubted:
@@ -150,7 +152,8 @@
 
 // Compare takes in what another process's copy is like. One that is newer and the same
 // makes this copy as new; one that is newer and different has to be fetched, if the
-// changes between them don't come by themselves.
+// changes between them don't come by themselves. Of two that are different at one version
+// one is wrong.
 func (follower *Follower[T]) Compare(other Listing) {
 	now := follower.settings.Clock.Now()
 	follower.copying.Lock()
@@ -163,7 +166,9 @@
 		follower.confirm(other.Version)
 		maps.DeleteFunc(follower.told, func(_ string, version Version) bool { return version <= other.Version })
 		follower.fresh, follower.behind = max(follower.fresh, other.At), 0
-	case other.Version > follower.version && follower.behind == 0:
+	case other.Version == follower.version:
+		follower.dispute(now)
+	case follower.behind == 0:
 		follower.behind = now
 	}
 }
