--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -254,14 +255,8 @@
 
 // addFront adds the server that callers reach.
 func (direct *Direct) addFront(group *run.Group) {
-	server := &http.Server{
-		Handler:           unlessClosed(direct.front, func() { direct.scope.Counter("requests-on-closed-connections").Inc(1) }),
-		ReadHeaderTimeout: headerPatience.Duration(), IdleTimeout: idlePatience.Duration(),
-		MaxHeaderBytes: mostHeader, ConnState: direct.callers.watch, ConnContext: withConn,
-	}
-	front := callerListener{
-		Listener: boundedListener{Listener: direct.listeners.front, callers: direct.callers}, stopping: &direct.readiness.leaving,
-	}
+	server := direct.callerServer(direct.front)
+	front := direct.callerListener(direct.listeners.front)
 	stopped := make(chan error, 1)
 	group.Add(func() error {
 		if err := server.Serve(front); !eris.Is(err, http.ErrServerClosed) {
@@ -279,6 +274,22 @@
 	})
 }
 
+// callerServer returns the server that gives callers' requests to a handler.
+func (direct *Direct) callerServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           unlessClosed(handler, func() { direct.scope.Counter("requests-on-closed-connections").Inc(1) }),
+		ReadHeaderTimeout: headerPatience.Duration(), IdleTimeout: idlePatience.Duration(),
+		MaxHeaderBytes: mostHeader, ConnState: direct.callers.watch, ConnContext: withConn,
+	}
+}
+
+// callerListener returns a listener as the server of callers needs it.
+func (direct *Direct) callerListener(listener net.Listener) net.Listener {
+	return callerListener{
+		Listener: boundedListener{Listener: listener, callers: direct.callers}, stopping: &direct.readiness.leaving,
+	}
+}
+
 // shutDown ends the server once nothing is under way, at the latest shortly
 // before the process would be killed.
 //
