assembler: a stopping entry closes its door a second before it ends

Cause: while a stream goes on, the door stays open to the end of the entry's time, and the process ends with what has come in its last moments unread.

Change: from a second before the end nobody is taken any more and idle connections are closed; what has come is answered, what is under way goes on. Callers who come then find no connection, and may go elsewhere.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -57,6 +57,9 @@
 	stopPoll = 30 * timekeeper.Millisecond
 	// endMargin is how long before it would be killed a stopping process ends.
 	endMargin = 300 * timekeeper.Millisecond
+	// lastTaken is how long before it ends a stopping entry takes its last connections:
+	// where a machine has an eighth of a core, requests lie unread for half a second.
+	lastTaken = timekeeper.Second
 )
 
 // Surroundings are what a process gets from where it runs.
@@ -297,8 +300,14 @@
 // where every entry stops at once it goes on sending them. So the door stays
 // open after the delay, for as long as there is work: requests that fit into
 // the time that is left are served, others are told to come back.
+//
+// The failure: a stream goes on to the end of the entry's time, and a caller's request
+// comes just before that. The symptom: the process ends with the request unread, so its
+// caller gets neither an answer nor a refusal. The door is closed, and idle connections
+// with it, while there is time to answer all that has come.
 func (direct *Direct) shutDown(server *http.Server) error {
 	ends := direct.clock.Now().Add(direct.settings.StopGrace - endMargin)
+	shuts := ends.Add(-lastTaken)
 	ctx, cancel := context.WithTimeout(context.Background(), (direct.settings.StopGrace - endMargin).Duration())
 	defer cancel()
 	left := make(chan struct{})
@@ -308,7 +317,7 @@
 	}()
 	_ = direct.clock.Sleep(ctx, direct.settings.StopDelay)
 	direct.front.Stop(ends)
-	for direct.front.Active() > 0 || knocking(direct.listeners.front) {
+	for direct.front.Active() > 0 && direct.clock.Now() < shuts || knocking(direct.listeners.front) {
 		if direct.clock.Sleep(ctx, stopPoll) != nil {
 			break
 		}
--- a/internal/assembler/direct_stop_test.go
+++ b/internal/assembler/direct_stop_test.go
@@ -90,6 +90,45 @@
 // host is that of the configuration; lost has no route there.
 const host, lost = "a.example", "/nowhere/"
 
+func TestTheLastSecondOfAStop(t *testing.T) {
+	// A request runs to the end of a stopping entry's time. A caller who came just before
+	// that had his request unread when the process ended: neither an answer nor a refusal.
+	// So the entry closes its door while there is time to answer all that has come: who
+	// comes then finds no connection, idle connections end, and what is under way does not.
+	entry := newStoppingEntry(t, lastTaken+endMargin+300)
+	entry.serve()
+	long, err := entry.call(t, emulator.Head(http.MethodPost, host, "/news/long", "long", 2)+"{")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for entry.front.Active() == 0 {
+		_ = entry.clock.Sleep(t.Context(), 1)
+	}
+	idle, err := entry.call(t, emulator.Head(http.MethodGet, host, lost, "lost", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	Convey("the door closes before the entry ends", t, func() {
+		So(answered(idle), ShouldEqual, http.StatusNotFound)
+		entry.stop()
+		ends := entry.clock.Now().Add(patience)
+		for err == nil && entry.clock.Now() < ends {
+			var conn net.Conn
+			if conn, err = entry.call(t, ""); err == nil {
+				_ = conn.Close()
+			}
+		}
+		So(err, ShouldNotBeNil)
+		So(entry.runs(t, 1), ShouldBeTrue)
+		_, err = idle.Read(make([]byte, 1))
+		So(err, ShouldNotBeNil)
+		_, err = io.WriteString(long, "}")
+		So(err, ShouldBeNil)
+		So(answered(long), ShouldNotEqual, 0)
+		<-entry.stopped
+	})
+}
+
 func TestAStopWaitsForThoseWhoKnock(t *testing.T) {
 	// An entry on a busy machine stops, and a caller has connected and sent a request, but
 	// nobody has taken the connection. Closed now, the listener would reset it.
