--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -46,10 +46,7 @@
 	// harder rather than let the process be killed.
 	heapShare = 0.7
 	// collectPercent is how much of what lives may lie beside it as garbage, in
-	// percent. Memory is dear where entries run and their processor idles: with 25 in
-	// place of 100 a day of the users' newest site took 3.6 GB seconds of memory in
-	// place of 4.7 for 10.4 processor seconds in place of 8.6, with 50 it took 3.9 and
-	// 9.2. An entry on a quiet day has 12.4 MB in place of 16.0.
+	// percent: memory is dear where entries run, and their processor idles.
 	collectPercent = 25
 	// defaultMemory is assumed where the settings name none, in megabytes.
 	defaultMemory = 256
--- a/internal/assembler/direct_readers.go
+++ b/internal/assembler/direct_readers.go
@@ -15,13 +15,12 @@
 	// get work for two seconds more, so an entry that is cut off from its peers has to
 	// read for itself before that.
 	near = 1200 * timekeeper.Millisecond
-	// electEvery is for how long a choice of readers holds. Choosing among a hundred
-	// takes some 30 us, and it is asked for some twenty times a second.
+	// electEvery is for how long a choice of readers holds: it is asked for more often
+	// than views change.
 	electEvery = 100 * timekeeper.Millisecond
 	// introduction is how long an entry that found others in the store waits to hear of
-	// them before it reads a second time: their digests come within a second. When a
-	// hundred entries started together each made two calls more than it needed, a
-	// quarter of those of a quiet day.
+	// them before it reads a second time: their digests come within a second. A hundred
+	// that start together would each make calls that one of them can make for all.
 	introduction = timekeeper.Second
 )
 
--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -94,11 +94,8 @@
 }
 
 // mostDisturbed bounds the time that reading a prompt which another engine has
-// cached takes from the requests at an engine, in milliseconds times requests.
-// In simulated overload of 6, 8 and 12 times the usual load 1,000 served 0.955,
-// 0.920 and 0.786 of the worth, 2,500 served 0.921, 0.884 and 0.727, and 300 no
-// more than 1,000 while up to five requests in a thousand went to an engine beyond
-// its share.
+// cached takes from the requests at an engine, in milliseconds times requests: more
+// slows all streams down in an overload, less holds requests at engines over their share.
 const mostDisturbed = 1000.0
 
 // useful takes out engines where the request would wait for too long, and crowded
@@ -206,9 +203,6 @@
 // The load: long answers that are least urgent beside short ones that are more
 // so, for seconds. The harm: long answers fill the places while they are free,
 // and urgent ones, which would take a tenth of the time, wait until one ends.
-//
-// In bursts of twelve times the usual load 0.3 served 0.00 to 0.05 more of the
-// worth than nothing, in six pairs of days.
 const kept = 0.3
 
 // depth returns how many requests a replica should hold at most.
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -12,26 +12,19 @@
 
 const (
 	// DefaultReadRate is how many prompt tokens an engine is taken to read in a
-	// millisecond. The engines in use read 38 to 92; the value only has to weigh reading
-	// against waiting. Simulated, engines three times as fast or as slow served within
-	// 0.01 of what they did with their own rate, up to four times the usual load.
-	// Learnt from how long answers took, the rate was wrong where it mattered: at full
-	// engines the time is spent waiting, and 0.61 was served instead of 0.83.
+	// millisecond: it only has to weigh reading against waiting. It isn't learnt from
+	// how long answers take, since at full engines that time is spent waiting.
 	DefaultReadRate = 40.0
 	// reuseWeight is how many times its own time reading a prompt again counts. It
 	// delays all others at the engine, evicts what they have cached, and the
-	// operator pays for it. On the twelve standard days of both sites, twice cut
-	// the price of a day by up to a sixth, on one of them by nothing; thrice cost
-	// 0.05 of the worth of one day.
+	// operator pays for it.
 	reuseWeight = 2.0
 	// priceWeight is the part of it that stands for what the operator pays.
 	priceWeight = 1.0
 	// disturbance is the weight of what reading a prompt costs each request that is
 	// at the engine already: while the engine reads, none of them gets a token.
-	// Without it a burst at half of what the engines can do made requests leave
-	// full engines for others that had to read their prompts; reading made all
-	// streams slower, so that engines were fuller still: 0.65 of such a burst were
-	// served, with it 0.99. More than a tenth gains nothing.
+	// Without it requests of a burst leave full engines for others that have to read
+	// their prompts; reading makes all streams slower, so that engines are fuller still.
 	disturbance = 0.1
 	// crowdCost is what each request at an engine adds to the expected time of
 	// the next one, in milliseconds. Each running request makes a step longer and
@@ -61,11 +54,7 @@
 	// peers have begun since their last digest takes the rest.
 	//
 	// An engine over its share sends prompts that it has cached to one that has to
-	// read them, so a bound drawn far inside what is allowed costs reading. In
-	// simulation 0.85 and one read 1.21 million tokens again before 56 engines and
-	// 59 thousand before nine, 0.95 and two 0.92 million and 34 thousand, with 0.008
-	// of the requests beyond what is allowed in place of 0.006. The operators call
-	// 0.03 too many.
+	// read them, so a bound drawn far inside what is allowed costs reading.
 	spare = 2.0
 	// margin takes a part off the bound, for the same.
 	margin = 0.95
@@ -208,14 +197,7 @@
 // The harm: what an entry knows sends a prompt to the engine that is empty, the
 // next entry knows something else, and each engine reads it once. What all agree
 // on, whatever they know, is the preference order. So a prompt leaves its first
-// engine when that is 40 ms dearer than the second, and goes there.
-//
-// Simulated, an entry of four replaced every half second, 521 thousand tokens
-// were read again with the order among equals only, 302 thousand with this; where
-// none is replaced 41 and 63. In trials on the twelve standard days of the users'
-// sites 20, 40 and 80 ms earned 0.841, 0.845 and 0.843 of the worth on average, the
-// order among equals only 0.834; on their larger sites 0.777, 0.782 and 0.781, and
-// 0.762.
+// engine only when that is dearer than the second by a step, and goes there.
 func (fleet *Fleet) preferenceStep() float64 {
 	return preferenceCost * max(1, float64(fleet.staleness())/float64(fresh))
 }
--- a/internal/balancer/heats.go
+++ b/internal/balancer/heats.go
@@ -22,11 +22,10 @@
 	// single request says nothing of how many come by other entries.
 	oneTime = 1.0
 	// heldFor is how long a request for a hot part holds its engine, the prompt
-	// cached: with it, and 400 ms, simulated hot parts put 0.07 and 0.08 of the
-	// requests beyond the share of their engine, without any of this 0.15.
+	// cached.
 	heldFor = 800 * timekeeper.Millisecond
 	// heldGaps bounds it in times between two digests: what is older is known, and
-	// has its price. Without it four entries read half as much again of hot prompts.
+	// has its price: counted twice, it makes few entries read hot prompts again.
 	heldGaps = 2
 	// leastShare is how many of a hot part's requests an engine takes at least,
 	// where the mean of the service is lower.
--- a/internal/balancer/prefix_cache.go
+++ b/internal/balancer/prefix_cache.go
@@ -15,8 +15,8 @@
 	// mostParts bounds the parts that are remembered of one replica.
 	mostParts = 4096
 	// DefaultKnownParts bounds the parts that are remembered of all replicas together:
-	// each has an equal share. At some 52 bytes a part they take 14 MB, before 3,100
-	// engines as before 64; without it the first would take 660 MB.
+	// each has an equal share. At some 52 bytes a part they take 14 MB, however many
+	// engines there are.
 	DefaultKnownParts = 64 * mostParts
 	// leastParts is the least share of a replica: the parts of a few dozen requests, by
 	// which those that come again within seconds find their engine.
--- a/internal/balancer/time_weight.go
+++ b/internal/balancer/time_weight.go
@@ -24,14 +24,7 @@
 // were the largest price of a day and earned nothing. So time counts by how much of its
 // target a request has left, and whole where the engines are full: there a millisecond
 // of one engine is one less for all who wait. How many requests an engine holds always
-// counts whole: discounted too, it put 0.019 of the requests beyond an engine's share in
-// place of 0.006, with half of them about one thing.
-//
-// Simulated at 0.6, 1, 2 and 4 times the usual load, three seeds, half of the runs with
-// an entry replaced each half second, the share of the worth that is left after the
-// price: on engines with much memory for a token 0.893, 0.903, 0.868 and 0.335, before
-// 0.828, 0.831, 0.831 and 0.347; on those of the counter 0.977, 0.982, 0.985 and 0.971,
-// before 0.960, 0.967, 0.975 and 0.969.
+// counts whole: discounted too, it puts hot prompts beyond their engine's share.
 type timeWeight struct {
 	// within is the target of the request, full how full the engines are, from zero on;
 	// one is full.
--- a/internal/balancer/transfer.go
+++ b/internal/balancer/transfer.go
@@ -11,10 +11,9 @@
 	// round trip between engines and the room that is made for what comes.
 	transferSetup = 2.0
 	// DefaultMovePrice is how many prompt tokens that are read cost operators as
-	// much as a gigabyte that engines hand on. The price lists that are known come to
-	// 1,230 and 4,290; this is their geometric mean. It makes reading the cheaper
-	// way from some 520 KB a token on while engines have slack, and from 870 KB on where
-	// they are full: three and five times what engines in use have.
+	// much as a gigabyte that engines hand on. It makes reading the cheaper way from
+	// some 520 KB a token on while engines have slack, and from 870 KB on where they
+	// are full.
 	DefaultMovePrice = 2300.0
 	// mostBlamed is how long a transfer may be overdue for its source to be left
 	// out as if it had failed, in milliseconds.
@@ -157,10 +156,7 @@
 //
 // The failure: entries start again and know nothing of what engines have cached.
 // The symptom: each prompt that comes is read once more wherever it does not go to
-// its first engine. A source that has nothing costs the setup of a transfer. With an
-// entry replaced each half second, simulated, 90 thousand tokens were read again
-// instead of 262; where none is replaced 29 instead of two. On twelve days of the
-// users' newest site 355 instead of 395.
+// its first engine. A source that has nothing costs the setup of a transfer.
 func (fleet *Fleet) guess(ask Ask, chosen candidate, held []holding, now timekeeper.Instant) *replica {
 	shared := SharedParts(ask.Parts)
 	engine := fleet.engines[ask.Service]
--- a/internal/follower/pacing.go
+++ b/internal/follower/pacing.go
@@ -7,10 +7,9 @@
 //
 // The load: dozens of processes before one store that is paid by the call. The
 // harm: each reads every change for itself, so that a change costs as many calls
-// as there are processes; at 24 entries calls were the largest price of a quiet
-// day. A change that one of them reads, the others hear of within tens of
-// milliseconds, so together they read as often as a few would. Each still reads
-// for itself within Most, in case what it is told is lost.
+// as there are processes. A change that one of them reads, the others hear of
+// within tens of milliseconds, so together they read as often as a few would. Each
+// still reads for itself within Most, in case what it is told is lost.
 type Pacing struct {
 	// Least is the span for up to Alone readers, Most for any number.
 	Least, Most timekeeper.Span
--- a/internal/follower/rest.go
+++ b/internal/follower/rest.go
@@ -39,9 +39,8 @@
 // that is alone.
 //
 // The load: a hundred processes, and a store that is away for seconds. The harm: each
-// asks twice a second whether it is back, and each call is paid; on a day with two
-// outages that was more than all other calls. One that finds the store back tells the
-// others, so together they ask as often as a few would.
+// asks twice a second whether it is back, and each call is paid. One that finds the
+// store back tells the others, so together they ask as often as a few would.
 func probing(pause timekeeper.Span) Pacing {
 	return Pacing{Least: pause, Most: longestProbe, Alone: probers}
 }
@@ -78,9 +77,8 @@
 	// settling is how long after the first copy, or after an outage, a table may
 	// still fill: rows that lapsed are back within two seconds.
 	settling = 4 * timekeeper.Second
-	// settlingPaces is the pace meanwhile, in spans of a reader of its own. With a pace
-	// of seconds entries that had all started again sent the work of a whole site to the
-	// few replicas that were there first: 0.50 of it was served instead of 0.79 for two
-	// seconds, 0.84 instead of 0.99 for two more.
+	// settlingPaces is the pace meanwhile, in spans of a reader of its own: with a pace
+	// of seconds entries that have all started again send the work of a whole site to
+	// the few replicas that were there first.
 	settlingPaces = 2
 )
