follower: what others were served before an outage was noticed says nothing of its end

Cause: rows that are missing after an outage are kept for 2.2 s from when the store first served anyone again. Where an entry had heard others find the store failing, that was looked for from the moment at which its own copy was last confirmed, up to seconds before the outage. An answer to another in between counted as the store's return, so the time of the rows was over before it had begun.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -295,6 +295,52 @@
 	})
 }
 
+func TestWhatOthersWereServedBeforeAnOutage(t *testing.T) {
+	// A process leaves the reading to others, the store goes away, and all rows lapse. The
+	// others were served a moment before that, after its own copy was last confirmed. That
+	// counted as the store's return: as soon as it was back, all replicas were gone.
+	tests := []struct {
+		name string
+		// fails reports whether the process itself asks the store in the outage, notices
+		// whether it hears that others find it failing before it reads.
+		fails, notices bool
+	}{{"it fails too", true, true}, {"it only hears of it", false, true}, {"it hears of it as it reads", false, false}}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			table, clock := newTable(), newClock()
+			table.put("lives", 1)
+			copied, doubted := map[string]int{}, false
+			served := clock.Now().Add(1000)
+			follower := New(Settings[int]{
+				Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: 2200,
+				Apply: func(rows map[string]int, _ Version) { copied = rows },
+				Reads: func() bool { return false }, Doubted: func() bool { return doubted },
+				OthersServed: func(from timekeeper.Instant) timekeeper.Instant {
+					if served > from {
+						return served
+					}
+					return 0
+				},
+			})
+			follower.Step(t.Context())
+			clock.Advance(2000)
+			doubted = true
+			if test.notices {
+				So(follower.duty(), ShouldEqual, idle)
+			}
+			if test.fails {
+				table.fail = eris.New("away")
+				follower.Step(t.Context())
+				table.fail = nil
+			}
+			clock.Advance(3000)
+			table.remove("lives")
+			follower.Step(t.Context())
+			So(copied, ShouldResemble, map[string]int{"lives": 1})
+		})
+	}
+}
+
 func TestAnOutageThatOnlyOthersNoticed(t *testing.T) {
 	// The store is away for seconds, and rows lapse. This process leaves the reading to
 	// others and never asked; when it reads, all others have found the store back. It took
