follower: lapsed rows go by an answer of the store alone

Callers would see: in a second outage just after the first, no replica at all, because the time for which missing rows are kept was over while the store was silent or away.

Cause: rows were dropped when their time was over, without the store; the last look that each read was given did not help where the store did not answer it.

Change: a read is asked to be held no longer than until the first row is due, so a store that answers does so then, and rows go by that answer. One that does not answer drops nothing. The drop outside of a read, its bound and its own error are gone.

The stand-in of the store fails waiting calls as an outage begins, as the emulator does.

--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -43,17 +43,6 @@
 	}
 }
 
-// dropLapsed removes rows that are due to go, outside of a read.
-func (follower *Follower[T]) dropLapsed(now timekeeper.Instant) {
-	follower.copying.Lock()
-	defer follower.copying.Unlock()
-	before := maps.Clone(follower.rows)
-	if follower.expire(now) {
-		follower.apply()
-		follower.tell(before)
-	}
-}
-
 // notOlder returns the changes of an answer but for rows of which others have told
 // something newer; the lock must be held.
 //
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -114,15 +112,8 @@
 
 // Step reads once and returns how long to wait before the next step.
 func (follower *Follower[T]) Step(ctx context.Context) timekeeper.Span {
-	bounded, release := follower.untilDue(ctx)
-	answer, err := follower.read(bounded)
-	release()
+	answer, err := follower.read(ctx)
 	now := follower.settings.Clock.Now()
-	if context.Cause(bounded) == errDue {
-		// Rows are due to go; the read goes on in the next step.
-		follower.dropLapsed(now)
-		return 0
-	}
 	if ctx.Err() != nil {
 		// The process stops; that says nothing about the store.
 		return 0
@@ -136,42 +127,26 @@
 	return follower.pace()
 }
 
-// errDue ends a read when lapsed rows are due to go.
-var errDue = eris.New("lapsed rows are due")
-
-// lastLook is how long a read has at least before lapsed rows go without it. With a
-// pause before it a row still goes within three seconds of the store's return.
-const lastLook = 300 * timekeeper.Millisecond
-
-// untilDue bounds a read by when the next lapsed row is due to go: reads wait for
-// changes, and there may be none for long.
+// untilDue returns how long the store may hold a read for a change: no longer than until
+// the next lapsed row is due to go.
 //
-// The failure: a row is written again shortly before it is due, between two reads, and
-// the time is over when the next one begins. The symptom: the row goes unread, and all
-// are told that a replica leaves which lives. So each read has time for an answer.
-func (follower *Follower[T]) untilDue(ctx context.Context) (context.Context, func()) {
+// The failure: lapsed rows go when their time is over, while the read that would bring
+// them back is on its way or about to begin, or the store has gone silent anew. The
+// symptom: replicas that live are dropped, and all are told that they leave. So rows go
+// by an answer of the store alone, and one comes as soon as the first is due.
+func (follower *Follower[T]) untilDue(wait timekeeper.Span) timekeeper.Span {
+	now := follower.settings.Clock.Now()
 	follower.copying.Lock()
-	lapsing := slices.Collect(maps.Values(follower.lapsing))
-	follower.copying.Unlock()
-	if len(lapsing) == 0 {
-		return ctx, func() {}
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	due := slices.Min(lapsing).Since(follower.settings.Clock.Now())
-	fired, release := follower.settings.Clock.After(max(due, lastLook))
-	go func() {
-		select {
-		case <-fired:
-			cancel(errDue)
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, func() {
-		release()
-		cancel(nil)
+	defer follower.copying.Unlock()
+	for _, due := range follower.lapsing {
+		wait = min(wait, max(leastWait, due.Since(now)))
 	}
+	return wait
 }
 
+// leastWait is the shortest time for which the store is asked to hold a read.
+const leastWait = timekeeper.Millisecond
+
 // answer is what a read of the store brought.
 type answer[T any] struct {
 	rows    []Change[T]
@@ -189,7 +164,7 @@
 	if known && sound {
 		pacing := follower.settings.Wait
 		wait := pacing.spread(pacing.For(follower.settings.Readers()), follower.draws.Float64())
-		changes, newest, err := follower.settings.Source.Changes(ctx, version, wait)
+		changes, newest, err := follower.settings.Source.Changes(ctx, version, follower.untilDue(wait))
 		if err == nil && newest < version {
 			return answer[T]{}, errStale
 		}
--- a/internal/follower/shared_table_test.go
+++ b/internal/follower/shared_table_test.go
@@ -65,6 +65,8 @@
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	table.away = away
+	close(table.changed)
+	table.changed = make(chan struct{})
 }
 
 // forget drops the history.
@@ -115,6 +117,11 @@
 			defer release()
 			for {
 				table.mu.Lock()
+				if table.away {
+					// A call that waits meets an outage that begins.
+					table.mu.Unlock()
+					return nil, 0, errAway
+				}
 				if after < table.kept {
 					table.mu.Unlock()
 					return nil, 0, follower.ErrHistoryLost
