follower, assembler: a store that is back for a moment only does not count as back

Callers would see: the store returns from an outage, is away again before replicas have written their rows, and returns: no replica was left at any entry for up to two seconds after the second return.

Cause: rows that are missing kept the time that the first return had given them; and an entry that slept through that return took it, told by its peers, for the return of the store.

Change: rows that are missing are kept for as long again after each outage; others are served since the first answer to them with no gap of two seconds or more after it, up to now.

--- a/internal/follower/lapse_test.go
+++ b/internal/follower/lapse_test.go
@@ -120,3 +120,53 @@
 		t.Errorf("written again %d ms before its time was over: %d replicas can get work, %d at the least", late, now, fewest)
 	}
 }
+
+func TestRowsThatLapseBeforeASecondOutage(t *testing.T) {
+	// The store is back for a moment, and away again before replicas have written their
+	// rows; they do once it is back for good. The time for which missing rows are kept is
+	// over in the second outage: callers would find no replica until the store answers, and
+	// for two seconds more.
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playSecondOutage(t, seed) })
+		})
+	}
+}
+
+func playSecondOutage(t *testing.T, seed uint64) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer cancel()
+	table := newSharedTable()
+	table.list(lapsing)
+	fleet := startProcesses(ctx, table, 12, 3, 0, seed)
+	sleep := func(span timekeeper.Span) { _ = fleet.clock.Sleep(ctx, span) }
+	sleep(10 * timekeeper.Second)
+	table.setAway(true)
+	sleep(4 * timekeeper.Second)
+	for number := range lapsing {
+		table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Removed: true})
+	}
+	sleep(2 * timekeeper.Second)
+	for _, one := range fleet.all {
+		one.works()
+	}
+	table.setAway(false)
+	sleep(timekeeper.Span(300 + 100*seed))
+	table.setAway(true)
+	sleep(3 * timekeeper.Second)
+	table.setAway(false)
+	for number := range lapsing - dead {
+		go func() {
+			sleep(timekeeper.Span(200 + (number*37+int(seed)*101)%1700))
+			table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
+		}()
+	}
+	sleep(goneAfter)
+	for _, one := range fleet.all {
+		if now, fewest := one.works(); fewest < lapsing-dead || now != lapsing-dead {
+			t.Errorf("%s: %d replicas can get work, %d at the least", one.own.Address, now, fewest)
+		}
+	}
+}
--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -37,12 +37,13 @@
 func (follower *Follower[T]) recovered(doubted bool, now timekeeper.Instant) {
 	follower.pause = 0
 	from, away := follower.outageBegan(doubted, now)
+	back := now
+	if served := follower.settings.OthersServed(from); served != 0 {
+		back = min(back, served)
+	}
 	if away {
-		back := now
-		if served := follower.settings.OthersServed(from); served != 0 {
-			back = min(back, served)
-		}
 		follower.lenient, follower.settles = back.Add(follower.settings.Lapse), now.Add(settling)
+		follower.keepLapsing()
 	}
 	if follower.failing == 0 {
 		return
@@ -53,6 +54,18 @@
 	follower.failing = 0
 }
 
+// keepLapsing keeps rows that are missing already for as long as others; the lock must be
+// held.
+//
+// The failure: a store comes back for a moment, and is away again before those who write
+// the rows have done so. The symptom: the time of the rows is over in the second outage,
+// and no replica is left until the store answers, and for two seconds more.
+func (follower *Follower[T]) keepLapsing() {
+	for key, due := range follower.lapsing {
+		follower.lapsing[key] = max(due, follower.lenient)
+	}
+}
+
 // outageBegan returns when an outage for all was noticed first, and whether it may have
 // been long enough for rows to have lapsed; the lock must be held.
 //
--- a/internal/follower/processes_test.go
+++ b/internal/follower/processes_test.go
@@ -269,15 +269,28 @@
 // be to count as given after it.
 const servedLater = 500 * timekeeper.Millisecond
 
+// servedGap is how long nobody is served where the table is away from all.
+const servedGap = 2 * timekeeper.Second
+
 func (one *process) othersServed(from timekeeper.Instant) timekeeper.Instant {
+	now := one.clock.Now()
 	one.mu.Lock()
 	defer one.mu.Unlock()
+	slices.Sort(one.served)
+	since, last := timekeeper.Instant(0), timekeeper.Instant(0)
 	for _, at := range one.served {
-		if at > from.Add(servedLater) {
-			return at
+		if at <= from.Add(servedLater) {
+			continue
 		}
+		if at.Since(last) > servedGap {
+			since = at
+		}
+		last = at
+	}
+	if now.Since(last) > servedGap {
+		return 0
 	}
-	return 0
+	return since
 }
 
 func (one *process) unheard() bool { return one.cutOff.Load() || one.gone.Load() }
