follower: nothing is told of rows that are kept though missing

Callers would see: a replica that is gone stays at every entry for good, and gets work where its row had it ready.

Cause: a reader that gets a change of a row and its removal by one answer keeps the row as missing, with its new value, and told others of that value as if the table had it. They counted the row as back; all copies then agreed on it.

Change: of rows that are missing nothing is told, until they are gone.

Test: TestNothingIsToldOfRowsThatAreMissing, fails without.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -308,6 +308,37 @@
 	})
 }
 
+func TestNothingIsToldOfRowsThatAreMissing(t *testing.T) {
+	// A replica begins to leave, and in the outage that follows its row lapses; a reader
+	// gets both in one answer. It told others of the row as it was last, they took that for
+	// the table's, and had the replica for good.
+	table, clock := newTable(), newClock()
+	table.put("stays", 1)
+	table.put("leaves", 1)
+	var told []News[int]
+	follower := New(Settings[int]{
+		Name: "test", Clock: clock.Clock(), Log: quiet(), Source: table.source(), Lapse: 2200,
+		Sum:   func(key string, value int) uint64 { return uint64(len(key) + 100*value) },
+		Apply: func(map[string]int, Version) {}, Tell: func(news News[int]) { told = append(told, news) },
+	})
+	step := func() { follower.Step(t.Context()) }
+	step()
+	table.fail = eris.New("away")
+	step()
+	clock.Advance(3000)
+	table.fail = nil
+	table.put("stays", 2)
+	table.put("leaves", 2)
+	table.remove("leaves")
+	step()
+	Convey("until it is gone", t, func() {
+		So(told, ShouldResemble, []News[int]{{Version: table.version, Changes: []Change[int]{{Key: "stays", Value: 2}}}})
+		clock.Advance(2200)
+		step()
+		So(told[1:], ShouldResemble, []News[int]{{Version: table.version, Changes: []Change[int]{{Key: "leaves", Removed: true}}}})
+	})
+}
+
 func TestWhatOthersWereServedBeforeAnOutage(t *testing.T) {
 	// A process leaves the reading to others, the store goes away, and all rows lapse. The
 	// others were served a moment before that, after its own copy was last confirmed. That
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -216,9 +216,16 @@
 }
 
 // tell tells others what has changed since an earlier copy; the lock must be held.
+//
+// The failure: a replica begins to leave, and its row lapses in an outage; both come with
+// one answer. The symptom: others are told of the row as if the table had it, and keep it
+// for good. Of rows that are kept though missing nothing is told.
 func (follower *Follower[T]) tell(before map[string]T) {
 	news := News[T]{Version: follower.version}
 	for key, value := range follower.rows {
+		if _, lapsing := follower.lapsing[key]; lapsing {
+			continue
+		}
 		known, found := before[key]
 		if !found || follower.settings.Sum(key, known) != follower.settings.Sum(key, value) {
 			news.Changes = append(news.Changes, Change[T]{Key: key, Value: value})
