--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -41,9 +41,9 @@
 // Follower keeps a copy of a table.
 //
 // One goroutine reads; others may call Told, Compare, Listing and Rows. The copy is
-// under the lock copying, with which Apply, Confirm, Tell, Sum and OthersServed are called; the
-// other functions of the settings are called without it, and may look at the follower.
-// The lock mu comes after it.
+// under the lock copying, with which Apply, Confirm, Tell, Sum and OthersServed are
+// called; the other functions of the settings are called without it, and may look at the
+// follower. The lock mu comes after it.
 type Follower[T any] struct {
 	settings Settings[T]
 	draws    *rand.Rand
--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -37,11 +37,11 @@
 func (follower *Follower[T]) recovered(doubted bool, now timekeeper.Instant) {
 	follower.pause = 0
 	from, away := follower.outageBegan(doubted, now)
-	back := now
-	if served := follower.settings.OthersServed(from); served != 0 {
-		back = min(back, served)
-	}
 	if away {
+		back := now
+		if served := follower.settings.OthersServed(from); served != 0 {
+			back = min(back, served)
+		}
 		follower.lenient, follower.settles = back.Add(follower.settings.Lapse), now.Add(settling)
 		follower.keepLapsing()
 	}
