follower: a store that goes on serving others is not away for all

A reader notices as it reads, so others counted as not served at all, and a row that was missing was kept for 2.2 s from then, though the store had served others all the while.

The record of when an outage was noticed is gone.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -59,9 +59,8 @@
 	version Version
 	known   bool
 	failing timekeeper.Instant
-	// doubted is when another process was last seen to find the store failing, noticed
-	// when that was first so since the copy was last known to be the table's.
-	doubted, noticed timekeeper.Instant
+	// doubted is when another process was last seen to find the store failing.
+	doubted timekeeper.Instant
 	// lenient is until when missing rows stay, settles until when the table may fill.
 	lenient, settles timekeeper.Instant
 	// sum is the checksum of all rows.
--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -66,24 +66,19 @@
 	}
 }
 
-// outageBegan returns when an outage for all was noticed first, and whether it may have
-// been long enough for rows to have lapsed; the lock must be held.
+// outageBegan returns since when the store may have been away for all, and whether that
+// is long enough for rows to have lapsed; the lock must be held.
 //
 // The failure: a few processes read for all, and the store is away for seconds. The
 // one that reads first, or after all others have found it back, may never have failed
 // itself, having left the reading to others. The symptom: it takes the rows that lapsed
 // for replicas that are gone, and tells everyone; for two seconds there is hardly a
 // replica to send work to. That anyone found the store failing since the copy was last
-// known to be the table's is enough. What others were served before it was noticed says
-// nothing of its return.
+// known to be the table's is enough. Where others were served all the while it was not
+// away for all: OthersServed says so.
 func (follower *Follower[T]) outageBegan(doubted bool, now timekeeper.Instant) (timekeeper.Instant, bool) {
-	noted := follower.doubted > follower.fresh
-	if follower.known && (doubted || noted) {
-		noticed := now
-		if noted {
-			noticed = follower.noticed
-		}
-		return max(follower.fresh, follower.failing, noticed), now.Since(follower.fresh) >= sharedOutage
+	if follower.known && (doubted || follower.doubted > follower.fresh) {
+		return max(follower.fresh, follower.failing), now.Since(follower.fresh) >= sharedOutage
 	}
 	if follower.failing == 0 {
 		return now, false
--- a/internal/follower/outage_test.go
+++ b/internal/follower/outage_test.go
@@ -224,7 +224,7 @@
 				Apply: func(rows map[string]int, _ Version) { copied = rows },
 				Reads: func() bool { return false }, Doubted: func() bool { return doubted },
 				OthersServed: func(from timekeeper.Instant) timekeeper.Instant {
-					if served > from {
+					if served > from && clock.Now().Since(served) <= sharedOutage {
 						return served
 					}
 					return 0
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -53,10 +53,10 @@
 	// Lapse is how long a row that is missing after an outage stays; zero means
 	// not at all.
 	Lapse timekeeper.Span
-	// OthersServed returns when the store first served another process after an
-	// instant; zero means that it has not. Rows that are missing a Lapse after that
-	// are gone, however long the store has been away for this process. Nil means
-	// that nothing is known of others.
+	// OthersServed returns since when the store has served other processes, after an
+	// instant and up to now without a gap; zero means that it does not. Rows that are
+	// missing a Lapse after that are gone, however long the store has been away for this
+	// process. Nil means that nothing is known of others.
 	OthersServed func(from timekeeper.Instant) timekeeper.Instant
 	// Copy asks another process for its copy of the table and the version that it is
 	// of, where the store fails or others have a newer copy. Nil means that nobody can
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -60,7 +60,7 @@
 	follower.copying.Lock()
 	defer follower.copying.Unlock()
 	if doubted {
-		follower.doubt(now)
+		follower.doubted = now
 	}
 	switch {
 	case reads || !follower.known || follower.failing != 0 || len(follower.lapsing) > 0:
@@ -75,14 +75,6 @@
 	return idle
 }
 
-// doubt notes that another process finds the store failing; the lock must be held.
-func (follower *Follower[T]) doubt(now timekeeper.Instant) {
-	if follower.doubted <= follower.fresh {
-		follower.noticed = now
-	}
-	follower.doubted = now
-}
-
 // isBehind reports whether another's copy has been newer for a while; the lock must be
 // held.
 func (follower *Follower[T]) isBehind(now timekeeper.Instant) bool {
