follower, assembler: since when others are served is decided in one place

The entry and the model of a fleet in the tests had the same rule twice; the model could have drifted from what runs. It is a function of follower now, without a clock or a lock, with the two spans that it goes by. The tests of lapsed rows share how rows lapse and come back. Nothing is decided differently; the tests are as they were.

--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -183,12 +183,6 @@
 	// peers: a minute of it.
 	servedStep = 250 * timekeeper.Millisecond
 	mostServed = 240
-	// atOnce is how soon after this entry another one notices that the store is
-	// away: answers until then may have been given before.
-	atOnce = 500 * timekeeper.Millisecond
-	// servedGap is how long no peer is served where the store is away from all: of many
-	// entries one at least is served each second.
-	servedGap = 2 * timekeeper.Second
 )
 
 // noteServed notes when the store answered a peer.
@@ -204,32 +198,13 @@
 	}
 }
 
-// othersServed returns since when the store has served peers, after an instant at
-// which it stopped answering this entry; zero means that it has not.
-//
-// The failure: the store turns this entry away alone, and a replica leaves
-// meanwhile. The symptom: this entry takes its missing row for one that lapsed in
-// the outage and goes on sending it work. When a peer was served tells how long
-// the replica has had to write its row again. Where the store was back for a moment and
-// away again, it is the second return that counts.
+// othersServed returns since when the store has served peers, after an instant at which
+// it stopped answering this entry; zero means that it does not. See follower.ServedSince.
 func (fellows *fellows) othersServed(from timekeeper.Instant) timekeeper.Instant {
 	now := fellows.direct.clock.Now()
 	fellows.mu.Lock()
 	defer fellows.mu.Unlock()
-	since, last := timekeeper.Instant(0), timekeeper.Instant(0)
-	for _, at := range fellows.served {
-		if at <= from.Add(atOnce) {
-			continue
-		}
-		if at.Since(last) > servedGap {
-			since = at
-		}
-		last = at
-	}
-	if now.Since(last) > servedGap {
-		return 0
-	}
-	return since
+	return follower.ServedSince(fellows.served, from, now)
 }
 
 func (fellows *fellows) get(ctx context.Context, address string) (platform.Document, error) {
--- a/internal/follower/lapse_test.go
+++ b/internal/follower/lapse_test.go
@@ -33,6 +33,25 @@
 	}
 }
 
+// lapseAll takes the table away, and drops all rows while it is.
+func (table *sharedTable) lapseAll(sleep func(span timekeeper.Span)) {
+	table.setAway(true)
+	sleep(4 * timekeeper.Second)
+	for number := range lapsing {
+		table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Removed: true})
+	}
+}
+
+// writeAgain lets each replica that lives write its row within two seconds.
+func (table *sharedTable) writeAgain(sleep func(span timekeeper.Span), seed uint64) {
+	for number := range lapsing - dead {
+		go func() {
+			sleep(timekeeper.Span(200 + (number*37+int(seed)*101)%1700))
+			table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
+		}()
+	}
+}
+
 func playLapse(t *testing.T, seed uint64) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -43,23 +62,14 @@
 	fleet := startProcesses(ctx, table, 24, 4, 0, seed)
 	sleep := func(span timekeeper.Span) { _ = fleet.clock.Sleep(ctx, span) }
 	sleep(10 * timekeeper.Second)
-	table.setAway(true)
-	sleep(4 * timekeeper.Second)
-	for number := range lapsing {
-		table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Removed: true})
-	}
+	table.lapseAll(sleep)
 	sleep(1900)
 	for number := range 14 {
 		go fleet.restart(ctx, number, startsAgain, seed+100)
 	}
 	sleep(400)
 	table.setAway(false)
-	for number := range lapsing - dead {
-		go func() {
-			sleep(timekeeper.Span(200 + (number*37+int(seed)*101)%1700))
-			table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
-		}()
-	}
+	table.writeAgain(sleep, seed)
 	lived := fleet.running()[14:]
 	for _, one := range lived {
 		one.works()
@@ -143,11 +153,7 @@
 	fleet := startProcesses(ctx, table, 12, 3, 0, seed)
 	sleep := func(span timekeeper.Span) { _ = fleet.clock.Sleep(ctx, span) }
 	sleep(10 * timekeeper.Second)
-	table.setAway(true)
-	sleep(4 * timekeeper.Second)
-	for number := range lapsing {
-		table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Removed: true})
-	}
+	table.lapseAll(sleep)
 	sleep(2 * timekeeper.Second)
 	for _, one := range fleet.all {
 		one.works()
@@ -157,12 +163,7 @@
 	table.setAway(true)
 	sleep(3 * timekeeper.Second)
 	table.setAway(false)
-	for number := range lapsing - dead {
-		go func() {
-			sleep(timekeeper.Span(200 + (number*37+int(seed)*101)%1700))
-			table.write(follower.Change[string]{Key: fmt.Sprintf("r%d", number), Value: "ready"})
-		}()
-	}
+	table.writeAgain(sleep, seed)
 	sleep(goneAfter)
 	for _, one := range fleet.all {
 		if now, fewest := one.works(); fewest < lapsing-dead || now != lapsing-dead {
--- a/internal/follower/processes_test.go
+++ b/internal/follower/processes_test.go
@@ -265,32 +265,12 @@
 	return nil, 0, errAway
 }
 
-// servedLater is how much later than an outage began an answer to another process must
-// be to count as given after it.
-const servedLater = 500 * timekeeper.Millisecond
-
-// servedGap is how long nobody is served where the table is away from all.
-const servedGap = 2 * timekeeper.Second
-
 func (one *process) othersServed(from timekeeper.Instant) timekeeper.Instant {
 	now := one.clock.Now()
 	one.mu.Lock()
 	defer one.mu.Unlock()
 	slices.Sort(one.served)
-	since, last := timekeeper.Instant(0), timekeeper.Instant(0)
-	for _, at := range one.served {
-		if at <= from.Add(servedLater) {
-			continue
-		}
-		if at.Since(last) > servedGap {
-			since = at
-		}
-		last = at
-	}
-	if now.Since(last) > servedGap {
-		return 0
-	}
-	return since
+	return follower.ServedSince(one.served, from, now)
 }
 
 func (one *process) unheard() bool { return one.cutOff.Load() || one.gone.Load() }
