balancer: what may be sent to a replica is decided in one function

Whether a replica gets work was told by the list, by what peers saw leave, by a mark of such a word (toldLeaving, takeBack) and by doubt, each changed in place with a rule of its own for what is newer. It is now derived at each look from inputs that keep their version or their end: the row of the list, the newest version at which a peer saw it leave, until when it is out of reach. Nothing derived is stored, so the order in which news arrives can't matter; the mark and what took it back are gone. The entry logs each change of it once, with the version that decided (replica eligibility changes).

--- a/internal/assembler/direct_survey.go
+++ b/internal/assembler/direct_survey.go
@@ -13,7 +13,11 @@
 func (direct *Direct) survey() {
 	now := direct.clock.Now()
 	var services []balancer.ServiceSurvey
-	direct.fleet.With(func(fleet *balancer.Fleet) { services = fleet.Survey(now) })
+	var transitions []balancer.Transition
+	direct.fleet.With(func(fleet *balancer.Fleet) {
+		services, transitions = fleet.Survey(now), fleet.Transitions(now)
+	})
+	direct.logTransitions(transitions, now)
 	left := direct.front.RetriesLeft()
 	for _, service := range services {
 		scope := direct.scope.Tagged(map[string]string{"service": service.Service})
@@ -36,6 +40,24 @@
 	direct.scope.Gauge("requests-active").Update(float64(direct.front.Active()))
 }
 
+// logTransitions logs which replicas may get more or less than before, and by what news.
+func (direct *Direct) logTransitions(transitions []balancer.Transition, now timekeeper.Instant) {
+	for _, change := range transitions {
+		fields := logrus.Fields{
+			"replica": change.Replica.ID, "service": change.Replica.Service, "data-centre": change.Replica.DataCentre,
+			"access": change.To.Access.String(), "cause": string(change.To.Cause), "access-before": change.From.Access.String(),
+			"cause-before": string(change.From.Cause),
+		}
+		if change.To.Version != 0 {
+			fields["version"] = change.To.Version
+		}
+		if change.To.Until != 0 {
+			fields["until-ms"] = int64(change.To.Until.Since(now))
+		}
+		direct.log.WithFields(fields).Info("replica eligibility changes")
+	}
+}
+
 // surveyReaders writes who reads the store, as this entry sees it, and logs when its own
 // part changes.
 func (direct *Direct) surveyReaders() {
--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -57,40 +57,63 @@
 
 // candidates returns the replicas that may get the request.
 func (fleet *Fleet) candidates(ask Ask, held []holding, now timekeeper.Instant) ([]candidate, Reason) {
-	listed, untried, reached := 0, 0, 0
-	open := make([]candidate, 0, len(held))
 	fleet.look(ask, held, now)
 	sources := fleet.sourcesOf(ask, held, now)
+	pool := pool{open: make([]candidate, 0, len(held))}
 	for _, member := range held {
-		if member.Leaving {
+		eligibility := fleet.eligibility(member.replica, now)
+		if !pool.admits(eligibility, slices.Contains(ask.Excluded, member.ID)) {
 			continue
 		}
-		listed++
-		if slices.Contains(ask.Excluded, member.ID) {
-			continue
-		}
-		untried++
-		if !member.doubt.open(now) {
-			continue
-		}
-		reached++
 		if ask.Connections > 0 && member.running >= ask.Connections {
 			continue
 		}
-		open = append(open, fleet.weigh(member, ask, sources, now))
+		pool.open = append(pool.open, fleet.weigh(member, ask, sources, now))
 	}
-	switch {
-	case listed == 0:
-		return nil, NoReplicas
-	case untried == 0:
-		return nil, AllTried
-	case reached == 0:
-		return nil, AllUnreached
+	if reason := pool.reason(); reason != noReason {
+		return nil, reason
 	}
-	if len(open) == 0 {
-		return nil, AllFull
+	return fleet.bounded(fleet.useful(pool.open, ask), ask, now)
+}
+
+// pool sorts the replicas of a service by what a request may have of them.
+type pool struct {
+	open []candidate
+	// listed replicas stay, untried ones have not had the request, reached ones take
+	// connections.
+	listed, untried, reached int
+}
+
+// admits counts a replica and reports whether it may get the request.
+func (pool *pool) admits(eligibility Eligibility, excluded bool) bool {
+	if eligibility.Cause == Leaving {
+		return false
+	}
+	pool.listed++
+	if excluded {
+		return false
+	}
+	pool.untried++
+	if eligibility.Cause == Unreached {
+		return false
+	}
+	pool.reached++
+	return true
+}
+
+// reason says why no replica may get the request.
+func (pool *pool) reason() Reason {
+	switch {
+	case pool.listed == 0:
+		return NoReplicas
+	case pool.untried == 0:
+		return AllTried
+	case pool.reached == 0:
+		return AllUnreached
+	case len(pool.open) == 0:
+		return AllFull
 	}
-	return fleet.bounded(fleet.useful(open, ask), ask, now)
+	return noReason
 }
 
 // mostDisturbed bounds the time that reading a prompt which another engine has
--- /dev/null
+++ b/internal/balancer/eligibility.go
@@ -0,0 +1,89 @@
+package balancer
+
+import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+
+// Access says how much work a replica may get.
+type Access uint8
+
+const (
+	// Open replicas get any work.
+	Open Access = iota + 1
+	// Limited replicas get work up to a rate.
+	Limited
+	// Closed replicas get none.
+	Closed
+)
+
+// String returns the name of the access in logs.
+func (access Access) String() string {
+	return [...]string{"", "open", "limited", "closed"}[access]
+}
+
+// Cause is why a replica isn't open.
+type Cause string
+
+// The causes, those that outrank the others first. The zero value belongs to Open.
+const (
+	// Leaving: the list or a peer says that the replica leaves.
+	Leaving Cause = "leaving"
+	// Evacuated: operators have evacuated its data centre.
+	Evacuated Cause = "evacuated"
+	// Unreached: it took no connection.
+	Unreached Cause = "unreachable"
+	// Cold: it has started a moment ago, or may have.
+	Cold Cause = "cold"
+)
+
+// Eligibility is what may be sent to a replica at an instant, and why.
+type Eligibility struct {
+	Access Access
+	Cause  Cause
+	// Version is that of the news that decided; zero where time decides.
+	Version uint64
+	// Until is when time changes it; zero where only news does.
+	Until timekeeper.Instant
+}
+
+// eligibility returns what may be sent to a replica.
+//
+// Each input is kept with its version or its end, and nothing is derived from an earlier
+// result: whatever the order in which news arrives, the newest decides.
+func (fleet *Fleet) eligibility(known *replica, now timekeeper.Instant) Eligibility {
+	if known.Leaving {
+		return Eligibility{Access: Closed, Cause: Leaving, Version: fleet.version}
+	}
+	if known.left > fleet.version {
+		return Eligibility{Access: Closed, Cause: Leaving, Version: known.left}
+	}
+	if !known.doubt.open(now) {
+		return Eligibility{Access: Closed, Cause: Unreached, Until: max(known.doubt.until, known.doubt.trial)}
+	}
+	return Eligibility{Access: Open}
+}
+
+// leaves reports whether a replica is on its way out.
+func (fleet *Fleet) leaves(known *replica) bool { return known.Leaving || known.left > fleet.version }
+
+// Transition is a change of what may be sent to a replica.
+type Transition struct {
+	Replica  Replica
+	From, To Eligibility
+}
+
+// Transitions returns what has changed since the last call, for logs. A replica that is
+// new counts as open before.
+func (fleet *Fleet) Transitions(now timekeeper.Instant) []Transition {
+	var changes []Transition
+	for _, known := range fleet.replicas {
+		current := fleet.eligibility(known, now)
+		before := known.shown
+		if before.Access == 0 {
+			before.Access = Open
+		}
+		known.shown = current
+		if before.Access != current.Access || before.Cause != current.Cause {
+			changes = append(changes, Transition{Replica: known.Replica, From: before, To: current})
+		}
+	}
+	return changes
+}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -35,8 +35,8 @@
 	draws    *rand.Rand
 	replicas map[string]*replica
 	keys     map[Key]*replica
-	// leaves are replicas that peers saw leave, by the version of the list.
-	leaves   map[string]uint64
+	// left are replicas that peers saw leave, by the version of the list.
+	left     map[string]uint64
 	services map[string][]*replica
 	engines  map[string]Engine
 	peers    map[string]peerDigest
@@ -70,7 +70,7 @@
 		draws:    rand.New(rand.NewPCG(settings.Seed, 11)),
 		replicas: map[string]*replica{},
 		keys:     map[Key]*replica{},
-		leaves:   map[string]uint64{},
+		left:     map[string]uint64{},
 		services: map[string][]*replica{},
 		engines:  map[string]Engine{},
 		peers:    map[string]peerDigest{},
@@ -91,43 +91,27 @@
 }
 
 // SetReplicas takes in the platform's list of a version and returns what changed
-// by it. What is known of an incarnation stays while it is listed. What a peer saw
-// leave at a newer version stays out.
-//
-// The failure: a replica crashes and is back under the ID that it had before its
-// listing lapsed. The symptom: its memory is empty and it works on nothing, yet
-// prompts go there for what it had cached, requests that died with it count against
-// it, and it is taken to leave if it was leaving. A later life begins with nothing
-// that was believed of the one before. A listing of an earlier life that arrives
-// late changes nothing.
+// by it. What is known of an incarnation stays while it is listed. A later life of a
+// replica begins with nothing that was believed of the one before, and a listing of an
+// earlier life changes nothing.
 func (fleet *Fleet) SetReplicas(list []Replica, version uint64) []Change {
 	fleet.version = version
-	maps.DeleteFunc(fleet.leaves, func(_ string, seen uint64) bool { return seen <= version })
+	maps.DeleteFunc(fleet.left, func(_ string, seen uint64) bool { return seen <= version })
 	var changes []Change
 	listed := make(map[string]bool, len(list))
 	for _, listing := range list {
 		listed[listing.ID] = true
 		known, found := fleet.replicas[listing.ID]
-		_, left := fleet.leaves[listing.ID]
-		if found && listing.precedes(known.Replica) {
-			known.takeBack(left)
-			continue
-		}
-		toldLeaving := left && !listing.Leaving
-		listing.Leaving = listing.Leaving || left
-		if found && known.Replica == listing {
-			known.toldLeaving = toldLeaving
+		if found && (known.Replica == listing || listing.precedes(known.Replica)) {
 			continue
 		}
 		restarted := found && listing.succeeds(known.Replica)
 		changes = append(changes, Change{Replica: listing, Restarted: restarted})
 		if found && !restarted {
 			known.relist(listing)
-			known.toldLeaving = toldLeaving
 			continue
 		}
-		fleet.replicas[listing.ID] = newReplica(listing)
-		fleet.replicas[listing.ID].toldLeaving = toldLeaving
+		fleet.replicas[listing.ID] = newReplica(listing, fleet.left[listing.ID])
 	}
 	for id, known := range fleet.replicas {
 		if !listed[id] {
@@ -146,16 +130,6 @@
 	known.Replica, known.key = listing, listing.Key()
 }
 
-// takeBack ends what a peer said of a replica's leaving, unless it is told still, and
-// reports whether the replica gets work again.
-func (known *replica) takeBack(told bool) bool {
-	if told || !known.toldLeaving {
-		return false
-	}
-	known.Leaving, known.toldLeaving = false, false
-	return true
-}
-
 // placed returns the replica that has a placement, if that incarnation is listed.
 func (fleet *Fleet) placed(placement *Placement) (*replica, bool) {
 	known, found := fleet.replicas[placement.Replica.ID]
@@ -195,7 +169,7 @@
 func (fleet *Fleet) Count(service string) int {
 	count := 0
 	for _, known := range fleet.services[service] {
-		if !known.Leaving {
+		if !fleet.leaves(known) {
 			count++
 		}
 	}
@@ -334,43 +308,35 @@
 // mostLeaves bounds the replicas that peers saw leave and the own list still has.
 const mostLeaves = 4096
 
-// Leave notes that a peer has seen a replica leave at a version of the list.
-//
-// The failure: the store turns this entry away, and its own list is older than
-// the peer's. The symptom: the old list is taken in once more, when rows that
-// lapsed are due to go, and the replica gets work after it has left. A list
-// counts only if it is as new as what the peer saw. It reports whether that is news.
+// Leave notes that a peer has seen a replica leave at a version of the list, and reports
+// whether that is news. It holds until the own list is as new.
 func (fleet *Fleet) Leave(id string, version uint64) bool {
 	if version <= fleet.version {
 		return false
 	}
-	if len(fleet.leaves) < mostLeaves {
-		fleet.leaves[id] = max(fleet.leaves[id], version)
+	if len(fleet.left) < mostLeaves {
+		fleet.left[id] = max(fleet.left[id], version)
 	}
 	known, found := fleet.replicas[id]
-	if !found || known.Leaving {
+	if !found {
 		return false
 	}
-	known.Leaving, known.toldLeaving = true, true
-	return true
+	news := !fleet.leaves(known)
+	known.left = max(known.left, version)
+	return news
 }
 
 // Confirm notes that the list which was taken in last is also that of a version. It
-// returns the replicas that get work again, which a peer saw leave at that version or
-// before it and the list has ready.
-//
-// The failure: a peer takes a replica for gone that lives, and tells; or one that has
-// left is back under its ID. The list that says so reaches this entry, or was there all
-// the while, and nothing in it changes, so it isn't taken in anew. The symptom: the
-// replica gets no work from this entry until its row changes, which may be never.
+// returns the replicas that get work again: a peer saw them leave at that version or
+// before it, and the list has them ready.
 func (fleet *Fleet) Confirm(version uint64) (back []string) {
 	fleet.version = version
-	for id, seen := range fleet.leaves {
+	for id, seen := range fleet.left {
 		if seen > version {
 			continue
 		}
-		delete(fleet.leaves, id)
-		if known, found := fleet.replicas[id]; found && known.takeBack(false) {
+		delete(fleet.left, id)
+		if known, found := fleet.replicas[id]; found && !known.Leaving {
 			back = append(back, id)
 		}
 	}
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -55,8 +55,8 @@
 }
 
 // newReplica returns a replica of which nothing is known but its listing.
-func newReplica(listing Replica) *replica {
-	return &replica{Replica: listing, key: listing.Key(), awaited: map[*Placement]struct{}{}}
+func newReplica(listing Replica, left uint64) *replica {
+	return &replica{Replica: listing, left: left, key: listing.Key(), awaited: map[*Placement]struct{}{}}
 }
 
 // Priorities is how many priorities engines know; zero is first.
@@ -77,10 +77,12 @@
 // replica is what a fleet believes of one replica.
 type replica struct {
 	Replica
-	// toldLeaving reports that it is leaving by a peer's word alone.
-	toldLeaving bool
-	key         Key
-	cache       *prefixCache
+	// left is the newest version of the list at which a peer saw it leave.
+	left uint64
+	// shown is the eligibility that was logged last.
+	shown Eligibility
+	key   Key
+	cache *prefixCache
 	// running counts this entry's requests at the replica.
 	running int
 	// unread are tokens of this entry's requests whose first event is due, by the
--- a/internal/balancer/survey.go
+++ b/internal/balancer/survey.go
@@ -37,10 +37,10 @@
 			survey.Running += member.running
 			survey.Most = max(survey.Most, held)
 			total += held
-			switch {
-			case member.Leaving:
+			switch fleet.eligibility(member, now).Cause {
+			case Leaving:
 				survey.Leaving++
-			case !member.doubt.open(now):
+			case Unreached:
 				survey.Unreachable++
 			}
 		}
