balancer, platform, assembler: an evacuated data centre gets no new work

The operators' rows evacuate/NAME were read and dropped.

The evacuations in force are one value with the version of the operators' table; the newer holds. Who reads the table sets it at each reading, also where nothing has changed, since what a peer told may have ended in between. Digests carry it while a data centre is evacuated, ten seconds after the last has ended, and three after a peer was heard to go by an older one, so that entries that don't read the table, that start while the store turns them away or were cut off go by it before they take a caller. A row counts by its key alone.

No request, retry, resumed stream or trial is placed there; requests in flight go on; engines there still hand on what they have cached. Who waits looks again when it begins or ends, and where no replica is left is refused at once. The bound on an engine's share goes by the lower mean while replicas are evacuated: without that an engine got 44 of 300 requests where 33 are allowed.

--- a/internal/assembler/control.go
+++ b/internal/assembler/control.go
@@ -73,7 +73,7 @@
 // counter returns what takes spending to the metrics.
 func counter(scope tally.Scope) func(cause budgeter.Cause, bytes int64) {
 	return func(cause budgeter.Cause, bytes int64) {
-		scope.Tagged(map[string]string{"cause": cause.String()}).Counter("control-bytes").Inc(bytes)
+		scope.Tagged(map[string]string{labelCause: cause.String()}).Counter("control-bytes").Inc(bytes)
 	}
 }
 
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -95,8 +95,11 @@
 	fellows   *fellows
 	callers   *callers
 
-	configurations *follower.Follower[platform.Document]
-	replicas       *follower.Follower[balancer.Replica]
+	orders *follower.Follower[platform.Order]
+	// ordered are the evacuated data centres of the copy of the operator's table, under
+	// the lock of its follower.
+	ordered  []string
+	replicas *follower.Follower[balancer.Replica]
 
 	listeners directListeners
 	cleanups  []func()
@@ -211,7 +214,7 @@
 	var order stages
 	front, rest := order.add(), order.add()
 	direct.addFront(front)
-	addLoop(rest, direct.configurations.Run)
+	addLoop(rest, direct.orders.Run)
 	addLoop(rest, direct.replicas.Run)
 	addLoop(rest, direct.sweep)
 	addLoop(rest, direct.front.Run)
--- a/internal/assembler/direct_offers.go
+++ b/internal/assembler/direct_offers.go
@@ -94,7 +94,7 @@
 			fellows.direct.accept(document, "peer "+from.address)
 		} else {
 			fellows.direct.log.WithFields(logrus.Fields{
-				"peer": from.address, "cause": err.Error(),
+				"peer": from.address, labelCause: err.Error(),
 			}).Warn("configuration not fetched")
 		}
 	}
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -42,6 +42,8 @@
 
 	turns    turns
 	transfer transfers
+	// notice is until when peers are told of evacuations that have ended.
+	notice notice
 
 	mu       sync.Mutex
 	fetching bool
@@ -63,7 +65,8 @@
 		Incarnation: newIncarnation(), DataCentre: direct.settings.DataCentre, Clock: direct.clock, Log: direct.log,
 		Scope: direct.scope, Conn: conn, Held: direct.held, Version: direct.version, Hear: fellows.hear,
 		StoreAnswered: direct.storeAnswered, StoreFailing: direct.storeFailing,
-		Listing: func() (follower.Listing, bool) { return direct.replicas.Listing() },
+		Listing:     func() (follower.Listing, bool) { return direct.replicas.Listing() },
+		Evacuations: fellows.evacuations,
 	})
 	return fellows, transport.CloseIdleConnections
 }
@@ -79,12 +82,12 @@
 
 // storeAnswered returns when the store answered last; zero means never.
 func (direct *Direct) storeAnswered() timekeeper.Instant {
-	return max(direct.replicas.Answered(), direct.configurations.Answered())
+	return max(direct.replicas.Answered(), direct.orders.Answered())
 }
 
 // storeFailing reports whether the store did not answer the last call.
 func (direct *Direct) storeFailing() bool {
-	return direct.replicas.Failing() || direct.configurations.Failing()
+	return direct.replicas.Failing() || direct.orders.Failing()
 }
 
 // version returns the version in force; zero means that none is known.
@@ -104,7 +107,7 @@
 		if err == nil || ctx.Err() != nil {
 			break
 		}
-		fellows.direct.log.WithField("cause", err.Error()).Warn("entry not registered yet")
+		fellows.direct.log.WithField(labelCause, err.Error()).Warn("entry not registered yet")
 		if fellows.direct.clock.Sleep(ctx, pause) != nil {
 			return
 		}
@@ -135,13 +138,17 @@
 // waits for the store must not keep a stopping entry beyond its time.
 func (fellows *fellows) leave(ctx context.Context) {
 	if err := platform.Unregister(ctx, fellows.store, fellows.direct.settings.Name); err != nil {
-		fellows.direct.log.WithField("cause", err.Error()).Warn("entry's address stays in the store")
+		fellows.direct.log.WithField(labelCause, err.Error()).Warn("entry's address stays in the store")
 	}
 }
 
 // hear takes in what a peer tells.
 func (fellows *fellows) hear(heard gossiper.Heard) {
 	now := fellows.direct.clock.Now()
+	// Before the configuration that comes with it: an entry that knows one takes callers.
+	if heard.Evacuations != nil {
+		fellows.direct.hearEvacuations(*heard.Evacuations, heard.Address)
+	}
 	var leaves []gossiper.Leave
 	fellows.direct.fleet.With(func(fleet *balancer.Fleet) {
 		fleet.SetPeer(heard.Address, heard.Held, heard.Life, now)
@@ -251,7 +258,7 @@
 		}
 		list, err := gossiper.DecodeReplicas(raw)
 		if err != nil {
-			fellows.direct.log.WithFields(logrus.Fields{"peer": peer, "cause": err.Error()}).Warn("list of replicas can't be read")
+			fellows.direct.log.WithFields(logrus.Fields{"peer": peer, labelCause: err.Error()}).Warn("list of replicas can't be read")
 			continue
 		}
 		rows := make([]follower.Change[balancer.Replica], len(list.Replicas))
@@ -276,7 +283,7 @@
 	}
 	text, err := list.Encode()
 	if err != nil {
-		fellows.direct.log.WithField("cause", err.Error()).Error("list of replicas can't be written")
+		fellows.direct.log.WithField(labelCause, err.Error()).Error("list of replicas can't be written")
 		return nil
 	}
 	return text
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -42,17 +42,12 @@
 
 // follow sets up what is read of the platform's store.
 func (direct *Direct) follow(store *platform.Store) {
-	configurations, key := platform.Configurations(store)
 	fellows := direct.fellows
-	direct.configurations = follower.New(follower.Settings[platform.Document]{
-		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: configurations, Seed: newIncarnation(),
+	direct.orders = follower.New(follower.Settings[platform.Order]{
+		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: platform.Orders(store), Seed: newIncarnation(),
 		Pace: follower.Every(configurationPace), Wait: configurationWait,
 		Readers: fellows.takingTurns, Sharers: fellows.sharers, Reads: fellows.readsConfiguration,
-		Apply: func(rows map[string]platform.Document, _ follower.Version) {
-			if document := rows[key]; document.Config != nil {
-				direct.accept(document, "store")
-			}
-		},
+		Apply: direct.order, Confirm: direct.confirmOrders,
 		// What others have they offer by its version; there is nothing else to miss.
 		Doubted: func() bool { return true },
 	})
@@ -65,6 +60,23 @@
 	})
 }
 
+// order takes in the operator's table.
+func (direct *Direct) order(rows map[string]platform.Order, version follower.Version) {
+	direct.ordered = platform.EvacuatedIn(rows)
+	direct.confirmOrders(version)
+	if document, found := platform.ConfigurationOf(rows); found {
+		direct.accept(document, "store")
+	}
+}
+
+// confirmOrders notes that the operator's table is as it was read last at a version. What
+// a peer told in between may have ended before that version, with no change of the copy.
+func (direct *Direct) confirmOrders(version follower.Version) {
+	if direct.evacuate(balancer.NewEvacuations(uint64(version), direct.ordered), "store") {
+		direct.fellows.gossiper.Evacuated()
+	}
+}
+
 // accept puts a configuration in force, unless a newer one is.
 func (direct *Direct) accept(document platform.Document, from string) {
 	config := document.Config
--- a/internal/assembler/direct_survey.go
+++ b/internal/assembler/direct_survey.go
@@ -45,12 +45,15 @@
 	for _, change := range transitions {
 		fields := logrus.Fields{
 			"replica": change.Replica.ID, "service": change.Replica.Service, "data-centre": change.Replica.DataCentre,
-			"access": change.To.Access.String(), "cause": string(change.To.Cause), "access-before": change.From.Access.String(),
+			"access": change.To.Access.String(), labelCause: string(change.To.Cause), "access-before": change.From.Access.String(),
 			"cause-before": string(change.From.Cause),
 		}
 		if change.To.Version != 0 {
 			fields["version"] = change.To.Version
 		}
+		if change.To.Since != 0 {
+			fields["age-ms"] = int64(now.Since(change.To.Since))
+		}
 		if change.To.Until != 0 {
 			fields["until-ms"] = int64(change.To.Until.Since(now))
 		}
@@ -80,6 +83,7 @@
 	}{
 		{"replicas-listed", float64(service.Listed)},
 		{"replicas-leaving", float64(service.Leaving)},
+		{"replicas-evacuated", float64(service.Evacuated)},
 		{"replicas-unreachable", float64(service.Unreachable)},
 		{"requests-running", float64(service.Running)},
 		{"requests-waiting", float64(service.Waiting)},
--- a/internal/assembler/watch.go
+++ b/internal/assembler/watch.go
@@ -43,7 +43,7 @@
 		Clock: env.Clock,
 		Seed:  newIncarnation(),
 		Count: func(cause storekeeper.Cause, use storekeeper.Use) {
-			scope.Tagged(map[string]string{"cause": string(cause), "use": string(use)}).Counter("store-calls").Inc(1)
+			scope.Tagged(map[string]string{labelCause: string(cause), "use": string(use)}).Counter("store-calls").Inc(1)
 		},
 		Rates: func() storekeeper.Rates {
 			var limits resolver.Limits
--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -62,6 +62,7 @@
 	pool := pool{open: make([]candidate, 0, len(held))}
 	for _, member := range held {
 		eligibility := fleet.eligibility(member.replica, now)
+		pool.spread.add(eligibility, member.held(member.peers, now))
 		if !pool.admits(eligibility, slices.Contains(ask.Excluded, member.ID)) {
 			continue
 		}
@@ -73,15 +74,44 @@
 	if reason := pool.reason(); reason != noReason {
 		return nil, reason
 	}
-	return fleet.bounded(fleet.useful(pool.open, ask), ask, now)
+	return fleet.bounded(fleet.useful(pool.open, ask), ask, pool.spread, now)
 }
 
 // pool sorts the replicas of a service by what a request may have of them.
 type pool struct {
 	open []candidate
-	// listed replicas stay, untried ones have not had the request, reached ones take
-	// connections.
-	listed, untried, reached int
+	// listed replicas stay, kept ones are in no evacuated data centre, untried ones have
+	// not had the request, reached ones take connections.
+	listed, kept, untried, reached int
+	spread                         spread
+}
+
+// spread is how the requests of a service lie at all replicas that could hold some.
+type spread struct {
+	replicas, held int
+	// narrowed reports that some of them get no new work by an order.
+	narrowed bool
+}
+
+func (spread *spread) add(eligibility Eligibility, held int) {
+	switch eligibility.Cause {
+	case Leaving, Unreached:
+		return
+	case Evacuated:
+		spread.narrowed = true
+	}
+	spread.replicas++
+	spread.held += held
+}
+
+// mean returns the mean that the bound on a share goes by, where that of the replicas
+// that get work is known. What an evacuated data centre still holds, or no more, is a part
+// of its service, so the lower mean counts.
+func (spread spread) mean(open float64) float64 {
+	if !spread.narrowed {
+		return open
+	}
+	return min(open, float64(spread.held)/float64(spread.replicas))
 }
 
 // admits counts a replica and reports whether it may get the request.
@@ -90,6 +120,10 @@
 		return false
 	}
 	pool.listed++
+	if eligibility.Cause == Evacuated {
+		return false
+	}
+	pool.kept++
 	if excluded {
 		return false
 	}
@@ -106,6 +140,8 @@
 	switch {
 	case pool.listed == 0:
 		return NoReplicas
+	case pool.kept == 0:
+		return AllEvacuated
 	case pool.untried == 0:
 		return AllTried
 	case pool.reached == 0:
@@ -184,12 +220,14 @@
 // The load: one key, one team or one data centre that gets much of the traffic.
 // The harm: one engine is crushed while others idle. The bound is a multiple of
 // the service's mean, set by the operator, plus what few requests may lie
-// unevenly. Replicas that can't get work count neither as places nor in the mean.
-func (fleet *Fleet) bounded(open []candidate, ask Ask, now timekeeper.Instant) ([]candidate, Reason) {
+// unevenly. Replicas that can't get work count neither as places nor, but for those of
+// evacuated data centres, in the mean. An even share is always allowed.
+func (fleet *Fleet) bounded(open []candidate, ask Ask, spread spread, now timekeeper.Instant) ([]candidate, Reason) {
 	if len(open) == 0 {
 		return nil, AllFull
 	}
-	share := margin*fleet.settings.Bound*meanHeld(open) + spare
+	even := meanHeld(open)
+	share := max(even, margin*fleet.settings.Bound*spread.mean(even)) + spare
 	places := 1 - kept*fleet.queue(ask.Service).moreUrgent(ask.Priority, now)
 	free := slices.DeleteFunc(open, func(c candidate) bool {
 		held := float64(c.held)
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -97,6 +97,7 @@
 	AllUnreached Reason = "all-unreachable"
 	AllFull      Reason = "all-full"
 	AllTried     Reason = "all-tried"
+	AllEvacuated Reason = "all-evacuated"
 	noReason     Reason = ""
 )
 
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -40,6 +40,8 @@
 	Cause  Cause
 	// Version is that of the news that decided; zero where time decides.
 	Version uint64
+	// Since is when the news came; zero where it isn't kept.
+	Since timekeeper.Instant
 	// Until is when time changes it; zero where only news does.
 	Until timekeeper.Instant
 }
@@ -55,6 +57,9 @@
 	if known.left > fleet.version {
 		return Eligibility{Access: Closed, Cause: Leaving, Version: known.left}
 	}
+	if fleet.evacuations.Has(known.DataCentre) {
+		return Eligibility{Access: Closed, Cause: Evacuated, Version: fleet.evacuations.Version, Since: fleet.evacuated}
+	}
 	if !known.doubt.open(now) {
 		return Eligibility{Access: Closed, Cause: Unreached, Until: max(known.doubt.until, known.doubt.trial)}
 	}
--- /dev/null
+++ b/internal/balancer/evacuation.go
@@ -0,0 +1,48 @@
+package balancer
+
+import (
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// Evacuations are the data centres whose replicas get no new work, as operators wanted
+// it at a version of their table. Of two the newer holds. The zero value knows nothing.
+type Evacuations struct {
+	Version uint64
+	// Centres are in ascending order.
+	Centres []string
+}
+
+// NewEvacuations returns the evacuations of a version.
+func NewEvacuations(version uint64, centres []string) Evacuations {
+	return Evacuations{Version: version, Centres: slices.Sorted(slices.Values(centres))}
+}
+
+// Same reports whether the same data centres are evacuated, at whatever versions.
+func (evacuations Evacuations) Same(other Evacuations) bool {
+	return slices.Equal(evacuations.Centres, other.Centres)
+}
+
+// Has reports whether a data centre is evacuated.
+func (evacuations Evacuations) Has(centre string) bool {
+	return slices.Contains(evacuations.Centres, centre)
+}
+
+// Evacuations returns what is in force.
+func (fleet *Fleet) Evacuations() Evacuations { return fleet.evacuations }
+
+// Evacuate takes in evacuations, unless those in force are as new, and reports whether
+// they are of other data centres than before.
+func (fleet *Fleet) Evacuate(evacuations Evacuations, now timekeeper.Instant) bool {
+	if evacuations.Version <= fleet.evacuations.Version {
+		return false
+	}
+	before := fleet.evacuations
+	fleet.evacuations = evacuations
+	if before.Same(evacuations) {
+		return false
+	}
+	fleet.evacuated = now
+	return true
+}
--- /dev/null
+++ b/internal/balancer/evacuation_test.go
@@ -0,0 +1,168 @@
+package balancer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// centres are the data centres of the tests here.
+var centres = []string{"bole", "kality", "merkato", "piassa"}
+
+// spreadOf returns replicas that lie evenly in the data centres.
+func spreadOf(service string, count, slots int) []Replica {
+	list := replicasOf(service, count, slots)
+	for i := range list {
+		list[i].DataCentre = centres[i%len(centres)]
+	}
+	return list
+}
+
+// inCentres returns a fleet before engines in four data centres.
+func inCentres(count int) *Fleet {
+	fleet := New(Settings{DataCentre: "bole", Seed: 1})
+	fleet.SetEngine("planner", Engine{Memory: 300000})
+	fleet.SetReplicas(spreadOf("planner", count, 64), 1)
+	return fleet
+}
+
+func TestAnEvacuatedDataCentreGetsNothing(t *testing.T) {
+	// Guards against work for a data centre that the operators empty: new requests, and
+	// requests that go on after a failure.
+	fleet := inCentres(8)
+	now := start
+	fleet.Evacuate(NewEvacuations(5, []string{"kality"}), now)
+	Convey("no choice leads there, also when all others have had the request", t, func() {
+		for i := range 200 {
+			ask := promptAsk(uint64(i), uint64(i))
+			if i%2 == 1 {
+				for _, listing := range spreadOf("planner", 8, 64) {
+					if listing.DataCentre != "kality" {
+						ask.Excluded = append(ask.Excluded, listing.ID)
+					}
+				}
+			}
+			placement, reason := fleet.Choose(ask, now)
+			if i%2 == 1 {
+				So(placement, ShouldBeNil)
+				So(reason, ShouldEqual, AllTried)
+				continue
+			}
+			So(placement.Replica.DataCentre, ShouldNotEqual, "kality")
+			fleet.End(placement, Served, now)
+		}
+	})
+}
+
+func TestAServiceWhoseReplicasAreAllEvacuated(t *testing.T) {
+	// Guards against callers who wait, or go on waiting, for replicas that get no work.
+	fleet := inCentres(4)
+	now := start
+	for fleet.fill("planner", now) {
+		continue
+	}
+	waiter := &Waiter{Ask: promptAsk(1, 1), Until: now.Add(600)}
+	fleet.Join(waiter, now)
+	Convey("who waits is told at once, and who comes then does not wait", t, func() {
+		So(waiter.Reason, ShouldEqual, noReason)
+		fleet.Evacuate(NewEvacuations(5, centres), now.Add(10))
+		decided := fleet.Dispatch(now.Add(20))
+		So(decided, ShouldHaveLength, 1)
+		So(decided[0].Reason, ShouldEqual, AllEvacuated)
+		late := &Waiter{Ask: promptAsk(2, 2), Until: now.Add(600)}
+		fleet.Join(late, now.Add(30))
+		So(late.Reason, ShouldEqual, AllEvacuated)
+	})
+	Convey("who waits looks again when a data centre is taken back", t, func() {
+		fleet := inCentres(4)
+		fleet.Evacuate(NewEvacuations(5, []string{"bole", "kality", "merkato"}), now)
+		for fleet.fill("planner", now) {
+			continue
+		}
+		waiter := &Waiter{Ask: promptAsk(1, 1), Until: now.Add(600)}
+		fleet.Join(waiter, now)
+		So(fleet.Dispatch(now.Add(10)), ShouldBeEmpty)
+		fleet.Evacuate(NewEvacuations(6, nil), now.Add(20))
+		So(fleet.Dispatch(now.Add(30)), ShouldHaveLength, 1)
+		So(waiter.Placement, ShouldNotBeNil)
+	})
+}
+
+// fill gives a replica of a service one more request, and reports whether one took it.
+func (fleet *Fleet) fill(service string, now timekeeper.Instant) bool {
+	placement, _ := fleet.Choose(Ask{Service: service, Parts: chain(0, 0)}, now)
+	return placement != nil
+}
+
+func TestTheBoundCountsEvacuatedReplicas(t *testing.T) {
+	// Guards against an engine that holds more than twice the mean of its service because
+	// a quarter of the engines, which hold nothing, were left out of the mean.
+	const count, requests = 20, 300
+	fleet := inCentres(count)
+	fleet.Evacuate(NewEvacuations(5, []string{"kality"}), start)
+	held := map[string]int{}
+	for i := range requests {
+		// One prompt in three is the same.
+		thing := uint64(i)
+		if i%3 == 0 {
+			thing = 7
+		}
+		placement := choose(t, fleet, promptAsk(thing, uint64(i)), start.Add(timekeeper.Span(i)))
+		fleet.Began(placement, start.Add(timekeeper.Span(i)))
+		held[placement.Replica.ID]++
+	}
+	Convey("the fullest one is within twice the mean of all, and three", t, func() {
+		most := 0
+		for _, count := range held {
+			most = max(most, count)
+		}
+		So(float64(most), ShouldBeLessThanOrEqualTo, 2*float64(requests)/count+3)
+	})
+}
+
+// TestTheNewestEvacuationsHold lets an entry hear of evacuations in any order, read them
+// itself at any version, and know replicas before, between and after. What it knows to be
+// newest decides, for each replica, whatever came last.
+func TestTheNewestEvacuationsHold(t *testing.T) {
+	const count = 8
+	rapid.Check(t, func(t *rapid.T) {
+		history := rapid.SliceOfN(rapid.SliceOfDistinct(rapid.SampledFrom(centres), func(name string) string { return name }), 1, 12).
+			Draw(t, "history")
+		fleet := New(Settings{Seed: 1})
+		newest := 0
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now := start.Add(timekeeper.Span(step))
+			version := rapid.IntRange(1, len(history)).Draw(t, "version")
+			if rapid.Bool().Draw(t, "list") {
+				fleet.SetReplicas(spreadOf("planner", count, 64), uint64(version))
+			} else {
+				fleet.Evacuate(NewEvacuations(uint64(version), history[version-1]), now)
+				newest = max(newest, version)
+			}
+			for id, known := range fleet.replicas {
+				evacuated := newest > 0 && slices.Contains(history[newest-1], known.DataCentre)
+				if got := fleet.eligibility(known, now); (got.Cause == Evacuated) != evacuated {
+					t.Fatalf("%s in %s is %v, newest %d of %v", id, known.DataCentre, got, newest, history)
+				}
+			}
+		}
+	})
+}
+
+func ExampleFleet_Evacuate() {
+	fleet := New(Settings{DataCentre: "bole"})
+	fleet.SetReplicas([]Replica{
+		{ID: "i-1", Service: "orders", DataCentre: "bole"}, {ID: "i-2", Service: "orders", DataCentre: "kality"},
+	}, 1)
+	now := timekeeper.Instant(timekeeper.Hour)
+	fleet.Evacuate(NewEvacuations(7, []string{"kality"}), now)
+	// An older word that arrives late changes nothing.
+	fleet.Evacuate(NewEvacuations(3, nil), now)
+	fmt.Println(fleet.Count("orders"), fleet.Evacuations().Centres)
+	// Output: 1 [kality]
+}
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -47,8 +47,11 @@
 	teams    map[string]*decaying
 	number   uint64
 	// version is that of the list which was taken in last.
-	version uint64
-	heats   heats
+	version     uint64
+	evacuations Evacuations
+	// evacuated is when other data centres were evacuated than before.
+	evacuated timekeeper.Instant
+	heats     heats
 }
 
 // New returns a fleet without replicas.
@@ -169,7 +172,7 @@
 func (fleet *Fleet) Count(service string) int {
 	count := 0
 	for _, known := range fleet.services[service] {
-		if !fleet.leaves(known) {
+		if !fleet.leaves(known) && !fleet.evacuations.Has(known.DataCentre) {
 			count++
 		}
 	}
--- a/internal/balancer/survey.go
+++ b/internal/balancer/survey.go
@@ -10,8 +10,8 @@
 // ServiceSurvey is what a fleet believes of one service, for metrics.
 type ServiceSurvey struct {
 	Service string
-	// Listed replicas get work unless they are among Leaving or Unreachable.
-	Listed, Leaving, Unreachable int
+	// Listed replicas get work unless they are among the others.
+	Listed, Leaving, Evacuated, Unreachable int
 	// Running counts this entry's requests, Waiting those that wait for a replica.
 	Running, Waiting int
 	// Held is the mean of what replicas are believed to hold, Most the largest.
@@ -40,6 +40,8 @@
 			switch fleet.eligibility(member, now).Cause {
 			case Leaving:
 				survey.Leaving++
+			case Evacuated:
+				survey.Evacuated++
 			case Unreached:
 				survey.Unreachable++
 			}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -29,8 +29,8 @@
 // kickSpan is the least time between two digests when there is urgent news.
 const kickSpan = 15 * timekeeper.Millisecond
 
-// Settings set up a gossiper. All fields but Budget, StoreFailing and Listing must be
-// set.
+// Settings set up a gossiper. All fields but Budget, StoreFailing, Listing and
+// Evacuations must be set.
 type Settings struct {
 	Incarnation uint64
 	// DataCentre is where the entry stands.
@@ -52,6 +52,9 @@
 	// Listing returns what the last own reading of the list of replicas found; false
 	// means that there is none to tell of. Nil means that there never is.
 	Listing func() (follower.Listing, bool)
+	// Evacuations returns what is in force here, and whether peers should be told of it.
+	// Nil means that nothing ever is.
+	Evacuations func() (balancer.Evacuations, bool)
 	// Hear takes what a peer tells.
 	Hear func(heard Heard)
 	// Budget is in bytes a second; zero means 7,700.
@@ -73,6 +76,9 @@
 	span     timekeeper.Span
 }
 
+// noEvacuations are those of a gossiper that is told of none.
+func noEvacuations() (balancer.Evacuations, bool) { return balancer.Evacuations{}, false }
+
 // New returns a gossiper that knows no peers.
 func New(settings Settings) *Gossiper {
 	if settings.Budget == 0 {
@@ -84,6 +90,9 @@
 	if settings.Listing == nil {
 		settings.Listing = func() (follower.Listing, bool) { return follower.Listing{}, false }
 	}
+	if settings.Evacuations == nil {
+		settings.Evacuations = noEvacuations
+	}
 	return &Gossiper{
 		settings: settings, kicked: make(chan struct{}, 1),
 		outbox: newOutbox(), peers: newPeers(settings.Conn.LocalAddr().String()), span: shortest,
@@ -145,6 +154,9 @@
 	gossiper.kick()
 }
 
+// Evacuated tells peers at once of the evacuations in force here.
+func (gossiper *Gossiper) Evacuated() { gossiper.kick() }
+
 // Configured tells peers at once that the version in force has changed.
 func (gossiper *Gossiper) Configured() { gossiper.kick() }
 
@@ -243,6 +255,7 @@
 	version := gossiper.settings.Version()
 	failing := gossiper.settings.StoreFailing()
 	listing, reads := gossiper.settings.Listing()
+	evacuations, telling := gossiper.settings.Evacuations()
 	now := gossiper.settings.Clock.Now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
@@ -250,6 +263,9 @@
 		Incarnation: gossiper.settings.Incarnation, Configuration: version, StoreFailing: failing,
 		IntervalMs: uint32(max(gossiper.span, restful)), Stopping: gossiper.stopping,
 	}
+	if telling {
+		digest.Evacuations = &encoder.PeerEvacuations{Version: evacuations.Version, DataCentres: evacuations.Centres}
+	}
 	fillLoads(digest, held)
 	if gossiper.outbox.empty() && same(gossiper.last, digest) && now.Since(gossiper.lastSent) < restful {
 		return nil, nil
@@ -264,7 +280,7 @@
 		Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
 		Configuration: version, Stopping: digest.Stopping, StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
 		Replicas: digest.Replicas, Running: digest.Running, Unread: digest.Unread,
-		DataCentre: CentreKey(gossiper.settings.DataCentre), StoreFailing: failing,
+		DataCentre: CentreKey(gossiper.settings.DataCentre), StoreFailing: failing, Evacuations: digest.Evacuations,
 	}
 	if reads {
 		full.Listing = &encoder.PeerListing{Version: uint64(listing.Version), Sum: listing.Sum, AgeMs: ageOf(listing.At, now)}
@@ -289,11 +305,16 @@
 // same reports whether a digest says what the last one did.
 func same(last, next *encoder.PeerDigest) bool {
 	return last != nil && last.Configuration == next.Configuration && last.Stopping == next.Stopping &&
-		last.StoreFailing == next.StoreFailing &&
+		last.StoreFailing == next.StoreFailing && sameCentres(last.Evacuations, next.Evacuations) &&
 		slices.Equal(last.Replicas, next.Replicas) && slices.Equal(last.Running, next.Running) &&
 		slices.Equal(last.Unread, next.Unread)
 }
 
+// sameCentres reports whether the same data centres are evacuated, at whatever versions.
+func sameCentres(one, other *encoder.PeerEvacuations) bool {
+	return (one == nil) == (other == nil) && slices.Equal(one.GetDataCentres(), other.GetDataCentres())
+}
+
 // settle sets the time until the next digest by what this one costs.
 func (gossiper *Gossiper) settle(size, peers int) {
 	gossiper.mu.Lock()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -232,3 +232,31 @@
 		}
 	})
 }
+
+func TestADigestTellsOfEvacuations(t *testing.T) {
+	// Guards against an evacuation that is lost on its way to peers, and against one that
+	// waits for other news.
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	first, second := newListener(t, 1, clock.Clock()), newListener(t, 2, clock.Clock())
+	first.Learn(second.address())
+	first.round()
+	second.wait(t, 1)
+	second.round()
+	first.wait(t, 1)
+	told := balancer.NewEvacuations(1<<40, []string{"kality", "bole"})
+	first.settings.Evacuations = func() (balancer.Evacuations, bool) { return told, true }
+	Convey("at once, with its version, as long as it lasts", t, func() {
+		first.round()
+		So(*second.wait(t, 2)[1].Evacuations, ShouldResemble, told)
+		clock.Advance(restful)
+		first.round()
+		So(*second.wait(t, 3)[2].Evacuations, ShouldResemble, told)
+		Convey("and that it has ended", func() {
+			told = balancer.NewEvacuations(1<<40+1, nil)
+			first.round()
+			heard := second.wait(t, 4)[3]
+			So(heard.Evacuations.Version, ShouldEqual, told.Version)
+			So(heard.Evacuations.Centres, ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/gossiper/heard.go
+++ b/internal/gossiper/heard.go
@@ -31,6 +31,8 @@
 	Listing *follower.Listing
 	// Listed are changes of the list that the peer has read.
 	Listed []ReplicaNews
+	// Evacuations are those in force at the peer; nil where it doesn't tell.
+	Evacuations *balancer.Evacuations
 }
 
 // ReplicaNews is a change of the list of replicas.
@@ -83,6 +85,10 @@
 	for _, listed := range digest.Listed {
 		heard.Listed = append(heard.Listed, newsOf(listed))
 	}
+	if evacuations := digest.Evacuations; evacuations != nil && evacuations.Version > 0 {
+		told := balancer.NewEvacuations(evacuations.Version, evacuations.DataCentres)
+		heard.Evacuations = &told
+	}
 	for _, strike := range digest.Strikes {
 		heard.Strikes = append(heard.Strikes, Strike{Request: strike.Request, Replica: strike.Replica})
 	}
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -261,7 +261,7 @@
 		return classifier.New(classifier.UpstreamBroken, reason)
 	}
 	kind := classifier.Overloaded
-	if waiter.Reason == balancer.NoReplicas {
+	if waiter.Reason == balancer.NoReplicas || waiter.Reason == balancer.AllEvacuated {
 		kind = classifier.NoUpstream
 	}
 	if ctx.Err() != nil {
