balancer: a place costs little at engines that have the prompt, where digests are old

Entries believed 6 or 7 requests there while it held 11 or 12: their digests come 290 ms apart, requests last as long, and a place in the preference order costs 100 ms then, so a prompt that several engines have kept to the first.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -46,8 +46,7 @@
 	// the cost of an engine, in milliseconds, while digests are fresh. See
 	// preferenceStep.
 	preferenceCost = 40.0
-	// fresh is the time between two digests of a peer among a few entries. Where it
-	// is longer preferenceCost grows with it, as the noise of what is believed does.
+	// fresh is the time between two digests of a peer among a few entries.
 	fresh = 100 * timekeeper.Millisecond
 	// spare is what a replica may hold beyond the bound on its share, so that few
 	// requests at few replicas may lie unevenly. The operators allow three; what
@@ -158,21 +157,22 @@
 		return fleet.pickHolder(candidates, deepest, count)
 	}
 	setWeights(candidates, deepest)
-	return cheapest(candidates, fleet.preferenceStep())
+	return cheapest(candidates, fleet.preferenceStep(), TokensOf(ask.Parts)-TokensOf(shared))
 }
 
 // cheapest returns the candidate that costs least with the price of its place in
-// the preference order. Most cost more than the first one does, whatever their
-// place, so only of few the place has to be counted: one pass among hundreds of
-// engines.
-func cheapest(candidates []candidate, step float64) candidate {
+// the preference order; own is the part of the prompt that no other request shares. Most
+// cost more than the first one does, whatever their place, so only of few the place has to
+// be counted: one pass among hundreds of engines.
+func cheapest(candidates []candidate, step preferenceStep, own int) candidate {
 	best := slices.MaxFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.weight, b.weight) })
 	least := best.cost
 	for _, c := range candidates {
-		if c.cost+step >= least {
+		price := step.of(c, own)
+		if c.cost+price >= least {
 			continue
 		}
-		if cost := c.cost + step*float64(placeOf(c, candidates)); cost < least {
+		if cost := c.cost + price*float64(placeOf(c, candidates)); cost < least {
 			best, least = c, cost
 		}
 	}
@@ -190,17 +190,28 @@
 	return place
 }
 
-// preferenceStep returns what each place in the preference order of a prompt adds
-// to the cost of an engine, in milliseconds.
-//
-// The load: entries that start again and know nothing of what engines have
-// cached, and dozens of entries whose digests are hundreds of milliseconds old.
-// The harm: what an entry knows sends a prompt to the engine that is empty, the
-// next entry knows something else, and each engine reads it once. What all agree
-// on, whatever they know, is the preference order. So a prompt leaves its first
-// engine only when that is dearer than the second by a step, and goes there.
-func (fleet *Fleet) preferenceStep() float64 {
-	return preferenceCost * max(1, float64(fleet.staleness())/float64(fresh))
+// preferenceStep is what each place in the preference order of a prompt adds to the cost
+// of an engine, in milliseconds: of one that has all shared parts of the prompt, and of any
+// other.
+type preferenceStep struct{ holder, other float64 }
+
+// preferenceStep returns the price of a place. Entries that know different things read a
+// prompt at different engines; only the preference order is the same for all. The older
+// digests are, the more a place costs where the prompt would have to be read, and the less
+// where it is cached: there nothing is read again, while requests pile up at the first
+// engine before entries hear of it.
+func (fleet *Fleet) preferenceStep() preferenceStep {
+	age := max(1, float64(fleet.staleness())/float64(fresh))
+	return preferenceStep{holder: preferenceCost / (age * age), other: preferenceCost * age}
+}
+
+// of returns the price of a place for an engine, by the part of the prompt that no other
+// request shares.
+func (step preferenceStep) of(c candidate, own int) float64 {
+	if c.uncached+c.fetch.tokens <= own {
+		return step.holder
+	}
+	return step.other
 }
 
 // setWeights sets the weights that the preference order of a prompt part goes by.
--- /dev/null
+++ b/internal/balancer/preference_test.go
@@ -0,0 +1,48 @@
+package balancer
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+func TestAPromptLeavesACrowdForAnotherEngineThatHasIt(t *testing.T) {
+	// Guards against requests that pile up at the first engine of a prompt, while others
+	// that have it are idle, because entries hear of each other seldom.
+	const crowd = 6
+	tests := []struct {
+		name string
+		// gap is the time between two digests of a peer, holders how many engines have
+		// the prompt.
+		gap     timekeeper.Span
+		holders int
+		moves   bool
+	}{
+		{"digests are fresh, both have it", 100, 2, false},
+		{"digests are old, both have it", 300, 2, true},
+		{"digests are old, the first alone has it", 300, 1, false},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			fleet := planners(2)
+			parts := chain(1, 1)
+			candidates := []candidate{{replica: fleet.replicas["planner-0"]}, {replica: fleet.replicas["planner-1"]}}
+			setWeights(candidates, parts[1].ID)
+			first, second := candidates[0], candidates[1]
+			if second.weight > first.weight {
+				first, second = second, first
+			}
+			fleet.Cached(first.key, parts, start)
+			if test.holders > 1 {
+				fleet.Cached(second.key, parts, start)
+			}
+			held := map[Key]Held{first.key: {Running: crowd}}
+			fleet.SetPeer("peer", held, timekeeper.Second, start)
+			fleet.SetPeer("peer", held, timekeeper.Second, start.Add(test.gap))
+			placement := choose(t, fleet, Ask{Service: "planner", Parts: chain(1, 2)}, start.Add(test.gap))
+			So(placement.Replica.ID == second.ID, ShouldEqual, test.moves)
+		})
+	}
+}
