resolver: a fault inside a table names the line of its key

A setting such as retry.ratio that is out of range was reported on line 1: the path of a dotted key was looked up as one name. Tested by the cases of the table cold in the settings of an entry.

--- a/internal/resolver/parse.go
+++ b/internal/resolver/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -31,18 +32,21 @@
 	return doc, faults
 }
 
-// Line returns the line on which a top-level key was written, and 1 when it
-// wasn't: a missing key belongs to the file's one table, which begins there.
+// Line returns the line on which a key was written, or the nearest table around it; dots
+// lead into tables. It is 1 when neither was written.
 func (doc Document) Line(key string) int {
-	return max(1, doc.originOf(Path{key}).Line)
+	return max(1, doc.originOf(pathOf(key)).Line)
 }
 
-// Has reports whether a top-level key was written.
+// Has reports whether a key was written; dots lead into tables.
 func (doc Document) Has(key string) bool {
-	_, found := doc.find(Path{key})
+	_, found := doc.find(pathOf(key))
 	return found
 }
 
+// pathOf returns the path of a key whose dots lead into tables.
+func pathOf(key string) Path { return strings.Split(key, ".") }
+
 // Empty reports whether nothing was read, as from a file with bad syntax.
 func (doc Document) Empty() bool {
 	return len(doc.values) == 0
