balancer, gossiper, platform: cold replicas get no more than they tolerate

It also crashes above its rate, with its callers' streams. Rows say for how long a replica is cold; that was read and dropped.

Cold until: what the row says, as an instant of the reader's steady clock that is neither part of the list's checksum nor moved by a step of the time of day; for as long as after a start when its data centre is taken back; what a peer has read of one that turns cold later. A start has a new identity or birth, so a replica that is reached again under the same one is not taken for cold.

While a replica is cold, and only where no other has room, a few entries may use it, chosen by rendezvous of entry and replica among all entries heard of within a minute: 7 of 28 here, each with one request at once and 1.7 a second. An entry uses none before it has known the others for two seconds.

--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -41,6 +41,7 @@
 	client   *http.Client
 
 	turns    turns
+	sharing  sharing
 	transfer transfers
 	// notice is until when peers are told of evacuations that have ended.
 	notice notice
@@ -130,6 +131,7 @@
 		fellows.gossiper.Learn(address)
 	}
 	fellows.turns.introduce(len(addresses), fellows.direct.clock.Now())
+	fellows.sharing.registered(fellows.direct.clock.Now())
 	fellows.direct.log.WithField("entries", len(addresses)).Info("entry registered")
 	return nil
 }
@@ -155,6 +157,9 @@
 		for _, placed := range heard.Placements {
 			fleet.Cached(placed.Replica, placed.Parts, now)
 		}
+		for _, cold := range heard.Cold {
+			fleet.Chill(cold.Replica, cold.Until)
+		}
 		for _, replica := range heard.Unreachable {
 			fleet.Suspect(replica, now)
 		}
@@ -166,7 +171,7 @@
 	})
 	for _, leave := range leaves {
 		fellows.direct.log.WithFields(logrus.Fields{
-			"replica": leave.Replica, "version": leave.Version, "peer": heard.Address,
+			labelReplica: leave.Replica, "version": leave.Version, "peer": heard.Address,
 		}).Info("replica leaves, as a peer saw")
 	}
 	for _, strike := range heard.Strikes {
@@ -256,7 +261,7 @@
 		if err != nil {
 			continue
 		}
-		list, err := gossiper.DecodeReplicas(raw)
+		list, err := gossiper.DecodeReplicas(raw, fellows.direct.clock.Now())
 		if err != nil {
 			fellows.direct.log.WithFields(logrus.Fields{"peer": peer, labelCause: err.Error()}).Warn("list of replicas can't be read")
 			continue
@@ -281,7 +286,7 @@
 		list.Replicas = append(list.Replicas, row.Value)
 		list.Lapses[row.Key] = row.Lapses
 	}
-	text, err := list.Encode()
+	text, err := list.Encode(fellows.direct.clock.Now())
 	if err != nil {
 		fellows.direct.log.WithField(labelCause, err.Error()).Error("list of replicas can't be written")
 		return nil
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -52,7 +52,7 @@
 		Doubted: func() bool { return true },
 	})
 	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
-		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store), Seed: newIncarnation(),
+		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store, direct.clock), Seed: newIncarnation(),
 		Pace: replicaPace, Wait: replicaWait, Lapse: replicaLapse,
 		Readers: fellows.takingTurns, Sharers: fellows.sharers, Reads: fellows.reads, Doubted: fellows.doubted,
 		Apply: direct.list, Confirm: direct.confirmList, Sum: gossiper.SumOf, Tell: direct.tellListed,
@@ -93,6 +93,7 @@
 	direct.fellows.gossiper.Configured()
 	direct.fleet.With(func(fleet *balancer.Fleet) {
 		for _, service := range config.Services() {
+			fleet.SetWarming(service.Name, balancer.Warming{Span: service.ColdTime, Rate: service.ColdRate})
 			if service.Engine != nil {
 				fleet.SetEngine(service.Name, engineOf(*service.Engine))
 			}
@@ -113,23 +114,35 @@
 	var changes []balancer.Change
 	direct.fleet.With(func(fleet *balancer.Fleet) { changes = fleet.SetReplicas(list, uint64(version)) })
 	for _, change := range changes {
+		if change.Chilled {
+			direct.chilled(change.Replica)
+			continue
+		}
 		if change.Gone || change.Restarted {
 			direct.pool.Retire(change.Replica.ID)
 		}
 		direct.log.WithFields(logrus.Fields{
-			"replica": change.Replica.ID, "service": change.Replica.Service, "address": change.Replica.Address,
+			labelReplica: change.Replica.ID, "service": change.Replica.Service, "address": change.Replica.Address,
 			"leaving": change.Replica.Leaving, "gone": change.Gone, "restarted": change.Restarted,
 		}).Info("replica listed")
 	}
 }
 
+// chilled logs that a replica has turned cold and tells peers, who don't see each row.
+func (direct *Direct) chilled(replica balancer.Replica) {
+	direct.fellows.gossiper.Cold(gossiper.ColdNotice{Replica: replica.Key(), Until: replica.WarmAt})
+	direct.log.WithFields(logrus.Fields{
+		labelReplica: replica.ID, "service": replica.Service, "warm-in-ms": int64(replica.WarmAt.Since(direct.clock.Now())),
+	}).Info("replica is cold")
+}
+
 // confirmList notes that the list of replicas is also that of a newer version.
 func (direct *Direct) confirmList(version follower.Version) {
 	var back []string
 	direct.fleet.With(func(fleet *balancer.Fleet) { back = fleet.Confirm(uint64(version)) })
 	for _, replica := range back {
 		direct.log.WithFields(logrus.Fields{
-			"replica": replica, "version": uint64(version),
+			labelReplica: replica, "version": uint64(version),
 		}).Info("replica gets work again, the list is as new as what a peer saw")
 	}
 }
--- a/internal/assembler/direct_survey.go
+++ b/internal/assembler/direct_survey.go
@@ -44,7 +44,7 @@
 func (direct *Direct) logTransitions(transitions []balancer.Transition, now timekeeper.Instant) {
 	for _, change := range transitions {
 		fields := logrus.Fields{
-			"replica": change.Replica.ID, "service": change.Replica.Service, "data-centre": change.Replica.DataCentre,
+			labelReplica: change.Replica.ID, "service": change.Replica.Service, "data-centre": change.Replica.DataCentre,
 			"access": change.To.Access.String(), labelCause: string(change.To.Cause), "access-before": change.From.Access.String(),
 			"cause-before": string(change.From.Cause),
 		}
@@ -84,6 +84,7 @@
 		{"replicas-listed", float64(service.Listed)},
 		{"replicas-leaving", float64(service.Leaving)},
 		{"replicas-evacuated", float64(service.Evacuated)},
+		{"replicas-cold", float64(service.Cold)},
 		{"replicas-unreachable", float64(service.Unreachable)},
 		{"requests-running", float64(service.Running)},
 		{"requests-waiting", float64(service.Waiting)},
--- a/internal/assembler/labels.go
+++ b/internal/assembler/labels.go
@@ -1,4 +1,7 @@
 package assembler
 
-// labelCause is the field of log lines and the tag of metrics that says why.
-const labelCause = "cause"
+// The fields of log lines and the tags of metrics that several parts of a process write.
+const (
+	labelCause   = "cause"
+	labelReplica = "replica"
+)
--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -69,17 +69,27 @@
 		if ask.Connections > 0 && member.running >= ask.Connections {
 			continue
 		}
-		pool.open = append(pool.open, fleet.weigh(member, ask, sources, now))
+		switch {
+		case eligibility.Access == Open:
+			pool.open = append(pool.open, fleet.weigh(member, ask, sources, now))
+		case fleet.admitsCold(member.replica, now):
+			pool.limited = append(pool.limited, fleet.weigh(member, ask, sources, now))
+		}
 	}
 	if reason := pool.reason(); reason != noReason {
 		return nil, reason
 	}
-	return fleet.bounded(fleet.useful(pool.open, ask), ask, pool.spread, now)
+	if open, reason := fleet.bounded(fleet.useful(pool.open, ask), ask, pool.spread, now); reason == noReason {
+		return open, noReason
+	}
+	return fleet.bounded(fleet.useful(pool.limited, ask), ask, pool.spread, now)
 }
 
 // pool sorts the replicas of a service by what a request may have of them.
 type pool struct {
 	open []candidate
+	// limited replicas may get a request each, where no open one has room.
+	limited []candidate
 	// listed replicas stay, kept ones are in no evacuated data centre, untried ones have
 	// not had the request, reached ones take connections.
 	listed, kept, untried, reached int
@@ -89,7 +99,7 @@
 // spread is how the requests of a service lie at all replicas that could hold some.
 type spread struct {
 	replicas, held int
-	// narrowed reports that some of them get no new work by an order.
+	// narrowed reports that some of them get less by an order, or because they are cold.
 	narrowed bool
 }
 
@@ -97,7 +107,7 @@
 	switch eligibility.Cause {
 	case Leaving, Unreached:
 		return
-	case Evacuated:
+	case Evacuated, Cold:
 		spread.narrowed = true
 	}
 	spread.replicas++
@@ -105,8 +115,8 @@
 }
 
 // mean returns the mean that the bound on a share goes by, where that of the replicas
-// that get work is known. What an evacuated data centre still holds, or no more, is a part
-// of its service, so the lower mean counts.
+// that get work is known. Replicas that are evacuated or cold are a part of their service
+// though they hold little, so the lower mean counts.
 func (spread spread) mean(open float64) float64 {
 	if !spread.narrowed {
 		return open
@@ -146,7 +156,7 @@
 		return AllTried
 	case pool.reached == 0:
 		return AllUnreached
-	case len(pool.open) == 0:
+	case len(pool.open)+len(pool.limited) == 0:
 		return AllFull
 	}
 	return noReason
@@ -166,7 +176,7 @@
 // cached. It goes on after the load is gone. A request waits at the entry for
 // the engine that has its prompt, or is told to come back.
 func (fleet *Fleet) useful(open []candidate, ask Ask) []candidate {
-	if len(ask.Parts) == 0 {
+	if len(ask.Parts) == 0 || len(open) == 0 {
 		return open
 	}
 	least := slices.MinFunc(open, func(a, b candidate) int { return a.uncached - b.uncached }).uncached
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -121,6 +121,7 @@
 		chosen = fleet.withoutFetch(chosen)
 	}
 	chosen.running++
+	chosen.cold.spend(now)
 	chosen.doubt.tried(now)
 	chosen.unread[ask.Priority] += chosen.uncached
 	firstRead := false
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -63,6 +63,9 @@
 	if !known.doubt.open(now) {
 		return Eligibility{Access: Closed, Cause: Unreached, Until: max(known.doubt.until, known.doubt.trial)}
 	}
+	if now < known.cold.until && fleet.warming[known.Service].Rate > 0 {
+		return Eligibility{Access: Limited, Cause: Cold, Until: known.cold.until}
+	}
 	return Eligibility{Access: Open}
 }
 
--- a/internal/balancer/evacuation.go
+++ b/internal/balancer/evacuation.go
@@ -33,7 +33,8 @@
 func (fleet *Fleet) Evacuations() Evacuations { return fleet.evacuations }
 
 // Evacuate takes in evacuations, unless those in force are as new, and reports whether
-// they are of other data centres than before.
+// they are of other data centres than before. Replicas of one that is taken back count as
+// cold for as long as after a start: their rows may say so later than work would come.
 func (fleet *Fleet) Evacuate(evacuations Evacuations, now timekeeper.Instant) bool {
 	if evacuations.Version <= fleet.evacuations.Version {
 		return false
@@ -44,5 +45,10 @@
 		return false
 	}
 	fleet.evacuated = now
+	for _, known := range fleet.replicas {
+		if before.Has(known.DataCentre) && !evacuations.Has(known.DataCentre) {
+			known.chill(now.Add(fleet.warming[known.Service].Span))
+		}
+	}
 	return true
 }
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -18,6 +18,10 @@
 	// Bound is how many times the mean of its service a replica may hold; zero
 	// means 2. See bounded.
 	Bound float64
+	// ColdOver is how many times the rate that a cold replica tolerates all entries
+	// together may send in a second, and ColdSlack how many requests more. Zero means once,
+	// and none.
+	ColdOver, ColdSlack float64
 	// MovePrice is how many prompt tokens that are read cost as much as a gigabyte
 	// that engines hand on; zero means 2,300. See DefaultMovePrice.
 	MovePrice float64
@@ -39,6 +43,8 @@
 	left     map[string]uint64
 	services map[string][]*replica
 	engines  map[string]Engine
+	warming  map[string]Warming
+	sharers  sharers
 	peers    map[string]peerDigest
 	// peerSums are what all peers have under way, by replica.
 	peerSums map[Key]Held
@@ -59,6 +65,9 @@
 	if settings.Bound == 0 {
 		settings.Bound = 2
 	}
+	if settings.ColdOver == 0 {
+		settings.ColdOver = 1
+	}
 	if settings.MovePrice == 0 {
 		settings.MovePrice = DefaultMovePrice
 	}
@@ -76,6 +85,7 @@
 		left:     map[string]uint64{},
 		services: map[string][]*replica{},
 		engines:  map[string]Engine{},
+		warming:  map[string]Warming{},
 		peers:    map[string]peerDigest{},
 		peerSums: map[Key]Held{},
 		paces:    map[string]*pace{},
@@ -91,6 +101,9 @@
 	// Restarted reports that the replica started again under its ID.
 	Restarted bool
 	Gone      bool
+	// Chilled reports that nothing has changed but that the replica has turned cold, or
+	// stays so for longer than was known.
+	Chilled bool
 }
 
 // SetReplicas takes in the platform's list of a version and returns what changed
@@ -105,7 +118,13 @@
 	for _, listing := range list {
 		listed[listing.ID] = true
 		known, found := fleet.replicas[listing.ID]
-		if found && (known.Replica == listing || listing.precedes(known.Replica)) {
+		if found && listing.precedes(known.Replica) {
+			continue
+		}
+		if found && listing.same(known.Replica) {
+			if known.chill(listing.WarmAt) {
+				changes = append(changes, Change{Replica: listing, Chilled: true})
+			}
 			continue
 		}
 		restarted := found && listing.succeeds(known.Replica)
@@ -131,6 +150,7 @@
 // relist takes in a listing of the same incarnation.
 func (known *replica) relist(listing Replica) {
 	known.Replica, known.key = listing, listing.Key()
+	known.chill(listing.WarmAt)
 }
 
 // placed returns the replica that has a placement, if that incarnation is listed.
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -20,6 +20,15 @@
 	Slots      int
 	// Leaving replicas get no new work.
 	Leaving bool
+	// WarmAt is until when the replica says that it is cold, by the clock of who reads it;
+	// zero means that it doesn't. Listings that differ in it alone are the same.
+	WarmAt timekeeper.Instant
+}
+
+// same reports whether two listings say the same.
+func (listing Replica) same(other Replica) bool {
+	listing.WarmAt = other.WarmAt
+	return listing == other
 }
 
 // Incarnation returns a name that no other life of the replica has.
@@ -56,7 +65,9 @@
 
 // newReplica returns a replica of which nothing is known but its listing.
 func newReplica(listing Replica, left uint64) *replica {
-	return &replica{Replica: listing, left: left, key: listing.Key(), awaited: map[*Placement]struct{}{}}
+	known := &replica{Replica: listing, left: left, key: listing.Key(), awaited: map[*Placement]struct{}{}}
+	known.chill(listing.WarmAt)
+	return known
 }
 
 // Priorities is how many priorities engines know; zero is first.
@@ -77,6 +88,7 @@
 // replica is what a fleet believes of one replica.
 type replica struct {
 	Replica
+	cold allowance
 	// left is the newest version of the list at which a peer saw it leave.
 	left uint64
 	// shown is the eligibility that was logged last.
--- a/internal/balancer/survey.go
+++ b/internal/balancer/survey.go
@@ -10,8 +10,9 @@
 // ServiceSurvey is what a fleet believes of one service, for metrics.
 type ServiceSurvey struct {
 	Service string
-	// Listed replicas get work unless they are among the others.
-	Listed, Leaving, Evacuated, Unreachable int
+	// Listed replicas get work unless they are among the others; those that are Cold get
+	// some.
+	Listed, Leaving, Evacuated, Unreachable, Cold int
 	// Running counts this entry's requests, Waiting those that wait for a replica.
 	Running, Waiting int
 	// Held is the mean of what replicas are believed to hold, Most the largest.
@@ -44,6 +45,8 @@
 				survey.Evacuated++
 			case Unreached:
 				survey.Unreachable++
+			case Cold:
+				survey.Cold++
 			}
 		}
 		survey.Held = float64(total) / float64(max(1, survey.Listed))
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -146,6 +146,14 @@
 	gossiper.kick()
 }
 
+// Cold tells peers at once of a replica that has turned cold.
+func (gossiper *Gossiper) Cold(notice ColdNotice) {
+	gossiper.mu.Lock()
+	gossiper.outbox.cold.add(notice)
+	gossiper.mu.Unlock()
+	gossiper.kick()
+}
+
 // Struck tells peers at once of a request that was at a replica when it crashed.
 func (gossiper *Gossiper) Struck(strike Strike) {
 	gossiper.mu.Lock()
@@ -191,6 +199,15 @@
 	return len(gossiper.peers.heardWithin(span, now))
 }
 
+// Known returns the addresses of the peers that were heard or learnt of within a span, those
+// that are silent now among them.
+func (gossiper *Gossiper) Known(span timekeeper.Span) []string {
+	now := gossiper.settings.Clock.Now()
+	gossiper.mu.Lock()
+	defer gossiper.mu.Unlock()
+	return gossiper.peers.knownWithin(span, now)
+}
+
 // Members returns the peers that have been heard of within a span.
 func (gossiper *Gossiper) Members(span timekeeper.Span) []elector.Member {
 	now := gossiper.settings.Clock.Now()
@@ -285,7 +302,7 @@
 	if reads {
 		full.Listing = &encoder.PeerListing{Version: uint64(listing.Version), Sum: listing.Sum, AgeMs: ageOf(listing.At, now)}
 	}
-	gossiper.outbox.fill(full, roomOf(len(due), gossiper.settings.Budget))
+	gossiper.outbox.fill(full, roomOf(len(due), gossiper.settings.Budget), now)
 	if gossiper.sequence%introduceEvery == 1 {
 		full.Peers = gossiper.peers.up(now)
 		full.Peers = full.Peers[:min(len(full.Peers), mostIntroduced)]
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -81,6 +81,7 @@
 	first.Unreachable("planner-2")
 	first.Leaving(Leave{Replica: "planner-3", Version: 12})
 	first.Struck(Strike{Request: 1 << 63, Replica: "planner-2"})
+	first.Cold(ColdNotice{Replica: balancer.KeyOf("planner-4"), Until: clock.Now().Add(2500)})
 	first.round()
 	Convey("all of it arrives", t, func() {
 		heard := second.wait(t, 1)[0]
@@ -94,6 +95,7 @@
 		})
 		So(heard.Unreachable, ShouldResemble, []string{"planner-2"})
 		So(heard.Leaves, ShouldResemble, []Leave{{Replica: "planner-3", Version: 12}})
+		So(heard.Cold, ShouldResemble, []ColdNotice{{Replica: balancer.KeyOf("planner-4"), Until: clock.Now().Add(2500)}})
 		So(heard.Strikes, ShouldResemble, []Strike{{Request: 1 << 63, Replica: "planner-2"}})
 	})
 	Convey("the peer has heard of the sender, and answers", t, func() {
--- a/internal/gossiper/heard.go
+++ b/internal/gossiper/heard.go
@@ -31,6 +31,8 @@
 	Listing *follower.Listing
 	// Listed are changes of the list that the peer has read.
 	Listed []ReplicaNews
+	// Cold are replicas that have turned cold, as the peer has read.
+	Cold []ColdNotice
 	// Evacuations are those in force at the peer; nil where it doesn't tell.
 	Evacuations *balancer.Evacuations
 }
@@ -83,7 +85,12 @@
 		}
 	}
 	for _, listed := range digest.Listed {
-		heard.Listed = append(heard.Listed, newsOf(listed))
+		heard.Listed = append(heard.Listed, newsOf(listed, now))
+	}
+	for _, cold := range digest.Cold {
+		heard.Cold = append(heard.Cold, ColdNotice{
+			Replica: balancer.Key(cold.Replica), Until: now.Add(timekeeper.Span(cold.WarmInMs)),
+		})
 	}
 	if evacuations := digest.Evacuations; evacuations != nil && evacuations.Version > 0 {
 		told := balancer.NewEvacuations(evacuations.Version, evacuations.DataCentres)
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -45,6 +45,16 @@
 	Version uint64
 }
 
+// ColdNotice is a replica that is cold until an instant, by the own clock.
+type ColdNotice struct {
+	Replica balancer.Key
+	Until   timekeeper.Instant
+}
+
+func (notice ColdNotice) message(now timekeeper.Instant) *encoder.PeerCold {
+	return &encoder.PeerCold{Replica: uint32(notice.Replica), WarmInMs: uint32(max(0, notice.Until.Since(now)))}
+}
+
 // placement is a prompt that was sent to a replica.
 type placement struct {
 	replica balancer.Key
@@ -104,6 +114,7 @@
 	leaves      news[Leave]
 	strikes     news[Strike]
 	listed      news[ReplicaNews]
+	cold        news[ColdNotice]
 }
 
 func newOutbox() *outbox {
@@ -113,6 +124,7 @@
 		leaves:      news[Leave]{most: mostNews},
 		strikes:     news[Strike]{most: mostNews},
 		listed:      news[ReplicaNews]{most: mostListed},
+		cold:        news[ColdNotice]{most: mostNews},
 	}
 }
 
@@ -120,7 +132,7 @@
 // something to say.
 func (outbox *outbox) empty() bool {
 	return len(outbox.placements.items)+len(outbox.unreachable.items)+
-		len(outbox.leaves.items)+len(outbox.strikes.items)+len(outbox.listed.items) == 0
+		len(outbox.leaves.items)+len(outbox.strikes.items)+len(outbox.listed.items)+len(outbox.cold.items) == 0
 }
 
 // remind notes a placement that peers may have heard of. The oldest is dropped.
@@ -131,8 +143,9 @@
 	outbox.reminders = append(outbox.reminders, placed)
 }
 
-// fill moves what there is to tell into a digest, reminders up to a size in bytes.
-func (outbox *outbox) fill(digest *encoder.PeerDigest, room int) {
+// fill moves what there is to tell at an instant into a digest, reminders up to a size in
+// bytes.
+func (outbox *outbox) fill(digest *encoder.PeerDigest, room int, now timekeeper.Instant) {
 	for _, placed := range outbox.placements.take() {
 		digest.Placements = append(digest.Placements, placed.message())
 	}
@@ -144,7 +157,10 @@
 		digest.Strikes = append(digest.Strikes, &encoder.PeerStrike{Request: strike.Request, Replica: strike.Replica})
 	}
 	for _, listed := range outbox.listed.take() {
-		digest.Listed = append(digest.Listed, messageOf(listed))
+		digest.Listed = append(digest.Listed, messageOf(listed, now))
+	}
+	for _, notice := range outbox.cold.take() {
+		digest.Cold = append(digest.Cold, notice.message(now))
 	}
 	outbox.fillReminders(digest, room-proto.Size(digest))
 }
--- a/internal/gossiper/peers.go
+++ b/internal/gossiper/peers.go
@@ -116,6 +116,17 @@
 	return up
 }
 
+// knownWithin returns the addresses of peers that were heard or learnt of within a span.
+func (peers *peers) knownWithin(span timekeeper.Span, now timekeeper.Instant) []string {
+	var within []string
+	for address, known := range peers.known {
+		if now.Since(max(known.heard, known.known)) <= span {
+			within = append(within, address)
+		}
+	}
+	return within
+}
+
 // heardWithin returns the addresses of peers that were heard of within a span.
 func (peers *peers) heardWithin(span timekeeper.Span, now timekeeper.Instant) []string {
 	var heard []string
--- a/internal/gossiper/replicas.go
+++ b/internal/gossiper/replicas.go
@@ -22,10 +22,10 @@
 }
 
 // Encode writes the list for a peer that asks.
-func (list ReplicaList) Encode() ([]byte, error) {
+func (list ReplicaList) Encode(now timekeeper.Instant) ([]byte, error) {
 	message := &encoder.ReplicaList{Version: list.Version}
 	for _, replica := range list.Replicas {
-		row := rowOf(replica)
+		row := rowOf(replica, now)
 		row.LapsesInMs = uint32(list.Lapses[replica.ID])
 		message.Replicas = append(message.Replicas, row)
 	}
@@ -35,7 +35,7 @@
 
 // DecodeReplicas reads a peer's list. One without a version, or with a replica that
 // has no ID or address, is no list.
-func DecodeReplicas(text []byte) (ReplicaList, error) {
+func DecodeReplicas(text []byte, now timekeeper.Instant) (ReplicaList, error) {
 	message := &encoder.ReplicaList{}
 	if err := proto.Unmarshal(text, message); err != nil {
 		return ReplicaList{}, eris.Wrap(err, "list of replicas")
@@ -48,7 +48,7 @@
 		if row.Id == "" || row.Address == "" {
 			return ReplicaList{}, eris.New("a replica without ID or address")
 		}
-		list.Replicas = append(list.Replicas, replicaOf(row))
+		list.Replicas = append(list.Replicas, replicaOf(row, now))
 		if row.LapsesInMs > 0 {
 			list.Lapses[row.Id] = timekeeper.Span(row.LapsesInMs)
 		}
@@ -56,21 +56,27 @@
 	return list, nil
 }
 
-func rowOf(replica balancer.Replica) *encoder.ReplicaRow {
+func rowOf(replica balancer.Replica, now timekeeper.Instant) *encoder.ReplicaRow {
 	return &encoder.ReplicaRow{
-		Id: replica.ID, BornMs: int64(replica.Born), Service: replica.Service, Address: replica.Address,
+		WarmInMs: uint32(max(0, replica.WarmAt.Since(now))),
+		Id:       replica.ID, BornMs: int64(replica.Born), Service: replica.Service, Address: replica.Address,
 		DataCentre: replica.DataCentre, Slots: uint32(max(0, replica.Slots)), Leaving: replica.Leaving,
 	}
 }
 
-func replicaOf(row *encoder.ReplicaRow) balancer.Replica {
-	return balancer.Replica{
+func replicaOf(row *encoder.ReplicaRow, now timekeeper.Instant) balancer.Replica {
+	replica := balancer.Replica{
 		ID: row.Id, Born: timekeeper.Instant(row.BornMs), Service: row.Service, Address: row.Address,
 		DataCentre: row.DataCentre, Slots: int(row.Slots), Leaving: row.Leaving,
 	}
+	if row.WarmInMs > 0 {
+		replica.WarmAt = now.Add(timekeeper.Span(row.WarmInMs))
+	}
+	return replica
 }
 
-// SumOf returns the checksum of a row of the list, in which every field counts.
+// SumOf returns the checksum of a row of the list, in which every field counts but until
+// when the replica is cold: that differs by reader, and with each heartbeat.
 func SumOf(id string, replica balancer.Replica) uint64 {
 	text := fmt.Sprintf("%q %d %q %q %q %d %t", id, replica.Born, replica.Service, replica.Address,
 		replica.DataCentre, replica.Slots, replica.Leaving)
@@ -79,25 +85,25 @@
 
 // messageOf writes a change of the list, newsOf reads one. A row without ID or address
 // names no replica and is left out.
-func messageOf(news ReplicaNews) *encoder.PeerListed {
+func messageOf(news ReplicaNews, now timekeeper.Instant) *encoder.PeerListed {
 	message := &encoder.PeerListed{Version: uint64(news.Version)}
 	for _, change := range news.Changes {
 		if change.Removed {
 			message.Gone = append(message.Gone, change.Key)
 			continue
 		}
-		message.Rows = append(message.Rows, rowOf(change.Value))
+		message.Rows = append(message.Rows, rowOf(change.Value, now))
 	}
 	return message
 }
 
-func newsOf(message *encoder.PeerListed) ReplicaNews {
+func newsOf(message *encoder.PeerListed, now timekeeper.Instant) ReplicaNews {
 	news := ReplicaNews{Version: follower.Version(message.Version)}
 	for _, row := range message.Rows {
 		if row.Id == "" || row.Address == "" {
 			continue
 		}
-		news.Changes = append(news.Changes, follower.Change[balancer.Replica]{Key: row.Id, Value: replicaOf(row)})
+		news.Changes = append(news.Changes, follower.Change[balancer.Replica]{Key: row.Id, Value: replicaOf(row, now)})
 	}
 	for _, id := range message.Gone {
 		news.Changes = append(news.Changes, follower.Change[balancer.Replica]{Key: id, Removed: true})
--- a/internal/gossiper/replicas_test.go
+++ b/internal/gossiper/replicas_test.go
@@ -17,9 +17,9 @@
 		{ID: "i-2", Service: "orders", Address: "10.0.0.2:80"},
 	}, Lapses: map[string]timekeeper.Span{"i-2": 1700}}
 	Convey("arrives as it was", t, func() {
-		text, err := list.Encode()
+		text, err := list.Encode(0)
 		So(err, ShouldBeNil)
-		got, err := DecodeReplicas(text)
+		got, err := DecodeReplicas(text, 0)
 		So(err, ShouldBeNil)
 		So(got, ShouldResemble, list)
 	})
@@ -32,9 +32,9 @@
 	}
 	for _, test := range tests {
 		Convey("none "+test.name, t, func() {
-			text, err := test.list.Encode()
+			text, err := test.list.Encode(0)
 			So(err, ShouldBeNil)
-			_, err = DecodeReplicas(text)
+			_, err = DecodeReplicas(text, 0)
 			So(err, ShouldNotBeNil)
 		})
 	}
@@ -69,8 +69,21 @@
 		})
 	})
 	Convey("a row that names no replica is left out", t, func() {
-		message := messageOf(ReplicaNews{Version: 3, Changes: []follower.Change[balancer.Replica]{{Key: "i-3"}}})
-		So(newsOf(message).Changes, ShouldBeEmpty)
+		message := messageOf(ReplicaNews{Version: 3, Changes: []follower.Change[balancer.Replica]{{Key: "i-3"}}}, 0)
+		So(newsOf(message, 0).Changes, ShouldBeEmpty)
+	})
+	Convey("for how long a replica is cold is told, not until when", t, func() {
+		cold := joined
+		cold.WarmAt = 5000
+		message := messageOf(ReplicaNews{Version: 3, Changes: []follower.Change[balancer.Replica]{{Key: "i-1", Value: cold}}}, 2000)
+		told := newsOf(message, 70000).Changes[0].Value
+		So(told.WarmAt, ShouldEqual, 73000)
+		text, err := ReplicaList{Version: 1, Replicas: []balancer.Replica{cold}}.Encode(6000)
+		So(err, ShouldBeNil)
+		list, err := DecodeReplicas(text, 80000)
+		So(err, ShouldBeNil)
+		So(list.Replicas[0].WarmAt, ShouldEqual, 0)
+		So(SumOf("i-1", told), ShouldEqual, SumOf("i-1", cold))
 	})
 	Convey("each field of a row counts in its checksum", t, func() {
 		changed := []balancer.Replica{joined, joined, joined, joined, joined, joined}
@@ -88,10 +101,10 @@
 }
 
 func FuzzDecodeReplicas(f *testing.F) {
-	text, _ := ReplicaList{Version: 1, Replicas: []balancer.Replica{{ID: "i", Address: "a"}}}.Encode()
+	text, _ := ReplicaList{Version: 1, Replicas: []balancer.Replica{{ID: "i", Address: "a"}}}.Encode(0)
 	f.Add(text)
 	f.Fuzz(func(t *testing.T, text []byte) {
-		list, err := DecodeReplicas(text)
+		list, err := DecodeReplicas(text, 0)
 		if err != nil {
 			return
 		}
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -48,6 +48,16 @@
 	MovePrice float64 `toml:"move-price"`
 	// Retry bounds what the fleet sends again.
 	Retry Retry `toml:"retry"`
+	// Cold bounds what the fleet sends to a replica that is cold.
+	Cold Cold `toml:"cold"`
+}
+
+// Cold is how many requests a second the fleet as a whole may send to a replica that has
+// just started: the rate that its service tolerates, times Over, and Slack more.
+type Cold struct {
+	// Over is at least 1; zero means 1.
+	Over  float64 `toml:"over"`
+	Slack float64 `toml:"slack"`
 }
 
 // Retry is how much the fleet as a whole may send again to one service.
@@ -70,6 +80,7 @@
 	defaultRetryWindow = 10 * timekeeper.Second
 	defaultRetryRatio  = 0.2
 	defaultRetryExtra  = 20
+	defaultColdOver    = 1
 )
 
 // WithDefaults returns the settings with what is left out filled in.
@@ -81,6 +92,7 @@
 	direct.Retry.Window = cmp.Or(direct.Retry.Window, defaultRetryWindow)
 	direct.Retry.Ratio = cmp.Or(direct.Retry.Ratio, defaultRetryRatio)
 	direct.Retry.Extra = cmp.Or(direct.Retry.Extra, defaultRetryExtra)
+	direct.Cold.Over = cmp.Or(direct.Cold.Over, defaultColdOver)
 	return direct
 }
 
@@ -106,6 +118,9 @@
 	if !direct.LogFormat.Known() {
 		check.add("log-format", "write json or logfmt", "log-format is %q", string(direct.LogFormat))
 	}
+	if direct.Cold.Over != 0 && direct.Cold.Over < 1 {
+		check.add("cold.over", "write 1 or more or leave it out", "cold.over is %v, under the rate that a service tolerates", direct.Cold.Over)
+	}
 	numbers := []struct {
 		key   string
 		value float64
@@ -113,7 +128,7 @@
 		{"stop-delay", float64(direct.StopDelay)}, {"stop-grace", float64(direct.StopGrace)}, {"bound", direct.Bound}, {"move-price", direct.MovePrice},
 		{"retry.window", float64(direct.Retry.Window)}, {"retry.ratio", direct.Retry.Ratio},
 		{"retry.extra", direct.Retry.Extra}, {"memory-megabytes", float64(direct.Memory)},
-		{"descriptors", float64(direct.Descriptors)},
+		{"descriptors", float64(direct.Descriptors)}, {"cold.over", direct.Cold.Over}, {"cold.slack", direct.Cold.Slack},
 	}
 	for _, number := range numbers {
 		if number.value < 0 {
--- a/internal/loader/direct_test.go
+++ b/internal/loader/direct_test.go
@@ -41,6 +41,9 @@
 		{"a log in no format", "bound = 2", "log-format = \"xml\"", []string{`:10: log-format is "xml"`}},
 		{"a price below zero", "bound = 2", "move-price = -1", []string{":10: move-price is -1"}},
 		{"a bound below zero", "bound = 2", "bound = -2", []string{":10: bound is -2"}},
+		{"what cold replicas may get", "extra = 52\n", "extra = 52\n\n[cold]\nover = 1.5\nslack = 5\n", nil},
+		{"less than cold replicas tolerate", "extra = 52\n", "extra = 52\n\n[cold]\nover = 0.5\n", []string{":18: cold.over is 0.5"}},
+		{"a slack below zero", "extra = 52\n", "extra = 52\n\n[cold]\nslack = -1\n", []string{":18: cold.slack is -1"}},
 		{"a key that is unknown", "bound = 2", "bond = 2", []string{":10: unknown key bond"}},
 		{"a key of the table that is unknown", "extra = 52", "extras = 52", []string{":15: unknown key retry.extras"}},
 		{"a span that is none", `"8s"`, `"soon"`, []string{":9: "}},
@@ -58,6 +61,7 @@
 				So(direct.Retry.Window, ShouldEqual, 10*timekeeper.Second)
 				So(direct.Retry.Ratio, ShouldEqual, 0.2)
 				So(direct.Bound, ShouldEqual, 2)
+				So(direct.Cold.Over, ShouldBeBetweenOrEqual, 1, 1.5)
 				So(direct.StopDelay, ShouldEqual, defaultStopDelay)
 			}
 		})
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -27,6 +27,10 @@
 	Connections int
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// ColdTime is for how long a replica is cold after its start, ColdRate how many
+	// requests a second it tolerates meanwhile; zero means any number.
+	ColdTime timekeeper.Span
+	ColdRate float64
 }
 
 // Team is who holds a key.
