gossiper: digests are not late while many prompts are read for the first time

Entries believed 3 to 7 requests at an engine that held 10 to 15. A digest tells each prompt that is read for the first time, with 30 bytes; it was ten times as long then, and by its budget a second came between two, longer than most requests last.

Digests take eight tenths of their budget all the time; the rest is put by, 30 seconds of the budget at most, and pays for digests 250 ms apart when they are long.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -74,6 +74,7 @@
 	last     *encoder.PeerDigest
 	lastSent timekeeper.Instant
 	span     timekeeper.Span
+	reserve  reserve
 }
 
 // noEvacuations are those of a gossiper that is told of none.
@@ -334,9 +335,11 @@
 
 // settle sets the time until the next digest by what this one costs.
 func (gossiper *Gossiper) settle(size, peers int) {
+	now := gossiper.settings.Clock.Now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
-	gossiper.span = interval(size, peers, gossiper.settings.Budget)
+	steady := interval(size, peers, steadyShare*gossiper.settings.Budget)
+	gossiper.span = gossiper.reserve.hasten(steady, size*peers, gossiper.settings.Budget, now)
 }
 
 // Receive takes in digests until the connection is closed.
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -262,3 +262,37 @@
 		})
 	})
 }
+
+func TestLongDigestsAreHastened(t *testing.T) {
+	// Guards against entries that don't hear of each other's requests for a second, just
+	// while many prompts are read for the first time and digests are ten times as long:
+	// they pile requests up at engines that are full.
+	const budget = 7700.0
+	second := func(seconds int) timekeeper.Instant {
+		return timekeeper.Instant(timekeeper.Hour).Add(timekeeper.Span(seconds) * timekeeper.Second)
+	}
+	Convey("while what was put by lasts", t, func() {
+		var reserve reserve
+		So(reserve.hasten(120, 1000, budget, second(0)), ShouldEqual, 120)
+		rounds := 0
+		for reserve.hasten(timekeeper.Second, 20000, budget, second(0)) == hastened {
+			rounds++
+		}
+		So(rounds, ShouldEqual, int(reserved*budget/15000))
+		So(reserve.hasten(timekeeper.Second, 20000, budget, second(1)), ShouldEqual, timekeeper.Second)
+		Convey("and again once as much was put by", func() {
+			So(reserve.hasten(timekeeper.Second, 20000, budget, second(20)), ShouldEqual, hastened)
+		})
+	})
+	Convey("over minutes an entry stays within its budget", t, func() {
+		var reserve reserve
+		const cost, minutes = 15000, 10
+		sent, now := 0.0, second(0)
+		for now < second(60*minutes) {
+			now = now.Add(reserve.hasten(interval(cost, 1, steadyShare*budget), cost, budget, now))
+			sent += cost
+		}
+		// Past the cap of a second the steady pace alone is over the budget of a fleet so large.
+		So(sent/(60*minutes), ShouldBeLessThan, cost+budget*(1-steadyShare)+reserved*budget/(60*minutes))
+	})
+}
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -211,3 +211,41 @@
 	span := timekeeper.Span(float64(size*peers) / budget * float64(timekeeper.Second))
 	return min(max(span, shortest), longest)
 }
+
+const (
+	// steadyShare is the part of the budget that digests may take all the time; the rest
+	// is put by for when they are long.
+	steadyShare = 0.8
+	// reserved bounds what is put by, in seconds of the budget.
+	reserved = 30
+	// hastened is the time between two digests while what was put by lasts.
+	hastened = 250 * timekeeper.Millisecond
+)
+
+// reserve is what has been put by of the budget, in bytes. The zero value is full.
+//
+// The load: engines that are closed, added or restarted, so that many prompts are read for
+// the first time within a second. The harm: digests that tell of it are ten times as long
+// and come as much later, while entries need to hear of each other's requests most.
+type reserve struct {
+	spent float64
+	at    timekeeper.Instant
+}
+
+// hasten returns the time to the next digest: no more than hastened, if what was put by
+// pays for it; cost is that of one round in bytes.
+func (reserve *reserve) hasten(
+	steady timekeeper.Span, cost int, budget float64, now timekeeper.Instant,
+) timekeeper.Span {
+	earned := (1 - steadyShare) * budget * float64(now.Since(reserve.at)) / float64(timekeeper.Second)
+	reserve.spent, reserve.at = max(0, reserve.spent-earned), now
+	if steady <= hastened {
+		return steady
+	}
+	extra := float64(cost) * (1 - float64(hastened)/float64(steady))
+	if reserve.spent+extra > reserved*budget {
+		return steady
+	}
+	reserve.spent += extra
+	return hastened
+}
