--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -284,6 +284,10 @@
 			So(reserve.hasten(timekeeper.Second, 20000, budget, second(20)), ShouldEqual, hastened)
 		})
 	})
+	Convey("not where it would pay for a few digests alone", t, func() {
+		var reserve reserve
+		So(reserve.hasten(timekeeper.Second, 60000, budget, second(0)), ShouldEqual, timekeeper.Second)
+	})
 	Convey("over minutes an entry stays within its budget", t, func() {
 		var reserve reserve
 		const cost, seconds = 5000, 600
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -220,6 +220,9 @@
 	reserved = 30
 	// hastened is the time between two digests while what was put by lasts.
 	hastened = 250 * timekeeper.Millisecond
+	// leastRounds is for how many digests what is put by must last to be spent: among
+	// hundreds of peers it would be gone at once.
+	leastRounds = 10
 )
 
 // reserve is what has been put by of the budget, in bytes. The zero value is full.
@@ -243,7 +246,7 @@
 		return steady
 	}
 	extra := float64(cost) * (1 - float64(hastened)/float64(steady))
-	if reserve.spent+extra > reserved*budget {
+	if extra > reserved*budget/leastRounds || reserve.spent+extra > reserved*budget {
 		return steady
 	}
 	reserve.spent += extra
