--- a/internal/assembler/direct_offers.go
+++ b/internal/assembler/direct_offers.go
@@ -51,12 +51,9 @@
 
 func (transfers *transfers) end() { transfers.active.Add(-1) }
 
-// offer notes a peer that has a newer configuration, and fetches it.
-//
-// The failure: the store turns this entry away, or an answer of it is lost, while it
-// serves others. The symptom: callers get by this entry what the operator has taken
-// away. Any peer that has the new version is enough. In a large fleet most entries get
-// each version so, from a peer of their data centre where one has it.
+// offer notes a peer that has a newer configuration, and fetches it: the store may turn
+// this entry away, and in a large fleet most entries get each version so, from a peer of
+// their data centre where one has it.
 func (fellows *fellows) offer(from offer) {
 	delay := fetchDelay
 	if from.sameCentre && !fellows.reads() {
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -17,12 +17,9 @@
 	mostExcess = 1000.0
 )
 
-// pace is how much longer than expected requests take until their answer begins.
-//
-// The load: one slow upstream among equals. The harm: its requests look cheap
-// because few are there, and each of them is late. Measured against the pace of
-// its whole service, so that what all replicas share (a path, a model) does not
-// count against any.
+// pace is how much longer than expected requests take until their answer begins, so that one
+// slow replica among equals is known. It is measured against the pace of its whole service:
+// what all replicas share counts against none.
 type pace struct {
 	excess decaying
 }
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -49,11 +49,8 @@
 	fleet.dropSilent(now)
 }
 
-// addPeer adds what a peer has under way to the sums of all peers, or takes it out.
-//
-// The load: a hundred entries before 180 engines, of which each decision looks at all.
-// The harm: asking each peer's digest for each engine takes 18,000 look-ups a request,
-// some 0.6 ms; a sum for each engine is one.
+// addPeer adds what a peer has under way to the sums of all peers, or takes it out. A choice
+// looks at each engine: a sum for each is one look-up, a digest of each peer hundreds.
 func (fleet *Fleet) addPeer(digest peerDigest, sign int) {
 	for key, held := range digest.held {
 		sum := fleet.peerSums[key]
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -134,12 +134,8 @@
 	return float64(own) * (1 + float64(peers)/float64(all))
 }
 
-// overdue counts the requests whose answer should have begun long ago.
-//
-// The failure: a replica takes requests and never answers, or is cut off without
-// a reset. The symptom: each of its requests runs into its deadline, and only
-// then is it known to have failed. Counted while they wait, a few of them are
-// enough for the next ones to go elsewhere.
+// overdue counts the requests whose answer should have begun long ago. A replica that takes
+// requests and never answers is known by them before their deadlines.
 func (known *replica) overdue(now timekeeper.Instant) int {
 	count := 0
 	for placement := range known.awaited {
--- a/internal/balancer/transfer.go
+++ b/internal/balancer/transfer.go
@@ -152,11 +152,8 @@
 // guess names an engine that may have the prompt although this entry doesn't know
 // of it: the first in the preference order beside the chosen one. It does so where
 // more than half of what is missing would have to be read: a root is shared by many
-// prompts, so nearly always some engine is known to have that much.
-//
-// The failure: entries start again and know nothing of what engines have cached.
-// The symptom: each prompt that comes is read once more wherever it does not go to
-// its first engine. A source that has nothing costs the setup of a transfer.
+// prompts, so nearly always some engine is known to have that much. Entries that have
+// started again know nothing; a source that has nothing costs the setup of a transfer.
 func (fleet *Fleet) guess(ask Ask, chosen candidate, held []holding, now timekeeper.Instant) *replica {
 	shared := SharedParts(ask.Parts)
 	engine := fleet.engines[ask.Service]
@@ -182,13 +179,9 @@
 	return first
 }
 
-// judgeSource notes how much later than expected, in milliseconds, an answer began
-// for which the replica fetched from another one.
-//
-// The failure: the source has forgotten the parts, is cut off, hangs or hands on
-// much to others. The symptom: requests that name it begin late, each as if its
-// prompt had been read, or later. The source counts as slower by what was seen, so
-// that reading is the cheaper way until that is forgotten.
+// judgeSource notes how much later than expected, in milliseconds, an answer began for
+// which the replica fetched from another one. A source that has forgotten the parts, is cut
+// off or busy counts as slower by that, so that reading is the cheaper way for a while.
 func (placement *Placement) judgeSource(excess float64, now timekeeper.Instant) {
 	if placement.source != nil {
 		placement.source.lending.learn(excess, now)
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -20,12 +20,10 @@
 
 // Readers returns the members that read, in no particular order.
 //
-// The load: a hundred processes that all need each change of a table which is paid by
-// the call. The harm: a call each for every change. Up to alone members each read for
-// themselves. Of more, each data centre has readers of its own, as many as it takes to
-// have alone of them together and one at least, so that a data centre that is cut off
-// goes on reading. One that the table turns away gives its place to the next; while the
-// table turns away all, nobody is chosen.
+// Up to alone members each read for themselves. Of more, each data centre has readers of
+// its own, as many as it takes to have alone of them together and one at least, so that a
+// data centre that is cut off goes on reading. One that the table turns away gives its place
+// to the next; while the table turns away all, nobody is chosen.
 func Readers(members []Member, alone int) []Member {
 	if len(members) <= alone {
 		return members
--- a/internal/follower/borrow.go
+++ b/internal/follower/borrow.go
@@ -12,12 +12,9 @@
 // of rows takes hundreds of kilobytes.
 const borrowEvery = 5 * timekeeper.Second
 
-// borrow takes in another process's copy of the table, if that is newer.
-//
-// The failure: the store turns this process away, alone or with some others, and it has
-// just started. The symptom: it knows no row, so it refuses each caller for as long as
-// the store does, while its peers know all of them. A copy is as good as the store's
-// answer of that version; that the store has not answered stays known.
+// borrow takes in another process's copy of the table, if that is newer, so that a process
+// that the store turns away from its start on knows the rows. A copy is as good as the
+// store's answer of that version; that the store has not answered stays known.
 func (follower *Follower[T]) borrow(ctx context.Context) {
 	now := follower.settings.Clock.Now()
 	known, _, _ := follower.position()
--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -44,11 +44,7 @@
 }
 
 // notOlder returns the changes of an answer but for rows of which others have told
-// something newer; the lock must be held.
-//
-// The failure: an answer is on its way for long, and meanwhile another process reads, and
-// tells, that a replica leaves. The symptom: the answer brings the row as it was before,
-// and the replica gets work again until the next read.
+// something newer while it was on its way; the lock must be held.
 func (follower *Follower[T]) notOlder(answer answer[T]) []Change[T] {
 	maps.DeleteFunc(follower.told, func(_ string, version Version) bool { return version <= answer.version })
 	return slices.DeleteFunc(follower.changesOf(answer), func(change Change[T]) bool {
--- a/internal/follower/dispute.go
+++ b/internal/follower/dispute.go
@@ -28,12 +28,8 @@
 }
 
 // disputed reports whether copies of one version have differed for a span, so that one
-// of them is wrong; the lock must be held.
-//
-// The failure: whatever made a copy wrong, its version is the table's, so no change that
-// is read later corrects it. The symptom: replicas that live get no work, or one that
-// left gets some, until their rows change, which may be never. Each side reads everything
-// once, so the wrong one is mended, whichever it is.
+// of them is wrong; the lock must be held. No change that is read later would correct it,
+// so each side reads everything once.
 func (follower *Follower[T]) disputed(now timekeeper.Instant, span timekeeper.Span) bool {
 	if follower.settled != 0 && now.Since(follower.settled) < settledFor {
 		return false
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -127,12 +127,8 @@
 }
 
 // untilDue returns how long the store may hold a read for a change: no longer than until
-// the next lapsed row is due to go.
-//
-// The failure: lapsed rows go when their time is over, while the read that would bring
-// them back is on its way or about to begin, or the store has gone silent anew. The
-// symptom: replicas that live are dropped, and all are told that they leave. So rows go
-// by an answer of the store alone, and one comes as soon as the first is due.
+// the next lapsed row is due to go. Rows go by an answer of the store alone, since the read
+// that brings them back may be on its way.
 func (follower *Follower[T]) untilDue(wait timekeeper.Span) timekeeper.Span {
 	now := follower.settings.Clock.Now()
 	follower.copying.Lock()
--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -54,12 +54,8 @@
 	follower.failing = 0
 }
 
-// keepLapsing keeps rows that are missing already for as long as others; the lock must be
-// held.
-//
-// The failure: a store comes back for a moment, and is away again before those who write
-// the rows have done so. The symptom: the time of the rows is over in the second outage,
-// and no replica is left until the store answers, and for two seconds more.
+// keepLapsing keeps rows that are missing already for as long as others, since the store
+// may have been back for a moment only; the lock must be held.
 func (follower *Follower[T]) keepLapsing() {
 	for key, due := range follower.lapsing {
 		follower.lapsing[key] = max(due, follower.lenient)
@@ -67,15 +63,10 @@
 }
 
 // outageBegan returns since when the store may have been away for all, and whether that
-// is long enough for rows to have lapsed; the lock must be held.
-//
-// The failure: a few processes read for all, and the store is away for seconds. The
-// one that reads first, or after all others have found it back, may never have failed
-// itself, having left the reading to others. The symptom: it takes the rows that lapsed
-// for replicas that are gone, and tells everyone; for two seconds there is hardly a
-// replica to send work to. That anyone found the store failing since the copy was last
-// known to be the table's is enough. Where others were served all the while it was not
-// away for all: OthersServed says so.
+// is long enough for rows to have lapsed; the lock must be held. A process that leaves the
+// reading to others may never have failed itself, so it is enough that anyone found the
+// store failing since the copy was last known to be the table's. OthersServed says where it
+// was not away for all.
 func (follower *Follower[T]) outageBegan(doubted bool, now timekeeper.Instant) (timekeeper.Instant, bool) {
 	if follower.known && (doubted || follower.doubted > follower.fresh) {
 		return max(follower.fresh, follower.failing), now.Since(follower.fresh) >= sharedOutage
--- a/internal/follower/pacing.go
+++ b/internal/follower/pacing.go
@@ -2,13 +2,8 @@
 
 import "github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 
-// Pacing is a span that grows with how many processes read the same table and
-// tell each other what they find there.
-//
-// The load: dozens of processes before one store that is paid by the call. The
-// harm: each reads every change for itself, so that a change costs as many calls
-// as there are processes. A change that one of them reads, the others hear of
-// within tens of milliseconds, so together they read as often as a few would. Each
+// Pacing is a span that grows with how many processes read the same table and tell each
+// other what they find there, so that together they read as often as a few would. Each
 // still reads for itself within Most, in case what it is told is lost.
 type Pacing struct {
 	// Least is the span for up to Alone readers, Most for any number.
@@ -23,12 +18,8 @@
 	longest  = 1.5
 )
 
-// spread returns a span that readers share as one of them takes it, by a factor that
-// is drawn from [0, 1).
-//
-// The load: dozens of readers, each of which the same change wakes. The harm: from
-// then on all read in the same moment, seconds apart, and nobody knows in between that
-// a replica leaves; it got work three seconds after it had said so.
+// spread returns a span that readers share as one of them takes it, by a factor that is
+// drawn from [0, 1), so that readers which the same change woke don't go on in step.
 func (pacing Pacing) spread(span timekeeper.Span, factor float64) timekeeper.Span {
 	if span <= pacing.Least {
 		return span
--- a/internal/follower/rest.go
+++ b/internal/follower/rest.go
@@ -9,11 +9,8 @@
 // lookEvery is how often a follower that rests looks whether it has to go on sooner.
 const lookEvery = 150 * timekeeper.Millisecond
 
-// rest waits until the next read is due, by the pace as it is meanwhile.
-//
-// The failure: a process that shares the reading with others is cut off from them. The
-// symptom: what they would tell doesn't arrive, while its own next read is seconds
-// away. As soon as it counts fewer of them its pace is its own.
+// rest waits until the next read is due, by the pace as it is meanwhile: a process that is
+// cut off from those it shares the reading with has a pace of its own.
 func (follower *Follower[T]) rest(ctx context.Context) {
 	clock := follower.settings.Clock
 	began, factor := clock.Now(), follower.draws.Float64()
@@ -35,12 +32,9 @@
 	return probing.spread(probing.For(follower.settings.Sharers()), factor)
 }
 
-// probing returns the pacing of calls to a store that fails, by the pause of a process
-// that is alone.
-//
-// The load: a hundred processes, and a store that is away for seconds. The harm: each
-// asks twice a second whether it is back, and each call is paid. One that finds the
-// store back tells the others, so together they ask as often as a few would.
+// probing returns the pacing of calls to a store that fails, by the pause of a process that
+// is alone. Each call is paid and one that finds the store back tells the others, so
+// together they ask as often as a few would.
 func probing(pause timekeeper.Span) Pacing {
 	return Pacing{Least: pause, Most: longestProbe, Alone: probers}
 }
--- a/internal/follower/served.go
+++ b/internal/follower/served.go
@@ -12,14 +12,10 @@
 )
 
 // ServedSince returns since when the store has served others without a gap, up to now and
-// after an instant at which it stopped answering this process; zero means that it does
-// not. served are instants at which it answered others, in order.
-//
-// The failure: the store turns this process away alone, and a replica leaves meanwhile.
-// The symptom: this process takes its missing row for one that lapsed in the outage and
-// goes on sending it work. When others were served tells how long the replica has had to
-// write its row again. Where the store was back for a moment and away again, it is the
-// second return that counts; what was before the outage does not.
+// after an instant at which it stopped answering this process; zero means that it does not.
+// served are instants at which it answered others, in order. It tells how long a replica
+// whose row is missing has had to write it again; where the store was back for a moment and
+// away again, the second return counts.
 func ServedSince(served []timekeeper.Instant, from, now timekeeper.Instant) timekeeper.Instant {
 	since, last := timekeeper.Instant(0), timekeeper.Instant(0)
 	for _, at := range served {
--- a/internal/follower/told.go
+++ b/internal/follower/told.go
@@ -49,10 +49,10 @@
 // duty decides whether the process reads the table, fetches another's copy, or leaves
 // the work to those who read for all.
 //
-// The load: a hundred processes that need the same table. The harm: as many calls for
-// each change. Only a few read, and this one does where it is one of them, where it has
-// no copy, where it has lost the store itself, where it has not heard for seconds that
-// its copy holds, or where readers that have read anew still have another one.
+// A call of each process for each change is too dear among hundreds. This one reads where
+// it is one of the few that do, where it has no copy, where it has lost the store itself,
+// where it has not heard for seconds that its copy holds, or where readers that have read
+// anew still have another one.
 func (follower *Follower[T]) duty() duty {
 	reads := follower.settings.Reads()
 	doubted := follower.settings.Doubted()
@@ -99,12 +99,9 @@
 	return listing, answered != 0 && now.Since(answered) <= listingLife && len(follower.lapsing) == 0
 }
 
-// Rows returns the copy as rows of a table, and of which version it is; false means
-// that there is none.
-//
-// The failure: a copy that keeps rows which the table lacks since an outage is given to
-// a process that the store turns away. The symptom: who has it keeps replicas for good
-// that died in the outage, and tells others so. Each such row says how long it stays.
+// Rows returns the copy as rows of a table, and of which version it is; false means that
+// there is none. A row that the table lacks since an outage says how long it stays, so that
+// who gets the copy doesn't keep it for good.
 func (follower *Follower[T]) Rows() (rows []Change[T], version Version, known bool) {
 	now := follower.settings.Clock.Now()
 	follower.copying.Lock()
@@ -174,14 +171,9 @@
 }
 
 // confirm moves the copy to a version at which another's was the same; the lock must be
-// held.
-//
-// The failure: rows lapse in an outage, and this process keeps those that are missing.
-// They are written again, and before it reads that, another tells that its copy is the
-// same and newer. The symptom: the changes up to then are never read, the rows count as
-// missing still and are dropped when their time is over, and all are told that replicas
-// leave which live. A copy that holds rows which its table lacks is told to nobody, so
-// one that is the same at a newer version says that each row is there again.
+// held. A copy that holds rows which its table lacks is told to nobody, so one that is the
+// same says that each row is there: the changes up to then, which are never read, could
+// not.
 func (follower *Follower[T]) confirm(version Version) {
 	if version == follower.version {
 		return
@@ -207,11 +199,8 @@
 	return follower.fetch(ctx)
 }
 
-// tell tells others what has changed since an earlier copy; the lock must be held.
-//
-// The failure: a replica begins to leave, and its row lapses in an outage; both come with
-// one answer. The symptom: others are told of the row as if the table had it, and keep it
-// for good. Of rows that are kept though missing nothing is told.
+// tell tells others what has changed since an earlier copy, but nothing of rows that are
+// kept though missing: others would take them for rows of the table. The lock must be held.
 func (follower *Follower[T]) tell(before map[string]T) {
 	news := News[T]{Version: follower.version}
 	for key, value := range follower.rows {
