balancer, assembler: a choice weighs cold replicas only as a last resort

They were weighed, and their allowances worked out, for each request, though only one that no other replica has room for asks. What a replica holds was counted twice for each. Count and eligibility share what keeps a replica closed.

--- a/internal/assembler/direct_evacuations.go
+++ b/internal/assembler/direct_evacuations.go
@@ -58,10 +58,8 @@
 	if direct.evacuate(told, "peer "+peer) {
 		return
 	}
-	now := direct.clock.Now()
-	var current balancer.Evacuations
-	direct.fleet.With(func(fleet *balancer.Fleet) { current = fleet.Evacuations() })
+	current, _ := direct.fellows.evacuations()
 	if told.Version < current.Version && !told.Same(current) {
-		direct.fellows.notice.extend(now.Add(correctionNotice))
+		direct.fellows.notice.extend(direct.clock.Now().Add(correctionNotice))
 	}
 }
--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -49,6 +49,7 @@
 	fleet.dropSilent(now)
 	for i := range held {
 		held[i].peers = fleet.peersAt(held[i].key)
+		held[i].load = held[i].held(held[i].peers, now)
 		if len(ask.Parts) > 0 {
 			held[i].waiting = held[i].waitingFor(ask.Priority, held[i].peers.Unread) / fleet.settings.ReadRate
 		}
@@ -62,19 +63,18 @@
 	pool := pool{open: make([]candidate, 0, len(held))}
 	for _, member := range held {
 		eligibility := fleet.eligibility(member.replica, now)
-		pool.spread.add(eligibility, member.held(member.peers, now))
+		pool.spread.add(eligibility, member.load)
 		if !pool.admits(eligibility, slices.Contains(ask.Excluded, member.ID)) {
 			continue
 		}
 		if ask.Connections > 0 && member.running >= ask.Connections {
 			continue
 		}
-		switch {
-		case eligibility.Access == Open:
-			pool.open = append(pool.open, fleet.weigh(member, ask, sources, now))
-		case fleet.admitsCold(member.replica, now):
-			pool.limited = append(pool.limited, fleet.weigh(member, ask, sources, now))
+		if eligibility.Access == Limited {
+			pool.limited = append(pool.limited, member)
+			continue
 		}
+		pool.open = append(pool.open, fleet.weigh(member, ask, sources, now))
 	}
 	if reason := pool.reason(); reason != noReason {
 		return nil, reason
@@ -82,14 +82,20 @@
 	if open, reason := fleet.bounded(fleet.useful(pool.open, ask), ask, pool.spread, now); reason == noReason {
 		return open, noReason
 	}
-	return fleet.bounded(fleet.useful(pool.limited, ask), ask, pool.spread, now)
+	var limited []candidate
+	for _, member := range pool.limited {
+		if fleet.admitsCold(member.replica, now) {
+			limited = append(limited, fleet.weigh(member, ask, sources, now))
+		}
+	}
+	return fleet.bounded(fleet.useful(limited, ask), ask, pool.spread, now)
 }
 
 // pool sorts the replicas of a service by what a request may have of them.
 type pool struct {
 	open []candidate
 	// limited replicas may get a request each, where no open one has room.
-	limited []candidate
+	limited []holding
 	// listed replicas stay, kept ones are in no evacuated data centre, untried ones have
 	// not had the request, reached ones take connections.
 	listed, kept, untried, reached int
@@ -156,8 +162,6 @@
 		return AllTried
 	case pool.reached == 0:
 		return AllUnreached
-	case len(pool.open)+len(pool.limited) == 0:
-		return AllFull
 	}
 	return noReason
 }
@@ -191,8 +195,7 @@
 
 // weigh returns a replica with its expected time.
 func (fleet *Fleet) weigh(member holding, ask Ask, sources sources, now timekeeper.Instant) candidate {
-	peers := member.peers
-	held := member.held(peers, now)
+	held := member.load
 	cost := member.doubt.penalty(now) + member.pace.over(fleet.paceOf(member.Service), now)
 	cost += float64(member.overdue(now)) * float64(failurePenalty)
 	if member.DataCentre != fleet.settings.DataCentre {
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -51,14 +51,8 @@
 // Each input is kept with its version or its end, and nothing is derived from an earlier
 // result: whatever the order in which news arrives, the newest decides.
 func (fleet *Fleet) eligibility(known *replica, now timekeeper.Instant) Eligibility {
-	if known.Leaving {
-		return Eligibility{Access: Closed, Cause: Leaving, Version: fleet.version}
-	}
-	if known.left > fleet.version {
-		return Eligibility{Access: Closed, Cause: Leaving, Version: known.left}
-	}
-	if fleet.evacuations.Has(known.DataCentre) {
-		return Eligibility{Access: Closed, Cause: Evacuated, Version: fleet.evacuations.Version, Since: fleet.evacuated}
+	if closed, found := fleet.closed(known); found {
+		return closed
 	}
 	if !known.doubt.open(now) {
 		return Eligibility{Access: Closed, Cause: Unreached, Until: max(known.doubt.until, known.doubt.trial)}
@@ -69,6 +63,18 @@
 	return Eligibility{Access: Open}
 }
 
+// closed returns why a replica gets no work until news says otherwise; false means that
+// nothing keeps it closed.
+func (fleet *Fleet) closed(known *replica) (Eligibility, bool) {
+	switch {
+	case fleet.leaves(known):
+		return Eligibility{Access: Closed, Cause: Leaving, Version: max(fleet.version, known.left)}, true
+	case fleet.evacuations.Has(known.DataCentre):
+		return Eligibility{Access: Closed, Cause: Evacuated, Version: fleet.evacuations.Version, Since: fleet.evacuated}, true
+	}
+	return Eligibility{}, false
+}
+
 // leaves reports whether a replica is on its way out.
 func (fleet *Fleet) leaves(known *replica) bool { return known.Leaving || known.left > fleet.version }
 
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -192,7 +192,7 @@
 func (fleet *Fleet) Count(service string) int {
 	count := 0
 	for _, known := range fleet.services[service] {
-		if !fleet.leaves(known) && !fleet.evacuations.Has(known.DataCentre) {
+		if _, closed := fleet.closed(known); !closed {
 			count++
 		}
 	}
--- a/internal/balancer/transfer.go
+++ b/internal/balancer/transfer.go
@@ -26,9 +26,10 @@
 	// shared is how many tokens of the shared parts it has, from the root on, and
 	// uncached how many of the whole prompt it lacks.
 	shared, uncached int
-	// peers is what peers have under way there, and waiting for how long the prompt
-	// would wait, in milliseconds.
+	// peers is what peers have under way there, load how many requests it is believed to
+	// hold, and waiting for how long the prompt would wait, in milliseconds.
 	peers   Held
+	load    int
 	waiting float64
 }
 
