--- /dev/null
+++ b/internal/assembler/direct_sharing_test.go
@@ -0,0 +1,116 @@
+package assembler
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/gossiper"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+	"github.com/trefoilseam/trefoilseam/platform"
+)
+
+// engines is how many there are in the tests here.
+const engines = 20
+
+// enginesColdFor lists engines that say they are cold for a span.
+func (direct *Direct) enginesColdFor(span timekeeper.Span) {
+	rows := map[string]balancer.Replica{}
+	for number := range engines {
+		id := fmt.Sprintf("i-%d", number)
+		rows[id] = balancer.Replica{ID: id, Service: "planner", Slots: 6, WarmAt: direct.clock.Now().Add(span)}
+	}
+	direct.list(rows, 1)
+}
+
+// warmSlowly puts a configuration in force by which engines bear few requests while cold.
+func warmSlowly(t *testing.T, direct *Direct) {
+	t.Helper()
+	document, err := platform.DecodeConfiguration([]byte(
+		`{"version":1,"routes":[],"services":[{"name":"planner","coldStartS":60,"coldPerS":12}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	direct.accept(document, "test")
+}
+
+// used returns how many of the cold engines this entry sends requests to.
+func (direct *Direct) used() int {
+	used := map[string]bool{}
+	now := direct.clock.Now()
+	for range 50 * engines {
+		now = now.Add(10)
+		direct.fleet.With(func(fleet *balancer.Fleet) {
+			if placement, _ := fleet.Choose(balancer.Ask{Service: "planner"}, now); placement != nil {
+				used[placement.Replica.ID] = true
+				fleet.End(placement, balancer.Served, now)
+			}
+		})
+	}
+	return len(used)
+}
+
+func TestWhoSharesColdReplicas(t *testing.T) {
+	// Guards against an entry that sends to cold replicas before it knows the others, and
+	// against one that takes a peer which is silent for a while for gone.
+	direct, release := directOnLoopback(t)
+	defer release()
+	warmSlowly(t, direct)
+	direct.enginesColdFor(timekeeper.Minute)
+	now := direct.clock.Now()
+	Convey("nobody, before the entry has known the others for a while", t, func() {
+		direct.fellows.share()
+		So(direct.used(), ShouldEqual, 0)
+		direct.fellows.sharing.registered(now)
+		direct.fellows.share()
+		So(direct.used(), ShouldEqual, 0)
+		So(direct.fellows.sharing.settled(now.Add(sharerPatience)), ShouldBeTrue)
+	})
+	Convey("then all that were heard or learnt of within a minute", t, func() {
+		direct.fellows.sharing.since.Store(int64(now.Add(-sharerPatience)))
+		direct.fellows.gossiper.Learn("127.0.0.1:7300")
+		_ = direct.clock.Sleep(t.Context(), 1200)
+		direct.fellows.share()
+		So(direct.used(), ShouldBeBetween, 1, engines)
+	})
+}
+
+func TestPeersAreToldOfReplicasThatTurnCold(t *testing.T) {
+	// Guards against entries that don't read each row and go on as before when a replica
+	// turns cold without a start.
+	direct, release := directOnLoopback(t)
+	defer release()
+	warmSlowly(t, direct)
+	direct.enginesColdFor(0)
+	key := balancer.Replica{ID: "i-0"}.Key()
+	cold := func() (count int) {
+		direct.fleet.With(func(fleet *balancer.Fleet) { count = fleet.Survey(direct.clock.Now())[0].Cold })
+		return count
+	}
+	Convey("one that hears goes by it", t, func() {
+		So(cold(), ShouldEqual, 0)
+		notice := gossiper.ColdNotice{Replica: key, Until: direct.clock.Now().Add(timekeeper.Minute)}
+		direct.fellows.hear(gossiper.Heard{Address: "127.0.0.1:7300", Cold: []gossiper.ColdNotice{notice}})
+		So(cold(), ShouldEqual, 1)
+	})
+	Convey("one that reads tells", t, func() {
+		peer, err := (&net.ListenConfig{}).ListenPacket(t.Context(), "udp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer func() { _ = peer.Close() }()
+		direct.fellows.gossiper.Learn(peer.LocalAddr().String())
+		direct.enginesColdFor(2 * timekeeper.Minute)
+		go direct.fellows.gossiper.Run(t.Context())
+		So(peer.SetReadDeadline(timekeeper.In(10*timekeeper.Second)), ShouldBeNil)
+		buffer := make([]byte, 1<<16)
+		size, _, err := peer.ReadFrom(buffer)
+		So(err, ShouldBeNil)
+		digest := &encoder.PeerDigest{}
+		So(proto.Unmarshal(buffer[:size], digest), ShouldBeNil)
+		So(digest.Cold, ShouldHaveLength, engines)
+	})
+}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -284,6 +284,12 @@
 			So(reserve.hasten(timekeeper.Second, 20000, budget, second(20)), ShouldEqual, hastened)
 		})
 	})
+	Convey("by the gossiper itself", t, func() {
+		clock := timekeeper.NewManual(second(0))
+		entry := newListener(t, 1, clock.Clock())
+		entry.settle(700, 27)
+		So(entry.spanNow(), ShouldEqual, hastened)
+	})
 	Convey("not where it would pay for a few digests alone", t, func() {
 		var reserve reserve
 		So(reserve.hasten(timekeeper.Second, 60000, budget, second(0)), ShouldEqual, timekeeper.Second)
