--- a/internal/balancer/cold_test.go
+++ b/internal/balancer/cold_test.go
@@ -220,8 +220,8 @@
 
 func TestADataCentreIsTakenBackUnderHotPrompts(t *testing.T) {
 	// Guards against engines that are taken back cold, before their rows say so, and get
-	// all requests for the hot prompts that prefer them in their first second.
-	const count, hot = 20, 12
+	// all requests for the new prompts that prefer them in their first second.
+	const count = 20
 	entries := make([]*Fleet, 28)
 	for number := range entries {
 		settings := allowing
@@ -244,7 +244,8 @@
 			if now == back.Add(timekeeper.Span(30*number)) {
 				entry.Evacuate(NewEvacuations(4, nil), now)
 			}
-			placement, _ := entry.Choose(promptAsk(uint64(now)/10%hot, uint64(now)), now)
+			// All entries ask for one prompt after the other that no engine has.
+			placement, _ := entry.Choose(promptAsk(uint64(now), uint64(now)), now)
 			if placement == nil {
 				continue
 			}
