relayer, platform: logs tell what answers say of their replicas

`request placed` says what the replica could be sent as of the choice, by which version of the list, and which try it is. Nothing that decides reads any of it yet.

--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -10,6 +10,7 @@
 // candidate is a replica with its expected time.
 type candidate struct {
 	*replica
+	access Access
 	// held is how many requests the replica is believed to hold.
 	held     int
 	uncached int
@@ -74,7 +75,7 @@
 			pool.limited = append(pool.limited, member)
 			continue
 		}
-		pool.open = append(pool.open, fleet.weigh(member, ask, sources, now))
+		pool.open = append(pool.open, fleet.weigh(member, Open, ask, sources, now))
 	}
 	if reason := pool.reason(); reason != noReason {
 		return nil, reason
@@ -85,7 +86,7 @@
 	var limited []candidate
 	for _, member := range pool.limited {
 		if fleet.admitsCold(member.replica, now) {
-			limited = append(limited, fleet.weigh(member, ask, sources, now))
+			limited = append(limited, fleet.weigh(member, Limited, ask, sources, now))
 		}
 	}
 	return fleet.bounded(fleet.useful(limited, ask), ask, pool.spread, now)
@@ -194,7 +195,7 @@
 }
 
 // weigh returns a replica with its expected time.
-func (fleet *Fleet) weigh(member holding, ask Ask, sources sources, now timekeeper.Instant) candidate {
+func (fleet *Fleet) weigh(member holding, access Access, ask Ask, sources sources, now timekeeper.Instant) candidate {
 	held := member.load
 	cost := member.doubt.penalty(now) + member.pace.over(fleet.paceOf(member.Service), now)
 	cost += float64(member.overdue(now)) * float64(failurePenalty)
@@ -204,7 +205,7 @@
 	if len(ask.Parts) == 0 {
 		expected := float64(max(0, held-member.Slots+1)) * waitCost
 		return candidate{
-			replica: member.replica, held: held, expected: expected, cost: cost + expected + float64(held)*plainCost,
+			replica: member.replica, access: access, held: held, expected: expected, cost: cost + expected + float64(held)*plainCost,
 		}
 	}
 	fetch := sources.to(member.replica, member.shared, held, now)
@@ -216,7 +217,7 @@
 	read := readCost(reading, held, weight) + fetch.price + weight*fetch.time
 	cost += weight*waiting + crowdCost*float64(held) + read
 	return candidate{
-		replica: member.replica, held: held, uncached: uncached, waiting: waiting, expected: expected, cost: cost,
+		replica: member.replica, access: access, held: held, uncached: uncached, waiting: waiting, expected: expected, cost: cost,
 		reading: read, fetch: fetch,
 	}
 }
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -132,7 +132,8 @@
 	}
 	placement := &Placement{
 		Replica: chosen.Replica, Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
-		Held: chosen.held, Candidates: count, FirstRead: firstRead, at: now, priority: ask.Priority,
+		Held: chosen.held, Candidates: count, Access: chosen.access, ListVersion: fleet.version,
+		FirstRead: firstRead, at: now, priority: ask.Priority,
 	}
 	if guessed != nil {
 		placement.Source = guessed.Address
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -224,6 +224,10 @@
 	// Held is how many requests the replica was believed to hold before, and
 	// Candidates how many replicas the choice was among.
 	Held, Candidates int
+	// Access is what the replica could be sent as of the choice, and ListVersion the
+	// version of the list that the choice went by.
+	Access      Access
+	ListVersion uint64
 	// FirstRead reports whether the replica is believed to read a part there for
 	// the first time that other requests share.
 	FirstRead bool
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -69,9 +69,7 @@
 	}
 	defer answer.Finish(false)
 	head := task.entry.settings.Dialect.ReadHead(answer.StatusCode, answer.Header)
-	if head.Load != nil {
-		task.report(placement.Replica.ID, *head.Load)
-	}
+	task.hear(placement.Replica, answer.StatusCode, head)
 	return task.judge(ctx, result, answer, head)
 }
 
@@ -160,13 +158,9 @@
 	return result
 }
 
-func (task *task) report(replica string, load balancer.LoadReport) {
-	now := task.entry.settings.Clock.Now()
-	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Report(replica, load, now) })
-}
-
 var (
 	errNotRun    = eris.New("the replica did not run the request")
+	errElsewhere = eris.New("another replica is at the address")
 	errUnsigned  = eris.New("the answer is not the replica's")
 	errPromise   = eris.New("the replica's status promises what it can't know")
 	errServer    = eris.New("the replica failed the request")
@@ -177,6 +171,10 @@
 func (task *task) judge(ctx context.Context, result attemptResult, answer *connector.Answer, head Head) attemptResult {
 	status := answer.StatusCode
 	switch {
+	case head.Misdirected:
+		drain(answer)
+		result.verdict, result.cause = refused, errElsewhere
+		return result
 	case head.NotRun:
 		drain(answer)
 		result.verdict, result.cause = refused, errNotRun
--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -49,6 +49,15 @@
 	Signed bool
 	// NotRun reports whether the replica states that it did not run the request.
 	NotRun bool
+	// Misdirected reports whether another replica answered than the one that was meant:
+	// what else the head says is not about the one that was meant.
+	Misdirected bool
+	// Leaving reports whether the replica says that it leaves.
+	Leaving bool
+	// Backoff is for how long a replica that refuses wants nothing from this entry; zero
+	// means that it doesn't say. BackoffFault is what was wrong with that time, or "".
+	Backoff      timekeeper.Span
+	BackoffFault string
 	// Encoded answers are not the bytes that the replica sent.
 	Encoded bool
 	// Load is nil when the replica didn't tell.
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -68,6 +68,12 @@
 	meters.scope.Tagged(tags).Counter("attempts").Inc(1)
 }
 
+// stated counts what replicas say of themselves with answers.
+func (meters *meters) stated(service, statement string) {
+	tags := map[string]string{labelService: meters.service(service), "statement": statement}
+	meters.scope.Tagged(tags).Counter("statements").Inc(1)
+}
+
 // retried counts a request that is sent again, or that would be if the retries
 // were not used up.
 func (meters *meters) retried(service string, allowed bool) {
--- /dev/null
+++ b/internal/relayer/statement.go
@@ -0,0 +1,47 @@
+package relayer
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+)
+
+// The values of the label "statement".
+const (
+	statementLeaving    = "leaving"
+	statementBackoff    = "backoff"
+	statementUnreadable = "unreadable"
+)
+
+// hear takes in what the head of an answer says of the replica that gave it. What another
+// replica at its address says is not about it.
+func (task *task) hear(replica balancer.Replica, status int, head Head) {
+	if head.Load != nil {
+		now := task.entry.settings.Clock.Now()
+		task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Report(replica.ID, *head.Load, now) })
+	}
+	if head.Misdirected {
+		return
+	}
+	fields := logrus.Fields{
+		"request-id": task.call.ID, "replica": replica.ID, "incarnation": replica.Incarnation(),
+		labelService: replica.Service, "status": status,
+	}
+	if head.Leaving {
+		task.state(fields, statementLeaving, "answer says that the replica leaves")
+	}
+	if head.Backoff > 0 {
+		fields["backoff-ms"] = int64(head.Backoff)
+		task.state(fields, statementBackoff, "answer asks for a backoff")
+	}
+	if head.BackoffFault != "" {
+		fields["fault"] = head.BackoffFault
+		task.state(fields, statementUnreadable, "backoff of an answer can't be used as it is")
+	}
+}
+
+// state logs and counts a statement.
+func (task *task) state(fields logrus.Fields, statement, message string) {
+	task.entry.meters.stated(task.service, statement)
+	task.entry.settings.Log.WithFields(fields).Info(message)
+}
