--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -268,7 +268,7 @@
 
 func (task *task) logAttempt(result attemptResult) {
 	task.entry.settings.Log.WithFields(logrus.Fields{
-		"request-id": task.call.ID, "replica": result.replica.ID, labelService: result.replica.Service,
+		"request-id": task.call.ID, labelReplica: result.replica.ID, labelService: result.replica.Service,
 		"verdict": result.verdict.String(), "cause": result.why(),
 	}).Info("attempt failed")
 }
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -121,7 +121,7 @@
 	if entry.strikes.add(request, replica, entry.settings.Clock.Now()) {
 		entry.meters.struck()
 		entry.settings.Log.WithFields(logrus.Fields{
-			"fingerprint": strconv.FormatUint(request, 16), "replica": balancer.IDOf(replica), "incarnation": replica,
+			"fingerprint": strconv.FormatUint(request, 16), labelReplica: balancer.IDOf(replica), "incarnation": replica,
 		}).Warn("request struck")
 	}
 }
@@ -310,6 +310,6 @@
 	entry.settings.Pool.Retire(replica.ID)
 	entry.settings.Unreachable(replica.ID)
 	entry.settings.Log.WithFields(logrus.Fields{
-		"replica": replica.ID, labelService: replica.Service, "address": replica.Address, "reason": why,
+		labelReplica: replica.ID, labelService: replica.Service, "address": replica.Address, "reason": why,
 	}).Warn("replica suspected")
 }
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -14,8 +14,12 @@
 // buckets of the latency histograms, from 5 ms, each 1.6 times the one before.
 var buckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 16)
 
-// labelService names a service in metrics and logs.
-const labelService = "service"
+const (
+	// labelService names a service in metrics and logs.
+	labelService = "service"
+	// labelReplica names a replica in logs.
+	labelReplica = "replica"
+)
 
 const (
 	// mostServices bounds the values of the label labelService: configurations come
--- a/internal/relayer/statement.go
+++ b/internal/relayer/statement.go
@@ -24,7 +24,7 @@
 		return
 	}
 	fields := logrus.Fields{
-		"request-id": task.call.ID, "replica": replica.ID, "incarnation": replica.Incarnation(),
+		"request-id": task.call.ID, labelReplica: replica.ID, "incarnation": replica.Incarnation(),
 		labelService: replica.Service, "status": status,
 	}
 	if head.Leaving {
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -321,7 +321,7 @@
 		fields["ahead"] = task.ahead
 	}
 	if task.placement != nil {
-		fields["replica"] = task.replica
+		fields[labelReplica] = task.replica
 		fields["uncached"] = task.placement.Uncached
 		fields["expected-ms"] = int64(task.placement.Expected)
 	}
@@ -346,7 +346,7 @@
 // written before anything is sent, so that it is there if the process ends.
 func (task *task) logPlacement(placement *balancer.Placement) {
 	fields := logrus.Fields{
-		"request-id": task.call.ID, "replica": placement.Replica.ID, labelService: task.service, "route": task.route.Name,
+		"request-id": task.call.ID, labelReplica: placement.Replica.ID, labelService: task.service, "route": task.route.Name,
 		"version": task.config.Version(), "rank": int(task.rank()), "uncached": placement.Uncached, "held": placement.Held,
 		"candidates": placement.Candidates, "expected-ms": int64(placement.Expected),
 		"access": placement.Access.String(), "list-version": placement.ListVersion, "try": 1 + task.runs + task.refusals + task.unsent,
