relayer: what another replica at the address says of itself isn't the meant one's word

TestWhatAnswersSayOfTheirReplicas fails without the change (the meant replica is believed to hold six requests); TestAReplicaWhoseAddressAnotherHas plays it with real entries, and shows that the wrong address meets two requests in two seconds: the weight of a refusal is enough there, so 421 closes nothing.

--- a/internal/relayer/statement.go
+++ b/internal/relayer/statement.go
@@ -16,13 +16,13 @@
 // hear takes in what the head of an answer says of the replica that gave it. What another
 // replica at its address says is not about it.
 func (task *task) hear(replica balancer.Replica, status int, head Head) {
-	if head.Load != nil {
-		now := task.entry.settings.Clock.Now()
-		task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Report(replica.ID, *head.Load, now) })
-	}
 	if head.Misdirected {
 		return
 	}
+	now := task.entry.settings.Clock.Now()
+	if head.Load != nil {
+		task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Report(replica.ID, *head.Load, now) })
+	}
 	fields := logrus.Fields{
 		"request-id": task.call.ID, labelReplica: replica.ID, "incarnation": replica.Incarnation(),
 		labelService: replica.Service, "status": status,
@@ -32,7 +32,6 @@
 		task.state(fields, statementLeaving, "answer says that the replica leaves")
 	}
 	if head.Backoff > 0 {
-		now := task.entry.settings.Clock.Now()
 		ends := now
 		task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) {
 			ends = fleet.AskBackoff(replica.Incarnation(), head.Backoff, now)
