--- a/internal/balancer/candidates.go
+++ b/internal/balancer/candidates.go
@@ -180,13 +180,8 @@
 const mostDisturbed = 1000.0
 
 // useful takes out engines where the request would wait for too long, and crowded
-// ones that would have to read a prompt which another engine has cached.
-//
-// The load: more than the engines can do, for seconds. The harm: requests that
-// leave a full engine have their prompts read by the next; reading stops all
-// streams there, so it is full too, and soon all engines read what others have
-// cached. It goes on after the load is gone. A request waits at the entry for
-// the engine that has its prompt, or is told to come back.
+// ones that would have to read a prompt which another engine has cached: reading stops
+// all streams there, so that in an overload each engine in turn fills up.
 func (fleet *Fleet) useful(open []candidate, ask Ask) []candidate {
 	if len(ask.Parts) == 0 || len(open) == 0 {
 		return open
@@ -236,13 +231,9 @@
 	return (priceWeight + weight*(reuseWeight-priceWeight+disturbance*float64(held))) * reading
 }
 
-// bounded takes out replicas that hold more than their share.
-//
-// The load: one key, one team or one data centre that gets much of the traffic.
-// The harm: one engine is crushed while others idle. The bound is a multiple of
-// the service's mean, set by the operator, plus what few requests may lie
-// unevenly. Replicas that can't get work count neither as places nor, but for those of
-// evacuated data centres, in the mean. An even share is always allowed.
+// bounded takes out replicas that hold more than their share: a multiple of the service's
+// mean, set by the operator, plus what few requests may lie unevenly. An even share is
+// always allowed. For the mean see spread.
 func (fleet *Fleet) bounded(open []candidate, ask Ask, spread spread, now timekeeper.Instant) ([]candidate, Reason) {
 	if len(open) == 0 {
 		return nil, AllFull
@@ -279,12 +270,8 @@
 	return held
 }
 
-// kept is the share of its places that a replica keeps for what is more urgent,
-// if all others are.
-//
-// The load: long answers that are least urgent beside short ones that are more
-// so, for seconds. The harm: long answers fill the places while they are free,
-// and urgent ones, which would take a tenth of the time, wait until one ends.
+// kept is the share of its places that a replica keeps for what is more urgent, if all
+// other arrivals are: long answers that are least urgent would fill them otherwise.
 const kept = 0.3
 
 // depth returns how many requests a replica should hold at most.
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -103,13 +103,8 @@
 )
 
 // Choose gives the request to a replica, and counts it there at once. Without a
-// choice the placement is nil and the reason says why.
-//
-// The load: many requests that share long prompt parts, a few hot ones among
-// them, beside short ones that want their first token soon. The harm: 9,200
-// tokens that are read from nothing hold up all others at an engine for a fifth
-// of a second, so a request goes where its prompt is cached, unless the wait
-// there is longer than reading it elsewhere.
+// choice the placement is nil and the reason says why. A request goes where its prompt is
+// cached, unless the wait there costs more than reading it elsewhere.
 func (fleet *Fleet) Choose(ask Ask, now timekeeper.Instant) (*Placement, Reason) {
 	held := fleet.holdings(ask)
 	candidates, reason := fleet.candidates(ask, held, now)
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -103,12 +103,9 @@
 	return coldShare{users: users, rate: max(0, min(warming.Rate, allowed-coldBurst*float64(users))) / float64(users)}
 }
 
-// admitsCold reports whether this entry may send one more request to a cold replica now.
-//
-// The load: a data centre that is taken back, or engines that are added, idle and empty
-// while others are busy, before dozens of entries. The harm: each entry sends a little and
-// the sum crashes the replica, with all its streams. A few entries use each replica, chosen
-// by rendezvous, so that no news is needed between them.
+// admitsCold reports whether this entry may send one more request to a cold replica now. A
+// few entries use each replica, chosen by rendezvous, so that their sum is bounded without
+// any message between them.
 func (fleet *Fleet) admitsCold(known *replica, now timekeeper.Instant) bool {
 	if fleet.sharers.number == 0 {
 		return false
--- a/internal/balancer/heats.go
+++ b/internal/balancer/heats.go
@@ -50,13 +50,9 @@
 	return before
 }
 
-// holders returns how many engines should share the requests for a part.
-//
-// The load: one key that gets much of the traffic, by many entries. The harm:
-// all entries send its requests to the one engine that has its prompt, until a
-// digest tells them that it is full; then all go to the next one. Each entry
-// takes the others to see as much of the part as it does itself, and so knows
-// before any digest how many engines the part needs.
+// holders returns how many engines should share the requests for a part. Each entry takes
+// the others to see as much of the part as it does itself, and so knows before any digest
+// how many engines the part needs.
 func (fleet *Fleet) holders(part uint64, candidates []candidate, now timekeeper.Instant) int {
 	seen := max(0, fleet.heats.count(part, now)-oneTime)
 	perMillisecond := seen * math.Ln2 / float64(heatMemory) * float64(len(fleet.peers)+1)
--- a/internal/balancer/queue.go
+++ b/internal/balancer/queue.go
@@ -16,15 +16,9 @@
 	teamMemory = 2 * timekeeper.Second
 )
 
-// Waiter is a request that waits for a replica.
-//
-// The load: more arrives at once than the replicas have places for. The harm:
-// sent on, it would lie in the replicas' queues in the order of arrival, before
-// what is more urgent, or be refused there. Refused at once, callers come back
-// together while places are free again. Here the most urgent goes first, among
-// equals who can still be on time, then the team that has had least of late, then
-// who came first; and whoever can't be served in time is told so at once, not when
-// the time is over.
+// Waiter is a request that waits for a replica. The most urgent goes first, among equals
+// who can still be on time, then the team that has had least of late, then who came first.
+// Whoever can't be served in time is told so at once.
 type Waiter struct {
 	Ask Ask
 	// Rank orders who waits: the lowest is the most urgent.
--- a/internal/balancer/time_weight.go
+++ b/internal/balancer/time_weight.go
@@ -17,14 +17,11 @@
 // timeWeight says how much a millisecond counts beside what operators pay for reading
 // and moving prompts. The zero value counts it whole.
 //
-// The load: engines that are half idle most of the day, where each prompt is read in
-// time wherever it goes, and full for seconds in a burst. The harm: a prompt leaves the
-// engine that has it to save 100 ms of waiting which no caller would notice, and the
-// operators pay for reading or moving it; on engines with much memory for a token moves
-// were the largest price of a day and earned nothing. So time counts by how much of its
-// target a request has left, and whole where the engines are full: there a millisecond
-// of one engine is one less for all who wait. How many requests an engine holds always
-// counts whole: discounted too, it puts hot prompts beyond their engine's share.
+// Time counts by how much of its target a request has left: reading or moving a prompt to
+// save a wait that no caller notices is paid for nothing. It counts whole where the engines
+// are full: there a millisecond of one is one less for all who wait. How many requests an
+// engine holds always counts whole: discounted too, it puts hot prompts beyond their
+// engine's share.
 type timeWeight struct {
 	// within is the target of the request, full how full the engines are, from zero on;
 	// one is full.
--- a/internal/balancer/transfer.go
+++ b/internal/balancer/transfer.go
@@ -52,14 +52,9 @@
 	weight timeWeight
 }
 
-// sourcesOf finds who may hand on parts of a prompt.
-//
-// The load: prompts of thousands of tokens whose engine is full, leaves or is one
-// of several for a hot part, and entries that have just started. The harm: another
-// engine reads what is already in the memory of its neighbour, which stops all its
-// streams for as long. An engine that leaves still hands on what it has; one that
-// can't be reached, has failed of late or kept others waiting for a transfer
-// doesn't count.
+// sourcesOf finds who may hand on parts of a prompt. An engine that leaves still hands on
+// what it has; one that can't be reached, has failed of late or kept others waiting for a
+// transfer doesn't count.
 func (fleet *Fleet) sourcesOf(ask Ask, held []holding, now timekeeper.Instant) sources {
 	engine := fleet.engines[ask.Service]
 	found := sources{
--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -63,12 +63,8 @@
 const userTimeout = 18
 
 // Guard returns a function for net.Dialer and net.ListenConfig that bounds how
-// long sent bytes may stay without an acknowledgement.
-//
-// The failure: a peer loses power or is cut off, and no reset says so. The
-// symptom: a request waits on the connection until its deadline. With the
-// bound the connection ends by itself, so the caller is answered or the request
-// goes elsewhere.
+// long sent bytes may stay without an acknowledgement: no reset tells of a peer that has
+// lost power or is cut off.
 func Guard(span timekeeper.Span) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var failure error
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -175,12 +175,8 @@
 // errForeign is returned when only answers of other requests came.
 var errForeign = eris.New("the answer belongs to another request")
 
-// readHead reads the head of the answer to the request.
-//
-// The failure: a replica sends a second answer, and it lies on the connection
-// when the next request is sent. The symptom: a caller gets the answer of
-// another. The echoed identity tells them apart; the stray answer is read over,
-// and ours comes behind it, so that a request that must not run twice is not lost.
+// readHead reads the head of the answer to the request. A second answer to an earlier request
+// may lie on the connection; the echoed identity tells it apart, and ours comes behind it.
 func readHead(conn *connection, request Request) (*http.Response, int, error) {
 	for foreign := 0; foreign <= mostForeign; foreign++ {
 		head, err := readFinal(conn, request.Method)
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -99,14 +99,10 @@
 	return due
 }
 
-// outbox gathers what the next digest says.
-//
-// The load: many entries, so that each may send a peer some hundred bytes a
-// second, and prompts by the dozen a second. The harm: digests that tell each
-// placement are ten times as long as what else they say, so they come ten times
-// as seldom, and entries fill replicas that others have filled already. Only a
-// prompt that a replica is about to read for the first time is news. The others
-// are reminders, for entries that have started since: told where there is room.
+// outbox gathers what the next digest says. Only a prompt that a replica is about to read
+// for the first time is news; told of all, digests would be ten times as long and come as
+// much more seldom. The others are reminders, for entries that have started since: told
+// where there is room.
 type outbox struct {
 	placements  news[placement]
 	reminders   []placement
@@ -201,12 +197,8 @@
 }
 
 // interval returns the time between two digests of a size to a number of peers
-// within a budget of bytes a second.
-//
-// The load: every entry sends to every other, so the bytes of the fleet grow
-// with the square of its size. The harm: at hundreds of entries the digests
-// would take the link and the processor that callers need. With the budget the
-// cost of an entry stays the same, and what suffers is the age of what it knows.
+// within a budget of bytes a second: the cost of an entry stays the same at any number of
+// peers, and what suffers is the age of what it knows.
 func interval(size, peers int, budget float64) timekeeper.Span {
 	if budget <= 0 {
 		return shortest
@@ -228,11 +220,9 @@
 	leastRounds = 10
 )
 
-// reserve is what has been put by of the budget, in bytes. The zero value is full.
-//
-// The load: engines that are closed, added or restarted, so that many prompts are read for
-// the first time within a second. The harm: digests that tell of it are ten times as long
-// and come as much later, while entries need to hear of each other's requests most.
+// reserve is what has been put by of the budget, in bytes, for long digests: they come when
+// many prompts are read for the first time, and entries then need them most. The zero value
+// is full.
 type reserve struct {
 	spent float64
 	at    timekeeper.Instant
--- a/internal/relayer/absorb.go
+++ b/internal/relayer/absorb.go
@@ -16,13 +16,9 @@
 	absorbBytes = 256 << 10
 )
 
-// absorb reads what is left of a request's body behind a refusal.
-//
-// The failure: a caller asks for its connection to be closed, and is refused
-// before its body has been read. Closed with unread bytes, the connection is
-// reset. The symptom: the caller sees a reset in place of the refusal, and can't
-// know that its request has not run. The refusal goes out first, so nobody waits
-// for the rest; where the connection is kept, net/http does the same.
+// absorb reads what is left of a request's body behind a refusal. A connection that is
+// closed with unread bytes is reset, and the caller would not see the refusal. Where the
+// connection is kept, net/http does the same.
 func absorb(w http.ResponseWriter, r *http.Request) {
 	if !r.Close || r.ContentLength == 0 {
 		return
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -83,12 +83,9 @@
 	longestSilence = 1200 * timekeeper.Millisecond
 )
 
-// listen bounds how long a replica may be silent, where another may be tried.
-//
-// The failure: a replica takes requests and never answers, or is cut off. The
-// symptom: the caller waits until its deadline, though others could have
-// answered. Requests that must not repeat wait on: their silence proves nothing.
-// The function that is returned ends the bound.
+// listen bounds how long a replica may be silent, where another may be tried. Requests that
+// must not repeat wait on: silence proves nothing. The function that is returned ends the
+// bound.
 func (task *task) listen(ctx context.Context, placement *balancer.Placement) (context.Context, func()) {
 	if !task.route.Idempotent() || task.runs+1 >= task.route.Replicas {
 		return ctx, func() {}
--- a/internal/relayer/pressure.go
+++ b/internal/relayer/pressure.go
@@ -22,12 +22,9 @@
 	pressureMemory = 0.7
 )
 
-// pressure measures how late the entry's own work is, by how late a timer is.
-//
-// The load: more callers than the entry's share of a processor can serve. The
-// harm: each request is read late, placed late and sent on after its caller has
-// left, so that replicas work for nobody and no caller is served. Refusing costs
-// a fraction of serving, so those who are taken are served in time.
+// pressure measures how late the entry's own work is, by how late a timer is. Refusing costs
+// a fraction of serving, so with more callers than the entry has time for those who are
+// taken are served before they leave.
 type pressure struct {
 	clock timekeeper.Clock
 	late  atomic.Int64
