relayer: what an answer says is in the story of each request that met the replica

`explain` shows lines without a request's identity by their replica and time. The lines of statements named the request that was answered as theirs, so that of a request placed later the story lacked why its replica was, or should have been, closed. They name it as answer-to now.

--- a/internal/relayer/statement.go
+++ b/internal/relayer/statement.go
@@ -23,8 +23,9 @@
 	if head.Load != nil {
 		task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.Report(replica.ID, *head.Load, now) })
 	}
+	// The lines are about the replica: the story of each request that met it has them.
 	fields := logrus.Fields{
-		"request-id": task.call.ID, labelReplica: replica.ID, "incarnation": replica.Incarnation(),
+		"answer-to": task.call.ID, labelReplica: replica.ID, "incarnation": replica.Incarnation(),
 		labelService: replica.Service, "status": status,
 	}
 	if head.Leaving {
