dialer: a session that opens no more streams is given up for a new one

Shown now without the race: a session whose peer takes no more streams isn't closed, and OpenPeer failed on it each time, however often it was called, until it was reaped. TestASessionThatEndsBeforeAStreamIsOpened fails without the change ("remote end is not accepting connections"). OpenPeer forgets such a session and opens another, once; streams that it carries go on. Nothing of a call has been sent by then, so at most once holds.

--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -113,15 +113,39 @@
 // OpenPeer is Open, and also tells which incarnation the stream leads to. All
 // streams of a session lead to the same one, since a session is one connection.
 func (pool *Pool) OpenPeer(ctx context.Context, address string) (net.Conn, Peer, error) {
-	session, who, err := pool.session(ctx, address)
-	if err != nil {
-		return nil, Peer{}, err
+	var failed error
+	for range openTries {
+		session, who, err := pool.session(ctx, address)
+		if err != nil {
+			return nil, Peer{}, err
+		}
+		stream, err := session.OpenStream()
+		if err == nil {
+			return stream, who, nil
+		}
+		failed = eris.Wrap(err, "open stream")
+		pool.discard(address, session)
 	}
-	stream, err := session.OpenStream()
-	if err != nil {
-		return nil, Peer{}, eris.Wrap(err, "open stream")
+	return nil, Peer{}, failed
+}
+
+// openTries is on how many sessions a stream is tried: a kept one may end after it was
+// looked at, or take no more streams.
+const openTries = 2
+
+// discard forgets a session that opens no more streams. Those that it carries go on.
+func (pool *Pool) discard(address string, session *yamux.Session) {
+	peer := pool.peer(address)
+	peer.mu.Lock()
+	defer peer.mu.Unlock()
+	if peer.session != session {
+		return
 	}
-	return stream, who, nil
+	if session.NumStreams() == 0 {
+		_ = session.Close()
+	}
+	peer.session = nil
+	pool.open.Add(-1)
 }
 
 func (pool *Pool) session(ctx context.Context, address string) (*yamux.Session, Peer, error) {
@@ -155,11 +179,8 @@
 	return session, who, nil
 }
 
-// greet asks who answers. The failure: something between takes connections for
-// a peer that is gone, as a balancer or a forwarded port does. The symptom: a
-// call is offered to nobody, its run frame is lost on the way, and its outcome
-// is unknown though nothing ran; and a restarted peer is taken for the one
-// before it. With a welcome first, no frame of a call leaves before it is known
+// greet asks who answers: something between may take connections for a peer that is gone,
+// or has started again. With a welcome first, no frame of a call leaves before it is known
 // which incarnation it goes to. It costs one round trip a session, not a call.
 func greet(ctx context.Context, session *yamux.Session, timeout timekeeper.Span) (Peer, error) {
 	conn, err := session.OpenStream()
--- a/internal/dialer/pool_test.go
+++ b/internal/dialer/pool_test.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"context"
 	"net"
 	"testing"
 
@@ -50,9 +51,13 @@
 }
 
 // welcomeAll serves sessions whose first stream is welcomed; others stay unread.
-func welcomeAll(listener net.Listener) {
+func welcomeAll(listener net.Listener) { welcomeEach(listener, make(chan *yamux.Session, 16)) }
+
+// welcomeEach is welcomeAll, and tells of each session.
+func welcomeEach(listener net.Listener, sessions chan<- *yamux.Session) {
 	for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
 		session, _ := yamux.Server(conn, Settings{}.Session())
+		sessions <- session
 		go func() {
 			first, err := session.Accept()
 			if err != nil {
@@ -74,3 +79,56 @@
 	}
 	return yamux.Client(conn, Settings{}.Session())
 }
+
+func TestASessionThatEndsBeforeAStreamIsOpened(t *testing.T) {
+	// Guards against a peer that counts as unreachable because the session to it has ended
+	// since it was looked at.
+	tests := []struct {
+		name string
+		end  func(session *yamux.Session)
+	}{
+		{"the peer takes no more streams on it", func(session *yamux.Session) { _ = session.GoAway() }},
+		{"it is closed", func(session *yamux.Session) { _ = session.Close() }},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer func() { _ = listener.Close() }()
+			sessions := make(chan *yamux.Session, 4)
+			go welcomeEach(listener, sessions)
+			pool, release := NewPool(Settings{})
+			defer release()
+			first, err := pool.Open(t.Context(), listener.Addr().String())
+			So(err, ShouldBeNil)
+			defer func() { _ = first.Close() }()
+			test.end(<-sessions)
+			So(await(func() bool { return ended(pool, listener.Addr().String()) }), ShouldBeTrue)
+			second, err := pool.Open(t.Context(), listener.Addr().String())
+			So(err, ShouldBeNil)
+			_ = second.Close()
+			So(pool.size(), ShouldEqual, 1)
+		})
+	}
+}
+
+// ended reports whether the pool's session opens no more streams.
+func ended(pool *Pool, address string) bool {
+	stream, err := pool.peers[address].session.OpenStream()
+	if err != nil {
+		return true
+	}
+	_ = stream.Close()
+	return false
+}
+
+// await waits for a condition for a few seconds.
+func await(holds func() bool) bool {
+	for range 1000 {
+		if holds() {
+			return true
+		}
+		_ = timekeeper.Steady().Sleep(context.Background(), 5)
+	}
+	return false
+}
