balancer: one circuit breaker for what can't be reached and what backs off

The backoff had brought a second copy of "closed until an instant, then one request at a time finds out", which doubt has had for replicas that take no connection. Both hold a breaker now. No behaviour changes: doubt's pause was above zero exactly while its until was set. All tests of the package pass unchanged.

--- a/internal/balancer/backoff.go
+++ b/internal/balancer/backoff.go
@@ -11,13 +11,11 @@
 )
 
 // backoff is a time for which a replica wants nothing from this entry, as it said with a
-// refusal (RFC 9110, section 10.2.3). After it one request at a time finds out whether the
-// replica takes work again. The zero value is none.
+// refusal (RFC 9110, section 10.2.3). The zero value is none.
 type backoff struct {
-	// since is when it was asked for last, until when it ends.
-	since, until timekeeper.Instant
-	// trial is until when one request finds out; zero while none does.
-	trial timekeeper.Instant
+	breaker
+	// since is when it was asked for last.
+	since timekeeper.Instant
 }
 
 // ask takes in what a refusal asks for. Of two that overlap the later end holds.
@@ -26,21 +24,11 @@
 	backoff.until = max(backoff.until, until)
 }
 
-// ends returns when the replica may get a request again; the past means that it may now.
-func (backoff *backoff) ends() timekeeper.Instant { return max(backoff.until, backoff.trial) }
-
-// tried notes that a request goes to the replica.
-func (backoff *backoff) tried(now timekeeper.Instant) {
-	if backoff.until != 0 {
-		backoff.trial = now.Add(trialSpan)
-	}
-}
-
 // served notes that the replica answered a request that was sent at an instant. One that was
 // under way before the backoff says nothing about its end.
 func (backoff *backoff) served(sent timekeeper.Instant) {
 	if sent >= backoff.until {
-		backoff.since, backoff.until, backoff.trial = 0, 0, 0
+		backoff.breaker, backoff.since = breaker{}, 0
 	}
 }
 
--- a/internal/balancer/doubt.go
+++ b/internal/balancer/doubt.go
@@ -23,11 +23,9 @@
 
 // doubt is why a replica may get no work, or less.
 type doubt struct {
-	// until is when a replica that can't be reached may be tried again.
-	until timekeeper.Instant
+	// breaker keeps requests from a replica that can't be reached, for a pause that grows.
+	breaker
 	pause timekeeper.Span
-	// trial is until when a single request finds out whether it is back.
-	trial timekeeper.Instant
 	// failures are remembered with a half-life.
 	failures decaying
 }
@@ -49,26 +47,11 @@
 
 // served notes a request that the replica answered.
 func (doubt *doubt) served() {
-	doubt.until, doubt.pause, doubt.trial = 0, 0, 0
+	doubt.breaker, doubt.pause = breaker{}, 0
 }
 
-// trialSpan is how long one request may take to find out whether a replica is
-// back, before another one tries: the time in which a connection opens.
-const trialSpan = 400 * timekeeper.Millisecond
-
-// tried notes that a request goes to the replica.
-func (doubt *doubt) tried(now timekeeper.Instant) {
-	if doubt.pause > 0 {
-		doubt.trial = now.Add(trialSpan)
-	}
-}
-
-// open reports whether the replica may get work at all. After it could not be
-// reached one request at a time finds out whether it is back, so that not all
-// who wait run into it together.
-func (doubt *doubt) open(now timekeeper.Instant) bool {
-	return now >= doubt.until && (doubt.pause == 0 || now >= doubt.trial)
-}
+// open reports whether the replica may get work at all.
+func (doubt *doubt) open(now timekeeper.Instant) bool { return now >= doubt.ends() }
 
 func (doubt *doubt) penalty(now timekeeper.Instant) float64 {
 	return doubt.failures.now(failureMemory, now) * float64(failurePenalty)
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -62,7 +62,7 @@
 		return known.backingOff()
 	}
 	if !known.doubt.open(now) {
-		return Eligibility{Access: Closed, Cause: Unreached, Until: max(known.doubt.until, known.doubt.trial)}
+		return Eligibility{Access: Closed, Cause: Unreached, Until: known.doubt.ends()}
 	}
 	if now < known.cold.until && fleet.warming[known.Service].Rate > 0 {
 		return Eligibility{Access: Limited, Cause: Cold, Until: known.cold.until}
