--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -125,51 +125,33 @@
 
 // Unreachable tells peers at once of a replica that takes no connections.
 func (gossiper *Gossiper) Unreachable(replica string) {
-	gossiper.mu.Lock()
-	gossiper.outbox.unreachable.add(replica)
-	gossiper.mu.Unlock()
-	gossiper.kick()
+	gossiper.tell(func(outbox *outbox) { outbox.unreachable.add(replica) })
 }
 
 // LeaveAnnounced tells peers at once of the incarnation of a replica that has said that it
 // leaves.
 func (gossiper *Gossiper) LeaveAnnounced(incarnation string) {
-	gossiper.mu.Lock()
-	gossiper.outbox.announced.add(incarnation)
-	gossiper.mu.Unlock()
-	gossiper.kick()
+	gossiper.tell(func(outbox *outbox) { outbox.announced.add(incarnation) })
 }
 
 // Leaving tells peers at once of a replica that the store lists as leaving or gone.
 func (gossiper *Gossiper) Leaving(leave Leave) {
-	gossiper.mu.Lock()
-	gossiper.outbox.leaves.add(leave)
-	gossiper.mu.Unlock()
-	gossiper.kick()
+	gossiper.tell(func(outbox *outbox) { outbox.leaves.add(leave) })
 }
 
 // Listed tells peers at once of a change of the list of replicas.
 func (gossiper *Gossiper) Listed(news ReplicaNews) {
-	gossiper.mu.Lock()
-	gossiper.outbox.listed.add(news)
-	gossiper.mu.Unlock()
-	gossiper.kick()
+	gossiper.tell(func(outbox *outbox) { outbox.listed.add(news) })
 }
 
 // Cold tells peers at once of a replica that has turned cold.
 func (gossiper *Gossiper) Cold(notice ColdNotice) {
-	gossiper.mu.Lock()
-	gossiper.outbox.cold.add(notice)
-	gossiper.mu.Unlock()
-	gossiper.kick()
+	gossiper.tell(func(outbox *outbox) { outbox.cold.add(notice) })
 }
 
 // Struck tells peers at once of a request that was at a replica when it crashed.
 func (gossiper *Gossiper) Struck(strike Strike) {
-	gossiper.mu.Lock()
-	gossiper.outbox.strikes.add(strike)
-	gossiper.mu.Unlock()
-	gossiper.kick()
+	gossiper.tell(func(outbox *outbox) { outbox.strikes.add(strike) })
 }
 
 // Evacuated tells peers at once of the evacuations in force here.
@@ -186,6 +168,14 @@
 	gossiper.kick()
 }
 
+// tell puts news into the next digest, which goes out at once.
+func (gossiper *Gossiper) tell(note func(outbox *outbox)) {
+	gossiper.mu.Lock()
+	note(gossiper.outbox)
+	gossiper.mu.Unlock()
+	gossiper.kick()
+}
+
 func (gossiper *Gossiper) kick() {
 	select {
 	case gossiper.kicked <- struct{}{}:
