--- a/internal/balancer/backoff_test.go
+++ b/internal/balancer/backoff_test.go
@@ -12,10 +12,7 @@
 // first ones of them.
 func refusing(count, asking int, span timekeeper.Span) (*Fleet, []Replica) {
 	fleet := New(Settings{Seed: 1, DataCentre: "bole"})
-	list := replicasOf("planner", count, 64)
-	for i := range list {
-		list[i].Born = 1000
-	}
+	list := plannersBorn(count, 1000)
 	fleet.SetReplicas(list, 5)
 	for _, replica := range list[:asking] {
 		fleet.AskBackoff(replica.Incarnation(), span, start)
@@ -174,14 +171,7 @@
 	// Guards against hundreds of requests that were chosen in the same millisecond and are
 	// sent after the refusal.
 	fleet, list := refusing(2, 0, 0)
-	var chosen []*Placement
-	for number := range 300 {
-		placement, _ := fleet.Choose(promptAsk(uint64(number), uint64(number)), start)
-		if placement == nil {
-			break
-		}
-		chosen = append(chosen, placement)
-	}
+	chosen := fillPlanners(fleet)
 	fleet.AskBackoff(list[0].Incarnation(), timekeeper.Second, start)
 	Convey("they go elsewhere unsent", t, func() {
 		So(len(chosen), ShouldBeGreaterThan, 50)
@@ -227,11 +217,7 @@
 	})
 	Convey("and who waits already when the last one asks for it", t, func() {
 		fleet, list := refusing(2, 1, span)
-		for number := 0; ; number++ {
-			if placement, _ := fleet.Choose(promptAsk(uint64(number), uint64(number)), start); placement == nil {
-				break
-			}
-		}
+		fillPlanners(fleet)
 		waiter := waiterFor(span / 2)
 		fleet.Join(waiter, start)
 		So(waiter.Reason, ShouldBeEmpty)
--- a/internal/balancer/queue_test.go
+++ b/internal/balancer/queue_test.go
@@ -12,9 +12,13 @@
 // fill takes all places of a fleet of one plain replica and returns them.
 func fill(t *testing.T, fleet *Fleet, now timekeeper.Instant) []*Placement {
 	t.Helper()
-	var taken []*Placement
-	for {
-		placement, _ := fleet.Choose(Ask{Service: "orders"}, now)
+	return fillBy(fleet, func(uint64) Ask { return Ask{Service: "orders"} }, now)
+}
+
+// fillBy gives requests to a fleet until it takes no more, and returns their placements.
+func fillBy(fleet *Fleet, ask func(number uint64) Ask, now timekeeper.Instant) (taken []*Placement) {
+	for number := uint64(0); ; number++ {
+		placement, _ := fleet.Choose(ask(number), now)
 		if placement == nil {
 			return taken
 		}
--- a/internal/balancer/statement_test.go
+++ b/internal/balancer/statement_test.go
@@ -10,16 +10,24 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// bornAt returns two planners that started at an instant; the first is the one that tests
-// are about.
-func bornAt(born timekeeper.Instant) []Replica {
-	list := replicasOf("planner", 2, 64)
+// plannersBorn returns planners that started at an instant.
+func plannersBorn(count int, born timekeeper.Instant) []Replica {
+	list := replicasOf("planner", count, 64)
 	for i := range list {
 		list[i].Born = born
 	}
 	return list
 }
 
+// bornAt returns two planners that started at an instant; the first is the one that tests
+// are about.
+func bornAt(born timekeeper.Instant) []Replica { return plannersBorn(2, born) }
+
+// fillPlanners takes all places of a fleet of planners and returns them.
+func fillPlanners(fleet *Fleet) []*Placement {
+	return fillBy(fleet, func(number uint64) Ask { return promptAsk(number, number) }, start)
+}
+
 func TestAnAnnouncedLeaveHoldsForItsLife(t *testing.T) {
 	// Guards against a replica that gets work again after it has said that it leaves, and
 	// against a later life that stays closed.
@@ -136,14 +144,7 @@
 	fleet := New(Settings{Seed: 1})
 	list := bornAt(1000)
 	fleet.SetReplicas(list, 5)
-	var chosen []*Placement
-	for number := range 300 {
-		placement, _ := fleet.Choose(promptAsk(uint64(number), uint64(number)), start)
-		if placement == nil {
-			break
-		}
-		chosen = append(chosen, placement)
-	}
+	chosen := fillPlanners(fleet)
 	waiters := make([]*Waiter, 50)
 	for i := range waiters {
 		waiters[i] = &Waiter{Ask: promptAsk(uint64(i), uint64(1000+i)), Due: start.Add(300), Until: start.Add(600)}
@@ -192,10 +193,7 @@
 	const count = 4
 	rapid.Check(t, func(t *rapid.T) {
 		fleet := New(Settings{Seed: 1})
-		list := replicasOf("planner", count, 64)
-		for i := range list {
-			list[i].Born = 1000
-		}
+		list := plannersBorn(count, 1000)
 		version, announced := uint64(1), map[string]bool{}
 		fleet.SetReplicas(list, version)
 		for step := range rapid.IntRange(5, 60).Draw(t, "steps") {
