relayer: a test of the look before the first byte, through the entry

The look was tested in the balancer and in the connector, but no test failed when the line that joins them was taken out of task.request; tried now.

--- a/internal/relayer/statement_test.go
+++ b/internal/relayer/statement_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/sirupsen/logrus"
@@ -55,3 +58,51 @@
 		})
 	}
 }
+
+func TestARequestStopsShortOfAReplicaThatWasClosed(t *testing.T) {
+	// Guards against a request that is sent to a replica which was closed between the choice
+	// and the first byte.
+	tests := []struct {
+		name  string
+		close func(fleet *balancer.Fleet, now timekeeper.Instant)
+		want  int
+	}{
+		{"nothing happens", func(*balancer.Fleet, timekeeper.Instant) {}, http.StatusOK},
+		{"it announces its leave", func(fleet *balancer.Fleet, now timekeeper.Instant) {
+			fleet.AnnounceLeave("i-1", now)
+		}, http.StatusServiceUnavailable},
+		{"it asks for a backoff", func(fleet *balancer.Fleet, now timekeeper.Instant) {
+			fleet.AskBackoff("i-1", timekeeper.Minute, now)
+		}, http.StatusServiceUnavailable},
+		{"its data centre is evacuated", func(fleet *balancer.Fleet, now timekeeper.Instant) {
+			fleet.Evacuate(balancer.NewEvacuations(1, []string{""}), now)
+		}, http.StatusServiceUnavailable},
+		{"the list loses it", func(fleet *balancer.Fleet, _ timekeeper.Instant) {
+			fleet.SetReplicas(nil, 2)
+		}, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			var reached atomic.Int32
+			replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				reached.Add(1)
+				streaming(w, r)
+			}))
+			defer replica.Close()
+			entry := newTestEntry(t, replica.Listener.Addr().String())
+			dispatch := entry.settings.Dialect.Dispatch
+			entry.settings.Dialect.Dispatch = func(r *http.Request, to Dispatch) http.Header {
+				now := entry.settings.Clock.Now()
+				entry.settings.Fleet.With(func(fleet *balancer.Fleet) { test.close(fleet, now) })
+				return dispatch(r, to)
+			}
+			answer := httptest.NewRecorder()
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/1", http.NoBody)
+			request.Host = "kitchen.example"
+			request.Header.Set("Id", "r")
+			entry.ServeHTTP(answer, request)
+			So(answer.Code, ShouldEqual, test.want)
+			So(reached.Load() > 0, ShouldEqual, test.want == http.StatusOK)
+		})
+	}
+}
