--- a/internal/assembler/direct_sharing_test.go
+++ b/internal/assembler/direct_sharing_test.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/gossiper"
+	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 	"github.com/trefoilseam/trefoilseam/platform"
 )
@@ -29,14 +30,11 @@
 }
 
 // warmSlowly puts a configuration in force by which engines bear few requests while cold.
-func warmSlowly(t *testing.T, direct *Direct) {
-	t.Helper()
-	document, err := platform.DecodeConfiguration([]byte(
-		`{"version":1,"routes":[],"services":[{"name":"planner","coldStartS":60,"coldPerS":12}]}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	direct.accept(document, "test")
+func warmSlowly(direct *Direct) {
+	config := router.New(router.Content{
+		Version: 1, Services: []router.Service{{Name: "planner", ColdTime: timekeeper.Minute, ColdRate: 12}},
+	})
+	direct.accept(platform.Document{Config: config}, "test")
 }
 
 // used returns how many of the cold engines this entry sends requests to.
@@ -60,7 +58,7 @@
 	// against one that takes a peer which is silent for a while for gone.
 	direct, release := directOnLoopback(t)
 	defer release()
-	warmSlowly(t, direct)
+	warmSlowly(direct)
 	direct.enginesColdFor(timekeeper.Minute)
 	now := direct.clock.Now()
 	Convey("nobody, before the entry has known the others for a while", t, func() {
@@ -85,7 +83,7 @@
 	// turns cold without a start.
 	direct, release := directOnLoopback(t)
 	defer release()
-	warmSlowly(t, direct)
+	warmSlowly(direct)
 	direct.enginesColdFor(0)
 	key := balancer.Replica{ID: "i-0"}.Key()
 	cold := func() (count int) {
