assembler: when an entry learns that a replica has turned cold is logged

What the logs of a broken TestSoak could not tell apart: 'replica eligibility changes' is written once a second, an own read that finds a replica cold did not name the version of the list, and what a peer said was not logged at all. 'replica is cold' now comes from both, at the time, with the source and the requests that the entry has in flight there.

--- a/internal/assembler/direct_cold.go
+++ b/internal/assembler/direct_cold.go
@@ -3,7 +3,10 @@
 import (
 	"sync/atomic"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/gossiper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -40,3 +43,25 @@
 	others := peers.gossiper.KnownPeers(coldEntryTimeout)
 	peers.direct.fleet.With(func(fleet *balancer.Fleet) { fleet.SetEntries(own, others) })
 }
+
+// logCold logs that a replica has turned cold, and what this entry has in flight there.
+func (direct *Direct) logCold(replica balancer.Replica, until timekeeper.Instant, source logrus.Fields) {
+	now := direct.clock.Now()
+	fields := logrus.Fields{
+		labelReplica: replica.ID, "service": replica.Service, "warm-in-ms": int64(until.Since(now)),
+	}
+	direct.fleet.With(func(fleet *balancer.Fleet) { fields["in-flight"] = fleet.InFlight()[replica.Key()].Running })
+	direct.log.WithFields(source).WithFields(fields).Info("replica is cold")
+}
+
+// applyColdNotices marks replicas as cold that a peer has read to be cold.
+func (peers *peers) applyColdNotices(digest gossiper.Digest) {
+	for _, notice := range digest.Cold {
+		var replica balancer.Replica
+		changed := false
+		peers.direct.fleet.With(func(fleet *balancer.Fleet) { replica, changed = fleet.MarkCold(notice.Replica, notice.Until) })
+		if changed {
+			peers.direct.logCold(replica, notice.Until, logrus.Fields{"from": "peer " + digest.Address})
+		}
+	}
+}
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -159,13 +159,11 @@
 		for _, placed := range digest.Placements {
 			fleet.RecordCached(placed.Replica, placed.Parts, now)
 		}
-		for _, cold := range digest.Cold {
-			fleet.MarkCold(cold.Replica, cold.Until)
-		}
 		for _, replica := range digest.Unreachable {
 			fleet.MarkUnreachable(replica, now)
 		}
 	})
+	peers.applyColdNotices(digest)
 	peers.applyLeaves(digest, now)
 	for _, strike := range digest.Strikes {
 		peers.direct.frontend.RecordStrike(strike.Request, strike.Replica)
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -57,7 +57,7 @@
 		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store, direct.clock), Seed: newIncarnation(),
 		ReadInterval: replicaInterval, Wait: replicaWait, Lapse: replicaLapse,
 		Readers: peers.activeReaders, Processes: peers.recentEntries, IsReader: peers.isReader, FailingElsewhere: peers.failingElsewhere,
-		Apply: direct.applyReplicaList, Confirm: direct.confirmReplicaList, Sum: gossiper.ReplicaChecksum, Publish: direct.publishListChanges,
+		Apply:            direct.applyReplicaList, Confirm: direct.confirmReplicaList, Sum: gossiper.ReplicaChecksum, Publish: direct.publishListChanges,
 		ServingOthersSince: peers.servedSince, FetchCopy: peers.fetchReplicaList,
 	})
 }
@@ -119,7 +119,8 @@
 	direct.fleet.With(func(fleet *balancer.Fleet) { changes = fleet.SetReplicas(list, uint64(version)) })
 	for _, change := range changes {
 		if change.TurnedCold {
-			direct.reportCold(change.Replica)
+			direct.peers.gossiper.SendCold(gossiper.ColdNotice{Replica: change.Replica.Key(), Until: change.Replica.WarmAt})
+			direct.logCold(change.Replica, change.Replica.WarmAt, logrus.Fields{"from": "store", "version": uint64(version)})
 			continue
 		}
 		if change.Removed || change.Restarted {
@@ -132,15 +133,6 @@
 	}
 }
 
-// reportCold logs that a replica has turned cold and sends peers a notice, since they don't
-// read each row.
-func (direct *Direct) reportCold(replica balancer.Replica) {
-	direct.peers.gossiper.SendCold(gossiper.ColdNotice{Replica: replica.Key(), Until: replica.WarmAt})
-	direct.log.WithFields(logrus.Fields{
-		labelReplica: replica.ID, "service": replica.Service, "warm-in-ms": int64(replica.WarmAt.Since(direct.clock.Now())),
-	}).Info("replica is cold")
-}
-
 // confirmReplicaList records that the list of replicas is also that of a newer version.
 func (direct *Direct) confirmReplicaList(version follower.Version) {
 	var restored []string
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -75,11 +75,13 @@
 }
 
 // MarkCold records that a peer has read from an incarnation's row that it is cold until the
-// given time.
-func (fleet *Fleet) MarkCold(key Key, until timekeeper.Instant) {
-	if member, found := fleet.keys[key]; found {
-		member.markCold(until)
+// given time. It returns the replica and reports whether that is new.
+func (fleet *Fleet) MarkCold(key Key, until timekeeper.Instant) (Replica, bool) {
+	member, found := fleet.keys[key]
+	if !found {
+		return Replica{}, false
 	}
+	return member.Replica, member.markCold(until)
 }
 
 // spend takes one request out of the bucket while the replica is cold.
