--- a/internal/assembler/direct_evacuations.go
+++ b/internal/assembler/direct_evacuations.go
@@ -52,7 +52,7 @@
 	}
 	direct.peers.publishWindow.extend(now.Add(endPublishTime))
 	direct.log.WithFields(logrus.Fields{
-		"version": evacuations.Version, "data-centres": evacuations.DataCentres, "from": from,
+		labelVersion: evacuations.Version, "data-centres": evacuations.DataCentres, "from": from,
 	}).Info("evacuations in force")
 	return true
 }
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -200,7 +200,7 @@
 	})
 	for _, leave := range leaves {
 		peers.direct.log.WithFields(logrus.Fields{
-			labelReplica: leave.Replica, "version": leave.Version, "peer": digest.Address,
+			labelReplica: leave.Replica, labelVersion: leave.Version, "peer": digest.Address,
 		}).Info("replica leaves, as a peer saw")
 	}
 	for _, incarnation := range announced {
--- a/internal/assembler/direct_stats.go
+++ b/internal/assembler/direct_stats.go
@@ -49,7 +49,7 @@
 			"cause-before": string(change.From.Cause),
 		}
 		if change.To.Version != 0 {
-			fields["version"] = change.To.Version
+			fields[labelVersion] = change.To.Version
 		}
 		if change.To.Since != 0 {
 			fields["age-ms"] = int64(now.Since(change.To.Since))
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -105,7 +105,7 @@
 	})
 	direct.scope.Gauge("configuration-version").Update(float64(config.Version()))
 	direct.log.WithFields(logrus.Fields{
-		"version": config.Version(), "routes": config.Routes(), "keys": config.Teams(), "from": from,
+		labelVersion: config.Version(), "routes": config.Routes(), "keys": config.Teams(), "from": from,
 	}).Info("configuration in force")
 }
 
@@ -120,7 +120,7 @@
 	for _, change := range changes {
 		if change.TurnedCold {
 			direct.peers.gossiper.SendCold(gossiper.ColdNotice{Replica: change.Replica.Key(), Until: change.Replica.WarmAt})
-			direct.logCold(change.Replica, change.Replica.WarmAt, logrus.Fields{"from": "store", "version": uint64(version)})
+			direct.logCold(change.Replica, change.Replica.WarmAt, logrus.Fields{"from": "store", labelVersion: uint64(version)})
 			continue
 		}
 		if change.Removed || change.Restarted {
@@ -139,7 +139,7 @@
 	direct.fleet.With(func(fleet *balancer.Fleet) { restored = fleet.ConfirmVersion(uint64(version)) })
 	for _, replica := range restored {
 		direct.log.WithFields(logrus.Fields{
-			labelReplica: replica, "version": uint64(version),
+			labelReplica: replica, labelVersion: uint64(version),
 		}).Info("replica gets work again, the list is as new as what a peer saw")
 	}
 }
--- a/internal/assembler/labels.go
+++ b/internal/assembler/labels.go
@@ -4,4 +4,5 @@
 const (
 	labelCause   = "cause"
 	labelReplica = "replica"
+	labelVersion = "version"
 )
