assembler: two of the readers read each change of the list of replicas at once

What callers saw: an engine that served 57 to 113 requests a second turned cold, got the 25th request (24 tolerated in a second) 59 to 634 ms later, crashed and cut up to nine streams.

Cause: nobody was reading the list. The store answers the held calls of all readers with the same change, and each then pauses, 450 ms with up to four entries, 0.9 to 2.7 s with more. A second change within the pause is read by nobody. Two traces apart from each other found it: six broken soaks (row written at 0 ms, no read for 358 to 739 ms, digest 10 to 101 ms) and tests that force the order of events (first news after up to 1,173 ms above four entries).

A reader that starts waited a second for the others' digests while they counted on it; it now waits for as many as are registered.

Tests that failed before: TestAPlannerTurnsColdAfterAnotherRowChanged, 12 of 12 runs, 25 requests and 3 to 10 streams cut; TestChangesAreKnownAtOnce, 300 to 763 ms where 130 are allowed (24 entries before an engine with 90 requests a second). TestAPlannerTurnsColdBeforeItsHeartbeat fails on: the row itself is late there; listed.

--- a/internal/assembler/direct_readers.go
+++ b/internal/assembler/direct_readers.go
@@ -18,6 +18,9 @@
 	// electInterval is how long the result of an election is reused: it is needed more
 	// often than views change.
 	electInterval = 100 * timekeeper.Millisecond
+	// primaryReaders is the number of primaries: the list is read at once also while one of them
+	// has just been killed or is frozen, which peers notice after memberTimeout.
+	primaryReaders = 2
 	// discoveryTime is how long a new entry that found many others registered waits for
 	// their digests, which come within a second, before it reads the store again. Otherwise
 	// each of a hundred entries that start together would make calls that one of them can
@@ -33,10 +36,14 @@
 	// members is the number of entries in the election.
 	members int
 	readers []elector.Member
+	// primaries are the readers that read each change of the list of replicas at once.
+	primaries []elector.Member
 	// peerFailing is whether the store fails for a peer.
 	peerFailing bool
-	// discoveryEnds is until when the entry waits for digests of others.
+	// discoveryEnds is until when the entry waits for digests of others, unless all that are
+	// expected have arrived.
 	discoveryEnds timekeeper.Instant
+	expected      int
 	// lastReaderAddress is the address of the reader that sent a list summary last.
 	lastReaderAddress string
 }
@@ -54,10 +61,15 @@
 	election.mu.Lock()
 	defer election.mu.Unlock()
 	if entries > storeReaders {
-		election.discoveryEnds = now.Add(discoveryTime)
+		election.discoveryEnds, election.expected = now.Add(discoveryTime), entries
 	}
 }
 
+// discovering reports whether the entry still waits for digests of others; the lock must be held.
+func (election *election) discovering(now timekeeper.Instant) bool {
+	return now < election.discoveryEnds && election.members < election.expected
+}
+
 // lastReader returns the peer that sent a list summary last, or "" if none has.
 func (election *election) lastReader() string {
 	election.mu.Lock()
@@ -78,6 +90,7 @@
 		members := slices.Concat(others, []elector.Member{peers.selfMember()})
 		election.electedAt, election.members = now, len(members)
 		election.readers = elector.Readers(members, storeReaders)
+		election.primaries = elector.Primaries(election.readers, primaryReaders)
 	}
 	use(&peers.election)
 }
@@ -115,11 +128,18 @@
 	own := addressOf(peers.direct.listeners.peer)
 	now := peers.direct.clock.Now()
 	peers.elect(func(election *election) {
-		isReader = now >= election.discoveryEnds && elector.Contains(election.readers, own)
+		isReader = !election.discovering(now) && elector.Contains(election.readers, own)
 	})
 	return isReader
 }
 
+// isPrimary reports whether this entry reads each change of the list of replicas at once.
+func (peers *peers) isPrimary() (isPrimary bool) {
+	own := addressOf(peers.direct.listeners.peer)
+	peers.elect(func(election *election) { isPrimary = elector.Contains(election.primaries, own) })
+	return isPrimary
+}
+
 // failingElsewhere reports whether the store fails for another entry.
 func (peers *peers) failingElsewhere() (peerFailing bool) {
 	peers.elect(func(election *election) { peerFailing = election.peerFailing })
--- a/internal/assembler/direct_readers_test.go
+++ b/internal/assembler/direct_readers_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/trefoilseam/trefoilseam/internal/elector"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -31,3 +32,26 @@
 		})
 	}
 }
+
+func TestDiscoveryEndsWithTheLastDigest(t *testing.T) {
+	// Guards against a reader that has restarted under its address and does not read for a
+	// second, while the others count on it.
+	direct, release := directOnLoopback(t)
+	defer release()
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	direct.clock = clock.Clock()
+	direct.peers.election.startDiscovery(6, clock.Now())
+	self := direct.peers.selfMember()
+	tests := []struct {
+		name     string
+		members  int
+		isReader bool
+	}{{"a digest is missing", 5, false}, {"all digests have arrived", 6, true}}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			direct.peers.election.electedAt, direct.peers.election.members = clock.Now(), test.members
+			direct.peers.election.readers = []elector.Member{self}
+			So(direct.peers.isReader(), ShouldEqual, test.isReader)
+		})
+	}
+}
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -21,16 +21,15 @@
 )
 
 var (
-	// replicaInterval is the least time between two reads of the list of replicas, in
-	// which every heartbeat is a change. Entries must know of a leaving replica well
-	// within the two seconds for which it still serves, even if a reader's update is
-	// lost. In a large fleet the readers share these reads: together they make one every
-	// 450 ms.
+	// replicaInterval is the time between two reads of the list of replicas. Entries must
+	// know of a leaving replica well within the two seconds for which it still serves, even
+	// if the updates of primaries are lost. In a large fleet the readers share these reads:
+	// together they make one every 450 ms.
 	replicaInterval = follower.Interval{
 		Min: 450 * timekeeper.Millisecond, Max: 4 * timekeeper.Second, MaxUnshared: 1,
 	}
-	// replicaWait is how long the store may hold a call until that list changes. If there
-	// are replicas, their heartbeats end the call earlier, so a timeout is a fault.
+	// replicaWait is how long the store may hold a call until that list changes. A dead
+	// connection is noticed some time after it.
 	replicaWait = follower.FixedInterval(1500 * timekeeper.Millisecond)
 	// configurationWait is the same for the operator's table, which changes seldom. A
 	// dead connection is noticed a second and a half after this time; within that, a
@@ -56,7 +55,8 @@
 	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
 		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store, direct.clock), Seed: newIncarnation(),
 		ReadInterval: replicaInterval, Wait: replicaWait, Lapse: replicaLapse,
-		Readers: peers.activeReaders, Processes: peers.recentEntries, IsReader: peers.isReader, FailingElsewhere: peers.failingElsewhere,
+		Readers: peers.activeReaders, Processes: peers.recentEntries, IsReader: peers.isReader, IsPrimary: peers.isPrimary,
+		FailingElsewhere: peers.failingElsewhere,
 		Apply:            direct.applyReplicaList, Confirm: direct.confirmReplicaList, Sum: gossiper.ReplicaChecksum, Publish: direct.publishListChanges,
 		ServingOthersSince: peers.servedSince, FetchCopy: peers.fetchReplicaList,
 	})
--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -43,6 +43,14 @@
 	return readers
 }
 
+// Primaries returns the readers that read each change of the table at once: the first count in
+// rank that are neither failing nor stopping.
+func Primaries(readers []Member, count int) []Member {
+	able := slices.DeleteFunc(slices.Clone(readers), func(reader Member) bool { return reader.Failing || reader.Stopping })
+	slices.SortFunc(able, byRank)
+	return able[:min(count, len(able))]
+}
+
 // byRank orders members by the hash of their addresses.
 func byRank(a, b Member) int {
 	first, second := xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -161,3 +161,37 @@
 		})
 	}
 }
+
+func TestPrimaries(t *testing.T) {
+	// Guards against changes that no reader reads at once: a reader that fails or stops counts
+	// as a primary, or members elect different ones.
+	readers := elector.Readers(fleet(103, 6), 4)
+	first := elector.Primaries(readers, 2)
+	fail := func(change func(member *elector.Member)) []elector.Member {
+		changed := slices.Clone(readers)
+		for i := range changed {
+			if changed[i].Address == first[0].Address {
+				change(&changed[i])
+			}
+		}
+		return elector.Primaries(changed, 2)
+	}
+	Convey("as many as wanted, in any order of the readers", t, func() {
+		So(first, ShouldHaveLength, 2)
+		reversed := slices.Clone(readers)
+		slices.Reverse(reversed)
+		So(elector.Primaries(reversed, 2), ShouldResemble, first)
+	})
+	Convey("the next in rank takes the place of one that fails or stops", t, func() {
+		for _, now := range [][]elector.Member{
+			fail(func(member *elector.Member) { member.Failing = true }), fail(func(member *elector.Member) { member.Stopping = true }),
+		} {
+			So(now, ShouldHaveLength, 2)
+			So(now[0], ShouldResemble, first[1])
+		}
+	})
+	Convey("fewer if there are no more", t, func() {
+		So(elector.Primaries(readers[:1], 2), ShouldHaveLength, 1)
+		So(elector.Primaries(nil, 2), ShouldBeEmpty)
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -48,6 +48,7 @@
 	settings Settings[T]
 	random   *rand.Rand
 
+	readCredit readCredit
 	// backoff is the time to wait before the next call to a failing store.
 	backoff timekeeper.Span
 	// lastFetch is when another process's copy was last fetched while the store failed.
@@ -120,6 +121,7 @@
 func (follower *Follower[T]) Step(ctx context.Context) timekeeper.Span {
 	answer, err := follower.read(ctx)
 	now := follower.settings.Clock.Now()
+	follower.readCredit.spend(follower.settings.ReadInterval.Min, now)
 	if ctx.Err() != nil {
 		// The process is stopping; the error says nothing about the store.
 		return 0
--- a/internal/follower/schedule.go
+++ b/internal/follower/schedule.go
@@ -27,7 +27,11 @@
 // drawn from [0, 1).
 func (follower *Follower[T]) untilNextRead(factor float64) timekeeper.Span {
 	if !follower.Failing() {
-		return follower.settings.ReadInterval.jitter(follower.readInterval(), factor)
+		regular := follower.settings.ReadInterval.jitter(follower.readInterval(), factor)
+		if follower.settings.IsPrimary() {
+			return min(regular, follower.readCredit.wait)
+		}
+		return regular
 	}
 	interval := probeInterval(follower.backoff)
 	return interval.jitter(interval.For(follower.settings.Processes()), factor)
@@ -78,3 +82,30 @@
 	// to the few replicas that were listed first.
 	fillIntervals = 2
 )
+
+const (
+	// maxReadCredit is how many changes a primary may read at once before it reads once in
+	// Interval.Min.
+	maxReadCredit = 8
+	// batchTime is the time from one read of a primary to the next, in which changes that are
+	// written together gather.
+	batchTime = 25 * timekeeper.Millisecond
+)
+
+// readCredit is a token bucket for the reads of a primary: rows change seldom, but a replica
+// that turns cold or leaves has to be known to all at once. The zero value is a full bucket.
+type readCredit struct {
+	spent     float64
+	updatedAt timekeeper.Instant
+	// wait is the time from the last read to the next.
+	wait timekeeper.Span
+}
+
+// spend takes one read out of the bucket, which gains one in each interval.
+func (credit *readCredit) spend(interval timekeeper.Span, now timekeeper.Instant) {
+	if interval > 0 {
+		credit.spent -= float64(now.Since(credit.updatedAt)) / float64(interval)
+	}
+	credit.spent, credit.updatedAt = max(0, credit.spent)+1, now
+	credit.wait = max(batchTime, timekeeper.Span((credit.spent-maxReadCredit)*float64(interval)))
+}
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -38,6 +38,9 @@
 	// receives updates from readers. Nil means that it always reads. A process without a
 	// copy reads in any case.
 	IsReader func() bool
+	// IsPrimary reports whether this process reads each change as soon as the store has it,
+	// on average once in ReadInterval.Min at most. Nil means that it never does.
+	IsPrimary func() bool
 	// Sum returns the checksum of a row, by which copies are compared. It must be set for
 	// updates and summaries of other processes to have an effect.
 	Sum func(key string, value T) uint64
@@ -80,6 +83,9 @@
 	if settings.IsReader == nil {
 		settings.IsReader = func() bool { return true }
 	}
+	if settings.IsPrimary == nil {
+		settings.IsPrimary = func() bool { return false }
+	}
 	if settings.Sum == nil {
 		settings.Sum = func(string, T) uint64 { return 0 }
 	}
