balancer: a request placed before its entry knew that a replica is cold is placed again

What callers saw: with many requests a second at an engine, some reach it after their entry has read that it turned cold, and count towards the 25th that crashes it.

Cause: Admits, the check before a request's first byte, looked at leaves, evacuations and backoffs only.

Why this works: a request that was placed at an open replica is admitted to a cold one no more, and is placed again before a byte of it was sent; one that the cold rate admitted is sent.

TestRequestsPlacedBeforeAReplicaTurnedCold failed before: admitted.

--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -84,6 +84,11 @@
 	return member.Replica, member.markCold(until)
 }
 
+// isCold reports whether a replica is cold and its service limits the rate of requests then.
+func (fleet *Fleet) isCold(member *replica, now timekeeper.Instant) bool {
+	return now < member.cold.until && fleet.warmUps[member.Service].Rate > 0
+}
+
 // spend takes one request out of the bucket while the replica is cold.
 func (cold *coldAllowance) spend(now timekeeper.Instant) {
 	if now < cold.until {
--- a/internal/balancer/cold_test.go
+++ b/internal/balancer/cold_test.go
@@ -297,6 +297,37 @@
 	})
 }
 
+func TestRequestsPlacedBeforeAReplicaTurnedCold(t *testing.T) {
+	// Guards against requests that are sent at the full rate to a replica that turned cold,
+	// because they were placed before the entry knew and their connections open later.
+	fleet := New(coldSettings)
+	fleet.SetWarmUp("planner", warmUp)
+	fleet.SetEntries("entry-0", nil)
+	list := replicasOf("planner", 1, 64)
+	fleet.SetReplicas(list, 1)
+	before, _ := fleet.Choose(Request{Service: "planner"}, start)
+	fleet.MarkCold(list[0].Key(), start.Add(warmUp.Span))
+	Convey("they are placed again", t, func() {
+		current, admitted := fleet.Admits(before, start)
+		So(admitted, ShouldBeFalse)
+		So(current.Cause, ShouldEqual, Cold)
+	})
+	Convey("those that the cold rate admits are sent", t, func() {
+		var placed *Placement
+		now := start
+		for ; placed == nil && now < start.Add(timekeeper.Second); now = now.Add(10) {
+			placed, _ = fleet.Choose(Request{Service: "planner"}, now)
+		}
+		So(placed, ShouldNotBeNil)
+		_, admitted := fleet.Admits(placed, now)
+		So(admitted, ShouldBeTrue)
+	})
+	Convey("all are sent once the replica is warm", t, func() {
+		_, admitted := fleet.Admits(before, start.Add(warmUp.Span))
+		So(admitted, ShouldBeTrue)
+	})
+}
+
 func TestColdShare(t *testing.T) {
 	tests := []struct {
 		name            string
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -66,7 +66,7 @@
 	if !member.health.admits(now) {
 		return Eligibility{Access: Closed, Cause: NoConnection, Until: member.health.retryAt()}
 	}
-	if now < member.cold.until && fleet.warmUps[member.Service].Rate > 0 {
+	if fleet.isCold(member, now) {
 		return Eligibility{Access: Limited, Cause: Cold, Until: member.cold.until}
 	}
 	return Eligibility{Access: Open}
--- a/internal/balancer/statement.go
+++ b/internal/balancer/statement.go
@@ -108,5 +108,8 @@
 	if now < member.statements.backoff.until {
 		return member.backoffEligibility(), false
 	}
+	if placement.Access == Open && fleet.isCold(member, now) {
+		return Eligibility{Access: Limited, Cause: Cold, Until: member.cold.until}, false
+	}
 	return Eligibility{}, true
 }
