balancer: peers learn that a replica turned cold again soon after its start

What callers saw: nothing yet, found by reading beside the trace of TestSoak. A replica that turns cold in the first second of a cold period was open to all entries but the reader up to a second before it was warm, 90 requests at an engine that serves 90 a second where 24 crash it.

Cause: an end of the cold period that moved by less than a second counted as the same end, read from an older row, and peers were sent no notice.

Why this works: primaries read a row within 25 ms of its change, so two readings of the same end differ by far less. With a tolerance of 200 ms peers get a notice; a few more are sent after reads that come late, each replica's once.

TestReplicaTurnsColdAgainWhileCold failed before for 300 and 900 ms after the start. TestReplicaTurnsColdWithoutARestart had an end that moved by 600 ms as one that doesn't count; it moves by 150 ms now, the rest of the test is as strict.

--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -64,7 +64,7 @@
 
 // warmAtTolerance is how much two readings of the end of the same cold period may differ,
 // because of the age of the replica's row.
-const warmAtTolerance = timekeeper.Second
+const warmAtTolerance = 200 * timekeeper.Millisecond
 
 // markCold records that a replica is cold at least until the given time, and reports whether
 // the end of its cold period moved by more than warmAtTolerance.
--- a/internal/balancer/cold_test.go
+++ b/internal/balancer/cold_test.go
@@ -277,10 +277,10 @@
 		So(eligible(start.Add(2000)).Access, ShouldEqual, Open)
 	})
 	Convey("a later end of the cold period counts, an earlier one does not", t, func() {
-		So(fleet.SetReplicas(withWarmAt(replicasOf("planner", 1, 64), start.Add(2600)), 3), ShouldBeEmpty)
-		So(eligible(start.Add(2599)).Access, ShouldEqual, Limited)
-		fleet.SetReplicas(withWarmAt(replicasOf("planner", 1, 64), start.Add(2300)), 4)
-		So(eligible(start.Add(2599)).Access, ShouldEqual, Limited)
+		So(fleet.SetReplicas(withWarmAt(replicasOf("planner", 1, 64), start.Add(2150)), 3), ShouldBeEmpty)
+		So(eligible(start.Add(2149)).Access, ShouldEqual, Limited)
+		fleet.SetReplicas(withWarmAt(replicasOf("planner", 1, 64), start.Add(2050)), 4)
+		So(eligible(start.Add(2149)).Access, ShouldEqual, Limited)
 	})
 	Convey("cold again before a row said that it was warm is a change for peers", t, func() {
 		changes := fleet.SetReplicas(withWarmAt(replicasOf("planner", 1, 64), start.Add(5000)), 5)
@@ -328,6 +328,33 @@
 	})
 }
 
+func TestReplicaTurnsColdAgainWhileCold(t *testing.T) {
+	// Guards against peers that send at the full rate to a replica which turned cold a second
+	// time, soon after its start, since for them the first cold period has ended.
+	//
+	// In maxEarly a replica that serves 90 requests a second gets what a cold one may.
+	const maxEarly = 250 * timekeeper.Millisecond
+	reader, peer := New(coldSettings), New(coldSettings)
+	list := replicasOf("planner", 1, 64)
+	for _, fleet := range []*Fleet{reader, peer} {
+		fleet.SetWarmUp("planner", warmUp)
+		fleet.SetReplicas(withWarmAt(replicasOf("planner", 1, 64), start.Add(warmUp.Span)), 1)
+	}
+	for _, test := range []struct {
+		name  string
+		after timekeeper.Span
+	}{{"300 ms after its start", 300}, {"900 ms after its start", 900}, {"in its last moments", 2900}} {
+		Convey(test.name, t, func() {
+			until := start.Add(test.after + warmUp.Span)
+			for _, change := range reader.SetReplicas(withWarmAt(replicasOf("planner", 1, 64), until), 2) {
+				peer.MarkCold(change.Replica.Key(), change.Replica.WarmAt)
+			}
+			eligible := peer.eligibility(peer.replicas[list[0].ID], until.Add(-maxEarly))
+			So(eligible.Access, ShouldEqual, Limited)
+		})
+	}
+}
+
 func TestColdShare(t *testing.T) {
 	tests := []struct {
 		name            string
