follower: an outage of the store that no call has failed in is noticed by its late answers

Cause: missing rows were kept only if the store had failed for a second, counted from the end of the first failed call. A call to an unresponsive store ends a second and a half after the time for which the store was asked to hold it; so an outage of up to some four seconds wasn't taken for one if nobody else had seen a failure: either the call that waited was answered in the end, or its failure was too recent.

Now an outage counts from when the call should have been answered, and an answer that is half a second late or more shows an outage by itself. A second late answer in a row doesn't: it comes from a slow store, which would otherwise keep missing rows for as long as it is slow. How long rows are kept, and that answers to others bound it, is unchanged. The price: after a late answer, or a pause of the process during a call, a row that was removed for good is kept for up to 2.2 s; a row that says leaving gets no work meanwhile, as before.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -53,6 +53,10 @@
 	backoff timekeeper.Span
 	// lastFetch is when another process's copy was last fetched while the store failed.
 	lastFetch timekeeper.Instant
+	// due is when the store should have answered the current call at the latest, and lastLate
+	// reports that its last answer was late.
+	due      timekeeper.Instant
+	lastLate bool
 
 	copyLock sync.Mutex
 	rows     map[string]T
@@ -161,6 +165,8 @@
 
 // read reads the changes, or the whole table.
 func (follower *Follower[T]) read(ctx context.Context) (answer[T], error) {
+	clock := follower.settings.Clock
+	follower.due = clock.Now()
 	hasCopy, version, consistent := follower.position()
 	if hasCopy && !consistent {
 		follower.log("copies of one version differ, reading everything", version)
@@ -168,7 +174,9 @@
 	if hasCopy && consistent {
 		interval := follower.settings.Wait
 		wait := interval.jitter(interval.For(follower.settings.Readers()), follower.random.Float64())
-		changes, newest, err := follower.settings.Source.Changes(ctx, version, follower.limitWait(wait))
+		wait = follower.limitWait(wait)
+		follower.due = clock.Now().Add(wait)
+		changes, newest, err := follower.settings.Source.Changes(ctx, version, wait)
 		if err == nil && newest < version {
 			return answer[T]{}, errStale
 		}
@@ -176,6 +184,7 @@
 			return answer[T]{rows: changes, version: newest}, err
 		}
 		follower.log("the store no longer has the changes, reading everything", version)
+		follower.due = min(follower.due, clock.Now())
 	}
 	rows, newest, err := follower.settings.Source.Snapshot(ctx)
 	if err == nil && newest < version {
--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -17,14 +17,20 @@
 	// found the store failing: their last confirmation of the copy may be a second old.
 	minOutage       = timekeeper.Second
 	minSharedOutage = 2 * timekeeper.Second
+	// minLateness is how late an answer must be to show an outage by itself: the store was
+	// unresponsive for at least this time, and at most for the whole call, in which rows may
+	// have lapsed.
+	minLateness = 500 * timekeeper.Millisecond
 )
 
-// recordFailure records a failed call to the store and returns the backoff, with jitter.
+// recordFailure records a failed call to the store and returns the backoff, with jitter. The
+// store has been failing since the call should have been answered, if that is earlier: a call
+// to an unresponsive store ends seconds later.
 func (follower *Follower[T]) recordFailure(err error, now timekeeper.Instant) timekeeper.Span {
 	follower.copyLock.Lock()
 	defer follower.copyLock.Unlock()
 	if follower.failingSince == 0 {
-		follower.failingSince = now
+		follower.failingSince = min(now, follower.due)
 		follower.settings.Log.WithFields(logrus.Fields{
 			"table": follower.settings.Name, "cause": err.Error(), "version": uint64(follower.version),
 		}).Warn("store lost")
@@ -38,6 +44,9 @@
 func (follower *Follower[T]) recordRecovery(failingElsewhere bool, now timekeeper.Instant) {
 	follower.backoff = 0
 	from, isOutage := follower.outageStart(failingElsewhere, now)
+	if since, late := follower.lateAnswer(now); late && !isOutage {
+		from, isOutage = since, true
+	}
 	if isOutage {
 		back := now
 		if served := follower.settings.ServingOthersSince(from); served != 0 {
@@ -79,6 +88,17 @@
 	return began, now.Since(began) >= minOutage
 }
 
+// lateAnswer reports whether the answer that has just arrived shows an outage by being late,
+// and since when the store was unresponsive; copyLock must be held. An answer that follows a
+// late one comes from a slow store; if it counted, missing rows would be kept for as long as
+// the store is slow.
+func (follower *Follower[T]) lateAnswer(now timekeeper.Instant) (timekeeper.Instant, bool) {
+	slow := follower.lastLate
+	follower.lastLate = now.Since(follower.due) >= minLateness
+	since := max(follower.due, follower.confirmedAt)
+	return since, !slow && now.Since(since) >= minLateness
+}
+
 // Failing reports whether the last call to the store failed.
 func (follower *Follower[T]) Failing() bool {
 	follower.copyLock.Lock()
