--- a/internal/assembler/direct_stats.go
+++ b/internal/assembler/direct_stats.go
@@ -67,6 +67,7 @@
 	isReader, readers := direct.peers.isReader(), direct.peers.activeReaders()
 	direct.scope.Gauge("store-reads").Update(map[bool]float64{true: 1}[isReader])
 	direct.scope.Gauge("store-readers").Update(float64(readers))
+	direct.scope.Gauge("store-primary").Update(map[bool]float64{true: 1}[direct.peers.isPrimary()])
 	if was := direct.wasReader.Swap(isReader); was != isReader {
 		direct.log.WithFields(logrus.Fields{
 			"reads": isReader, "readers": readers, "entries-near": direct.peers.recentEntries(),
