relayer: a request may wait for a replica that has just turned cold

A request that was placed at a replica before that turned cold is placed again. The replica was excluded then, like one that leaves, so that the request was refused at once if the service has no other replica. A cold replica still takes work at a low rate, and the next choice knows that it is cold, so there is no reason to exclude it.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -143,8 +143,13 @@
 	}
 }
 
-// errClosed is returned when a replica stopped taking new work after it was chosen.
-var errClosed = eris.New("the replica was closed since the choice")
+var (
+	// errClosed is returned when a replica stopped taking new work after it was chosen.
+	errClosed = eris.New("the replica was closed since the choice")
+	// errTurnedCold is returned when a replica turned cold after it was chosen. It still takes
+	// new work, at a low rate.
+	errTurnedCold = eris.New("the replica turned cold since the choice")
+)
 
 // admit checks whether the request may still be sent to the chosen replica. Opening a
 // connection after the choice takes a second when packets are lost, and the replica may
@@ -153,8 +158,11 @@
 	var current balancer.Eligibility
 	now, admitted := task.entry.settings.Clock.Now(), true
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { current, admitted = fleet.Admits(placement, now) })
-	if admitted {
+	switch {
+	case admitted:
 		return nil
+	case current.Cause == balancer.Cold:
+		return errTurnedCold
 	}
 	return eris.Wrap(errClosed, string(current.Cause))
 }
@@ -242,7 +250,7 @@
 	outcome := balancer.Served
 	callerLeft := task.r.Context().Err() != nil
 	switch {
-	case callerLeft && result.verdict != answered, eris.Is(result.cause, errClosed):
+	case callerLeft && result.verdict != answered, eris.Is(result.cause, errClosed), eris.Is(result.cause, errTurnedCold):
 		outcome = balancer.Abandoned
 	case result.verdict == unsent && eris.Is(result.cause, connector.ErrUnreachable):
 		outcome = balancer.Unreachable
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -246,7 +246,9 @@
 // not run; an idempotent one up to the route's limit of replicas. Each retry is
 // taken from the retry budget, except when nothing was sent.
 func (task *task) retryAllowed(result attemptResult) bool {
-	task.excluded = append(task.excluded, result.replica.ID)
+	if !eris.Is(result.cause, errTurnedCold) {
+		task.excluded = append(task.excluded, result.replica.ID)
+	}
 	switch result.verdict {
 	case unsent:
 		task.unsent++
--- a/internal/relayer/task_test.go
+++ b/internal/relayer/task_test.go
@@ -6,6 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -63,3 +64,40 @@
 		})
 	}
 }
+
+func TestAReplicaThatTurnedColdIsNotExcluded(t *testing.T) {
+	// Guards against the refusal of requests while all replicas of a service are cold, since
+	// those that were placed before may not wait for the same replica again.
+	tests := []struct {
+		name     string
+		cause    balancer.Cause
+		excluded []string
+	}{
+		{"turned cold", balancer.Cold, nil},
+		{"leaves", balancer.Leaving, []string{"planner-1"}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			fleet := balancer.Guard(balancer.New(balancer.Settings{}))
+			clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+			entry := New(Settings{Scope: tally.NoopScope, Clock: clock.Clock(), Fleet: fleet, Shares: func() int { return 1 }})
+			task := &task{entry: entry}
+			row := balancer.Replica{ID: "planner-1", Service: "planner", Slots: 64}
+			var placement *balancer.Placement
+			fleet.With(func(fleet *balancer.Fleet) {
+				fleet.SetWarmUp("planner", balancer.WarmUp{Span: 3000, Rate: 12})
+				fleet.SetReplicas([]balancer.Replica{row}, 1)
+				placement, _ = fleet.Choose(balancer.Request{Service: "planner"}, clock.Now())
+				if test.cause == balancer.Cold {
+					fleet.MarkCold(row.Key(), clock.Now().Add(3000))
+				} else {
+					fleet.MarkLeaving(row.ID, 2)
+				}
+			})
+			cause := task.admit(placement)
+			So(cause, ShouldNotBeNil)
+			So(task.retryAllowed(attemptResult{verdict: unsent, replica: row, cause: cause}), ShouldBeTrue)
+			So(task.excluded, ShouldResemble, test.excluded)
+		})
+	}
+}
