balancer: a replica that turns cold while it serves gets no burst

Requests that a replica got just before the entries knew that it is cold count together with those that the cold rate admits in the same second. Each entry that uses the replica had a full bucket then: at a hundred requests a second and with notices after 130 ms, the only planner of a site got 25 to 27 requests within a second, of which it tolerates 23. A request to a warm replica now leaves the bucket empty.

--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -89,11 +89,14 @@
 	return now < member.cold.until && fleet.warmUps[member.Service].Rate > 0
 }
 
-// spend takes one request out of the bucket while the replica is cold.
+// spend takes one request out of the bucket. A request to a warm replica leaves the bucket
+// empty: if the replica turns cold, the requests that it has just got count too.
 func (cold *coldAllowance) spend(now timekeeper.Instant) {
 	if now < cold.until {
 		cold.level = max(0, cold.level-coldBurst)
+		return
 	}
+	cold.level, cold.at = 0, now
 }
 
 // coldShare is how entries share the tolerated rate of a cold replica: users entries use the
