assembler: copies for peers say which replicas are cold

An entry that starts while the store rejects it fetches a peer's copy of the list. The rows of a peer that doesn't read the store are as old as their last change, and a notice of a cold replica doesn't change them: the new entry took such a replica for warm and sent to it at the full rate. The copy now has the later end of the cold period.

--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -298,17 +298,22 @@
 	return nil, 0, errNoReplicaList
 }
 
-// encodeReplicaList returns the list of replicas for a peer, or nil if there is none.
+// encodeReplicaList returns the list of replicas for a peer, or nil if there is none. The rows of
+// the copy may be older than the notices of replicas that turned cold.
 func (peers *peers) encodeReplicaList() []byte {
 	rows, version, known := peers.direct.replicas.Rows()
 	if !known {
 		return nil
 	}
 	list := gossiper.ReplicaList{Version: uint64(version), LapsesIn: map[string]timekeeper.Span{}}
-	for _, row := range rows {
-		list.Replicas = append(list.Replicas, row.Value)
-		list.LapsesIn[row.Key] = row.LapsesIn
-	}
+	peers.direct.fleet.With(func(fleet *balancer.Fleet) {
+		for _, row := range rows {
+			replica := row.Value
+			replica.WarmAt = max(replica.WarmAt, fleet.WarmAt(replica.Key()))
+			list.Replicas = append(list.Replicas, replica)
+			list.LapsesIn[row.Key] = row.LapsesIn
+		}
+	})
 	text, err := list.Encode(peers.direct.clock.Now())
 	if err != nil {
 		peers.direct.log.WithField(labelCause, err.Error()).Error("list of replicas can't be written for a peer")
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -84,6 +84,16 @@
 	return member.Replica, member.markCold(until)
 }
 
+// WarmAt returns when a listed incarnation is warm, as far as this entry knows from rows and
+// notices; zero if it doesn't know of a cold period.
+func (fleet *Fleet) WarmAt(key Key) timekeeper.Instant {
+	member, found := fleet.keys[key]
+	if !found {
+		return 0
+	}
+	return member.cold.until
+}
+
 // isCold reports whether a replica is cold and its service limits the rate of requests then.
 func (fleet *Fleet) isCold(member *replica, now timekeeper.Instant) bool {
 	return now < member.cold.until && fleet.warmUps[member.Service].Rate > 0
