gossiper: a notice of a cold replica outlasts a short cut

What callers saw: nothing yet, found by review. An entry that is cut off from its peers for half a second sends its full share to a replica that turned cold meanwhile, for the whole warm-up.

The checksum by which copies are compared leaves out the end of the warm-up, which changes with each heartbeat, so the entry's copy counts as equal to a reader's and nobody reads the row again.

Why this works: each digest of 1.5 s carries the notice, without causing one. An entry that gets none of them has been alone for longer than the 1.2 s after which it reads the list itself.

TestAColdNoticeOutlastsAShortCut failed before: the digest after the cut carries no notice.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -148,7 +148,11 @@
 
 // SendCold reports to peers at once that a replica has turned cold.
 func (gossiper *Gossiper) SendCold(notice ColdNotice) {
-	gossiper.enqueue(func(outbox *outbox) { outbox.cold.add(notice) })
+	now := gossiper.settings.Clock.Now()
+	gossiper.enqueue(func(outbox *outbox) {
+		outbox.cold.add(notice)
+		outbox.recentCold.add(notice, now)
+	})
 }
 
 // SendStrike reports to peers at once that a request was in flight at a replica when it
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -307,3 +307,29 @@
 		So(sent, ShouldBeLessThan, budget*(seconds+burstSeconds)+cost)
 	})
 }
+
+func TestAColdNoticeOutlastsAShortCut(t *testing.T) {
+	// Guards against an entry that sends at the full rate to a replica that turned cold while
+	// the entry was cut off from its peers, for less time than after which it reads the list
+	// itself: the notice is the only way by which it learns that.
+	const cut = 1200 * timekeeper.Millisecond
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	first, second := newTestEntry(t, 1, clock.Clock()), newTestEntry(t, 2, clock.Clock())
+	first.AddPeer(second.address())
+	second.AddPeer(first.address())
+	first.SendCold(ColdNotice{Replica: balancer.KeyOf("planner-4"), Until: clock.Now().Add(3000)})
+	count := 0
+	for spent := timekeeper.Span(0); spent <= cut; spent += idleInterval {
+		count++
+		for _, entry := range []*testEntry{first, second} {
+			entry.inFlight[balancer.KeyOf("planner-1")] = balancer.InFlight{Running: count}
+			entry.sendDigest()
+		}
+		first.wait(t, count)
+		second.wait(t, count)
+		clock.Advance(idleInterval)
+	}
+	Convey("a digest after the cut still carries it", t, func() {
+		So(second.wait(t, count)[count-1].Cold, ShouldNotBeEmpty)
+	})
+}
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -101,6 +101,38 @@
 	return due
 }
 
+// noticeLifetime is for how long digests carry a notice of a cold replica. A peer that gets none
+// of them has been cut off for so long that it reads the list itself.
+const noticeLifetime = 1500 * timekeeper.Millisecond
+
+// recentNotices are the notices of the last noticeLifetime, in order. They cause no digest.
+type recentNotices struct {
+	notices []ColdNotice
+	addedAt []timekeeper.Instant
+}
+
+func (recent *recentNotices) add(notice ColdNotice, now timekeeper.Instant) {
+	recent.dropOutdated(now)
+	if len(recent.notices) < maxUpdates {
+		recent.notices, recent.addedAt = append(recent.notices, notice), append(recent.addedAt, now)
+	}
+}
+
+func (recent *recentNotices) dropOutdated(now timekeeper.Instant) {
+	outdated := 0
+	for outdated < len(recent.addedAt) && now.Since(recent.addedAt[outdated]) > noticeLifetime {
+		outdated++
+	}
+	recent.notices = slices.Delete(recent.notices, 0, outdated)
+	recent.addedAt = slices.Delete(recent.addedAt, 0, outdated)
+}
+
+// except returns the notices that are not among others.
+func (recent *recentNotices) except(others []ColdNotice, now timekeeper.Instant) []ColdNotice {
+	recent.dropOutdated(now)
+	return slices.DeleteFunc(slices.Clone(recent.notices), func(notice ColdNotice) bool { return slices.Contains(others, notice) })
+}
+
 // outbox holds the content of the next digest. Of the placements, only one that a replica
 // prefills for the first time is an update: if all were, digests would be ten times as long
 // and as rare. The other placements are reminders, for entries that have started since;
@@ -114,6 +146,7 @@
 	strikes        queue[Strike]
 	changes        queue[ReplicaUpdate]
 	cold           queue[ColdNotice]
+	recentCold     recentNotices
 }
 
 func newOutbox() *outbox {
@@ -159,7 +192,8 @@
 	for _, changes := range outbox.changes.take() {
 		digest.Listed = append(digest.Listed, encodeUpdate(changes, now))
 	}
-	for _, notice := range outbox.cold.take() {
+	due := outbox.cold.take()
+	for _, notice := range slices.Concat(due, outbox.recentCold.except(due, now)) {
 		digest.Cold = append(digest.Cold, notice.message(now))
 	}
 	outbox.fillReminders(digest, room-proto.Size(digest))
