forwarder: an offer is repeated when its connection breaks before the grant

Cause: the connection broke while idle, unnoticed. The offer was written into it without an error and got no answer; only an offer that could not be written was repeated.

Evidence: TestALostGrantIsOfferedAgain cuts at the first byte that answers an offer.

Change: the entry repeats such an offer once, under the same id, within what is left of the caller's wait. An agent that still holds the first one, unstarted, ends it, frees slot and key and records its refusal before it decides about the second. A claim that names this very request leaves nothing unknown.

Why it is safe: the Run frame follows the grant, so nothing of the first offer can run; startRun still starts an id once, under the agent's lock. The record of the cuts shows no broken promise (audit report in the same test).

Also: an offer that waited in the queue while its tombstone was written took its key for five seconds. And an id that is known at an agent is refused as such before any refusal that says "not run": a draining agent said "draining" of an offer whose request ran there.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -65,30 +65,69 @@
 // start of one, was written to the caller.
 //
 // A connection may break between two calls, and the session notices only when the
-// next offer is written. attempt repeats such an unsent offer once; otherwise the
-// caller would be told that a replica is unreachable although one new dial would
-// reach it. The repeat is safe because the Run frame was not sent, and one is
-// enough because the broken session is closed by then.
+// next offer is written, or after that. If the connection breaks before the grant,
+// attempt repeats the offer once; otherwise the caller would be told that a replica
+// is unreachable although one new dial would reach it. The repeat is safe because the
+// Run frame was not sent, and one is enough because the broken session is closed by
+// then. It has the same request id, so that it replaces the first offer if the agent
+// still holds that one; the entry therefore leaves a tombstone after the last offer
+// only.
 func (entry *Entry) attempt(
 	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32,
 ) (classifier.Failure, bool) {
-	failure, done, unsent := entry.attemptOnce(ctx, w, call, replica, attempt, false)
-	if unsent {
-		failure, done, _ = entry.attemptOnce(ctx, w, call, replica, attempt, true)
+	failure, done, broken := entry.attemptOnce(ctx, w, call, replica, attempt)
+	if broken != nil && ctx.Err() == nil && call.reduceRemaining(entry.settings.Clock.Now().Since(broken.offeredAt)) {
+		failure, done, broken = entry.repeat(ctx, w, call, *broken, attempt)
+	}
+	if broken != nil {
+		entry.leaveTombstone(ctx, call, *broken)
 	}
 	return failure, done
 }
 
-// attemptOnce makes one attempt over one connection. unsent is true if the offer
-// could not be written and may be repeated. Both tries have the same request id, so
-// the entry leaves no tombstone for an unsent offer before the last try.
+// repeat makes an offer again whose connection broke before the grant.
+//
+// If the refusal of the repeat names this call as the owner of its key, the agent, or
+// its predecessor, has claimed the key for the first offer. Nothing ran under that
+// claim, since no Run frame was sent, so the call counts as not run; the refusal alone
+// would leave the outcome unknown.
+func (entry *Entry) repeat(
+	ctx context.Context, w http.ResponseWriter, call call, first destination, attempt uint32,
+) (classifier.Failure, bool, *destination) {
+	entry.settings.Scope.Counter("offers-repeated").Inc(1)
+	entry.settings.Log.WithFields(logrus.Fields{"request-id": call.id, "upstream": first.replica.Name}).Info("offer repeated")
+	before := *call.refusalInfo
+	failure, done, broken := entry.attemptOnce(ctx, w, call, first.replica, attempt)
+	unknown := !done && classifier.AnswerOf(failure.Kind).Ran == classifier.RanUnknown
+	if unknown && call.refusalInfo.owner.request == call.id {
+		*call.refusalInfo = before
+		return classifier.New(classifier.Unreachable, brokenBeforeGrant), false, &first
+	}
+	return failure, done, broken
+}
+
+// brokenBeforeGrant is the detail of a call whose connection broke before its grant.
+const brokenBeforeGrant = "the connection broke before the call was sent"
+
+// reduceRemaining takes the time since an offer from the time that the caller still
+// waits, and reports whether any is left. A call without a limit always has some.
+func (call *call) reduceRemaining(passed timekeeper.Span) bool {
+	if call.remaining == 0 {
+		return true
+	}
+	call.remaining -= passed
+	return call.remaining > 0
+}
+
+// attemptOnce makes one attempt over one connection. broken is the destination if the
+// connection broke before the grant, else nil.
 func (entry *Entry) attemptOnce(
-	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32, last bool,
-) (failure classifier.Failure, done, unsent bool) {
+	ctx context.Context, w http.ResponseWriter, call call, replica placer.Replica, attempt uint32,
+) (failure classifier.Failure, done bool, broken *destination) {
 	conn, peer, err := entry.settings.Pool.OpenPeer(ctx, replica.Address)
 	if err != nil {
 		entry.reportUnreachable(ctx, call, replica)
-		return classifier.New(classifier.Unreachable, replica.Name), false, false
+		return classifier.New(classifier.Unreachable, replica.Name), false, nil
 	}
 	defer func() { _ = conn.Close() }()
 	// Close the stream when the caller leaves: the agent then frees a queued place
@@ -104,15 +143,14 @@
 	switch {
 	case lost:
 		failure, done = entry.recoverAnswer(ctx, entry.newRelayedAnswer(w, call), dest)
-		return failure, done, false
-	case !committed && dest.unsent && !last:
-		return failure, false, true
+		return failure, done, nil
+	case !committed && dest.broken:
+		return failure, false, &dest
 	case !committed:
-		entry.leaveTombstone(ctx, call, dest, failure)
-		return failure, false, false
+		return failure, false, nil
 	}
 	failure, done = entry.relay(ctx, w, call, dest, stream)
-	return failure, done, false
+	return failure, done, nil
 }
 
 // commit offers the call, waits for the grant and sends the Run frame, which
@@ -135,10 +173,10 @@
 		return classifier.Failure{}, err == nil, err != nil
 	}
 	if err := stream.Write(encoder.Of(offer)); err != nil {
-		dest.unsent = true
+		dest.broken = true
 		return classifier.New(classifier.Unreachable, dest.replica.Name), false, false
 	}
-	incarnation, failure, ok := entry.awaitGrant(stream, call)
+	incarnation, failure, ok := entry.awaitGrant(stream, call, dest)
 	if !ok {
 		return failure, false, false
 	}
@@ -149,11 +187,12 @@
 
 // awaitGrant waits until the agent grants or refuses the offer. It returns the
 // incarnation that granted it.
-func (entry *Entry) awaitGrant(stream *encoder.Stream, call call) (uint64, classifier.Failure, bool) {
+func (entry *Entry) awaitGrant(stream *encoder.Stream, call call, dest *destination) (uint64, classifier.Failure, bool) {
 	for {
 		frame, err := stream.Read()
 		if err != nil {
-			return 0, classifier.New(classifier.Unreachable, "the connection broke before the call was sent"), false
+			dest.broken = true
+			return 0, classifier.New(classifier.Unreachable, brokenBeforeGrant), false
 		}
 		switch message := frame.GetBody().(type) {
 		case *encoder.Frame_Queued:
--- a/internal/forwarder/recover.go
+++ b/internal/forwarder/recover.go
@@ -19,8 +19,8 @@
 	incarnation uint64
 	// offeredAt is when the call was offered.
 	offeredAt timekeeper.Instant
-	// unsent is true if the offer could not be written.
-	unsent bool
+	// broken is true if the connection broke before the grant.
+	broken bool
 }
 
 // proofWindow is how long after the offer the state "never seen" proves that the
@@ -127,8 +127,8 @@
 // connection is gone. One look-up is enough, since nothing depends on it: if it
 // fails, the agent frees the key by itself, at the latest RunTimeout (of
 // runner.Settings) after the grant.
-func (entry *Entry) leaveTombstone(ctx context.Context, call call, dest destination, failure classifier.Failure) {
-	if call.idempotent || call.key == "" || failure.Kind != classifier.Unreachable {
+func (entry *Entry) leaveTombstone(ctx context.Context, call call, dest destination) {
+	if call.idempotent || call.key == "" {
 		return
 	}
 	_, _, closeStream, err := entry.openLookUp(ctx, dest, &encoder.Lookup{
--- a/internal/runner/agent.go
+++ b/internal/runner/agent.go
@@ -120,6 +120,7 @@
 	queue      map[string]chan slotResult
 	directory  *placer.Directory
 	startedAt  timekeeper.Instant
+	unstarted  map[string]*unstartedOffer
 	runs       map[string]*run
 	retained   endedRuns
 	bySerial   map[uint64]*run
@@ -152,6 +153,7 @@
 		startedAt:  settings.Clock.Now(),
 		keys:       newKeys(settings),
 		strikes:    newStrikes(settings),
+		unstarted:  map[string]*unstartedOffer{},
 		runs:       map[string]*run{},
 		bySerial:   map[uint64]*run{},
 		admissions: map[string]admission{},
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -104,6 +104,10 @@
 func (agent *Agent) decideClaim(claim claimer.Claim) claimer.Verdict {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
+	if existing := agent.runs[claim.Request]; existing != nil {
+		// A tombstone was left while the offer waited.
+		return claimer.Verdict{Step: claimer.Refuse, Failure: existing.duplicateFailure()}
+	}
 	now := agent.settings.Clock.Now()
 	if claim.Minted && !now.Before(claim.Expires) {
 		// The book may have dropped the key, so whether it has run is unknown here.
--- a/internal/runner/offer.go
+++ b/internal/runner/offer.go
@@ -39,21 +39,33 @@
 
 // serveOffer handles one call from its offer to the end of its answer.
 func (agent *Agent) serveOffer(ctx context.Context, stream *encoder.Stream, offer *encoder.Offer) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	inbox := &inbox{frames: readFrames(ctx, stream)}
+	run, refused := agent.admitAndStart(ctx, cancel, stream, offer, inbox)
+	if refused != nil {
+		_ = stream.Write(encoder.Of(refused))
+		return
+	}
+	agent.follow(ctx, stream, run, 0, inbox.frames)
+}
+
+// admitAndStart admits an offer and starts its run, or returns its refusal. A repeat of the
+// offer waits until this function has returned.
+func (agent *Agent) admitAndStart(
+	ctx context.Context, cancel context.CancelCauseFunc, stream *encoder.Stream, offer *encoder.Offer, inbox *inbox,
+) (*run, *encoder.Refused) {
+	defer agent.replaceOffer(ctx, offer, cancel)()
 	failure, ok := agent.admit(ctx, stream, offer, inbox)
 	if !ok {
-		_ = stream.Write(encoder.Of(agent.refusal(offer, failure)))
-		return
+		return nil, agent.refusal(offer, failure)
 	}
 	run, failure, ok := agent.awaitRun(ctx, offer, inbox)
 	if !ok {
 		agent.release(offer.GetRequestId())
-		_ = stream.Write(encoder.Of(agent.refusal(offer, failure)))
-		return
+		return nil, agent.refusal(offer, failure)
 	}
-	agent.follow(ctx, stream, run, 0, inbox.frames)
+	return run, nil
 }
 
 // readFrames reads frames in the background, so that a call can wait for its caller and
@@ -129,6 +141,9 @@
 // ineligible returns a failure when this replica can't take the offer at all.
 func (agent *Agent) ineligible(offer *encoder.Offer) (classifier.Failure, bool) {
 	switch {
+	// First, since the other failures say that the request did not run here.
+	case agent.runs[offer.GetRequestId()] != nil || agent.controller.Holds(offer.GetRequestId()):
+		return agent.runs[offer.GetRequestId()].duplicateFailure(), true
 	case offer.GetService() != agent.settings.Service:
 		return classifier.New(classifier.WrongService, ""), true
 	case offer.GetIncarnation() != 0 && offer.GetIncarnation() != agent.settings.Incarnation:
@@ -139,8 +154,6 @@
 		return agent.engineDown(), true
 	case agent.adapters.isMissing(offer.GetAdapter()):
 		return adapterUnloaded(), true
-	case agent.runs[offer.GetRequestId()] != nil || agent.controller.Holds(offer.GetRequestId()):
-		return agent.runs[offer.GetRequestId()].duplicateFailure(), true
 	}
 	return classifier.Failure{}, false
 }
@@ -167,7 +180,7 @@
 	case <-expired:
 		return nil, classifier.New(classifier.DeadlinePassed, "the run frame did not come in time"), false
 	case <-ctx.Done():
-		return nil, classifier.New(classifier.Draining, "the agent stops"), false
+		return nil, endedFailure(ctx, classifier.New(classifier.Draining, "the agent stops")), false
 	}
 }
 
--- a/internal/runner/slot.go
+++ b/internal/runner/slot.go
@@ -134,7 +134,7 @@
 			failure := classifier.New(classifier.DeadlinePassed, "no slot came free in time")
 			return failure.WithRetryAfter(timekeeper.Second), false
 		case <-ctx.Done():
-			return classifier.New(classifier.Draining, "the agent stops"), false
+			return endedFailure(ctx, classifier.New(classifier.Draining, "the agent stops")), false
 		}
 	}
 }
--- a/internal/runner/strikes.go
+++ b/internal/runner/strikes.go
@@ -164,7 +164,7 @@
 			return agent.refuseAtGate(id), false
 		case <-ctx.Done():
 			_ = agent.refuseAtGate(id)
-			return classifier.New(classifier.CallerGone, ""), false
+			return endedFailure(ctx, classifier.New(classifier.CallerGone, "")), false
 		}
 	}
 }
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -75,6 +75,62 @@
 	}
 }
 
+func TestALostGrantIsOfferedAgain(t *testing.T) {
+	t.Parallel()
+	// Guards against a caller that is refused although its agent can be reached: the
+	// connection breaks after the offer has arrived and before its answer. The offer
+	// is repeated, so an order runs, and a resend of an order that ran gets its answer
+	// instead of "in progress". The agent may still hold the first offer.
+	rig := newRig(t, siteConfig())
+	started := rig.clock.Now()
+	agent := rig.addOrders("orders-1", 0)
+	entry := rig.addEntry("entry-1")
+	proxy := rig.proxies["orders-1"]
+	if got := entry.order(t.Context(), "ran", "{}"); got.status != 200 {
+		t.Fatal(got)
+	}
+	tests := []struct{ name, key, replayed string }{
+		{"an order with a key runs", "new", ""},
+		{"a resend gets the first answer", "ran", "true"},
+		{"an order with a key of the system runs", entry.mintedKey(), ""},
+		{"an order without a key runs", "", ""},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			before := rig.ledger.Total()
+			proxy.Set(disturber.FromTarget, disturber.Fault{CutAfter: 1, Once: true})
+			got := entry.order(t.Context(), test.key, "{}")
+			So(got.status, ShouldEqual, 200)
+			So(got.header.Get("Idempotency-Replayed"), ShouldEqual, test.replayed)
+			if test.replayed == "" {
+				before++
+			}
+			So(rig.ledger.Total(), ShouldEqual, before)
+		})
+	}
+	Convey("the record shows every promise held", t, func() {
+		So(entry.stop(), ShouldEqual, 0)
+		So(agent.stop(), ShouldEqual, 0)
+		report, _ := rig.report(started)
+		for _, verdict := range report.Verdicts {
+			So(verdict.Breaches, ShouldBeEmpty)
+		}
+		So(report.Verdicts[1].Checked, ShouldEqual, len(tests)+1)
+	})
+}
+
+// mintedKey returns a key that the system has minted.
+func (proc *process) mintedKey() string {
+	var minted struct {
+		Keys []string `json:"keys"`
+	}
+	granted := proc.call(proc.t.Context(), "POST", "/v1/keys", `{"service":"orders","count":1}`)
+	if err := json.Unmarshal([]byte(granted.body), &minted); err != nil || len(minted.Keys) != 1 {
+		proc.t.Fatal(granted, err)
+	}
+	return minted.Keys[0]
+}
+
 func TestTwoEntriesWithOneKeyRunItOnce(t *testing.T) {
 	t.Parallel()
 	// Guards against two runs of an order that two entries receive at once under
