follower: a lapsed row goes also while the store rejects this process again

What callers would see: the store rejects an entry for seconds, serves it for a moment, in which it reads that a replica's row is missing and keeps it for a while, and rejects it again. The replica has left; the entry goes on sending it requests until the store serves the entry again or, after five seconds, a copy of another entry is fetched.

Cause: a row that is kept goes by an answer to this process alone. The other processes' update that removes it has no newer version than the copy, so it had no effect, and neither had their summaries.

A summary of a copy that is as new or newer and the same but for rows whose time is over, with an answer of the store that came after that time, now counts like an answer to this process: that copy has no lapsed rows itself, so the table lacks the rows. It counts only if the store has served others for a whole lapse without a gap. Soon after a second outage for all a process that has just started has such a copy too, and the rows may be those of live replicas.

--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -99,6 +99,14 @@
 	return since, !slow && now.Since(since) >= minLateness
 }
 
+// servingOthers reports whether the store has served other processes for a whole Lapse up to
+// now, without a gap in which rows could have lapsed; copyLock must be held.
+func (follower *Follower[T]) servingOthers(now timekeeper.Instant) bool {
+	lapse := follower.settings.Lapse
+	served := follower.settings.ServingOthersSince(now.Add(-lapse - noticeDelay - maxServedGap))
+	return served != 0 && now.Since(served) >= lapse
+}
+
 // Failing reports whether the last call to the store failed.
 func (follower *Follower[T]) Failing() bool {
 	follower.copyLock.Lock()
--- a/internal/follower/update.go
+++ b/internal/follower/update.go
@@ -156,14 +156,19 @@
 	now := follower.settings.Clock.Now()
 	follower.copyLock.Lock()
 	defer follower.copyLock.Unlock()
+	if !follower.hasCopy || other.Version < follower.version {
+		return
+	}
+	expired := follower.dropExpiredElsewhere(other, now)
 	same := other.Sum == follower.sum
 	switch {
-	case !follower.hasCopy || other.Version < follower.version:
-		return
 	case same:
 		follower.advance(other.Version)
 		maps.DeleteFunc(follower.updateVersions, func(_ string, version Version) bool { return version <= other.Version })
 		follower.confirmedAt, follower.behindSince = max(follower.confirmedAt, other.At), 0
+		if expired {
+			follower.apply()
+		}
 	case other.Version == follower.version:
 		follower.recordMismatch(now)
 	case follower.behindSince == 0:
@@ -171,6 +176,33 @@
 	}
 }
 
+// dropExpiredElsewhere removes lapsed rows whose time was over when the store answered another
+// process, if that process has the same copy without them; copyLock must be held. That answer
+// counts like one to this process, which the store may reject or leave without an answer for
+// seconds. It does not count soon after an outage for all, in which rows may have lapsed again.
+func (follower *Follower[T]) dropExpiredElsewhere(other Summary, now timekeeper.Instant) bool {
+	if len(follower.lapsing) == 0 || !follower.servingOthers(now) {
+		return false
+	}
+	var expired []string
+	sum := follower.sum
+	for key, expiresAt := range follower.lapsing {
+		if value, found := follower.rows[key]; found && other.At >= expiresAt {
+			sum ^= follower.settings.Sum(key, value)
+			expired = append(expired, key)
+		}
+	}
+	if len(expired) == 0 || sum != other.Sum {
+		return false
+	}
+	for _, key := range expired {
+		delete(follower.lapsing, key)
+		follower.drop(key)
+		follower.log("lapsed row is gone, as another's copy shows: "+key, other.Version)
+	}
+	return true
+}
+
 // advance moves the copy to a newer version at which another process's copy has the same
 // checksum; copyLock must be held. Copies with lapsed rows have no summary, so a matching
 // checksum proves that the table has each row again. The changes up to that version are
