follower: a late answer doesn't bring back a row that others told was gone

What callers would see: an entry that is frozen or that the store leaves without an answer knows from another entry that a replica's row is gone, and later sends it requests again for up to 2.2 s, longer if the store rejects the entry then.

Cause: the answer that comes late begins at the version at which the call was made. It has the last write of the row and its removal. The write put the row back into the copy, and the removal was then taken for a row that lapsed in an outage, since the answer was late.

Now only rows that the copy had before the answer are kept when they are missing. The price: a replica that joined and whose row lapsed within one answer is not kept.

TestALateAnswerDoesNotBringARowBack fails without the change.

--- a/internal/follower/copy.go
+++ b/internal/follower/copy.go
@@ -74,9 +74,11 @@
 }
 
 // applyChanges applies the changes up to a version and reports whether it wrote or removed
-// a row; copyLock must be held.
+// a row; copyLock must be held. Only rows of the copy are kept when they are missing: a row
+// that the changes write and remove again may be one that the copy has lost meanwhile, by the
+// word of another process.
 func (follower *Follower[T]) applyChanges(changes []Change[T], version Version, now timekeeper.Instant) bool {
-	changed := false
+	changed, before := false, maps.Clone(follower.rows)
 	for _, change := range changes {
 		if !change.Removed {
 			follower.markReturned(change.Key, version)
@@ -91,7 +93,7 @@
 		if _, found := follower.rows[change.Key]; !found {
 			continue
 		}
-		if now < follower.keepUntil {
+		if _, listed := before[change.Key]; listed && now < follower.keepUntil {
 			follower.lapsing[change.Key] = follower.keepUntil
 			follower.log("row lapsed in an outage, kept for a while: "+change.Key, version)
 			continue
--- a/internal/follower/late_answer_test.go
+++ b/internal/follower/late_answer_test.go
@@ -86,6 +86,39 @@
 	Convey("the others don't extend the lapse", t, func() { So(copied(), ShouldBeEmpty) })
 }
 
+func TestALateAnswerDoesNotBringARowBack(t *testing.T) {
+	// The store answers this process late, and meanwhile another process tells it that a
+	// replica's row is gone. The answer has the row's last state and its removal. Guards
+	// against a row that was put back and kept as one that lapsed in an outage: requests went
+	// to a replica that the process had known to be gone.
+	tests := []struct {
+		name string
+		told bool
+		want map[string]int
+	}{
+		{"another process told of the removal", true, map[string]int{}},
+		{"no process told of it", false, map[string]int{"leaves": 2}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			table, clock := newTable(), newClock()
+			table.put("leaves", 1)
+			var follower *Follower[int]
+			follower, copied := followLate(table, clock, minLateness, func() {
+				table.put("leaves", 2)
+				table.remove("leaves")
+				if test.told {
+					follower.ApplyUpdate(Update[int]{Version: table.version, Changes: []Change[int]{{Key: "leaves", Removed: true}}})
+				}
+			})
+			follower.settings.Sum = func(_ string, value int) uint64 { return uint64(value) }
+			follower.Step(t.Context())
+			follower.Step(t.Context())
+			So(copied(), ShouldResemble, test.want)
+		})
+	}
+}
+
 func TestAnOutageBeginsBeforeItsFirstFailure(t *testing.T) {
 	// A process starts while the store does not answer: its first call ends after a second and
 	// a half, it fetches a copy, and the store is back soon after. Guards against a process
