follower: a late answer is no sign of an outage while others are served

What callers would see: an entry that is starved, or whose connection to the store is slow, gets each second answer half a second late or more. A replica's row is removed; the entry reads that by a late answer, keeps the row, and goes on sending it requests for as long as it is starved.

Cause: a late answer that follows one on time is taken for an outage, and each outage keeps rows that are missing already for as long again. Two late answers in a row don't count; every second one does. The update of another entry that removes the row has no newer version than the copy.

Now a late answer shows an outage only if the store hasn't served others for a whole lapse without a gap of two seconds. Rows don't lapse in shorter outages, and after longer ones there is the gap. Where nothing is known of others, or they are not served, nothing changes.

TestAStarvedProcessDropsARemovedRow fails without the change: the row is there after six more reads.

--- a/internal/follower/late_answer_test.go
+++ b/internal/follower/late_answer_test.go
@@ -86,6 +86,52 @@
 	Convey("the others don't extend the lapse", t, func() { So(copied(), ShouldBeEmpty) })
 }
 
+func TestAStarvedProcessDropsARemovedRow(t *testing.T) {
+	// Every second answer of the store reaches this process late, since it is starved or its
+	// connection is slow. A replica's row is removed. Guards against a row that was kept for
+	// longer with each late answer, for as long as the process was starved.
+	tests := []struct {
+		name string
+		// served is for how long others have been served without a gap at each answer.
+		served timekeeper.Span
+		want   map[string]int
+	}{
+		{"others are served throughout", 2200, map[string]int{}},
+		{"others are served for less than a lapse", 2199, map[string]int{"leaves": 1}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			table, clock := newTable(), newClock()
+			table.put("leaves", 1)
+			calls, source, copied := 0, table.source(), map[string]int{}
+			follower := New(Settings[int]{
+				Name: "test", Clock: clock.Clock(), Log: discardLog(), Lapse: 2200, Wait: FixedInterval(askedWait),
+				Apply: func(rows map[string]int, _ Version) { copied = rows },
+				ServingOthersSince: func(from timekeeper.Instant) timekeeper.Instant {
+					return max(from.Add(noticeDelay), clock.Now().Add(-test.served))
+				},
+				Source: Source[int]{
+					Snapshot: source.Snapshot,
+					Changes: func(ctx context.Context, after Version, wait timekeeper.Span) ([]Change[int], Version, error) {
+						calls++
+						clock.Advance(wait + timekeeper.Span(calls%2)*minLateness)
+						return source.Changes(ctx, after, wait)
+					},
+				},
+			})
+			follower.Step(t.Context())
+			follower.Step(t.Context())
+			follower.Step(t.Context())
+			table.remove("leaves")
+			for range 6 {
+				clock.Advance(lapseReadInterval)
+				follower.Step(t.Context())
+			}
+			So(copied, ShouldResemble, test.want)
+		})
+	}
+}
+
 func TestALateAnswerDoesNotBringARowBack(t *testing.T) {
 	// The store answers this process late, and meanwhile another process tells it that a
 	// replica's row is gone. The answer has the row's last state and its removal. Guards
--- a/internal/follower/outage.go
+++ b/internal/follower/outage.go
@@ -44,7 +44,7 @@
 func (follower *Follower[T]) recordRecovery(failingElsewhere bool, now timekeeper.Instant) {
 	follower.backoff = 0
 	from, isOutage := follower.outageStart(failingElsewhere, now)
-	if since, late := follower.lateAnswer(now); late && !isOutage {
+	if since, late := follower.lateAnswer(now); late && !isOutage && !follower.servingOthers(now) {
 		from, isOutage = since, true
 	}
 	if isOutage {
@@ -91,7 +91,8 @@
 // lateAnswer reports whether the answer that has just arrived shows an outage by being late,
 // and since when the store was unresponsive; copyLock must be held. An answer that follows a
 // late one comes from a slow store; if it counted, missing rows would be kept for as long as
-// the store is slow.
+// the store is slow. Nor does it count while others are served: this process or its connection
+// is slow.
 func (follower *Follower[T]) lateAnswer(now timekeeper.Instant) (timekeeper.Instant, bool) {
 	slow := follower.lastLate
 	follower.lastLate = now.Since(follower.due) >= minLateness
