--- a/internal/follower/processes_test.go
+++ b/internal/follower/processes_test.go
@@ -59,6 +59,8 @@
 	follower *follower.Follower[string]
 
 	rejected, hangs, cutOff, stopped flag
+	// unanswered leaves calls without an answer, also those that the store holds already.
+	unanswered flag
 
 	// stop stops the process.
 	stop context.CancelFunc
--- a/internal/follower/shared_table_test.go
+++ b/internal/follower/shared_table_test.go
@@ -1,6 +1,7 @@
 package follower_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -93,7 +94,37 @@
 	return ctx.Err()
 }
 
+// callTimeout is how long after the store should have answered a call ends without an answer.
+const callTimeout = 1500 * timekeeper.Millisecond
+
+// source returns the table as a process reads it.
 func (table *sharedTable) source(by *process) follower.Source[string] {
+	source := table.answers(by)
+	unanswered := func(ctx context.Context, until timekeeper.Instant) error {
+		if by.unanswered.Load() {
+			_ = by.clock.Sleep(ctx, until.Since(by.clock.Now()))
+			return errUnavailable
+		}
+		return nil
+	}
+	return follower.Source[string]{
+		Snapshot: func(ctx context.Context) ([]follower.Change[string], follower.Version, error) {
+			until := by.clock.Now().Add(callTimeout)
+			rows, version, err := source.Snapshot(ctx)
+			return rows, version, cmp.Or(unanswered(ctx, until), err)
+		},
+		Changes: func(
+			ctx context.Context, after follower.Version, wait timekeeper.Span,
+		) ([]follower.Change[string], follower.Version, error) {
+			until := by.clock.Now().Add(wait + callTimeout)
+			rows, version, err := source.Changes(ctx, after, wait)
+			return rows, version, cmp.Or(unanswered(ctx, until), err)
+		},
+	}
+}
+
+// answers returns the table's own answers to a process.
+func (table *sharedTable) answers(by *process) follower.Source[string] {
 	return follower.Source[string]{
 		Snapshot: func(ctx context.Context) ([]follower.Change[string], follower.Version, error) {
 			if err := table.call(ctx, by); err != nil {
