--- a/internal/assembler/direct_readers.go
+++ b/internal/assembler/direct_readers.go
@@ -18,8 +18,8 @@
 	// electInterval is how long the result of an election is reused: it is needed more
 	// often than views change.
 	electInterval = 100 * timekeeper.Millisecond
-	// primaryReaders is the number of primaries: the list is read at once also while one of them
-	// has just been killed or is frozen, which peers notice after memberTimeout.
+	// primaryReaders is the number of primaries. With two, one may be dead or frozen until peers
+	// notice, after memberTimeout, and changes are still read at once.
 	primaryReaders = 2
 	// discoveryTime is how long a new entry that found many others registered waits for
 	// their digests, which come within a second, before it reads the store again. Otherwise
@@ -40,8 +40,8 @@
 	primaries []elector.Member
 	// peerFailing is whether the store fails for a peer.
 	peerFailing bool
-	// discoveryEnds is until when the entry waits for digests of others, unless all that are
-	// expected have arrived.
+	// discoveryEnds is until when the entry waits for digests of others. The wait ends earlier
+	// once there are as many members as entries were registered at the start, expected.
 	discoveryEnds timekeeper.Instant
 	expected      int
 	// lastReaderAddress is the address of the reader that sent a list summary last.
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -21,10 +21,10 @@
 )
 
 var (
-	// replicaInterval is the time between two reads of the list of replicas. Entries must
-	// know of a leaving replica well within the two seconds for which it still serves, even
-	// if the updates of primaries are lost. In a large fleet the readers share these reads:
-	// together they make one every 450 ms.
+	// replicaInterval is the time between two reads of the list of replicas by a reader that is
+	// no primary. Entries must know of a leaving replica well within the two seconds for which it
+	// still serves, even if the updates of primaries are lost. In a large fleet the readers share
+	// these reads: together they make one every 450 ms.
 	replicaInterval = follower.Interval{
 		Min: 450 * timekeeper.Millisecond, Max: 4 * timekeeper.Second, MaxUnshared: 1,
 	}
--- a/internal/follower/schedule.go
+++ b/internal/follower/schedule.go
@@ -84,8 +84,8 @@
 )
 
 const (
-	// maxReadCredit is how many changes a primary may read at once before it reads once in
-	// Interval.Min.
+	// maxReadCredit is how many reads a primary makes batchTime apart before it reads once in
+	// Interval.Min. It is enough for the rows that a release writes in a few seconds.
 	maxReadCredit = 8
 	// batchTime is the time from one read of a primary to the next, in which changes that are
 	// written together gather.
@@ -95,9 +95,10 @@
 // readCredit is a token bucket for the reads of a primary: rows change seldom, but a replica
 // that turns cold or leaves has to be known to all at once. The zero value is a full bucket.
 type readCredit struct {
+	// spent is how many reads have been made and not yet gained back, as of updatedAt.
 	spent     float64
 	updatedAt timekeeper.Instant
-	// wait is the time from the last read to the next.
+	// wait is the least time from the last read to the next.
 	wait timekeeper.Span
 }
 
