--- a/internal/assembler/direct_copy_test.go
+++ b/internal/assembler/direct_copy_test.go
@@ -18,7 +18,8 @@
 	direct, release := directWithStore(t, store)
 	defer release()
 	replica := balancer.Replica{ID: "planner-1", Service: "planner", Address: "127.0.0.1:7400", DataCentre: "bole", Slots: 6, StartedAt: 1}
-	store.Put("servers", replica.ID, []byte(`{"service":"planner","address":"127.0.0.1:7400","zone":"bole","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1}`))
+	row := emulator.Row{Service: replica.Service, Address: replica.Address, DataCentre: replica.DataCentre, State: "ready", Slots: replica.Slots, StartedAt: replica.StartedAt}
+	store.Put("servers", replica.ID, row.Encode())
 	direct.replicas.Step(t.Context())
 	notice := gossiper.ColdNotice{Replica: replica.Key(), Until: direct.clock.Now().Add(timekeeper.Minute)}
 	direct.peers.applyDigest(gossiper.Digest{Address: "127.0.0.1:7300", Cold: []gossiper.ColdNotice{notice}})
--- a/internal/assembler/direct_lost_notice_test.go
+++ b/internal/assembler/direct_lost_notice_test.go
@@ -15,18 +15,16 @@
 func TestAReaderThatMissedANoticeReadsTheRow(t *testing.T) {
 	// Guards against a reader of the list that sends at the full rate to a cold replica, since
 	// the summary of another reader moved its copy past the row that says so.
-	const (
-		warm = `{"service":"planner","address":"127.0.0.1:7400","zone":"bole","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1}`
-		cold = `{"service":"planner","address":"127.0.0.1:7400","zone":"bole","version":"v1","slots":6,"state":"ready","coldRemainingMs":60000,"sequence":2,"born":1}`
-	)
+	row := emulator.Row{Service: "planner", Address: "127.0.0.1:7400", DataCentre: "bole", State: "ready", Slots: 6, StartedAt: 1}
 	store := emulator.NewStore(timekeeper.Steady())
 	direct, release := directWithStore(t, store)
 	defer release()
 	limitColdRate(direct)
-	store.Put("servers", "planner-1", []byte(warm))
+	store.Put("servers", "planner-1", row.Encode())
 	direct.replicas.Step(t.Context())
 	read, _ := direct.replicas.Summary()
-	store.Put("servers", "planner-1", []byte(cold))
+	row.ColdFor = timekeeper.Minute
+	store.Put("servers", "planner-1", row.Encode())
 	newer := follower.Summary{Version: read.Version + 1, Sum: read.Sum, At: direct.clock.Now()}
 	direct.peers.applyDigest(gossiper.Digest{Address: "127.0.0.1:7300", ListSummary: &newer})
 	Convey("the replica is cold after its next read", t, func() {
