balancer, relayer, gossiper: engines that serve many requests are asked whether they are cold

What callers saw: an engine that serves 100 requests a second turns cold and writes its row with its next heartbeat. It gets the 25th request before, crashes, and cuts 3 to 13 streams.

Cause: what an entry knows of the cold comes from rows alone, and a row comes up to a heartbeat after the turn. 24 requests take 240 ms at that rate. Ruled out before: any way of spreading rows faster (the row itself is late), a second without requests (begins too late). Health answers say it at once; nothing asked for them.

Change: while the fleet sends a replica about as much as it tolerates cold (0.9 of it), or more, two entries ask it for its health, each twice in the time in which it gets what it tolerates. The entries agree on the two by rendezvous hashing of those whose digests say that they check, so builds before this one are never selected, and an entry that is killed or frozen is replaced when its digest expires. Entries report their rate at such replicas in digests. A cold replica is told to peers as one that was read to be cold, and logged as "replica is cold" with from "replica". Silence, refusals and answers of other replicas say nothing; what a replica says counts for its service's warm-up at most. Replicas that leave, are evacuated, back off, are unreachable or cold are not checked, nor are those of services without a limit in the cold.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -188,6 +188,7 @@
 		OnPlacement:      direct.peers.gossiper.SendPlacement,
 		OnUnreachable:    direct.peers.gossiper.SendUnreachable,
 		OnLeaveAnnounced: direct.peers.gossiper.SendLeaveAnnounced,
+		OnCold:           direct.announceCold,
 		OnStrike: func(request uint64, replica string) {
 			direct.peers.gossiper.SendStrike(gossiper.Strike{Request: request, Replica: replica})
 		},
@@ -233,6 +234,7 @@
 	addLoop(rest, direct.sweep)
 	addLoop(rest, direct.frontend.Run)
 	addLoop(rest, direct.frontend.MeasureLateness)
+	addLoop(rest, direct.frontend.CheckHealth)
 	addLoop(rest, direct.watchSettings)
 	addLoop(rest, direct.peers.register)
 	addLoop(rest, direct.peers.gossiper.Run)
--- a/internal/assembler/direct_cold.go
+++ b/internal/assembler/direct_cold.go
@@ -47,13 +47,25 @@
 	peers.direct.fleet.With(func(fleet *balancer.Fleet) { fleet.SetEntries(own, others) })
 }
 
+// checksHealth reports whether this entry checks the health of replicas if it is selected.
+func (direct *Direct) checksHealth() (checks bool) {
+	direct.fleet.With(func(fleet *balancer.Fleet) { checks = fleet.ChecksHealth() })
+	return checks
+}
+
+// announceCold sends peers that a replica has said in an answer that it is cold.
+func (direct *Direct) announceCold(replica balancer.Replica, until timekeeper.Instant) {
+	direct.peers.gossiper.SendCold(gossiper.ColdNotice{Replica: replica.Key(), Until: until})
+	direct.logCold(replica, until, logrus.Fields{labelFrom: "replica"})
+}
+
 // logCold logs that a replica has turned cold, and what this entry has in flight there.
 func (direct *Direct) logCold(replica balancer.Replica, until timekeeper.Instant, source logrus.Fields) {
 	now := direct.clock.Now()
 	fields := logrus.Fields{
 		labelReplica: replica.ID, "service": replica.Service, "warm-in-ms": int64(until.Since(now)),
 	}
-	direct.fleet.With(func(fleet *balancer.Fleet) { fields["in-flight"] = fleet.InFlight()[replica.Key()].Running })
+	direct.fleet.With(func(fleet *balancer.Fleet) { fields["in-flight"] = fleet.InFlight(now)[replica.Key()].Running })
 	direct.log.WithFields(source).WithFields(fields).Info("replica is cold")
 }
 
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -69,7 +69,7 @@
 		Scope: direct.scope, Conn: conn, InFlight: direct.inFlight, Version: direct.offeredVersion, OnDigest: peers.applyDigest,
 		StoreAnswered: direct.storeAnswered, StoreFailing: direct.storeFailing,
 		ListSummary: func() (follower.Summary, bool) { return direct.replicas.Summary() },
-		Evacuations: peers.evacuations, StoreEras: direct.eras.Known, Retention: direct.retention,
+		Evacuations: peers.evacuations, StoreEras: direct.eras.Known, Retention: direct.retention, ChecksHealth: direct.checksHealth,
 	})
 	return peers, transport.CloseIdleConnections
 }
@@ -79,7 +79,7 @@
 
 // inFlight returns this entry's requests in flight at each replica.
 func (direct *Direct) inFlight() (inFlight map[balancer.Key]balancer.InFlight) {
-	direct.fleet.With(func(fleet *balancer.Fleet) { inFlight = fleet.InFlight() })
+	direct.fleet.With(func(fleet *balancer.Fleet) { inFlight = fleet.InFlight(direct.clock.Now()) })
 	return inFlight
 }
 
@@ -115,6 +115,7 @@
 	}
 	peers.direct.fleet.With(func(fleet *balancer.Fleet) {
 		fleet.SetPeerInFlight(digest.Address, digest.InFlight, digest.Lifetime, now)
+		fleet.SetPeerChecksHealth(digest.Address, digest.ChecksHealth)
 		for _, placed := range digest.Placements {
 			fleet.RecordCached(placed.Replica, placed.Parts, now)
 		}
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -97,7 +97,7 @@
 	direct.peers.gossiper.SendVersion()
 	direct.fleet.With(func(fleet *balancer.Fleet) {
 		for _, service := range config.Services() {
-			fleet.SetWarmUp(service.Name, balancer.WarmUp{Span: service.ColdTime, Rate: service.ColdRate})
+			fleet.SetWarmUp(service.Name, balancer.WarmUp{Span: service.ColdTime, Rate: service.ColdRate, HealthPath: service.HealthPath})
 			if service.Engine != nil {
 				fleet.SetEngine(service.Name, engineOf(*service.Engine))
 			}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -118,6 +118,7 @@
 		chosen = fleet.withoutFetch(chosen)
 	}
 	chosen.running++
+	chosen.arrivals.add(1, arrivalHalfLife, now)
 	chosen.cold.spend(now)
 	chosen.health.startTrial(now)
 	chosen.statements.backoff.startTrial(now)
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -14,6 +14,8 @@
 	// Rate is how many requests per second a cold replica tolerates from all entries together;
 	// zero means any number.
 	Rate float64
+	// HealthPath is where a replica says how long it stays cold; "" means nowhere.
+	HealthPath string
 }
 
 const (
@@ -36,6 +38,9 @@
 	generation int
 }
 
+// count returns the number of entries, including this one.
+func (entries entries) count() int { return 1 + len(entries.peers) }
+
 // SetEntries sets which entries share the cold-start rate: this one and its peers, by names
 // that all entries use. Until the first call, cold replicas get no requests from this entry.
 //
@@ -117,10 +122,16 @@
 	rate float64
 }
 
+// allowedCold returns how many requests the operators allow all entries together to send to a
+// cold replica in a second.
+func (settings Settings) allowedCold(warmUp WarmUp) float64 {
+	return warmUp.Rate*settings.ColdRateFactor + settings.ColdSlack
+}
+
 // coldShareFor returns how entries share a cold replica. All users together, each with its
 // burst and its rate, stay within what the operators allow in any second.
 func (settings Settings) coldShareFor(warmUp WarmUp, entries int) coldShare {
-	allowed := warmUp.Rate*settings.ColdRateFactor + settings.ColdSlack
+	allowed := settings.allowedCold(warmUp)
 	users := min(entries, max(1, int(coldBurstShare*(allowed-warmUp.Rate)/coldBurst)))
 	return coldShare{users: users, rate: max(0, min(warmUp.Rate, allowed-coldBurst*float64(users))) / float64(users)}
 }
@@ -132,7 +143,7 @@
 	if fleet.entries.generation == 0 {
 		return false
 	}
-	share := fleet.settings.coldShareFor(fleet.warmUps[member.Service], 1+len(fleet.entries.peers))
+	share := fleet.settings.coldShareFor(fleet.warmUps[member.Service], fleet.entries.count())
 	cold := &member.cold
 	if cold.generation != fleet.entries.generation {
 		cold.assigned, cold.generation = fleet.entries.uses(member.key, share.users), fleet.entries.generation
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -352,7 +352,7 @@
 		for _, placement := range open {
 			fleet.End(placement, Served, now)
 		}
-		if held := fleet.InFlight(); len(held) > 0 {
+		if held := fleet.InFlight(now); len(held) > 0 {
 			t.Fatalf("still in flight after all requests ended: %v", held)
 		}
 	})
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -13,6 +13,9 @@
 	// PendingTokens is the number of uncached prompt tokens of the requests whose answer has
 	// not started.
 	PendingTokens int
+	// Rate is how many requests per second the entry sends there, in units of 1/RateScale; zero
+	// if its peers need not know it.
+	Rate int
 }
 
 // peerDigest is what a peer has in flight at all replicas.
@@ -24,6 +27,8 @@
 	// digest. For a peer's first digest, it is derived from the digest's lifetime.
 	receivedAt timekeeper.Instant
 	interval   timekeeper.Span
+	// checksHealth reports whether the peer checks replicas if it is selected.
+	checksHealth bool
 }
 
 // Key is a short hash of a replica's incarnation, for messages between entries. Two replicas of
@@ -50,6 +55,15 @@
 	fleet.dropExpired(now)
 }
 
+// SetPeerChecksHealth records, from a peer's last digest, whether the peer checks replicas if
+// it is selected.
+func (fleet *Fleet) SetPeerChecksHealth(peer string, checks bool) {
+	if digest, found := fleet.peers[peer]; found {
+		digest.checksHealth = checks
+		fleet.peers[peer] = digest
+	}
+}
+
 // addDigest adds a peer's digest to the totals of all peers, or subtracts it if sign is -1. A
 // choice looks at each engine: the totals take one look-up for each, the digests of all peers
 // hundreds.
@@ -58,6 +72,7 @@
 		sum := fleet.peersInFlight[key]
 		sum.Running += sign * inFlight.Running
 		sum.PendingTokens += sign * inFlight.PendingTokens
+		sum.Rate += sign * inFlight.Rate
 		if sum == (InFlight{}) {
 			delete(fleet.peersInFlight, key)
 			continue
@@ -97,12 +112,12 @@
 }
 
 // InFlight returns what this entry has in flight, by replica key.
-func (fleet *Fleet) InFlight() map[Key]InFlight {
+func (fleet *Fleet) InFlight(now timekeeper.Instant) map[Key]InFlight {
 	inFlight := make(map[Key]InFlight)
 	for _, member := range fleet.replicas {
-		pending := member.pendingUpTo(Priorities - 1)
-		if member.running > 0 || pending > 0 {
-			inFlight[member.key] = InFlight{Running: member.running, PendingTokens: pending}
+		held := InFlight{Running: member.running, PendingTokens: member.pendingUpTo(Priorities - 1), Rate: fleet.reportedRate(member, now)}
+		if held.Running > 0 || held.PendingTokens > 0 || held.Rate > 0 {
+			inFlight[member.key] = held
 		}
 	}
 	return inFlight
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -101,6 +101,10 @@
 	cache  *prefixCache
 	// running is the number of this entry's requests at the replica.
 	running int
+	// arrivals are this entry's recent requests to the replica; see ownRate.
+	arrivals decaying
+	// checked reports whether this entry checks the replica; see StartHealthChecks.
+	checked bool
 	// pendingTokens are the uncached prompt tokens of this entry's requests whose answer has
 	// not started, by priority.
 	pendingTokens [Priorities]int
--- a/internal/gossiper/digest.go
+++ b/internal/gossiper/digest.go
@@ -17,8 +17,10 @@
 	// Address is the peer's address, for datagrams and for connections.
 	Address string
 	// Lifetime is how long the digest is valid.
-	Lifetime      timekeeper.Span
-	InFlight      map[balancer.Key]balancer.InFlight
+	Lifetime timekeeper.Span
+	InFlight map[balancer.Key]balancer.InFlight
+	// ChecksHealth reports whether the peer checks the health of replicas if it is selected.
+	ChecksHealth  bool
 	Configuration uint64
 	// StoreAnswered is when the store answered the peer last; zero means never.
 	StoreAnswered timekeeper.Instant
@@ -74,13 +76,17 @@
 		Address: address, Configuration: message.Configuration, Stopping: message.Stopping,
 		Lifetime: min(max(minLifetime, lifetimeIntervals*timekeeper.Span(message.IntervalMs)), lifetimeIntervals*maxInterval),
 		InFlight: make(map[balancer.Key]balancer.InFlight, len(message.Replicas)), Unreachable: message.Unreachable,
-		LeaveAnnounced: message.LeaveAnnounced, StoreEra: message.StoreEra,
+		LeaveAnnounced: message.LeaveAnnounced, StoreEra: message.StoreEra, ChecksHealth: message.ChecksHealth,
 	}
 	if message.StoreAgeMs > 0 {
 		digest.StoreAnswered = now.Add(-timekeeper.Span(message.StoreAgeMs))
 	}
 	for i := range min(len(message.Replicas), len(message.Running), len(message.Unread)) {
-		digest.InFlight[balancer.Key(message.Replicas[i])] = balancer.InFlight{Running: int(message.Running[i]), PendingTokens: int(message.Unread[i])}
+		held := balancer.InFlight{Running: int(message.Running[i]), PendingTokens: int(message.Unread[i])}
+		if i < len(message.Rates) {
+			held.Rate = int(message.Rates[i])
+		}
+		digest.InFlight[balancer.Key(message.Replicas[i])] = held
 	}
 	for _, placed := range message.Placements {
 		placement := Placement{Replica: balancer.Key(placed.Replica)}
@@ -139,7 +145,7 @@
 	return last != nil && last.Configuration == next.Configuration && last.Stopping == next.Stopping && last.StoreEra == next.StoreEra &&
 		last.StoreFailing == next.StoreFailing && sameDataCentres(last.Evacuations, next.Evacuations) &&
 		slices.Equal(last.Replicas, next.Replicas) && slices.Equal(last.Running, next.Running) &&
-		slices.Equal(last.Unread, next.Unread)
+		slices.Equal(last.Unread, next.Unread) && slices.Equal(last.Rates, next.Rates) && last.ChecksHealth == next.ChecksHealth
 }
 
 // sameDataCentres reports whether the same data centres are evacuated; versions may differ.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -29,7 +29,7 @@
 const urgentInterval = 15 * timekeeper.Millisecond
 
 // Settings set up a gossiper. All fields but Budget, StoreFailing, ListSummary,
-// Evacuations, StoreEras and Retention must be set.
+// Evacuations, StoreEras, Retention and ChecksHealth must be set.
 type Settings struct {
 	Incarnation uint64
 	// DataCentre is the data centre in which the entry runs.
@@ -61,6 +61,9 @@
 	// Retention returns what this entry holds against the store since its return. Nil means
 	// nothing.
 	Retention func() balancer.Retention
+	// ChecksHealth reports whether this entry checks the health of replicas if it is selected.
+	// Nil means that it never does.
+	ChecksHealth func() bool
 	// OnDigest is called with each new digest of a peer.
 	OnDigest func(digest Digest)
 	// Budget is in bytes a second; zero means 7,700.
@@ -106,6 +109,9 @@
 	if settings.Retention == nil {
 		settings.Retention = func() balancer.Retention { return balancer.Retention{} }
 	}
+	if settings.ChecksHealth == nil {
+		settings.ChecksHealth = func() bool { return false }
+	}
 	return &Gossiper{
 		settings: settings, wakeups: make(chan struct{}, 1),
 		outbox: newOutbox(), peers: newPeers(settings.Conn.LocalAddr().String()), interval: minInterval,
@@ -299,12 +305,14 @@
 	evacuations, hasEvacuations := gossiper.settings.Evacuations()
 	era, _ := gossiper.settings.StoreEras()
 	retention := encodeRetention(gossiper.settings.Retention())
+	checksHealth := gossiper.settings.ChecksHealth()
 	now := gossiper.settings.Clock.Now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	digest := &encoder.PeerDigest{
 		Incarnation: gossiper.settings.Incarnation, Configuration: version, StoreFailing: failing,
 		IntervalMs: uint32(max(gossiper.interval, idleInterval)), Stopping: gossiper.stopping, StoreEra: era,
+		ChecksHealth: checksHealth && !gossiper.stopping,
 	}
 	if hasEvacuations {
 		digest.Evacuations = encodeEvacuations(evacuations)
@@ -322,7 +330,7 @@
 	full := &encoder.PeerDigest{
 		Incarnation: digest.Incarnation, Sequence: gossiper.sequence, IntervalMs: digest.IntervalMs,
 		Configuration: version, Stopping: digest.Stopping, StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
-		Replicas: digest.Replicas, Running: digest.Running, Unread: digest.Unread,
+		Replicas: digest.Replicas, Running: digest.Running, Unread: digest.Unread, Rates: digest.Rates, ChecksHealth: digest.ChecksHealth,
 		DataCentre: DataCentreKey(gossiper.settings.DataCentre), StoreFailing: failing, Evacuations: digest.Evacuations,
 		StoreEra: era, Retention: retention,
 	}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -75,7 +75,8 @@
 	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
 	first, second := newTestEntry(t, 1, clock.Clock()), newTestEntry(t, 2, clock.Clock())
 	first.AddPeer(second.address())
-	first.inFlight[balancer.KeyOf("planner-1")] = balancer.InFlight{Running: 3, PendingTokens: 9200}
+	first.inFlight[balancer.KeyOf("planner-1")] = balancer.InFlight{Running: 3, PendingTokens: 9200, Rate: 250}
+	first.settings.ChecksHealth = func() bool { return true }
 	parts := []balancer.Part{{ID: 1 << 60, Tokens: 2500}, {ID: 2, Tokens: 580}}
 	first.SendPlacement(balancer.KeyOf("planner-1"), parts, false)
 	first.SendPlacement(balancer.KeyOf("planner-2"), parts, true)
@@ -90,7 +91,8 @@
 		So(digest.Address, ShouldEqual, first.address())
 		So(digest.Configuration, ShouldEqual, 7)
 		So(digest.StoreAnswered, ShouldEqual, clock.Now().Add(-250))
-		So(digest.InFlight, ShouldResemble, map[balancer.Key]balancer.InFlight{balancer.KeyOf("planner-1"): {Running: 3, PendingTokens: 9200}})
+		So(digest.InFlight, ShouldResemble, map[balancer.Key]balancer.InFlight{balancer.KeyOf("planner-1"): {Running: 3, PendingTokens: 9200, Rate: 250}})
+		So(digest.ChecksHealth, ShouldBeTrue)
 		So(digest.Placements, ShouldResemble, []Placement{
 			{Replica: balancer.KeyOf("planner-2"), Parts: parts[:1]},
 			{Replica: balancer.KeyOf("planner-1"), Parts: parts},
@@ -334,3 +336,18 @@
 		So(second.wait(t, count)[count-1].Cold, ShouldNotBeEmpty)
 	})
 }
+
+func TestADigestWithoutRates(t *testing.T) {
+	// Guards against requests in flight that are lost where an older entry reports no rates.
+	message := &encoder.PeerDigest{Incarnation: 1, Replicas: []uint32{1, 2}, Running: []uint32{3, 4}, Unread: []uint32{0, 9}}
+	Convey("what is in flight counts", t, func() {
+		digest := decodeDigest(message, "10.0.0.1:7000", 0, 0)
+		So(digest.InFlight, ShouldResemble, map[balancer.Key]balancer.InFlight{1: {Running: 3}, 2: {Running: 4, PendingTokens: 9}})
+		So(digest.ChecksHealth, ShouldBeFalse)
+	})
+	Convey("rates that are all zero take no bytes", t, func() {
+		digest := &encoder.PeerDigest{}
+		fillInFlight(digest, map[balancer.Key]balancer.InFlight{1: {Running: 3}})
+		So(digest.Rates, ShouldBeEmpty)
+	})
+}
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -231,6 +231,10 @@
 		digest.Replicas = append(digest.Replicas, uint32(key))
 		digest.Running = append(digest.Running, uint32(max(0, inFlight[key].Running)))
 		digest.Unread = append(digest.Unread, uint32(max(0, inFlight[key].PendingTokens)))
+		digest.Rates = append(digest.Rates, uint32(max(0, inFlight[key].Rate)))
+	}
+	if !slices.ContainsFunc(digest.Rates, func(rate uint32) bool { return rate > 0 }) {
+		digest.Rates = nil
 	}
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -103,19 +103,21 @@
 // target returns the connection target for a replica. Entries share the connections that a
 // replica accepts; each entry takes at most a sixth, so that six entries can do so at once.
 func (task *task) target(replica balancer.Replica) connector.Target {
-	target := connector.Target{Key: replica.ID, Address: replica.Address}
-	target.MaxConnections = task.maxConnections()
-	return target
+	return connector.Target{Key: replica.ID, Address: replica.Address, MaxConnections: task.maxConnections()}
 }
 
 // maxConnections returns how many connections this entry may have to one replica
 // of the service; zero means no limit.
 func (task *task) maxConnections() int {
-	service, found := task.config.Service(task.service)
+	return task.entry.maxConnections(task.config, task.service)
+}
+
+func (entry *Entry) maxConnections(config *router.Configuration, name string) int {
+	service, found := config.Service(name)
 	if !found || service.Connections <= 0 {
 		return 0
 	}
-	return max(1, service.Connections/max(minConnectionShares, task.entry.settings.Shares()))
+	return max(1, service.Connections/max(minConnectionShares, entry.settings.Shares()))
 }
 
 // minConnectionShares is the least number of shares into which the connections of a replica
--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -65,6 +65,10 @@
 	Encoded bool
 	// Load is nil when the replica does not report it.
 	Load *balancer.LoadReport
+	// Replica is the ID that the replica states, or "".
+	Replica string
+	// ColdFor is how much longer the replica says that it is cold; zero if it doesn't say so.
+	ColdFor timekeeper.Span
 }
 
 // Dialect translates between HTTP messages and the types of this package. All
@@ -74,6 +78,8 @@
 	ReadCall func(r *http.Request) (Call, error)
 	// Dispatch returns the header of a request to a replica.
 	Dispatch func(r *http.Request, dispatch Dispatch) http.Header
+	// CheckHealth returns the header of a health check of a replica.
+	CheckHealth func(replica string) http.Header
 	// ReadHead parses the head of a replica's answer.
 	ReadHead func(status int, header http.Header) Head
 	// CopyAnswer copies a replica's header to the answer for the caller.
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -30,7 +30,7 @@
 }
 
 // Settings set up an entry. All fields but OnPlacement, OnUnreachable, OnStrike,
-// OnLeaveAnnounced and TooManyConnections must be set.
+// OnLeaveAnnounced, OnCold and TooManyConnections must be set.
 type Settings struct {
 	Clock   timekeeper.Clock
 	Log     logrus.FieldLogger
@@ -62,6 +62,9 @@
 	// replica leaves, unless this entry has received that announcement before, also
 	// through a peer.
 	OnLeaveAnnounced func(incarnation string)
+	// OnCold is called when an answer states that a replica is cold until a time, unless this
+	// entry knows that.
+	OnCold func(replica balancer.Replica, until timekeeper.Instant)
 	// Seed seeds the draws of traffic splits, load shedding and Retry-After delays.
 	Seed uint64
 }
@@ -101,6 +104,9 @@
 	if settings.OnLeaveAnnounced == nil {
 		settings.OnLeaveAnnounced = func(string) {}
 	}
+	if settings.OnCold == nil {
+		settings.OnCold = func(balancer.Replica, timekeeper.Instant) {}
+	}
 	if settings.OnStrike == nil {
 		settings.OnStrike = func(uint64, string) {}
 	}
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -79,6 +79,12 @@
 	meters.scope.Tagged(tags).Counter("statements").Inc(1)
 }
 
+// countHealthCheck counts a health check by its outcome.
+func (meters *meters) countHealthCheck(service, outcome string) {
+	tags := map[string]string{labelService: meters.service(service), "outcome": outcome}
+	meters.scope.Tagged(tags).Counter("health-checks").Inc(1)
+}
+
 // countRetry counts a retry, or one that the exhausted retry budget denies.
 func (meters *meters) countRetry(service string, allowed bool) {
 	name := "retries"
--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -32,6 +32,8 @@
 	// requests per second it tolerates during that time; zero means no limit.
 	ColdTime timekeeper.Span
 	ColdRate float64
+	// HealthPath is where replicas answer health checks; "" means nowhere.
+	HealthPath string
 }
 
 // Team is the holder of a key.
--- a/internal/simulator/run.go
+++ b/internal/simulator/run.go
@@ -122,7 +122,7 @@
 // sendDigests sends each entry's requests in flight and new placements to its peers.
 func (run *run) sendDigests(now float64) {
 	for i, from := range run.entries {
-		inFlight, placements := from.fleet.InFlight(), from.unreported
+		inFlight, placements := from.fleet.InFlight(instant(now)), from.unreported
 		from.unreported = nil
 		for j, to := range run.entries {
 			if i == j {
