balancer: what a replica got in the second before counts against its cold rate

What callers could see: a replica that serves more than it tolerates cold turns cold, and all entries know it after 150 ms. It has 15 requests by then; the cold rate, used from that moment, admits twelve more within the same second, and the 24th crashes it.

Cause: a request to a warm replica left the bucket of the cold rate empty, not in debt, so the sum of both parts in one second was not bounded. It left 12/(R - 11) s to learn of the turn at R requests a second, 135 ms at 100.

Change: where the fleet sends a replica more than it tolerates cold, an entry's bucket starts short by one second of its share. There are now 23/R s to learn of the turn, 230 ms at 100.

TestEngineThatIsKnownToBeColdLate: 26 of 23 without the change, held with it.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -119,7 +119,7 @@
 	}
 	chosen.running++
 	chosen.arrivals.add(1, arrivalHalfLife, now)
-	chosen.cold.spend(now)
+	fleet.spendCold(chosen.replica, now)
 	chosen.health.startTrial(now)
 	chosen.statements.backoff.startTrial(now)
 	chosen.pendingTokens[request.Priority] += chosen.uncached
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -58,13 +58,17 @@
 type coldAllowance struct {
 	// until is when the replica is warm.
 	until timekeeper.Instant
-	// level is how many requests may be sent, as of the time at.
+	// level is how many requests may be sent, as of the time at. It is negative if what was sent
+	// before leaves no room for more.
 	level float64
 	at    timekeeper.Instant
 	// assigned reports whether this entry is one of those that use the replica, as of a
 	// generation of the entries.
 	assigned   bool
 	generation int
+	// turned is set while the replica has turned cold and this entry has not yet wanted to use
+	// it since.
+	turned bool
 }
 
 // warmAtTolerance is how much two readings of the end of the same cold period may differ,
@@ -76,6 +80,7 @@
 func (member *replica) markCold(until timekeeper.Instant) bool {
 	changed := until > member.cold.until.Add(warmAtTolerance)
 	member.cold.until = max(member.cold.until, until)
+	member.cold.turned = member.cold.turned || changed
 	return changed
 }
 
@@ -104,14 +109,26 @@
 	return now < member.cold.until && fleet.warmUps[member.Service].Rate > 0
 }
 
-// spend takes one request out of the bucket. A request to a warm replica leaves the bucket
-// empty: if the replica turns cold, the requests that it has just got count too.
-func (cold *coldAllowance) spend(now timekeeper.Instant) {
+// spendCold takes one request out of a replica's bucket. A request to a warm replica leaves the
+// bucket empty: if the replica turns cold, the requests that it has just got count too. Those of
+// a second may be all that it tolerates; see chargeCold.
+func (fleet *Fleet) spendCold(member *replica, now timekeeper.Instant) {
+	cold := &member.cold
 	if now < cold.until {
 		cold.level = max(0, cold.level-coldBurst)
 		return
 	}
 	cold.level, cold.at = 0, now
+	fleet.chargeCold(member, now)
+}
+
+// chargeCold takes what is added to a replica's bucket in a second out of it if all entries send
+// the replica more than it tolerates cold.
+func (fleet *Fleet) chargeCold(member *replica, now timekeeper.Instant) {
+	if tolerated := fleet.toleratedCold(member); tolerated > 0 && fleet.rate(member, now) > tolerated {
+		share := fleet.settings.coldShareFor(fleet.warmUps[member.Service], fleet.entries.count())
+		member.cold.level, member.cold.at = min(member.cold.level, -share.rate), now
+	}
 }
 
 // coldShare is how entries share the tolerated rate of a cold replica: users entries use the
@@ -155,6 +172,10 @@
 		// A random initial level lets the users of a replica start at different times.
 		cold.level, cold.at = coldBurst*fleet.random.Float64(), now
 	}
+	if cold.turned {
+		cold.turned = false
+		fleet.chargeCold(member, now)
+	}
 	cold.level = min(coldBurst, cold.level+share.rate*float64(now.Since(cold.at))/float64(timekeeper.Second))
 	cold.at = now
 	return cold.level >= coldBurst
--- a/internal/balancer/health_check_test.go
+++ b/internal/balancer/health_check_test.go
@@ -274,6 +274,32 @@
 	}
 }
 
+func TestEngineThatIsKnownToBeColdLate(t *testing.T) {
+	// Guards against a crash of a cold engine by the requests that its cold rate admits in the
+	// same second in which it got nearly all that it tolerates.
+	for _, entries := range []int{4, 12} {
+		Convey(fmt.Sprintf("%d entries", entries), t, func() {
+			for seed := range uint64(10) {
+				site := newCheckedSite(entries, seed)
+				site.muted = true
+				site.run(100, 2500)
+				site.turnCold()
+				site.run(100, 150)
+				for _, entry := range site.entries {
+					entry.MarkCold(site.engine.Key(), site.coldSince.Add(checkedWarmUp.Span))
+					// No other engine is left.
+					entry.MarkLeaving("planner-1", numbered(2))
+				}
+				before := len(site.arrivals)
+				site.run(100, 2*timekeeper.Second)
+				So(site.mostInASecond(), ShouldBeLessThanOrEqualTo, maxColdPerSecond)
+				// Cold engines are used while no other is left.
+				So(len(site.arrivals), ShouldBeGreaterThan, before)
+			}
+		})
+	}
+}
+
 func TestWhichReplicasAreChecked(t *testing.T) {
 	// Guards against checks of replicas that get little or take no work, by entries that are not
 	// selected, and against none where they are needed.
