storekeeper, imitator: the store tells its era, and writes may depend on it

The project's own interface to the store told nothing by which a process could know that the store came back from a copy, and its only condition, the version of a row, is given out again in a later era. The stand-in counts an era with each Restore. A store without the call still serves: nothing depends on the era there.

--- a/internal/imitator/platform.go
+++ b/internal/imitator/platform.go
@@ -48,6 +48,7 @@
 	rows            map[string]storekeeper.Row
 	objects         map[string][]byte
 	version         uint64
+	era             uint64
 	instances       []storekeeper.Instance
 	frozenInstances []storekeeper.Instance
 	windowStart     timekeeper.Instant
@@ -57,13 +58,13 @@
 
 // NewPlatform returns an empty, healthy platform.
 func NewPlatform(clock timekeeper.Clock) *Platform {
-	return &Platform{clock: clock, rows: map[string]storekeeper.Row{}, objects: map[string][]byte{}}
+	return &Platform{clock: clock, era: 1, rows: map[string]storekeeper.Row{}, objects: map[string][]byte{}}
 }
 
 // InProcess returns a storekeeper.Platform that calls the fake directly, without HTTP.
 func (platform *Platform) InProcess() storekeeper.Platform {
 	return storekeeper.Platform{
-		Table:     storekeeper.Table{Get: platform.getRow, Scan: platform.scan, Commit: platform.commit},
+		Table:     storekeeper.Table{Get: platform.getRow, Scan: platform.scan, Commit: platform.commit, Era: platform.readEra},
 		Objects:   storekeeper.Objects{Put: platform.put, Get: platform.get, List: platform.list},
 		Directory: storekeeper.Directory{List: platform.listInstances},
 	}
@@ -171,6 +172,11 @@
 	if platform.injectLoss(&platform.faults.LoseWrites) {
 		return storekeeper.ErrUnknown
 	}
+	for _, write := range writes {
+		if write.Era != 0 && write.Era != platform.era {
+			return storekeeper.ErrEra
+		}
+	}
 	for _, write := range writes {
 		if platform.rows[rowKey(write.Table, write.Key)].Version != write.Expect {
 			platform.counts.Conflicts++
@@ -187,6 +193,14 @@
 	return nil
 }
 
+func (platform *Platform) readEra(ctx context.Context) (uint64, error) {
+	if err := platform.enter(ctx, false); err != nil {
+		return 0, err
+	}
+	defer platform.mu.Unlock()
+	return platform.era, nil
+}
+
 func (platform *Platform) apply(write storekeeper.Write) {
 	key := rowKey(write.Table, write.Key)
 	if write.Delete {
--- a/internal/imitator/platform_http.go
+++ b/internal/imitator/platform_http.go
@@ -38,6 +38,10 @@
 		}
 		reply(w, struct{}{}, inProcess.Table.Commit(r.Context(), writes))
 	})
+	mux.HandleFunc("GET /table/era", func(w http.ResponseWriter, r *http.Request) {
+		era, err := inProcess.Table.Era(r.Context())
+		reply(w, era, err)
+	})
 	mux.HandleFunc("PUT /object", func(w http.ResponseWriter, r *http.Request) {
 		reply(w, struct{}{}, putBody(r, inProcess.Objects))
 	})
@@ -89,6 +93,8 @@
 		w.WriteHeader(http.StatusNotFound)
 	case eris.Is(err, storekeeper.ErrConflict):
 		w.WriteHeader(http.StatusConflict)
+	case eris.Is(err, storekeeper.ErrEra):
+		w.WriteHeader(http.StatusPreconditionFailed)
 	case eris.Is(err, storekeeper.ErrBusy):
 		w.WriteHeader(http.StatusTooManyRequests)
 	default:
--- a/internal/imitator/restore.go
+++ b/internal/imitator/restore.go
@@ -20,10 +20,11 @@
 	return Copy{rows: maps.Clone(platform.rows), objects: maps.Clone(platform.objects), version: platform.version}
 }
 
-// Restore replaces rows and objects by a copy. What was written since is gone, and the versions of
-// rows are given out again.
+// Restore replaces rows and objects by a copy. What was written since is gone, the versions of
+// rows are given out again, and a new era begins.
 func (platform *Platform) Restore(from Copy) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.rows, platform.objects, platform.version = maps.Clone(from.rows), maps.Clone(from.objects), from.version
+	platform.era++
 }
--- a/internal/storekeeper/meter.go
+++ b/internal/storekeeper/meter.go
@@ -109,6 +109,7 @@
 					return platform.Table.Scan(ctx, table, prefix, after, limit)
 				})
 			},
+			Era: meter.era(platform.Table.Era),
 			Commit: func(ctx context.Context, writes []Write) error {
 				_, err := metered(meter, causeOfWrites(writes), true, func() (struct{}, error) {
 					return struct{}{}, platform.Table.Commit(ctx, writes)
@@ -123,6 +124,16 @@
 	}
 }
 
+// era returns a metered read of the era. Only claims depend on it.
+func (meter *Meter) era(read func(ctx context.Context) (uint64, error)) func(ctx context.Context) (uint64, error) {
+	if read == nil {
+		return nil
+	}
+	return func(ctx context.Context) (uint64, error) {
+		return metered(meter, ForClaims, false, func() (uint64, error) { return read(ctx) })
+	}
+}
+
 func (meter *Meter) objects(objects Objects) Objects {
 	return Objects{
 		Put: func(ctx context.Context, name string, body []byte) error {
--- a/internal/storekeeper/platform.go
+++ b/internal/storekeeper/platform.go
@@ -16,6 +16,8 @@
 	// ErrBusy means that the store refused the call for its rate, or that the process's
 	// Meter held it back; nothing was done.
 	ErrBusy = eris.New("over the store's rate")
+	// ErrEra means that the store is in another era than a write expects; nothing was written.
+	ErrEra = eris.New("the store is in another era")
 	// ErrUnknown means that the call got no complete answer, or one with an unexpected
 	// status; a write may have taken effect.
 	ErrUnknown = eris.New("no answer from the store")
@@ -30,12 +32,15 @@
 }
 
 // Write is one change in a commit. Expect is the version that the row must have;
-// 0 means that the row must not exist.
+// 0 means that the row must not exist. Era is the era that the store must be in; 0 means any.
+// Versions of rows are given out again in a later era, so that a version alone may match by
+// chance.
 type Write struct {
 	Table  string `json:"table"`
 	Key    string `json:"key"`
 	Value  []byte `json:"value,omitempty"`
 	Expect uint64 `json:"expect"`
+	Era    uint64 `json:"era,omitempty"`
 	Delete bool   `json:"delete,omitempty"`
 }
 
@@ -46,9 +51,12 @@
 	// Scan returns up to limit rows, in key order, whose keys start with prefix and
 	// are greater than the key after.
 	Scan func(ctx context.Context, table, prefix, after string, limit int) ([]Row, error)
-	// Commit applies all writes or none; it returns ErrConflict if the version of any
-	// row is not the expected one.
+	// Commit applies all writes or none; it returns ErrEra if the era is not the expected one,
+	// and ErrConflict if the version of any row is not.
 	Commit func(ctx context.Context, writes []Write) error
+	// Era returns the era of the store. It is 1 at first, and one higher each time the store
+	// comes back from a copy that lacks the last seconds. Nil means that it never does.
+	Era func(ctx context.Context) (uint64, error)
 }
 
 // Objects is the object store. Objects are immutable.
--- a/internal/storekeeper/remote.go
+++ b/internal/storekeeper/remote.go
@@ -27,7 +27,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 8}
 	remote := remote{base: address, client: &http.Client{Transport: transport, Timeout: CallTimeout.Duration()}}
 	platform := Platform{
-		Table:     Table{Get: remote.getRow, Scan: remote.scan, Commit: remote.commit},
+		Table:     Table{Get: remote.getRow, Scan: remote.scan, Commit: remote.commit, Era: remote.era},
 		Objects:   Objects{Put: remote.put, Get: remote.get, List: remote.list},
 		Directory: Directory{List: remote.instances},
 	}
@@ -61,6 +61,12 @@
 	return err
 }
 
+func (remote remote) era(ctx context.Context) (uint64, error) {
+	var era uint64
+	err := remote.read(ctx, "/table/era", nil, &era)
+	return era, err
+}
+
 func (remote remote) put(ctx context.Context, name string, body []byte) error {
 	_, err := remote.call(ctx, http.MethodPut, "/object", url.Values{"name": {name}}, body)
 	return err
@@ -121,6 +127,8 @@
 		return ErrAbsent
 	case http.StatusConflict:
 		return ErrConflict
+	case http.StatusPreconditionFailed:
+		return ErrEra
 	case http.StatusTooManyRequests:
 		return ErrBusy
 	}
