claimer, runner, assembler: claims that the store has lost are written again before others are made

What callers saw: an order is run and answered. The store comes back from a copy without the claim of its key. A resend reaches another agent, which inserts a claim, wins, and runs the order again.

Cause: the row was the only owner of a key, and was taken for lasting. Ruled out: a condition that holds by chance (versions are given out again; the key's row was absent, so the condition was true), a late frame or a crash (the test has neither).

Change, each part a safeguard of its own: - An insertion depends on the era that its agent knows; in a later one it fails and writes nothing. - An agent that learns of a return holds back claims until the store has answered it for 10 s in that era. Calls with a key that it doesn't know are refused at once as not run, with the time that is left. The first to be done leaves a row, so that agents that start later don't wait. - Owners ask for the era each 2 s while they have claims that a copy may lack (20 s), and write those again. What was written again counts as new, for the next return. - Entries remember the claims under which they sent a request, for an owner that crashed, is paused or is cut off from the store. - A request starts within 8 s of an instant at which the store had its claim, and a key under which nothing started is claimed again before it is used: an owner that was paused meanwhile starts nothing under a claim that others may have made since.

Price: a read each 2 s by agents and entries with recent claims. TestStoreCallsMatchBudget has this question as an operation of its own; the calls of a burst of orders are as they were.

What can't be held is TestAKeyThatNobodyKnowsAfterTheStoreReturned in KNOWN-RED.txt: the owner and the entry that sent the request are both gone in the seconds that the store loses.

--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -24,6 +24,7 @@
 	// stopDelay is how long a stopping entry still accepts connections.
 	stopDelay timekeeper.Span
 	planners  planners
+	claims    *claimWitness
 }
 
 // EntryStatus is the content of an entry's status page.
@@ -57,6 +58,7 @@
 		return nil, nil, err
 	}
 	entry.record.SetHeartbeat(entry.aliveEvent)
+	entry.claims = newClaimWitness(entry.env)
 	entry.frontend = forwarder.New(forwarder.Settings{
 		Name:           settings.Name,
 		Site:           settings.Site,
@@ -70,6 +72,7 @@
 		AdapterHolders: entry.view.AdapterRoster,
 		Locate:         entry.view.Locate,
 		FindClaim:      entry.claimed,
+		OnClaimedRun:   entry.claims.witness.Add,
 		OnDigest:       entry.applyDigest,
 		OnUnreachable:  entry.view.RecordDialFailure,
 		Record:         entry.record.Record,
@@ -110,6 +113,7 @@
 	)
 	addLoop(rest, entry.watcher.Run)
 	addLoop(rest, entry.planners.run)
+	addLoop(rest, entry.claims.run)
 	addLoop(rest, func(ctx context.Context) { entry.announcer.run(ctx, entry.env.Clock) })
 	entry.control.addTo(rest)
 	entry.addAdmin(rest, handler.Show(entry.Status))
--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -78,6 +78,8 @@
 	insertTried bool
 	completed   bool
 	digest      uint64
+	// confirmedAt is an instant after which the store had the row; zero means never.
+	confirmedAt timekeeper.Instant
 }
 
 // Settings configure a Book. Name and Incarnation are required.
@@ -91,11 +93,18 @@
 	MaxKeys int
 }
 
+// defaultLifetime is the default of Settings.Lifetime.
+const defaultLifetime = 24 * timekeeper.Hour
+
 // Grace is how long other agents respect a claim after its expiry. An owner
 // starts no request after the expiry, and other agents take the row over only
 // after the grace, so their clocks may differ by up to Grace.
 const Grace = timekeeper.Hour
 
+// confirmedFor is how long a request may be granted under a key whose row was confirmed before:
+// its Run frame arrives within startWindow.
+const confirmedFor = 2 * timekeeper.Second
+
 // maxCompleted limits the completed runs that are not yet marked in the table.
 const maxCompleted = 1024
 
@@ -112,7 +121,7 @@
 // NewBook returns an empty book.
 func NewBook(settings Settings) *Book {
 	if settings.Lifetime == 0 {
-		settings.Lifetime = 24 * timekeeper.Hour
+		settings.Lifetime = defaultLifetime
 	}
 	if settings.MaxKeys == 0 {
 		settings.MaxKeys = 1 << 16
@@ -142,6 +151,10 @@
 	if verdict.Step == Refuse {
 		return verdict
 	}
+	if verdict.Step == Proceed && !record.minted && now.Since(record.confirmedAt) > confirmedFor {
+		// The store may have come back without the row.
+		verdict.Step = Insert
+	}
 	record.owner.Request = claim.Request
 	book.byRequest[claim.Request] = claim.Key
 	if verdict.Step == Insert {
@@ -213,10 +226,15 @@
 	}
 	switch result.Outcome {
 	case Won:
-		record.stage, record.insertTried = held, true
+		record.stage, record.insertTried, record.confirmedAt = held, true, result.At
 		return Verdict{Step: Proceed}
+	case Held:
+		record.stage = unconfirmed
+		delete(book.byRequest, claim.Request)
+		failure := classifier.New(classifier.StoreDown, "the store has come back from a copy, and claims that it lacks are being written again")
+		return refuse(failure.WithRetryAfter(result.RetryAfter))
 	case Lost:
-		return book.resolveLost(claim, record, result.Row)
+		return book.resolveLost(claim, record, result)
 	}
 	// The write may still take effect. No request has started, so the failure may
 	// report "not run". A later call at this agent inserts again and finds its own
@@ -227,14 +245,15 @@
 	return refuse(failure.WithRetryAfter(2 * timekeeper.Second))
 }
 
-// resolveLost applies a Lost result; row names another request or another
+// resolveLost applies a Lost result, whose row names another request or another
 // incarnation.
-func (book *Book) resolveLost(claim Claim, record *keyRecord, row Row) Verdict {
+func (book *Book) resolveLost(claim Claim, record *keyRecord, result Result) Verdict {
+	row := result.Row
 	own := row.Owner.Agent == book.settings.Name && row.Owner.Incarnation == book.settings.Incarnation
 	if own && record.insertTried && row.Fingerprint == claim.Fingerprint {
 		// The row is taken to be from an earlier insert for this record, whose outcome
 		// was unknown and under which no request has started.
-		record.stage, record.expires = held, row.Expires
+		record.stage, record.expires, record.confirmedAt = held, row.Expires, result.At
 		return Verdict{Step: Proceed}
 	}
 	delete(book.byRequest, claim.Request)
@@ -244,10 +263,18 @@
 		delete(book.records, claim.Key)
 		return refuse(forgottenFailure(row))
 	}
-	*record = keyRecord{
+	*record = foreignRecord(result)
+	return book.evaluate(record, claim)
+}
+
+// foreignRecord returns the record of a key that the row of a Lost result binds to another
+// incarnation.
+func foreignRecord(result Result) keyRecord {
+	row := result.Row
+	return keyRecord{
 		stage: foreign, owner: row.Owner, fingerprint: row.Fingerprint, expires: row.Expires, completed: row.Done, digest: row.Digest,
+		confirmedAt: result.At,
 	}
-	return book.evaluate(record, claim)
 }
 
 // forgottenFailure returns the failure for a row that names this incarnation and
@@ -272,6 +299,10 @@
 	if !now.Before(record.expires) {
 		return false
 	}
+	// If the store comes back without the row, other agents may claim the key after holdTime.
+	if !record.minted && now.Since(record.confirmedAt) > startWindow {
+		return false
+	}
 	record.stage = started
 	return true
 }
@@ -335,6 +366,54 @@
 	return rows
 }
 
+// RecentClaims returns the rows that this agent knows the store had at or after an instant:
+// those of its own keys, and those by which other agents own theirs.
+func (book *Book) RecentClaims(since timekeeper.Instant) []Row {
+	var rows []Row
+	for key, record := range book.records {
+		if !record.minted && record.confirmedAt != 0 && record.confirmedAt >= since {
+			rows = append(rows, rowOf(key, record))
+		}
+	}
+	return rows
+}
+
+// HasRecent reports whether there are claims that a copy of the store may lack.
+func (book *Book) HasRecent(now timekeeper.Instant) bool {
+	since := now.Add(-MaxLoss)
+	for _, record := range book.records {
+		if !record.minted && record.confirmedAt != 0 && record.confirmedAt >= since {
+			return true
+		}
+	}
+	return false
+}
+
+// Restored applies the result of writing a row of RecentClaims again. It reports false if
+// another request has claimed the key meanwhile, though a request has started under it here.
+func (book *Book) Restored(row Row, result Result) bool {
+	record := book.records[row.Key]
+	if record == nil || record.owner != row.Owner {
+		return true
+	}
+	switch result.Outcome {
+	case Won:
+		record.confirmedAt = max(record.confirmedAt, result.At)
+	case Lost:
+		if result.Row.Owner.Agent == record.owner.Agent && result.Row.Owner.Incarnation == record.owner.Incarnation {
+			// The row is that of an earlier request, under which nothing started.
+			record.confirmedAt = max(record.confirmedAt, result.At)
+			return true
+		}
+		if record.stage == started || record.stage == ended {
+			return false
+		}
+		delete(book.byRequest, record.owner.Request)
+		*record = foreignRecord(result)
+	}
+	return true
+}
+
 // TakeUnused returns the rows of keys under which no request has reached the
 // upstream, and removes their records so that none can start later.
 func (book *Book) TakeUnused() []Row {
--- a/internal/claimer/committer.go
+++ b/internal/claimer/committer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -21,12 +22,18 @@
 	Lost
 	// Unknown means that the store confirmed neither.
 	Unknown
+	// Held means that nothing was written, because the store has just come back from a copy.
+	Held
 )
 
 // Result is the outcome of one claim. If it is Lost, Row is the row in the table.
 type Result struct {
 	Outcome Outcome
 	Row     Row
+	// At is, if the claim is Won or Lost, an instant after which the store had the row.
+	At timekeeper.Instant
+	// RetryAfter is, if the claim is Held, the time until claims are written again.
+	RetryAfter timekeeper.Span
 }
 
 const (
@@ -51,12 +58,13 @@
 	table storekeeper.Table
 	now   func() timekeeper.Instant
 	queue chan pendingClaim
+	gate  *eraGate
 }
 
 // NewCommitter returns a committer. Unless Run runs, Claim blocks until its context
 // is done; Commit doesn't need Run.
 func NewCommitter(table storekeeper.Table, now func() timekeeper.Instant) *Committer {
-	return &Committer{table: table, now: now, queue: make(chan pendingClaim, maxGroup)}
+	return &Committer{table: table, now: now, queue: make(chan pendingClaim, maxGroup), gate: newEraGate(table, now)}
 }
 
 // Claim inserts a row in a group with those of concurrent callers and returns
@@ -112,40 +120,78 @@
 }
 
 // Commit inserts the rows, in one write where possible. After a conflict or a
-// lost answer it reads each row back to find its outcome.
+// lost answer it reads each row back to find its outcome. While the store may lack claims that
+// other agents have made, nothing is written.
 func (committer *Committer) Commit(ctx context.Context, rows []Row) []Result {
+	results, eraOver := committer.commit(ctx, rows)
+	if eraOver {
+		// All claims may have been written again since this process last asked for the era.
+		results, _ = committer.commit(ctx, rows)
+	}
+	return results
+}
+
+// commit inserts the rows in the era that this process knows. It reports whether the store is in
+// a later one; nothing is written then.
+func (committer *Committer) commit(ctx context.Context, rows []Row) ([]Result, bool) {
+	era, wait, err := committer.gate.admit(ctx)
+	switch {
+	case err != nil:
+		return sameResult(rows, Result{Outcome: Unknown}), false
+	case wait > 0:
+		return sameResult(rows, Result{Outcome: Held, RetryAfter: wait}), false
+	}
+	results := committer.commitIn(ctx, era, rows)
+	return results, slices.ContainsFunc(results, func(result Result) bool { return result.Outcome == Held })
+}
+
+func sameResult(rows []Row, result Result) []Result {
+	return slices.Repeat([]Result{result}, len(rows))
+}
+
+// commitIn inserts the rows in an era.
+func (committer *Committer) commitIn(ctx context.Context, era uint64, rows []Row) []Result {
 	results := make([]Result, len(rows))
+	uncertain := Result{Outcome: Unknown}
 	unresolved := make([]int, len(rows))
 	expect := make([]uint64, len(rows))
 	for i := range rows {
 		unresolved[i] = i
 	}
-	for range maxRounds {
-		err := committer.insert(ctx, rows, unresolved, expect)
+	for round := range maxRounds {
+		at := committer.now()
+		err := committer.insert(ctx, era, rows, unresolved, expect)
 		if err == nil {
 			for _, i := range unresolved {
-				results[i] = Result{Outcome: Won}
+				results[i] = Result{Outcome: Won, At: at}
 			}
 			return results
 		}
 		if eris.Is(err, storekeeper.ErrBusy) {
 			break
 		}
+		if eris.Is(err, storekeeper.ErrEra) {
+			committer.gate.forget(era)
+			if round == 0 {
+				uncertain = Result{Outcome: Held, RetryAfter: holdTime}
+			}
+			break
+		}
 		unresolved = committer.readBack(ctx, rows, unresolved, expect, results)
 		if len(unresolved) == 0 {
 			return results
 		}
 	}
 	for _, i := range unresolved {
-		results[i] = Result{Outcome: Unknown}
+		results[i] = uncertain
 	}
 	return results
 }
 
-func (committer *Committer) insert(ctx context.Context, rows []Row, unresolved []int, expect []uint64) error {
+func (committer *Committer) insert(ctx context.Context, era uint64, rows []Row, unresolved []int, expect []uint64) error {
 	writes := make([]storekeeper.Write, 0, len(unresolved))
 	for _, i := range unresolved {
-		write, err := rows[i].write(expect[i])
+		write, err := rows[i].write(expect[i], era)
 		if err != nil {
 			return err
 		}
@@ -164,6 +210,7 @@
 func (committer *Committer) readBack(ctx context.Context, rows []Row, unresolved []int, expect []uint64, results []Result) []int {
 	var retry []int
 	for _, i := range unresolved {
+		at := committer.now()
 		stored, err := committer.table.Get(ctx, Table, rows[i].Key)
 		if eris.Is(err, storekeeper.ErrAbsent) {
 			expect[i] = 0
@@ -179,35 +226,88 @@
 		case err != nil:
 			results[i] = Result{Outcome: Unknown}
 		case found.Owner == rows[i].Owner:
-			results[i] = Result{Outcome: Won}
+			results[i] = Result{Outcome: Won, At: at}
 		case committer.now().Since(found.Expires) > Grace:
 			expect[i] = found.Version
 			retry = append(retry, i)
 		default:
-			results[i] = Result{Outcome: Lost, Row: found}
+			results[i] = Result{Outcome: Lost, Row: found, At: at}
 		}
 	}
 	return retry
 }
 
+// Restore asks the store for its era and, if the store has come back from a copy since, writes
+// again the claims that it may lack. recent returns those that this process knows the store had
+// at or after an instant. It returns the claims and their results; those without a definite one
+// are written by the next Restore.
+func (committer *Committer) Restore(ctx context.Context, recent func(since timekeeper.Instant) []Row) ([]Row, []Result, error) {
+	if _, err := committer.gate.read(ctx); err != nil {
+		return nil, nil, err
+	}
+	era, since, pending := committer.gate.loss()
+	if !pending {
+		return nil, nil, nil
+	}
+	rows := recent(since)
+	results := make([]Result, 0, len(rows))
+	for group := range slices.Chunk(rows, maxGroup) {
+		results = append(results, committer.commitIn(ctx, era, group)...)
+	}
+	if !slices.ContainsFunc(results, func(result Result) bool { return result.Outcome != Won && result.Outcome != Lost }) {
+		committer.gate.endLoss(era)
+	}
+	return rows, results, nil
+}
+
+// RestoreFields returns the number of results of Restore by outcome, for logs.
+func RestoreFields(results []Result) map[string]any {
+	written, taken := 0, 0
+	for _, result := range results {
+		switch result.Outcome {
+		case Won:
+			written++
+		case Lost:
+			taken++
+		case Unknown, Held:
+		}
+	}
+	return map[string]any{"written": written, "taken": taken, "open": len(results) - written - taken}
+}
+
+// NeedsRestore reports whether Restore must be called though there are no recent claims: claims
+// are held back, or there are lost ones to write.
+func (committer *Committer) NeedsRestore() bool {
+	_, _, pending := committer.gate.loss()
+	return pending || committer.gate.held()
+}
+
+// EraUnknown reports whether the store has not told its era yet. Claims that are made before it
+// has can't be known to be lost.
+func (committer *Committer) EraUnknown() bool { return committer.gate.unknown() }
+
 // Mark records in the table that calls completed. It is best effort: if a mark is
 // lost, a caller gets "unknown" instead of "ran" once the owner is gone.
 func (committer *Committer) Mark(ctx context.Context, rows []Row) error {
+	if len(rows) == 0 {
+		return nil
+	}
+	era, err := committer.gate.current(ctx)
+	if err != nil {
+		return err
+	}
 	writes := make([]storekeeper.Write, 0, len(rows))
 	for _, row := range rows {
 		stored, err := committer.table.Get(ctx, Table, row.Key)
 		if err != nil {
 			return err
 		}
-		write, err := row.write(stored.Version)
+		write, err := row.write(stored.Version, era)
 		if err != nil {
 			return err
 		}
 		writes = append(writes, write)
 	}
-	if len(writes) == 0 {
-		return nil
-	}
 	return committer.table.Commit(ctx, writes)
 }
 
@@ -216,6 +316,10 @@
 // The deleted rows no longer bind their keys; without Sweep the table would keep a
 // row for each keyed call forever.
 func (committer *Committer) Sweep(ctx context.Context, after string, limit int) (int, error) {
+	era, err := committer.gate.current(ctx)
+	if err != nil {
+		return 0, err
+	}
 	rows, err := committer.table.Scan(ctx, Table, "", after, limit)
 	if err != nil {
 		return 0, err
@@ -224,7 +328,7 @@
 	for _, stored := range rows {
 		row, err := decode(stored)
 		if err == nil && committer.now().Since(row.Expires) > 2*Grace {
-			writes = append(writes, storekeeper.Write{Table: Table, Key: stored.Key, Expect: stored.Version, Delete: true})
+			writes = append(writes, storekeeper.Write{Table: Table, Key: stored.Key, Expect: stored.Version, Era: era, Delete: true})
 		}
 	}
 	if len(writes) == 0 {
--- a/internal/claimer/faults_test.go
+++ b/internal/claimer/faults_test.go
@@ -30,6 +30,8 @@
 	// disabled names a safeguard that is switched off to test that check finds the
 	// violations.
 	disabled string
+	// returns is nil in schedules in which the store never comes back from a copy.
+	returns *returns
 }
 
 // node is one agent incarnation.
@@ -57,6 +59,7 @@
 const (
 	offered = iota
 	writingClaim
+	resolving
 	granted
 	sent
 	lookingUp
@@ -81,7 +84,7 @@
 	simulation.agents[i] = &node{
 		name: name, incarnation: simulation.incarnations,
 		book:       NewBook(Settings{Name: name, Incarnation: simulation.incarnations}),
-		committer:  NewCommitter(simulation.platform.InProcess().Table, simulation.clock.Now),
+		committer:  NewCommitter(simulation.table(), simulation.clock.Now),
 		mint:       minter.New(name, simulation.incarnations, 0),
 		tombstones: map[string]bool{}, answers: map[string]string{},
 	}
@@ -190,16 +193,31 @@
 	if len(group) == 0 {
 		return
 	}
+	simulation.beforeCommit(agent)
 	results := agent.committer.Commit(context.Background(), rows)
-	for i, send := range group {
-		simulation.applyVerdict(send, agent.book.Resolve(send.claim, results[i]))
+	for _, send := range group {
+		send.stage = resolving
 	}
+	simulation.resolve(agent, func() {
+		for i, send := range group {
+			if send.stage == finished {
+				continue
+			}
+			simulation.applyVerdict(send, agent.book.Resolve(send.claim, results[i]))
+		}
+	})
 }
 
 // deliverRun delivers a Run frame immediately, later or never.
 func (simulation *simulation) deliverRun(send *send) {
 	agent, claim := send.agent, send.claim
-	deliver := func() {
+	simulation.beforeRun(send)
+	var deliver func()
+	deliver = func() {
+		if simulation.isPaused(agent) {
+			simulation.delayed = append(simulation.delayed, deliver)
+			return
+		}
 		if !simulation.isRunning(agent) || agent.answers[claim.Request] != "" {
 			return
 		}
@@ -207,6 +225,7 @@
 			agent.book.Abandon(claim.Request)
 			return
 		}
+		simulation.beforeStart(agent, claim)
 		if !agent.book.Start(claim.Request, simulation.clock.Now()) && simulation.disabled != "start" {
 			return
 		}
--- a/internal/claimer/release.go
+++ b/internal/claimer/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -17,25 +18,17 @@
 // row that stays has no other effect. It skips rows that another incarnation has
 // taken over or that are marked as done.
 func (committer *Committer) Release(ctx context.Context, rows []Row) error {
-	for len(rows) > 0 {
-		group := rows[:min(len(rows), maxGroup)]
-		rows = rows[len(group):]
-		var writes []storekeeper.Write
-		for _, row := range group {
-			stored, err := committer.table.Get(ctx, Table, row.Key)
-			if eris.Is(err, storekeeper.ErrAbsent) {
-				continue
-			}
-			if err != nil {
-				return err
-			}
-			found, err := decode(stored)
-			if err != nil {
-				return err
-			}
-			if found.Owner.Agent == row.Owner.Agent && found.Owner.Incarnation == row.Owner.Incarnation && !found.Done {
-				writes = append(writes, storekeeper.Write{Table: Table, Key: row.Key, Expect: found.Version, Delete: true})
-			}
+	if len(rows) == 0 {
+		return nil
+	}
+	era, err := committer.gate.current(ctx)
+	if err != nil {
+		return err
+	}
+	for group := range slices.Chunk(rows, maxGroup) {
+		writes, err := committer.releases(ctx, era, group)
+		if err != nil {
+			return err
 		}
 		if len(writes) == 0 {
 			continue
@@ -46,3 +39,25 @@
 	}
 	return nil
 }
+
+// releases returns the writes that delete rows, except for those that Release skips.
+func (committer *Committer) releases(ctx context.Context, era uint64, rows []Row) ([]storekeeper.Write, error) {
+	var writes []storekeeper.Write
+	for _, row := range rows {
+		stored, err := committer.table.Get(ctx, Table, row.Key)
+		if eris.Is(err, storekeeper.ErrAbsent) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		found, err := decode(stored)
+		if err != nil {
+			return nil, err
+		}
+		if found.Owner.Agent == row.Owner.Agent && found.Owner.Incarnation == row.Owner.Incarnation && !found.Done {
+			writes = append(writes, storekeeper.Write{Table: Table, Key: row.Key, Expect: found.Version, Era: era, Delete: true})
+		}
+	}
+	return writes, nil
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/trefoilseam/trefoilseam/internal/claimer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/minter"
@@ -181,6 +182,10 @@
 		return failure, false, false
 	}
 	dest.incarnation = incarnation
+	if call.claimsKey() {
+		owner := claimer.Owner{Agent: dest.replica.Name, Incarnation: incarnation, Request: call.id}
+		entry.settings.OnClaimedRun(claimer.RowKey(call.team, call.service, call.key), owner, offer.GetFingerprint())
+	}
 	err := stream.Write(encoder.Of(run))
 	return classifier.Failure{}, err == nil, err != nil
 }
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/trefoilseam/trefoilseam/internal/claimer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
@@ -41,6 +42,9 @@
 	// FindClaim returns the request that has claimed a key, by the key of its row;
 	// nil means that no key is ever claimed.
 	FindClaim func(ctx context.Context, rowKey string) (request string, found bool, err error)
+	// OnClaimedRun is called before a request is sent that has claimed its key, with the key of
+	// the claim's row; nil ignores it.
+	OnClaimedRun func(rowKey string, owner claimer.Owner, fingerprint uint64)
 	// OnDigest receives the digests that arrive with answers and refusals; nil
 	// drops them.
 	OnDigest func(digest *encoder.Digest)
@@ -65,6 +69,9 @@
 	if settings.FindClaim == nil {
 		settings.FindClaim = func(context.Context, string) (string, bool, error) { return "", false, nil }
 	}
+	if settings.OnClaimedRun == nil {
+		settings.OnClaimedRun = func(string, claimer.Owner, uint64) {}
+	}
 	if settings.OnDigest == nil {
 		settings.OnDigest = func(*encoder.Digest) {}
 	}
--- a/internal/forwarder/key_claim.go
+++ b/internal/forwarder/key_claim.go
@@ -16,6 +16,13 @@
 	claimRetry = timekeeper.Second
 )
 
+// claimsKey reports whether the call runs only under a claim in the store: it has a key of its
+// caller's own, and isn't idempotent.
+func (call call) claimsKey() bool {
+	_, minted := minter.Parse(call.key)
+	return call.key != "" && !call.idempotent && !minted
+}
+
 // checkKeyClaim returns KeyInProgress in place of err if err is a "not run" refusal
 // with RetryElsewhere and an earlier request has claimed the call's key. Otherwise
 // it returns err. Idempotent calls need no claim, and minted keys have no row, so
@@ -33,10 +40,7 @@
 // design size, where one call in ten has one.
 func (entry *Entry) checkKeyClaim(ctx context.Context, call call, err error) error {
 	answer := classifier.AnswerOf(classifier.Of(err).Kind)
-	if call.key == "" || call.idempotent || answer.Ran != classifier.RanNo || !answer.RetryElsewhere {
-		return err
-	}
-	if _, minted := minter.Parse(call.key); minted {
+	if !call.claimsKey() || answer.Ran != classifier.RanNo || !answer.RetryElsewhere {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout.Duration())
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilseam/trefoilseam/internal/claimer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
@@ -193,9 +194,43 @@
 	}
 	go agent.settings.Clock.Every(ctx, func() timekeeper.Span { return markInterval }, agent.markDone)
 	go agent.settings.Clock.Every(ctx, agent.sweepDelay, agent.sweep)
+	go agent.settings.Clock.Every(ctx, func() timekeeper.Span { return claimer.RestoreInterval }, agent.restoreClaims)
 	agent.keys.committer.Run(ctx)
 }
 
+// restoreClaims writes claims again that the store may have lost, if it came back from a copy.
+// An agent whose claims are all old enough to be in each copy asks nothing.
+func (agent *Agent) restoreClaims(ctx context.Context) {
+	agent.mu.Lock()
+	recent := agent.keys.book.HasRecent(agent.settings.Clock.Now())
+	agent.mu.Unlock()
+	if !recent && !agent.keys.committer.NeedsRestore() {
+		return
+	}
+	rows, results, err := agent.keys.committer.Restore(ctx, func(since timekeeper.Instant) []claimer.Row {
+		agent.mu.Lock()
+		defer agent.mu.Unlock()
+		return agent.keys.book.RecentClaims(since)
+	})
+	if err != nil {
+		agent.settings.Log.WithError(err).Info("store not asked for its era")
+		return
+	}
+	if len(rows) == 0 {
+		return
+	}
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	for i, row := range rows {
+		if !agent.keys.book.Restored(row, results[i]) {
+			agent.settings.Log.WithFields(logrus.Fields{
+				"request-id": row.Owner.Request, "owner": results[i].Row.Owner.Agent, "owner-request": results[i].Row.Owner.Request,
+			}).Error("key was claimed by another request while the store lacked its claim")
+		}
+	}
+	agent.settings.Log.WithFields(claimer.RestoreFields(results)).Info("claims written again after the store came back from a copy")
+}
+
 func (agent *Agent) markDone(ctx context.Context) {
 	agent.mu.Lock()
 	rows := agent.keys.book.TakeCompleted(maxMarks)
