integration, balancer, KNOWN-RED: what checks of engines hold, and what they don't

The named test of an engine that turns cold before its heartbeat covers one way of the fault. Above some 100 requests a second with 24 entries, or if both entries that check an engine are killed at the moment at which it turns cold, no check is in time: listed with a test.

--- a/internal/balancer/health_check_test.go
+++ b/internal/balancer/health_check_test.go
@@ -391,3 +391,26 @@
 		So(changed, ShouldBeFalse)
 	})
 }
+
+func TestEngineThatTurnsColdBeyondWhatChecksCover(t *testing.T) {
+	// Guards against a crash of an engine that turns cold where no check is in time: it gets more
+	// in the time that a notice takes than it tolerates in a second, or both entries that check
+	// it are killed as it turns cold.
+	Convey("24 entries, 200 requests a second", t, func() {
+		site := newCheckedSite(24, 0)
+		site.run(200, 2700)
+		site.turnCold()
+		site.run(200, 1500)
+		So(site.mostInASecond(), ShouldBeLessThanOrEqualTo, maxColdPerSecond)
+	})
+	Convey("both checkers are killed as the engine turns cold", t, func() {
+		site := newCheckedSite(6, 0)
+		site.run(100, 2700)
+		for _, entry := range site.checkers() {
+			entry.down = true
+		}
+		site.turnCold()
+		site.run(100, 1500)
+		So(site.mostInASecond(), ShouldBeLessThanOrEqualTo, maxColdPerSecond)
+	})
+}
