claimer, runner: claims are refused before they wait for a slot, and a slow store ends the hold

While claims are held back after a return of the store, a keyed call waited for its slot and was refused then; what can't be served is refused at once. A store that takes over a second for an answer never ended the hold, since the time between two answers was over the limit and counted nothing; up to 2.5 s of it count now.

--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -231,8 +231,7 @@
 	case Held:
 		record.stage = unconfirmed
 		delete(book.byRequest, claim.Request)
-		failure := classifier.New(classifier.StoreDown, "the store has come back from a copy, and claims that it lacks are being written again")
-		return refuse(failure.WithRetryAfter(result.RetryAfter))
+		return refuse(HeldFailure(result.RetryAfter))
 	case Lost:
 		return book.resolveLost(claim, record, result)
 	}
@@ -245,6 +244,13 @@
 	return refuse(failure.WithRetryAfter(2 * timekeeper.Second))
 }
 
+// HeldFailure returns the failure of a call whose key can't be claimed yet, since the store has
+// come back from a copy.
+func HeldFailure(left timekeeper.Span) classifier.Failure {
+	failure := classifier.New(classifier.StoreDown, "the store has come back from a copy, and claims that it lacks are being written again")
+	return failure.WithRetryAfter(left)
+}
+
 // resolveLost applies a Lost result, whose row names another request or another
 // incarnation.
 func (book *Book) resolveLost(claim Claim, record *keyRecord, result Result) Verdict {
--- a/internal/claimer/committer.go
+++ b/internal/claimer/committer.go
@@ -171,7 +171,6 @@
 			break
 		}
 		if eris.Is(err, storekeeper.ErrEra) {
-			committer.gate.forget(era)
 			if round == 0 {
 				uncertain = Result{Outcome: Held, RetryAfter: holdTime}
 			}
@@ -191,7 +190,7 @@
 func (committer *Committer) insert(ctx context.Context, era uint64, rows []Row, unresolved []int, expect []uint64) error {
 	writes := make([]storekeeper.Write, 0, len(unresolved))
 	for _, i := range unresolved {
-		write, err := rows[i].write(expect[i], era)
+		write, err := rows[i].write(expect[i])
 		if err != nil {
 			return err
 		}
@@ -200,7 +199,7 @@
 	if committer.table.Commit == nil {
 		return storekeeper.ErrBusy
 	}
-	return committer.table.Commit(ctx, writes)
+	return committer.gate.write(ctx, era, writes)
 }
 
 // readBack reads the rows of unresolved claims. It returns the claims to insert
@@ -279,9 +278,13 @@
 // are held back, or there are lost ones to write.
 func (committer *Committer) NeedsRestore() bool {
 	_, _, pending := committer.gate.loss()
-	return pending || committer.gate.held()
+	return pending || committer.HeldFor() > 0
 }
 
+// HeldFor returns how much longer claims are held back, since the store has come back from a copy;
+// zero if they aren't, as far as this process knows.
+func (committer *Committer) HeldFor() timekeeper.Span { return committer.gate.heldFor() }
+
 // EraUnknown reports whether the store has not told its era yet. Claims that are made before it
 // has can't be known to be lost.
 func (committer *Committer) EraUnknown() bool { return committer.gate.unknown() }
@@ -302,13 +305,13 @@
 		if err != nil {
 			return err
 		}
-		write, err := row.write(stored.Version, era)
+		write, err := row.write(stored.Version)
 		if err != nil {
 			return err
 		}
 		writes = append(writes, write)
 	}
-	return committer.table.Commit(ctx, writes)
+	return committer.gate.write(ctx, era, writes)
 }
 
 // Sweep deletes, in one write, the claims that expired more than 2*Grace ago, and
@@ -328,11 +331,11 @@
 	for _, stored := range rows {
 		row, err := decode(stored)
 		if err == nil && committer.now().Since(row.Expires) > 2*Grace {
-			writes = append(writes, storekeeper.Write{Table: Table, Key: stored.Key, Expect: stored.Version, Era: era, Delete: true})
+			writes = append(writes, storekeeper.Write{Table: Table, Key: stored.Key, Expect: stored.Version, Delete: true})
 		}
 	}
 	if len(writes) == 0 {
 		return 0, nil
 	}
-	return len(writes), committer.table.Commit(ctx, writes)
+	return len(writes), committer.gate.write(ctx, era, writes)
 }
--- a/internal/claimer/era.go
+++ b/internal/claimer/era.go
@@ -26,9 +26,9 @@
 	// startWindow, so that nothing starts under a lost claim once others may claim its key, and
 	// long enough to write lost claims again.
 	holdTime = 10 * timekeeper.Second
-	// maxAnswerGap is the longest time between two answers of the store that counts towards
-	// holdTime: while it doesn't answer, no claims are written again.
-	maxAnswerGap = 3 * timekeeper.Second
+	// maxAnswerGap is how much of the time between two answers of the store counts towards
+	// holdTime at most: while it doesn't answer, no claims are written again.
+	maxAnswerGap = 2500 * timekeeper.Millisecond
 	// heldReadInterval is the minimum time between two questions that calls cause while claims
 	// are held back.
 	heldReadInterval = timekeeper.Second
@@ -103,9 +103,7 @@
 	defer gate.mu.Unlock()
 	if era <= gate.era {
 		if era == gate.era && !gate.over {
-			if gap := at.Since(gate.seenAt); gap > 0 && gap <= maxAnswerGap {
-				gate.answered += gap
-			}
+			gate.answered += min(max(0, at.Since(gate.seenAt)), maxAnswerGap)
 			gate.seenAt = max(gate.seenAt, at)
 		}
 		return false
@@ -163,12 +161,23 @@
 		}
 	}
 	gate.mu.Lock()
-	open, wait := gate.open, holdTime-gate.answered
-	gate.mu.Unlock()
-	if open {
+	defer gate.mu.Unlock()
+	if gate.open {
 		return era, 0, nil
 	}
-	return era, max(wait, timekeeper.Millisecond), nil
+	return era, gate.remaining(), nil
+}
+
+// write makes writes that depend on an era.
+func (gate *eraGate) write(ctx context.Context, era uint64, writes []storekeeper.Write) error {
+	for i := range writes {
+		writes[i].Era = era
+	}
+	err := gate.table.Commit(ctx, writes)
+	if eris.Is(err, storekeeper.ErrEra) {
+		gate.forget(era)
+	}
+	return err
 }
 
 // readDue reports whether claims are held back and the store was not asked of late.
@@ -178,19 +187,29 @@
 	return !gate.open && gate.now().Since(gate.seenAt) >= heldReadInterval
 }
 
-// held reports whether claims are held back, as far as this process knows.
-func (gate *eraGate) held() bool {
+// heldFor returns how much longer claims are held back, as far as this process knows; zero if
+// they aren't.
+func (gate *eraGate) heldFor() timekeeper.Span {
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
-	return gate.era != 0 && !gate.open
+	if gate.era == 0 || gate.open {
+		return 0
+	}
+	return gate.remaining()
+}
+
+// remaining returns how much longer the store must answer. The caller holds the lock.
+func (gate *eraGate) remaining() timekeeper.Span {
+	if gate.over {
+		return holdTime
+	}
+	return max(timekeeper.Millisecond, holdTime-gate.answered)
 }
 
 // settle opens the gate and tells processes that start later that claims have been written
 // again. It is best effort: they wait if the row is missing.
 func (gate *eraGate) settle(ctx context.Context, era uint64) {
-	_ = gate.table.Commit(ctx, []storekeeper.Write{{
-		Table: eraTable, Key: strconv.FormatUint(era, 10), Value: []byte("{}"), Era: era,
-	}})
+	_ = gate.write(ctx, era, []storekeeper.Write{{Table: eraTable, Key: strconv.FormatUint(era, 10), Value: []byte("{}")}})
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
 	gate.open = gate.open || gate.era == era && !gate.over
--- a/internal/claimer/release.go
+++ b/internal/claimer/release.go
@@ -26,14 +26,14 @@
 		return err
 	}
 	for group := range slices.Chunk(rows, maxGroup) {
-		writes, err := committer.releases(ctx, era, group)
+		writes, err := committer.releases(ctx, group)
 		if err != nil {
 			return err
 		}
 		if len(writes) == 0 {
 			continue
 		}
-		if err := committer.table.Commit(ctx, writes); err != nil {
+		if err := committer.gate.write(ctx, era, writes); err != nil {
 			return err
 		}
 	}
@@ -41,7 +41,7 @@
 }
 
 // releases returns the writes that delete rows, except for those that Release skips.
-func (committer *Committer) releases(ctx context.Context, era uint64, rows []Row) ([]storekeeper.Write, error) {
+func (committer *Committer) releases(ctx context.Context, rows []Row) ([]storekeeper.Write, error) {
 	var writes []storekeeper.Write
 	for _, row := range rows {
 		stored, err := committer.table.Get(ctx, Table, row.Key)
@@ -56,7 +56,7 @@
 			return nil, err
 		}
 		if found.Owner.Agent == row.Owner.Agent && found.Owner.Incarnation == row.Owner.Incarnation && !found.Done {
-			writes = append(writes, storekeeper.Write{Table: Table, Key: row.Key, Expect: found.Version, Era: era, Delete: true})
+			writes = append(writes, storekeeper.Write{Table: Table, Key: row.Key, Expect: found.Version, Delete: true})
 		}
 	}
 	return writes, nil
--- a/internal/claimer/row.go
+++ b/internal/claimer/row.go
@@ -40,9 +40,9 @@
 	}
 }
 
-func (row Row) write(expect, era uint64) (storekeeper.Write, error) {
+func (row Row) write(expect uint64) (storekeeper.Write, error) {
 	value, err := json.Marshal(row)
-	return storekeeper.Write{Table: Table, Key: row.Key, Value: value, Expect: expect, Era: era}, eris.Wrap(err, "encode claim")
+	return storekeeper.Write{Table: Table, Key: row.Key, Value: value, Expect: expect}, eris.Wrap(err, "encode claim")
 }
 
 func decode(stored storekeeper.Row) (Row, error) {
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -67,7 +67,9 @@
 	}
 	verdict, refused := agent.keys.book.Check(claim)
 	if !refused {
-		return classifier.Failure{}, false
+		// The call would wait for its slot in vain.
+		left := agent.keys.committer.HeldFor()
+		return claimer.HeldFailure(left), left > 0 && !claim.Minted
 	}
 	agent.recordOwner(claim.Request, verdict)
 	return verdict.Failure, true
