claimer: claims that become known after a return are written again, too

What callers would have seen: the store acknowledges a claim and comes back from a copy without it. Its owner writes its other claims again, and only then reads the acknowledgement, grants and runs. Nobody writes that claim any more, and after the hold a resend runs the key a second time.

Cause: a process wrote its claims again once, as soon as it learnt of the return. Found by reading; TestAClaimThatIsKnownAfterTheOwnerHasAsked ran the key twice in both its cases without the change.

Change: the writing is repeated, for claims that were not yet confirmed in the new era, until no request can start any more under a claim from before: 7 s, five for the Run frame and two for the answer of the store. With a pass each 2 s that ends before another agent's hold of 10 s.

--- a/internal/assembler/budget_test.go
+++ b/internal/assembler/budget_test.go
@@ -100,7 +100,7 @@
 		{"a poll", storekeeper.ForConfig, func(client storeClient, _ string) { _ = client.watcher.Poll(t.Context()) }, 1, 0},
 		{"the instance list", storekeeper.ForInstances, func(client storeClient, _ string) { _ = client.view.ReadList(t.Context()) }, 1, 0},
 		{"the era of the store, at the start and while there are recent claims", storekeeper.ForClaims, func(client storeClient, _ string) {
-			_, _, _ = client.committer.Restore(t.Context(), func(timekeeper.Instant) []claimer.Row { return nil })
+			_, _, _ = client.committer.Restore(t.Context(), func(_, _ timekeeper.Instant) []claimer.Row { return nil })
 		}, 1, 0},
 		{"64 orders in one burst", storekeeper.ForClaims, func(client storeClient, name string) {
 			client.committer.Commit(t.Context(), burst(name, orders, clock.Clock().Now()))
--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -372,12 +372,13 @@
 	return rows
 }
 
-// RecentClaims returns the rows that this agent knows the store had at or after an instant:
-// those of its own keys, and those by which other agents own theirs.
-func (book *Book) RecentClaims(since timekeeper.Instant) []Row {
+// RecentClaims returns the rows that this agent knows the store had at or after since, and not
+// that it had them at or after before: those of its own keys, and those by which other agents own
+// theirs.
+func (book *Book) RecentClaims(since, before timekeeper.Instant) []Row {
 	var rows []Row
 	for key, record := range book.records {
-		if !record.minted && record.confirmedAt != 0 && record.confirmedAt >= since {
+		if !record.minted && record.confirmedAt != 0 && record.confirmedAt >= since && record.confirmedAt < before {
 			rows = append(rows, rowOf(key, record))
 		}
 	}
--- a/internal/claimer/committer.go
+++ b/internal/claimer/committer.go
@@ -238,23 +238,24 @@
 
 // Restore asks the store for its era and, if the store has come back from a copy since, writes
 // again the claims that it may lack. recent returns those that this process knows the store had
-// at or after an instant. It returns the claims and their results; those without a definite one
-// are written by the next Restore.
-func (committer *Committer) Restore(ctx context.Context, recent func(since timekeeper.Instant) []Row) ([]Row, []Result, error) {
+// at or after one instant, and not that it had them at or after another. Restore returns the
+// claims and their results; those without a definite one are written by the next Restore.
+func (committer *Committer) Restore(ctx context.Context, recent func(since, before timekeeper.Instant) []Row) ([]Row, []Result, error) {
+	began := committer.now()
 	if _, err := committer.gate.read(ctx); err != nil {
 		return nil, nil, err
 	}
-	era, since, pending := committer.gate.loss()
-	if !pending {
+	loss := committer.gate.currentLoss()
+	if !loss.pending {
 		return nil, nil, nil
 	}
-	rows := recent(since)
+	rows := recent(loss.since, loss.learntAt)
 	results := make([]Result, 0, len(rows))
 	for group := range slices.Chunk(rows, maxGroup) {
-		results = append(results, committer.commitIn(ctx, era, group)...)
+		results = append(results, committer.commitIn(ctx, loss.era, group)...)
 	}
 	if !slices.ContainsFunc(results, func(result Result) bool { return result.Outcome != Won && result.Outcome != Lost }) {
-		committer.gate.endLoss(era)
+		committer.gate.endLoss(loss, began)
 	}
 	return rows, results, nil
 }
@@ -277,8 +278,7 @@
 // NeedsRestore reports whether Restore must be called though there are no recent claims: claims
 // are held back, or there are lost ones to write.
 func (committer *Committer) NeedsRestore() bool {
-	_, _, pending := committer.gate.loss()
-	return pending || committer.HeldFor() > 0
+	return committer.gate.currentLoss().pending || committer.HeldFor() > 0
 }
 
 // HeldFor returns how much longer claims are held back, since the store has come back from a copy;
--- a/internal/claimer/era.go
+++ b/internal/claimer/era.go
@@ -20,11 +20,11 @@
 	RestoreInterval = 2 * timekeeper.Second
 	// startWindow is how long after the store had a claim a request may start under it. It
 	// covers the answer of the store and the wait for the Run frame.
-	startWindow = 8 * timekeeper.Second
+	startWindow = 7 * timekeeper.Second
 	// holdTime is for how long the store must have answered an agent, after the agent has learnt
 	// that it came back from a copy, before the agent claims keys. It is longer than
-	// startWindow, so that nothing starts under a lost claim once others may claim its key, and
-	// long enough to write lost claims again.
+	// startWindow and RestoreInterval together, so that nothing starts under a lost claim once
+	// others may claim its key, and what has started is written again by then.
 	holdTime = 10 * timekeeper.Second
 	// maxAnswerGap is how much of the time between two answers of the store counts towards
 	// holdTime at most: while it doesn't answer, no claims are written again.
@@ -56,10 +56,17 @@
 	answered timekeeper.Span
 	// open reports whether claims may be written.
 	open bool
-	// lossPending is set while claims that the store had at or after lossSince may have to be
-	// written again.
-	lossPending bool
-	lossSince   timekeeper.Instant
+	// loss is what the store may lack.
+	loss loss
+}
+
+// loss is which claims a process may have to write again. The zero value means none.
+type loss struct {
+	pending bool
+	era     uint64
+	// The store may lack the claims that it had at or after since, and of which it is not known
+	// that it had them at or after learntAt, when this process learnt of the era.
+	since, learntAt timekeeper.Instant
 }
 
 func newEraGate(table storekeeper.Table, now func() timekeeper.Instant) *eraGate {
@@ -108,9 +115,10 @@
 		}
 		return false
 	}
-	if gate.era != 0 && !gate.lossPending {
-		gate.lossPending, gate.lossSince = true, gate.seenAt.Add(-MaxLoss)
+	if gate.era != 0 && !gate.loss.pending {
+		gate.loss = loss{pending: true, since: gate.seenAt.Add(-MaxLoss)}
 	}
+	gate.loss.era, gate.loss.learntAt = era, gate.now()
 	gate.era, gate.over, gate.seenAt, gate.answered, gate.open = era, false, at, 0, era == firstEra
 	return true
 }
@@ -222,19 +230,20 @@
 	return gate.era == 0
 }
 
-// loss returns the era, and since when claims may be missing in it; false if none are, as far as
-// this process knows.
-func (gate *eraGate) loss() (era uint64, since timekeeper.Instant, pending bool) {
+// currentLoss returns what the store may lack, as far as this process knows.
+func (gate *eraGate) currentLoss() loss {
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
-	return gate.era, gate.lossSince, gate.lossPending
+	return gate.loss
 }
 
-// endLoss records that this process has written its claims again in an era.
-func (gate *eraGate) endLoss(era uint64) {
+// endLoss records that this process has written again what the store lacked, in a pass that began
+// at the given instant. Until startWindow has passed, requests may still start under claims that
+// were made before the return.
+func (gate *eraGate) endLoss(ended loss, began timekeeper.Instant) {
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
-	if gate.era == era && !gate.over {
-		gate.lossPending = false
+	if gate.loss == ended && !gate.over && began.Since(ended.learntAt) >= startWindow {
+		gate.loss.pending = false
 	}
 }
--- a/internal/claimer/return_test.go
+++ b/internal/claimer/return_test.go
@@ -154,6 +154,37 @@
 	}
 }
 
+func TestAClaimThatIsKnownAfterTheOwnerHasAsked(t *testing.T) {
+	// Guards against a second run of a key whose claim the store acknowledged before a return,
+	// while its owner, or the entry, learnt of the claim only after it had written its others
+	// again.
+	tests := []struct {
+		name  string
+		after func(order *order)
+	}{
+		{"the owner lives", func(*order) {}},
+		{"the owner crashes then", func(order *order) { order.restart(0) }},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			order, copied := newOrder()
+			owner := order.agents[0]
+			claim := order.claim
+			claim.Request = "first"
+			row := owner.book.Claim(claim, order.clock.Now()).Row
+			results := owner.committer.Commit(t.Context(), []Row{row})
+			order.platform.Restore(copied)
+			order.pass(RestoreInterval)
+			So(owner.book.Resolve(claim, results[0]).Step, ShouldEqual, Proceed)
+			order.run(owner, "first")
+			So(order.byKey[claim.Key], ShouldEqual, 1)
+			test.after(order)
+			order.resend(order.agents[1])
+			So(order.byKey[claim.Key], ShouldEqual, 1)
+		})
+	}
+}
+
 func TestAGrantFromBeforeAReturn(t *testing.T) {
 	// Guards against a run under a claim that the store has lost and another agent has made
 	// since: the owner was paused between its grant and its start.
--- a/internal/claimer/returns_test.go
+++ b/internal/claimer/returns_test.go
@@ -72,7 +72,7 @@
 
 // resolve applies the results of a write: at once, or after a pause of the agent.
 func (simulation *simulation) resolve(agent *node, apply func()) {
-	if simulation.returns == nil || !simulation.returns.agentsFail || !simulation.chance(10) {
+	if simulation.returns == nil || !simulation.returns.agentsFail || !simulation.chance(15) {
 		apply()
 		return
 	}
@@ -96,6 +96,12 @@
 	simulation.returns.nextRestore[agent.committer] = until.Add(timekeeper.Span(simulation.random.IntN(int(RestoreInterval))))
 }
 
+// cutOff keeps an agent from asking the store for its era for a while. Late frames reach it.
+func (simulation *simulation) cutOff(agent *node) {
+	span := timekeeper.Span(simulation.random.IntN(40)) * timekeeper.Second
+	simulation.returns.nextRestore[agent.committer] = simulation.clock.Now().Add(span)
+}
+
 func (simulation *simulation) isPaused(agent *node) bool {
 	return simulation.returns != nil && simulation.clock.Now() < simulation.returns.pausedUntil[agent]
 }
@@ -157,7 +163,7 @@
 			number := round / roundsPerSend
 			simulation.sends = append(simulation.sends, &send{
 				agent: simulation.agents[simulation.random.IntN(2)],
-				claim: Claim{Key: RowKey("team", "orders", fmt.Sprint(number/4%keys)), Request: fmt.Sprintf("request-%d", number), Fingerprint: 7},
+				claim: Claim{Key: RowKey("team", "orders", fmt.Sprint(number/12%keys)), Request: fmt.Sprintf("request-%d", number), Fingerprint: 7},
 			})
 		}
 		simulation.clock.Advance(timekeeper.Span(simulation.random.IntN(100)))
@@ -183,12 +189,14 @@
 	switch action := simulation.random.IntN(1000); {
 	case action < 4:
 		simulation.comeBack()
-	case action < 10:
+	case action < 14:
 		switch {
 		case !simulation.returns.agentsFail:
 			simulation.startEntry()
 		case simulation.chance(30):
 			simulation.restart(simulation.random.IntN(2))
+		case simulation.chance(50):
+			simulation.cutOff(agent)
 		default:
 			simulation.pause(agent)
 		}
@@ -198,9 +206,9 @@
 		simulation.platform.SetFaults(imitator.PlatformFaults{})
 	case action < 180:
 		simulation.returns.copies = append(simulation.returns.copies, timedCopy{Copy: simulation.platform.Copy(), at: simulation.clock.Now()})
-	case action < 210:
+	case action < 240:
 		simulation.deliverDelayed()
-	case action < 400:
+	case action < 450:
 		if !simulation.isPaused(agent) {
 			simulation.writeGroup(agent)
 		}
@@ -222,21 +230,19 @@
 	// of "not run" for a request that ran. Seeded schedules contain returns of the store from
 	// copies, one after the other, beside crashes and pauses of agents, lost frames, lost answers
 	// of the store, outages and resends. With a safeguard switched off some schedule must fail.
-	const schedules = 5000
+	const schedules, mostWithout = 5000, 20000
 	for seed := range uint64(schedules) {
 		if err := runReturnSchedule(seed, ""); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
 	}
 	for _, disabled := range []string{"hold", "restore", "witness", "window", "era"} {
-		failed := 0
-		for seed := range uint64(schedules) {
-			if runReturnSchedule(seed, disabled) != nil {
-				failed++
-			}
+		seed := uint64(0)
+		for seed < mostWithout && runReturnSchedule(seed, disabled) == nil {
+			seed++
 		}
-		t.Logf("without the safeguard %q: %d of %d schedules fail", disabled, failed, schedules)
-		if failed == 0 {
+		t.Logf("without the safeguard %q: schedule %d is the first to fail", disabled, seed)
+		if seed == mostWithout {
 			t.Errorf("no schedule fails without the safeguard %q", disabled)
 		}
 	}
--- a/internal/claimer/witness.go
+++ b/internal/claimer/witness.go
@@ -23,7 +23,9 @@
 
 type witnessed struct {
 	row Row
-	at  timekeeper.Instant
+	// at is when a request was sent under the claim, and confirmedAt an instant after which the
+	// store had the row that this process wrote; zero means that it wrote none.
+	at, confirmedAt timekeeper.Instant
 }
 
 // NewWitness returns a witness that knows no claims.
@@ -41,13 +43,14 @@
 	})
 }
 
-// RecentClaims returns the claims under which a request was sent at or after an instant.
-func (witness *Witness) RecentClaims(since timekeeper.Instant) []Row {
+// RecentClaims returns the claims that the store may have had at or after since, and of which this
+// process doesn't know that it had them at or after before.
+func (witness *Witness) RecentClaims(since, before timekeeper.Instant) []Row {
 	witness.mu.Lock()
 	defer witness.mu.Unlock()
 	var rows []Row
 	for _, claim := range witness.claims {
-		if claim.at >= since {
+		if max(claim.at, claim.confirmedAt) >= since && claim.confirmedAt < before {
 			rows = append(rows, claim.row)
 		}
 	}
@@ -62,9 +65,15 @@
 	}
 	witness.mu.Lock()
 	defer witness.mu.Unlock()
-	witness.claims = slices.DeleteFunc(witness.claims, func(claim witnessed) bool { return claim.row.Key == row.Key && claim.row.Owner == row.Owner })
+	at := slices.IndexFunc(witness.claims, func(claim witnessed) bool { return claim.row.Key == row.Key && claim.row.Owner == row.Owner })
+	if at < 0 {
+		return
+	}
+	restored := witness.claims[at]
+	witness.claims = slices.Delete(witness.claims, at, at+1)
 	if result.Outcome == Won {
-		witness.claims = append(witness.claims, witnessed{row: row, at: result.At})
+		restored.confirmedAt = result.At
+		witness.claims = append(witness.claims, restored)
 	}
 }
 
@@ -73,5 +82,9 @@
 	since := witness.now().Add(-MaxLoss)
 	witness.mu.Lock()
 	defer witness.mu.Unlock()
-	return len(witness.claims) > 0 && witness.claims[len(witness.claims)-1].at >= since
+	if len(witness.claims) == 0 {
+		return false
+	}
+	last := witness.claims[len(witness.claims)-1]
+	return max(last.at, last.confirmedAt) >= since
 }
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -209,10 +209,10 @@
 	if !recent && !agent.keys.committer.NeedsRestore() {
 		return
 	}
-	rows, results, err := agent.keys.committer.Restore(ctx, func(since timekeeper.Instant) []claimer.Row {
+	rows, results, err := agent.keys.committer.Restore(ctx, func(since, before timekeeper.Instant) []claimer.Row {
 		agent.mu.Lock()
 		defer agent.mu.Unlock()
-		return agent.keys.book.RecentClaims(since)
+		return agent.keys.book.RecentClaims(since, before)
 	})
 	if err != nil {
 		agent.settings.Log.WithError(err).Info("store not asked for its era")
