balancer, claimer: a replica whose start becomes known is checked on

A row that names its start later than its first changes the name of the replica between entries. An entry that was checking it ended its checks and never began others, since it still counted as checked. TestChecksOfAReplicaWhoseStartBecomesKnown: none due without the change, one with it.

claimer: a key that was claimed by another while the store lacked its claim is logged once.

--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -167,6 +167,7 @@
 	if row.StartedAt == 0 && row.Address != member.Address {
 		member.statements = replicaStatements{}
 	}
+	member.checked = member.checked && member.key == row.Key()
 	member.Replica, member.key = row, row.Key()
 	member.markCold(row.WarmAt)
 }
--- a/internal/balancer/health_check_test.go
+++ b/internal/balancer/health_check_test.go
@@ -414,3 +414,29 @@
 		So(site.mostInASecond(), ShouldBeLessThanOrEqualTo, maxColdPerSecond)
 	})
 }
+
+func TestChecksOfAReplicaWhoseStartBecomesKnown(t *testing.T) {
+	// Guards against a replica that nobody checks any more, since its name between entries has
+	// changed while it was checked.
+	fleet := New(coldSettings)
+	fleet.SetWarmUp("planner", checkedWarmUp)
+	list := replicasOf("planner", 1, 64)
+	fleet.SetReplicas(list, numbered(1))
+	fleet.SetEntries("10.0.0.1:7000", nil)
+	busy := func() {
+		for range 60 {
+			fleet.End(mustChoose(t, fleet, Request{Service: "planner"}, start), Served, start)
+		}
+	}
+	Convey("it is checked again", t, func() {
+		busy()
+		checks := fleet.StartHealthChecks(start)
+		So(checks, ShouldHaveLength, 1)
+		list[0].StartedAt = start - 5
+		fleet.SetReplicas(list, numbered(2))
+		busy()
+		_, again := fleet.NextHealthCheck(checks[0], start)
+		So(again, ShouldBeFalse)
+		So(fleet.StartHealthChecks(start), ShouldHaveLength, 1)
+	})
+}
--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -406,6 +406,7 @@
 	switch result.Outcome {
 	case Won:
 		record.confirmedAt = max(record.confirmedAt, result.At)
+	case Unknown, Held:
 	case Lost:
 		if result.Row.Owner.Agent == record.owner.Agent && result.Row.Owner.Incarnation == record.owner.Incarnation {
 			// The row is that of an earlier request, under which nothing started.
@@ -413,6 +414,7 @@
 			return true
 		}
 		if record.stage == started || record.stage == ended {
+			record.confirmedAt = max(record.confirmedAt, result.At)
 			return false
 		}
 		delete(book.byRequest, record.owner.Request)
