--- a/internal/balancer/health_check.go
+++ b/internal/balancer/health_check.go
@@ -80,8 +80,8 @@
 
 // healthCheck returns a check of a replica, and whether this entry must check the replica now.
 func (fleet *Fleet) healthCheck(member *replica, warmUp WarmUp, now timekeeper.Instant) (HealthCheck, bool) {
-	rate, tolerated := fleet.rate(member, now), fleet.toleratedCold(member)
-	if tolerated == 0 || rate <= checkedShare*tolerated || fleet.eligibility(member, now).Access != Open || !fleet.isChecker(member.key) {
+	rate, tolerated := fleet.rate(member, now), fleet.settings.allowedCold(warmUp)
+	if warmUp.Rate <= 0 || rate <= checkedShare*tolerated || fleet.eligibility(member, now).Access != Open || !fleet.isChecker(member.key) {
 		return HealthCheck{}, false
 	}
 	interval := timekeeper.Span(checkShare * tolerated / rate * float64(timekeeper.Second))
--- a/internal/storekeeper/budget.go
+++ b/internal/storekeeper/budget.go
@@ -25,7 +25,7 @@
 		return ForConfig
 	case "record", "segments":
 		return ForRecord
-	case "claims":
+	case "claims", "eras":
 		return ForClaims
 	case "strikes":
 		return ForStrikes
