claimer, gossiper, balancer: what is restored, settings and the simulated site in files of their own

Nothing changes but names and places: Restore and what it needs of the book, the settings of the gossiper, and the simulation of entries that check engines. Counts of restored claims have a type.

--- a/internal/assembler/claim_witness.go
+++ b/internal/assembler/claim_witness.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/trefoilseam/trefoilseam/internal/claimer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -44,5 +46,8 @@
 	for i, row := range rows {
 		claims.witness.Restored(row, results[i])
 	}
-	claims.env.Log.WithFields(claimer.RestoreFields(results)).Info("claims of agents written again after the store came back from a copy")
+	counts := claimer.CountRestored(results)
+	claims.env.Log.WithFields(logrus.Fields{
+		"written": counts.Written, "taken": counts.Taken, "open": counts.Open,
+	}).Info("claims of agents written again after the store came back from a copy")
 }
--- a/internal/claimer/book.go
+++ b/internal/claimer/book.go
@@ -244,13 +244,6 @@
 	return refuse(failure.WithRetryAfter(2 * timekeeper.Second))
 }
 
-// HeldFailure returns the failure of a call whose key can't be claimed yet, since the store has
-// come back from a copy.
-func HeldFailure(left timekeeper.Span) classifier.Failure {
-	failure := classifier.New(classifier.StoreDown, "the store has come back from a copy, and claims that it lacks are being written again")
-	return failure.WithRetryAfter(left)
-}
-
 // resolveLost applies a Lost result, whose row names another request or another
 // incarnation.
 func (book *Book) resolveLost(claim Claim, record *keyRecord, result Result) Verdict {
@@ -372,70 +365,6 @@
 	return rows
 }
 
-// RecentClaims returns the rows that this agent knows the store had at or after since, and not
-// that it had them at or after before: those of its own keys, and those by which other agents own
-// theirs.
-func (book *Book) RecentClaims(since, before timekeeper.Instant) []Row {
-	var rows []Row
-	for key, record := range book.records {
-		if !record.minted && record.confirmedAt != 0 && record.confirmedAt >= since && record.confirmedAt < before {
-			rows = append(rows, rowOf(key, record))
-		}
-	}
-	return rows
-}
-
-// HasRecent reports whether there are claims that a copy of the store may lack.
-func (book *Book) HasRecent(now timekeeper.Instant) bool {
-	since := now.Add(-MaxLoss)
-	for _, record := range book.records {
-		if !record.minted && record.confirmedAt != 0 && record.confirmedAt >= since {
-			return true
-		}
-	}
-	return false
-}
-
-// Restored applies the result of writing a row of RecentClaims again. It reports false if
-// another request has claimed the key meanwhile, though a request has started under it here.
-func (book *Book) Restored(row Row, result Result) bool {
-	record := book.records[row.Key]
-	if record == nil || record.owner != row.Owner {
-		return true
-	}
-	switch result.Outcome {
-	case Won:
-		record.confirmedAt = max(record.confirmedAt, result.At)
-	case Unknown, Held:
-	case Lost:
-		if result.Row.Owner.Agent == record.owner.Agent && result.Row.Owner.Incarnation == record.owner.Incarnation {
-			// The row is that of an earlier request, under which nothing started.
-			record.confirmedAt = max(record.confirmedAt, result.At)
-			return true
-		}
-		if record.stage == started || record.stage == ended {
-			record.confirmedAt = max(record.confirmedAt, result.At)
-			return false
-		}
-		delete(book.byRequest, record.owner.Request)
-		*record = foreignRecord(result)
-	}
-	return true
-}
-
-// TakeUnused returns the rows of keys under which no request has reached the
-// upstream, and removes their records so that none can start later.
-func (book *Book) TakeUnused() []Row {
-	var rows []Row
-	for key, record := range book.records {
-		if !record.minted && (record.stage == free || record.stage == unconfirmed) {
-			rows = append(rows, rowOf(key, record))
-			delete(book.records, key)
-		}
-	}
-	return rows
-}
-
 // makeRoom drops records that expired more than Grace ago. It then drops ended and
 // foreign keys, whose rows in the table still bind them, until seven eighths of
 // MaxKeys are left. It never drops an unexpired minted key, which has no row. It
--- a/internal/claimer/committer.go
+++ b/internal/claimer/committer.go
@@ -236,59 +236,6 @@
 	return retry
 }
 
-// Restore asks the store for its era and, if the store has come back from a copy since, writes
-// again the claims that it may lack. recent returns those that this process knows the store had
-// at or after one instant, and not that it had them at or after another. Restore returns the
-// claims and their results; those without a definite one are written by the next Restore.
-func (committer *Committer) Restore(ctx context.Context, recent func(since, before timekeeper.Instant) []Row) ([]Row, []Result, error) {
-	began := committer.now()
-	if _, err := committer.gate.read(ctx); err != nil {
-		return nil, nil, err
-	}
-	loss := committer.gate.currentLoss()
-	if !loss.pending {
-		return nil, nil, nil
-	}
-	rows := recent(loss.since, loss.learntAt)
-	results := make([]Result, 0, len(rows))
-	for group := range slices.Chunk(rows, maxGroup) {
-		results = append(results, committer.commitIn(ctx, loss.era, group)...)
-	}
-	if !slices.ContainsFunc(results, func(result Result) bool { return result.Outcome != Won && result.Outcome != Lost }) {
-		committer.gate.endLoss(loss, began)
-	}
-	return rows, results, nil
-}
-
-// RestoreFields returns the number of results of Restore by outcome, for logs.
-func RestoreFields(results []Result) map[string]any {
-	written, taken := 0, 0
-	for _, result := range results {
-		switch result.Outcome {
-		case Won:
-			written++
-		case Lost:
-			taken++
-		case Unknown, Held:
-		}
-	}
-	return map[string]any{"written": written, "taken": taken, "open": len(results) - written - taken}
-}
-
-// NeedsRestore reports whether Restore must be called though there are no recent claims: claims
-// are held back, or there are lost ones to write.
-func (committer *Committer) NeedsRestore() bool {
-	return committer.gate.currentLoss().pending || committer.HeldFor() > 0
-}
-
-// HeldFor returns how much longer claims are held back, since the store has come back from a copy;
-// zero if they aren't, as far as this process knows.
-func (committer *Committer) HeldFor() timekeeper.Span { return committer.gate.heldFor() }
-
-// EraUnknown reports whether the store has not told its era yet. Claims that are made before it
-// has can't be known to be lost.
-func (committer *Committer) EraUnknown() bool { return committer.gate.unknown() }
-
 // Mark records in the table that calls completed. It is best effort: if a mark is
 // lost, a caller gets "unknown" instead of "ran" once the owner is gone.
 func (committer *Committer) Mark(ctx context.Context, rows []Row) error {
--- a/internal/claimer/era.go
+++ b/internal/claimer/era.go
@@ -88,10 +88,10 @@
 		return 0, err
 	}
 	if gate.learn(era, asked) {
-		gate.openIfSettled(ctx, era)
+		gate.openIfRestored(ctx, era)
 	}
 	if gate.holdEnded() {
-		gate.settle(ctx, era)
+		gate.endHold(ctx, era)
 	}
 	return era, nil
 }
@@ -123,8 +123,8 @@
 	return true
 }
 
-// openIfSettled opens the gate if another process has found that an era is settled.
-func (gate *eraGate) openIfSettled(ctx context.Context, era uint64) {
+// openIfRestored opens the gate if another process has recorded that all claims have been written again in an era.
+func (gate *eraGate) openIfRestored(ctx context.Context, era uint64) {
 	if era == firstEra {
 		return
 	}
@@ -214,9 +214,9 @@
 	return max(timekeeper.Millisecond, holdTime-gate.answered)
 }
 
-// settle opens the gate and tells processes that start later that claims have been written
+// endHold opens the gate and tells processes that start later that claims have been written
 // again. It is best effort: they wait if the row is missing.
-func (gate *eraGate) settle(ctx context.Context, era uint64) {
+func (gate *eraGate) endHold(ctx context.Context, era uint64) {
 	_ = gate.write(ctx, era, []storekeeper.Write{{Table: eraTable, Key: strconv.FormatUint(era, 10), Value: []byte("{}")}})
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
--- a/internal/claimer/release.go
+++ b/internal/claimer/release.go
@@ -61,3 +61,16 @@
 	}
 	return writes, nil
 }
+
+// TakeUnused returns the rows of keys under which no request has reached the
+// upstream, and removes their records so that none can start later.
+func (book *Book) TakeUnused() []Row {
+	var rows []Row
+	for key, record := range book.records {
+		if !record.minted && (record.stage == free || record.stage == unconfirmed) {
+			rows = append(rows, rowOf(key, record))
+			delete(book.records, key)
+		}
+	}
+	return rows
+}
--- a/internal/runner/keys.go
+++ b/internal/runner/keys.go
@@ -230,7 +230,10 @@
 			}).Error("key was claimed by another request while the store lacked its claim")
 		}
 	}
-	agent.settings.Log.WithFields(claimer.RestoreFields(results)).Info("claims written again after the store came back from a copy")
+	counts := claimer.CountRestored(results)
+	agent.settings.Log.WithFields(logrus.Fields{
+		"written": counts.Written, "taken": counts.Taken, "open": counts.Open,
+	}).Info("claims written again after the store came back from a copy")
 }
 
 func (agent *Agent) markDone(ctx context.Context) {
