balancer: a replica whose service no longer names a health path is not checked any more

A check that ran as the configuration changed was followed by others, at an empty path. TestAServiceThatStopsAnsweringChecks: a check follows without the change, none with it.

--- a/internal/balancer/health_check.go
+++ b/internal/balancer/health_check.go
@@ -49,7 +49,7 @@
 	fleet.dropExpired(now)
 	var started []HealthCheck
 	for service, warmUp := range fleet.warmUps {
-		if warmUp.Rate <= 0 || warmUp.HealthPath == "" {
+		if !warmUp.checkable() {
 			continue
 		}
 		for _, member := range fleet.services[service] {
@@ -78,10 +78,13 @@
 	return check, due
 }
 
+// checkable reports whether replicas of the service have a limit in the cold, and say when they are.
+func (warmUp WarmUp) checkable() bool { return warmUp.Rate > 0 && warmUp.HealthPath != "" }
+
 // healthCheck returns a check of a replica, and whether this entry must check the replica now.
 func (fleet *Fleet) healthCheck(member *replica, warmUp WarmUp, now timekeeper.Instant) (HealthCheck, bool) {
 	rate, tolerated := fleet.rate(member, now), fleet.settings.allowedCold(warmUp)
-	if warmUp.Rate <= 0 || rate <= checkedShare*tolerated || fleet.eligibility(member, now).Access != Open || !fleet.isChecker(member.key) {
+	if !warmUp.checkable() || rate <= checkedShare*tolerated || fleet.eligibility(member, now).Access != Open || !fleet.isChecker(member.key) {
 		return HealthCheck{}, false
 	}
 	interval := timekeeper.Span(checkShare * tolerated / rate * float64(timekeeper.Second))
--- a/internal/balancer/health_check_test.go
+++ b/internal/balancer/health_check_test.go
@@ -129,6 +129,24 @@
 	}
 }
 
+func TestAServiceThatStopsAnsweringChecks(t *testing.T) {
+	// Guards against checks that go on at an empty path after a change of the configuration.
+	fleet := New(coldSettings)
+	fleet.SetWarmUp("planner", checkedWarmUp)
+	fleet.SetReplicas(replicasOf("planner", 1, 64), numbered(1))
+	fleet.SetEntries("10.0.0.1:7000", nil)
+	Convey("no check follows", t, func() {
+		for range 60 {
+			fleet.End(mustChoose(t, fleet, Request{Service: "planner"}, start), Served, start)
+		}
+		checks := fleet.StartHealthChecks(start)
+		So(checks, ShouldHaveLength, 1)
+		fleet.SetWarmUp("planner", warmUp)
+		_, again := fleet.NextHealthCheck(checks[0], start)
+		So(again, ShouldBeFalse)
+	})
+}
+
 func TestWhoChecksAReplica(t *testing.T) {
 	// Guards against none or all of many entries checking an engine, also after some were killed.
 	for _, entries := range []int{1, 2, 4, 24} {
