relayer, retrier: a retry that is allowed or denied is logged with what decided it

The logs showed which requests were sent again, not which were denied, nor from which requests and retries the limit followed. Each decision is a line now, with what the process had counted and of how many parts of the allowance it uses one; explain shows it in the request's timeline.

--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -276,12 +276,21 @@
 	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) { window.Earn(now) })
 }
 
-// spendRetry takes one retry from the budget of a service, and reports whether one was left.
-func (entry *Entry) spendRetry(service string) bool {
-	shares := entry.settings.Shares()
-	allowed := false
-	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) { allowed = window.Spend(shares, now) })
+// spendRetry takes one retry of a request from the budget of its service, and reports whether
+// one was left.
+func (entry *Entry) spendRetry(service, request string) bool {
+	shares, allowed := entry.settings.Shares(), false
+	var usage retrier.Usage
+	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) {
+		usage = window.Usage(shares, now)
+		allowed = window.Spend(shares, now)
+	})
 	entry.meters.countRetry(service, allowed)
+	outcome := map[bool]string{true: "retry allowed", false: "retry denied"}[allowed]
+	entry.settings.Log.WithFields(logrus.Fields{
+		"request-id": request, labelService: service, "window-requests": usage.Requests, "window-retries": usage.Retries,
+		"retries-left": usage.Remaining, "shares": shares,
+	}).Info(outcome)
 	return allowed
 }
 
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -255,10 +255,10 @@
 		return task.unsent <= maxUnsent
 	case refused:
 		task.refusals++
-		return task.refusals <= maxRefusals && task.entry.spendRetry(task.service)
+		return task.refusals <= maxRefusals && task.entry.spendRetry(task.service, task.call.ID)
 	case broken:
 		task.runs++
-		return task.route.Idempotent() && task.runs < task.route.MaxReplicas && task.entry.spendRetry(task.service)
+		return task.route.Idempotent() && task.runs < task.route.MaxReplicas && task.entry.spendRetry(task.service, task.call.ID)
 	case answered:
 	}
 	return false
--- a/internal/relayer/task_test.go
+++ b/internal/relayer/task_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/uber-go/tally/v4"
 
@@ -49,8 +50,9 @@
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
+			log, lines := logtest.NewNullLogger()
 			entry := New(Settings{
-				Scope: tally.NoopScope,
+				Scope: tally.NoopScope, Log: log,
 				Clock: timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour)).Clock(), Shares: func() int { return 1 },
 				RetryBudget: RetryBudget{Window: timekeeper.Minute, Extra: retries},
 			})
@@ -62,6 +64,10 @@
 				}
 			}
 			So(retryAllowed, ShouldEqual, retries)
+			So(lines.Entries[0].Message, ShouldEqual, "retry allowed")
+			So(lines.LastEntry().Message, ShouldEqual, "retry denied")
+			So(lines.LastEntry().Data["window-retries"], ShouldEqual, retries)
+			So(lines.LastEntry().Data["retries-left"], ShouldEqual, 0)
 		})
 	}
 }
--- a/internal/retrier/window.go
+++ b/internal/retrier/window.go
@@ -76,16 +76,30 @@
 
 // Remaining returns the number of retries that remain; below 1 Spend takes none.
 func (window *Window) Remaining(parts int, now timekeeper.Instant) float64 {
+	return window.Usage(parts, now).Remaining
+}
+
+// Usage is what a window has counted, and what remains.
+type Usage struct {
+	// Requests and Retries are those of the last span.
+	Requests, Retries float64
+	// Remaining is the number of retries that remain; below 1 Spend takes none.
+	Remaining float64
+}
+
+// Usage returns the state of the window.
+func (window *Window) Usage(parts int, now timekeeper.Instant) Usage {
 	current := window.slice(now).number
-	requests, retries := 0.0, 0.0
+	var usage Usage
 	for _, slice := range window.slices {
 		age := current - slice.number
 		if age < windowSlices {
-			requests += slice.requests
+			usage.Requests += slice.requests
 		}
 		if age < keptSlices {
-			retries += slice.retries
+			usage.Retries += slice.retries
 		}
 	}
-	return window.settings.Ratio*requests + window.settings.Extra/float64(max(1, parts)) - retries
+	usage.Remaining = window.settings.Ratio*usage.Requests + window.settings.Extra/float64(max(1, parts)) - usage.Retries
+	return usage
 }
