--- a/internal/retrier/window_test.go
+++ b/internal/retrier/window_test.go
@@ -1,6 +1,7 @@
 package retrier
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -9,72 +10,179 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// event is a request or a retry of the fleet.
-type event struct {
-	at    timekeeper.Instant
-	retry bool
+// record is when requests reached the fleet and when it sent retries, in order.
+type record struct {
+	requests, retries []timekeeper.Instant
 }
 
-// countAround counts the retries in the window that starts with an event, and
-// the requests of that window and the previous one, since a request may be
-// retried in the window after its own.
-func countAround(events []event, from int, span timekeeper.Span) (requests, retries float64) {
-	start := events[from].at
-	for i, other := range events {
-		switch {
-		case !other.retry && other.at > start.Add(-span) && other.at < start.Add(span):
-			requests++
-		case other.retry && i >= from && other.at < start.Add(span):
-			retries++
+// countIn returns how many instants are in the span that begins at from.
+func countIn(instants []timekeeper.Instant, from timekeeper.Instant, span timekeeper.Span) float64 {
+	first, _ := slices.BinarySearch(instants, from)
+	end, _ := slices.BinarySearch(instants, from.Add(span))
+	return float64(end - first)
+}
+
+// excess returns by how much the retries of a window exceed the limit: a ratio of the requests of
+// that window, the one before, or the one half a span before, whichever has most, and the extra.
+func (record record) excess(from timekeeper.Instant, settings WindowSettings) float64 {
+	requests := 0.0
+	for _, earlier := range []timekeeper.Span{0, settings.Span / 2, settings.Span} {
+		requests = max(requests, countIn(record.requests, from.Add(-earlier), settings.Span))
+	}
+	return countIn(record.retries, from, settings.Span) - settings.Ratio*requests - settings.Extra
+}
+
+// worst returns the greatest excess of all windows that begin or end with a retry, and the start
+// of that window.
+func (record record) worst(settings WindowSettings) (excess float64, start timekeeper.Instant) {
+	excess = -settings.Extra
+	for _, at := range record.retries {
+		for _, from := range []timekeeper.Instant{at, at.Add(1 - settings.Span)} {
+			if found := record.excess(from, settings); found > excess {
+				excess, start = found, from
+			}
+		}
+	}
+	return excess, start
+}
+
+// fleet is a number of entries that know each other, with the requests that they share.
+type fleet struct {
+	settings WindowSettings
+	entries  []*Window
+	record   record
+}
+
+// parts are those of a fleet with that many entries: one of twice as many for each, at least 8.
+func (fleet *fleet) parts() int { return max(8, 2*len(fleet.entries)) }
+
+func (fleet *fleet) join() { fleet.entries = append(fleet.entries, NewWindow(fleet.settings)) }
+
+func (fleet *fleet) restart(entry int) { fleet.entries[entry] = NewWindow(fleet.settings) }
+
+// serve passes a request to an entry that is refused by as many replicas as retries says.
+func (fleet *fleet) serve(entry, retries int, now timekeeper.Instant) {
+	fleet.entries[entry].Earn(now)
+	fleet.record.requests = append(fleet.record.requests, now)
+	for range retries {
+		if fleet.entries[entry].Spend(fleet.parts(), now) {
+			fleet.record.retries = append(fleet.record.retries, now)
 		}
 	}
-	return requests, retries
 }
 
-// TestAFleetStaysWithinItsRetries checks the limit that protects the remaining
-// replicas when others fail: over every window, the retries of all entries
-// together stay within the ratio of the requests plus the allowance, however the
-// requests are spread over the entries and while entries restart.
+func newFleet(entries int, settings WindowSettings) *fleet {
+	fleet := &fleet{settings: settings}
+	for range entries {
+		fleet.join()
+	}
+	return fleet
+}
+
+var fleetSettings = WindowSettings{Span: 10 * timekeeper.Second, Ratio: 0.2, Extra: 52}
+
+// TestAFleetStaysWithinItsRetries guards against retries beyond the fleet's budget while entries
+// restart, join or leave, and callers move from some entries to others.
 func TestAFleetStaysWithinItsRetries(t *testing.T) {
-	const (
-		span  = 10 * timekeeper.Second
-		ratio = 0.2
-		extra = 52.0
-		parts = 8
-	)
 	rapid.Check(t, func(t *rapid.T) {
-		entries := make([]*Window, 4)
-		for i := range entries {
-			entries[i] = NewWindow(WindowSettings{Span: span, Ratio: ratio, Extra: extra})
-		}
+		fleet := newFleet(rapid.IntRange(1, 6).Draw(t, "entries"), fleetSettings)
 		now := timekeeper.Instant(timekeeper.Hour)
-		var events []event
-		restarts := 0
-		for range rapid.IntRange(1, 300).Draw(t, "steps") {
-			now = now.Add(timekeeper.Span(rapid.IntRange(0, 400).Draw(t, "pause")))
-			i := rapid.IntRange(0, len(entries)-1).Draw(t, "entry")
-			// Each part that no entry uses allows for one restart.
-			if restarts < parts-len(entries) && rapid.IntRange(0, 49).Draw(t, "restart") == 0 {
-				restarts++
-				entries[i] = NewWindow(WindowSettings{Span: span, Ratio: ratio, Extra: extra})
-			}
-			entries[i].Earn(now)
-			events = append(events, event{at: now})
-			for range rapid.IntRange(0, 3).Draw(t, "tries") {
-				if entries[i].Spend(parts, now) {
-					events = append(events, event{at: now, retry: true})
+		for range rapid.IntRange(1, 40).Draw(t, "phases") {
+			switch rapid.SampledFrom([]string{"none", "restart", "restart all", "join", "leave"}).Draw(t, "change") {
+			case "restart":
+				fleet.restart(rapid.IntRange(0, len(fleet.entries)-1).Draw(t, "entry"))
+			case "restart all":
+				for i := range fleet.entries {
+					fleet.restart(i)
 				}
+			case "join":
+				fleet.join()
+			case "leave":
+				fleet.entries = fleet.entries[:max(1, len(fleet.entries)-1)]
 			}
-		}
-		for i, from := range events {
-			requests, retries := countAround(events, i, span)
-			if retries > ratio*requests+extra {
-				t.Fatalf("%v retries for %v requests after %v", retries, requests, from.at)
+			// Callers use the entries up to one; the pause between requests and the share of
+			// replicas that refuse stay the same through a phase.
+			used := rapid.IntRange(1, len(fleet.entries)).Draw(t, "used")
+			pause := timekeeper.Span(rapid.IntRange(0, 120).Draw(t, "pause"))
+			retries := rapid.IntRange(0, 3).Draw(t, "retries")
+			for request := range rapid.IntRange(1, 150).Draw(t, "requests") {
+				now = now.Add(pause)
+				fleet.serve(request%used, retries, now)
 			}
 		}
+		if excess, from := fleet.record.worst(fleetSettings); excess > 0 {
+			t.Fatalf("%v retries too many in the window from %v", excess, from)
+		}
 	})
 }
 
+// TestDisruptionsOfAFleetThatIsRefused guards against retries beyond the fleet's budget while
+// replicas refuse most requests, for each way in which processes and callers come and go.
+func TestDisruptionsOfAFleetThatIsRefused(t *testing.T) {
+	const (
+		entries, pause  = 4, 5 * timekeeper.Millisecond
+		refusing, ended = 12 * timekeeper.Second, 24 * timekeeper.Second
+	)
+	restartAll := func(fleet *fleet) {
+		for i := range fleet.entries {
+			fleet.restart(i)
+		}
+	}
+	tests := []struct {
+		name string
+		// disrupt is called at each instant after the replicas have begun to refuse, and returns
+		// the entry that gets the next request.
+		disrupt func(fleet *fleet, request int, since timekeeper.Span) int
+	}{
+		{"nothing else happens", func(_ *fleet, request int, _ timekeeper.Span) int { return request % entries }},
+		{"the entries are stopped in turn", func(fleet *fleet, request int, since timekeeper.Span) int {
+			if since%(2*timekeeper.Second) == timekeeper.Second {
+				fleet.restart(int(since/(2*timekeeper.Second)) % entries)
+			}
+			return request % entries
+		}},
+		{"all entries are killed twice", func(fleet *fleet, request int, since timekeeper.Span) int {
+			if since == 2*timekeeper.Second || since == 5*timekeeper.Second {
+				restartAll(fleet)
+			}
+			return request % entries
+		}},
+		{"all entries crash every second", func(fleet *fleet, request int, since timekeeper.Span) int {
+			if since > 0 && since%timekeeper.Second == 0 {
+				restartAll(fleet)
+			}
+			return request % entries
+		}},
+		{"callers move to other entries", func(_ *fleet, request int, since timekeeper.Span) int {
+			return request%2 + 2*(int(since/(3*timekeeper.Second))%2)
+		}},
+		{"entries join by the dozen", func(fleet *fleet, request int, since timekeeper.Span) int {
+			if since > 0 && since%timekeeper.Second == 0 {
+				for range 12 {
+					fleet.join()
+				}
+			}
+			return request % len(fleet.entries)
+		}},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			fleet := newFleet(entries, fleetSettings)
+			start, request := timekeeper.Instant(timekeeper.Hour), 0
+			for now := start; now < start.Add(ended); now = now.Add(pause) {
+				retries, entry := 0, request%entries
+				if since := now.Since(start.Add(refusing)); since >= 0 {
+					retries, entry = 2, test.disrupt(fleet, request, since)
+				}
+				fleet.serve(entry, retries, now)
+				request++
+			}
+			excess, _ := fleet.record.worst(fleetSettings)
+			So(excess, ShouldBeLessThanOrEqualTo, 0)
+		})
+	}
+}
+
 func TestRetriesReturnAfterTheWindow(t *testing.T) {
 	window := NewWindow(WindowSettings{Span: timekeeper.Second, Extra: 2})
 	start := timekeeper.Instant(timekeeper.Hour)
