retrier, relayer: what processes may retry adds up to no more than the fleet may

Callers' retries piled up beyond the fleet's budget when entries restarted while replicas refused: 689 where 493 are allowed when all entries are killed twice, 516 where 447 when they are stopped in turn, with no fault of theirs.

Cause: each process earned a ratio of its own requests of the last ten seconds and spent it at any moment of the next ten, with nobody counting what another had spent: its predecessor, or the entry whose callers it took over. What was earned before a window and what is earned in it were both spent in it. Besides, each process took a part of the allowance, its successor another. The class: a limit over the fleet and over time is kept as state of a process, and begins anew with it.

Now a process may make, in each window, half of the ratio for its requests in the window, half for those in the window before, and its part only in windows that began while it was running. Summed over all processes this is the ratio of the mean of two windows, at most the larger, whoever got the requests; and parts of processes that ran at one time. No message is needed. A retry counts when it is sent; until then it is reserved, and is given back if it is not sent: it used to count when it began to wait for a replica, and could arrive in a later window.

TestRetriesStopWhenTheBudgetIsUsedUp lets the process run for longer than a window first, since its allowance of two is the part of one that has; it checks as much as before.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -151,16 +151,20 @@
 	// errTurnedCold is returned when a replica turned cold after it was chosen. It still takes
 	// new work, at a low rate.
 	errTurnedCold = eris.New("the replica turned cold since the choice")
+	// errRetryDenied is returned when the retry budget no longer allows the attempt.
+	errRetryDenied = eris.New("the retry budget is used up")
 )
 
-// admit checks whether the request may still be sent to the chosen replica. Opening a
-// connection after the choice takes a second when packets are lost, and the replica may
-// have become ineligible meanwhile.
+// admit checks whether the request may still be sent to the chosen replica, and takes a retry from
+// the budget. Opening a connection after the choice takes a second when packets are lost, and the
+// replica may have become ineligible meanwhile.
 func (task *task) admit(placement *balancer.Placement) error {
 	var current balancer.Eligibility
 	now, admitted := task.entry.settings.Clock.Now(), true
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { current, admitted = fleet.Admits(placement, now) })
 	switch {
+	case admitted && !task.spendRetry():
+		return errRetryDenied
 	case admitted:
 		return nil
 	case current.Cause == balancer.Cold:
@@ -169,6 +173,11 @@
 	return eris.Wrap(errClosed, string(current.Cause))
 }
 
+// notAdmitted reports whether an attempt failed since the entry itself did not send it.
+func notAdmitted(cause error) bool {
+	return eris.Is(cause, errClosed) || eris.Is(cause, errTurnedCold) || eris.Is(cause, errRetryDenied)
+}
+
 // classifyError returns the result of an attempt that failed before the head of an answer.
 func (task *task) classifyError(ctx context.Context, result attemptResult, err error) attemptResult {
 	result.cause = err
@@ -252,7 +261,7 @@
 	outcome := balancer.Served
 	callerLeft := task.r.Context().Err() != nil
 	switch {
-	case callerLeft && result.verdict != answered, eris.Is(result.cause, errClosed), eris.Is(result.cause, errTurnedCold):
+	case callerLeft && result.verdict != answered, notAdmitted(result.cause):
 		outcome = balancer.Abandoned
 	case result.verdict == unsent && eris.Is(result.cause, connector.ErrUnreachable):
 		outcome = balancer.Unreachable
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -71,9 +71,10 @@
 
 // Entry is an http.Handler that relays callers' requests to replicas.
 type Entry struct {
-	settings Settings
-	meters   *meters
-	closing  atomic.Bool
+	settings  Settings
+	meters    *meters
+	startedAt timekeeper.Instant
+	closing   atomic.Bool
 	// stopsAt is the instant at which the entry stops, or zero while it is not stopping.
 	stopsAt atomic.Int64
 	// active is the number of requests in flight.
@@ -111,13 +112,14 @@
 		settings.OnStrike = func(uint64, string) {}
 	}
 	return &Entry{
-		settings: settings,
-		meters:   newMeters(settings.Scope),
-		random:   rand.New(rand.NewPCG(settings.Seed, 17)),
-		budgets:  map[string]*retrier.Window{},
-		strikes:  newStrikes(),
-		queue:    newQueue(settings.Fleet, settings.Clock),
-		shedder:  &shedder{clock: settings.Clock},
+		settings:  settings,
+		meters:    newMeters(settings.Scope),
+		startedAt: settings.Clock.Now(),
+		random:    rand.New(rand.NewPCG(settings.Seed, 17)),
+		budgets:   map[string]*retrier.Window{},
+		strikes:   newStrikes(),
+		queue:     newQueue(settings.Fleet, settings.Clock),
+		shedder:   &shedder{clock: settings.Clock},
 	}
 }
 
@@ -265,6 +267,7 @@
 	if !found {
 		window = retrier.NewWindow(retrier.WindowSettings{
 			Span: entry.settings.RetryBudget.Window, Ratio: entry.settings.RetryBudget.Ratio, Extra: entry.settings.RetryBudget.Extra,
+			StartedAt: entry.startedAt,
 		})
 		entry.budgets[service] = window
 	}
@@ -276,22 +279,47 @@
 	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) { window.Earn(now) })
 }
 
-// spendRetry takes one retry of a request from the budget of its service, and reports whether
-// one was left.
-func (entry *Entry) spendRetry(service, request string) bool {
-	shares, allowed := entry.settings.Shares(), false
+// reserveRetry reserves a retry of a request in the budget of its service, and reports whether
+// one remained.
+func (entry *Entry) reserveRetry(service, request string) (reserved bool) {
+	parts := entry.settings.Shares()
 	var usage retrier.Usage
 	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) {
-		usage = window.Usage(shares, now)
-		allowed = window.Spend(shares, now)
+		usage = window.Usage(parts, now)
+		reserved = window.Reserve(parts, now)
 	})
+	entry.recordRetry(service, request, reserved, usage)
+	return reserved
+}
+
+// spendRetry ends a reservation when the retry is about to be sent, and reports whether it may be.
+func (entry *Entry) spendRetry(service, request string) (allowed bool) {
+	parts := entry.settings.Shares()
+	var usage retrier.Usage
+	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) {
+		allowed = window.Spend(parts, now)
+		usage = window.Usage(parts, now)
+	})
+	if !allowed {
+		entry.recordRetry(service, request, allowed, usage)
+	}
+	return allowed
+}
+
+// releaseRetry ends a reservation whose retry is not sent.
+func (entry *Entry) releaseRetry(service string) {
+	entry.withBudget(service, func(window *retrier.Window, _ timekeeper.Instant) { window.Release() })
+}
+
+// recordRetry counts and logs whether a retry is allowed, and what decided it.
+func (entry *Entry) recordRetry(service, request string, allowed bool, usage retrier.Usage) {
 	entry.meters.countRetry(service, allowed)
 	outcome := map[bool]string{true: "retry allowed", false: "retry denied"}[allowed]
 	entry.settings.Log.WithFields(logrus.Fields{
 		"request-id": request, labelService: service, "window-requests": usage.Requests, "window-retries": usage.Retries,
-		"retries-left": usage.Remaining, "shares": shares,
+		"reserved": usage.Reserved, "retries-left": usage.Remaining, "shares": entry.settings.Shares(),
+		"running-ms": int64(entry.settings.Clock.Now().Since(entry.startedAt)),
 	}).Info(outcome)
-	return allowed
 }
 
 // RetriesRemaining returns the number of retries that this entry has left, by service.
@@ -301,7 +329,7 @@
 	defer entry.mu.Unlock()
 	remaining := make(map[string]float64, len(entry.budgets))
 	for service, window := range entry.budgets {
-		remaining[service] = window.Remaining(shares, now)
+		remaining[service] = window.Usage(shares, now).Remaining
 	}
 	return remaining
 }
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -65,6 +65,8 @@
 	// was sent.
 	refusals int
 	unsent   int
+	// retryReserved reports whether a retry is reserved in the budget and not sent yet.
+	retryReserved bool
 	// fingerprint is equal for retries of the request by its caller.
 	fingerprint uint64
 
@@ -183,6 +185,7 @@
 // serve tries replicas until one answers, none can be had, no retry is allowed or ctx
 // ends.
 func (task *task) serve(ctx context.Context) classifier.Failure {
+	defer task.releaseRetry()
 	for {
 		waiter := task.place(ctx)
 		if waiter.Placement == nil {
@@ -243,8 +246,8 @@
 // retryAllowed reports whether to try another replica after a failed attempt.
 //
 // A request that must run at most once is retried only after proof that it has
-// not run; an idempotent one up to the route's limit of replicas. Each retry is
-// taken from the retry budget, except when nothing was sent.
+// not run; an idempotent one up to the route's limit of replicas. A retry is reserved
+// in the budget, unless nothing was sent, and taken from it when it is sent.
 func (task *task) retryAllowed(result attemptResult) bool {
 	if !eris.Is(result.cause, errTurnedCold) {
 		task.excluded = append(task.excluded, result.replica.ID)
@@ -252,18 +255,45 @@
 	switch result.verdict {
 	case unsent:
 		task.unsent++
-		return task.unsent <= maxUnsent
+		return task.unsent <= maxUnsent && !eris.Is(result.cause, errRetryDenied)
 	case refused:
 		task.refusals++
-		return task.refusals <= maxRefusals && task.entry.spendRetry(task.service, task.call.ID)
+		return task.refusals <= maxRefusals && task.reserveRetry()
 	case broken:
 		task.runs++
-		return task.route.Idempotent() && task.runs < task.route.MaxReplicas && task.entry.spendRetry(task.service, task.call.ID)
+		return task.route.Idempotent() && task.runs < task.route.MaxReplicas && task.reserveRetry()
 	case answered:
 	}
 	return false
 }
 
+// reserveRetry reserves a retry, and reports whether one remained.
+func (task *task) reserveRetry() bool {
+	task.retryReserved = task.retryReserved || task.entry.reserveRetry(task.service, task.call.ID)
+	return task.retryReserved
+}
+
+// releaseRetry ends the reservation of a retry that is not sent, if there is one.
+func (task *task) releaseRetry() {
+	if task.retryReserved {
+		task.retryReserved = false
+		task.entry.releaseRetry(task.service)
+	}
+}
+
+// spendRetry reports whether the budget allows an attempt that is about to be sent. The first that
+// reaches a replica is not a retry.
+func (task *task) spendRetry() bool {
+	if task.refusals+task.runs == 0 {
+		return true
+	}
+	if !task.reserveRetry() {
+		return false
+	}
+	task.retryReserved = false
+	return task.entry.spendRetry(task.service, task.call.ID)
+}
+
 // placementFailure returns the failure of a request that got no replica.
 func (task *task) placementFailure(ctx context.Context, waiter *balancer.Waiter) classifier.Failure {
 	reason := string(waiter.Reason)
--- a/internal/relayer/task_test.go
+++ b/internal/relayer/task_test.go
@@ -51,15 +51,17 @@
 	for _, test := range tests {
 		Convey(test.name, t, func() {
 			log, lines := logtest.NewNullLogger()
+			clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
 			entry := New(Settings{
 				Scope: tally.NoopScope, Log: log,
-				Clock: timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour)).Clock(), Shares: func() int { return 1 },
+				Clock: clock.Clock(), Shares: func() int { return 1 },
 				RetryBudget: RetryBudget{Window: timekeeper.Minute, Extra: retries},
 			})
+			clock.Advance(timekeeper.Hour)
 			retryAllowed := 0
 			for range 5 {
 				task := &task{entry: entry, service: "orders", route: router.Route{Kind: router.Safe, MaxReplicas: 3}}
-				if task.retryAllowed(attemptResult{verdict: test.verdict}) {
+				if task.retryAllowed(attemptResult{verdict: test.verdict}) && task.spendRetry() {
 					retryAllowed++
 				}
 			}
@@ -72,6 +74,28 @@
 	}
 }
 
+func TestRetriesThatAreNotSentAreLeftToOthers(t *testing.T) {
+	// Guards against requests that are denied a retry which another request has reserved and, for
+	// lack of a replica, does not send.
+	log, lines := logtest.NewNullLogger()
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	entry := New(Settings{
+		Scope: tally.NoopScope, Log: log, Clock: clock.Clock(), Shares: func() int { return 1 },
+		RetryBudget: RetryBudget{Window: timekeeper.Minute, Extra: 1},
+	})
+	clock.Advance(timekeeper.Hour)
+	first, second := &task{entry: entry, service: "orders"}, &task{entry: entry, service: "orders"}
+	Convey("the second of two requests gets the retry of the first", t, func() {
+		So(first.retryAllowed(attemptResult{verdict: refused}), ShouldBeTrue)
+		So(second.retryAllowed(attemptResult{verdict: refused}), ShouldBeFalse)
+		So(lines.LastEntry().Data["reserved"], ShouldEqual, 1)
+		first.releaseRetry()
+		So(second.retryAllowed(attemptResult{verdict: refused}), ShouldBeTrue)
+		So(second.spendRetry(), ShouldBeTrue)
+		So(first.spendRetry(), ShouldBeFalse)
+	})
+}
+
 func TestAReplicaThatTurnedColdIsNotExcluded(t *testing.T) {
 	// Guards against the refusal of requests while all replicas of a service are cold, since
 	// those that were placed before may not wait for the same replica again.
--- a/internal/retrier/window_test.go
+++ b/internal/retrier/window_test.go
@@ -46,36 +46,53 @@
 	return excess, start
 }
 
-// fleet is a number of entries that know each other, with the requests that they share.
+// fleet is a number of entries that know each other, with the record of what they get and send.
 type fleet struct {
 	settings WindowSettings
 	entries  []*Window
 	record   record
+	now      timekeeper.Instant
 }
 
 // parts are those of a fleet with that many entries: one of twice as many for each, at least 8.
 func (fleet *fleet) parts() int { return max(8, 2*len(fleet.entries)) }
 
-func (fleet *fleet) join() { fleet.entries = append(fleet.entries, NewWindow(fleet.settings)) }
+// process returns the window of a process that starts now.
+func (fleet *fleet) process() *Window {
+	settings := fleet.settings
+	settings.StartedAt = fleet.now
+	return NewWindow(settings)
+}
+
+func (fleet *fleet) join() { fleet.entries = append(fleet.entries, fleet.process()) }
 
-func (fleet *fleet) restart(entry int) { fleet.entries[entry] = NewWindow(fleet.settings) }
+func (fleet *fleet) restart(entry int) { fleet.entries[entry] = fleet.process() }
 
 // serve passes a request to an entry that is refused by as many replicas as retries says.
-func (fleet *fleet) serve(entry, retries int, now timekeeper.Instant) {
-	fleet.entries[entry].Earn(now)
-	fleet.record.requests = append(fleet.record.requests, now)
+func (fleet *fleet) serve(entry, retries int) {
+	fleet.entries[entry].Earn(fleet.now)
+	fleet.record.requests = append(fleet.record.requests, fleet.now)
 	for range retries {
-		if fleet.entries[entry].Spend(fleet.parts(), now) {
-			fleet.record.retries = append(fleet.record.retries, now)
+		if fleet.entries[entry].Reserve(fleet.parts(), fleet.now) {
+			fleet.send(entry)
 		}
 	}
 }
 
+// send sends a reserved retry of an entry, if it may still be sent.
+func (fleet *fleet) send(entry int) {
+	if fleet.entries[entry].Spend(fleet.parts(), fleet.now) {
+		fleet.record.retries = append(fleet.record.retries, fleet.now)
+	}
+}
+
+// newFleet returns a fleet whose first entries started long ago.
 func newFleet(entries int, settings WindowSettings) *fleet {
 	fleet := &fleet{settings: settings}
 	for range entries {
 		fleet.join()
 	}
+	fleet.now = timekeeper.Instant(timekeeper.Hour)
 	return fleet
 }
 
@@ -86,7 +103,6 @@
 func TestAFleetStaysWithinItsRetries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fleet := newFleet(rapid.IntRange(1, 6).Draw(t, "entries"), fleetSettings)
-		now := timekeeper.Instant(timekeeper.Hour)
 		for range rapid.IntRange(1, 40).Draw(t, "phases") {
 			switch rapid.SampledFrom([]string{"none", "restart", "restart all", "join", "leave"}).Draw(t, "change") {
 			case "restart":
@@ -106,8 +122,8 @@
 			pause := timekeeper.Span(rapid.IntRange(0, 120).Draw(t, "pause"))
 			retries := rapid.IntRange(0, 3).Draw(t, "retries")
 			for request := range rapid.IntRange(1, 150).Draw(t, "requests") {
-				now = now.Add(pause)
-				fleet.serve(request%used, retries, now)
+				fleet.now = fleet.now.Add(pause)
+				fleet.serve(request%used, retries)
 			}
 		}
 		if excess, from := fleet.record.worst(fleetSettings); excess > 0 {
@@ -130,8 +146,8 @@
 	}
 	tests := []struct {
 		name string
-		// disrupt is called at each instant after the replicas have begun to refuse, and returns
-		// the entry that gets the next request.
+		// disrupt is called for each request after the replicas have begun to refuse, and returns
+		// the entry that gets it.
 		disrupt func(fleet *fleet, request int, since timekeeper.Span) int
 	}{
 		{"nothing else happens", func(_ *fleet, request int, _ timekeeper.Span) int { return request % entries }},
@@ -168,13 +184,13 @@
 	for _, test := range tests {
 		Convey(test.name, t, func() {
 			fleet := newFleet(entries, fleetSettings)
-			start, request := timekeeper.Instant(timekeeper.Hour), 0
-			for now := start; now < start.Add(ended); now = now.Add(pause) {
+			start, request := fleet.now, 0
+			for ; fleet.now < start.Add(ended); fleet.now = fleet.now.Add(pause) {
 				retries, entry := 0, request%entries
-				if since := now.Since(start.Add(refusing)); since >= 0 {
+				if since := fleet.now.Since(start.Add(refusing)); since >= 0 {
 					retries, entry = 2, test.disrupt(fleet, request, since)
 				}
-				fleet.serve(entry, retries, now)
+				fleet.serve(entry, retries)
 				request++
 			}
 			excess, _ := fleet.record.worst(fleetSettings)
@@ -186,14 +202,69 @@
 func TestRetriesReturnAfterTheWindow(t *testing.T) {
 	window := NewWindow(WindowSettings{Span: timekeeper.Second, Extra: 2})
 	start := timekeeper.Instant(timekeeper.Hour)
+	spend := func(parts int, at timekeeper.Instant) bool {
+		return window.Reserve(parts, at) && window.Spend(parts, at)
+	}
 	Convey("a spent retry is available again after the window", t, func() {
-		So(window.Spend(1, start), ShouldBeTrue)
-		So(window.Spend(1, start.Add(500)), ShouldBeTrue)
-		So(window.Spend(1, start.Add(900)), ShouldBeFalse)
-		So(window.Spend(1, start.Add(1000)), ShouldBeFalse)
-		So(window.Spend(1, start.Add(1100)), ShouldBeTrue)
-		So(window.Spend(1, start.Add(1400)), ShouldBeFalse)
-		So(window.Spend(2, start.Add(3000)), ShouldBeTrue)
-		So(window.Spend(2, start.Add(3001)), ShouldBeFalse)
+		So(spend(1, start), ShouldBeTrue)
+		So(spend(1, start.Add(500)), ShouldBeTrue)
+		So(spend(1, start.Add(900)), ShouldBeFalse)
+		So(spend(1, start.Add(1000)), ShouldBeFalse)
+		So(spend(1, start.Add(1100)), ShouldBeTrue)
+		So(spend(1, start.Add(1400)), ShouldBeFalse)
+		So(spend(2, start.Add(3000)), ShouldBeTrue)
+		So(spend(2, start.Add(3001)), ShouldBeFalse)
+	})
+}
+
+func TestAReservedRetryCountsWhenItIsSent(t *testing.T) {
+	// Guards against retries that are counted when they begin to wait for a replica, and reach one
+	// in a later window.
+	window := NewWindow(WindowSettings{Span: timekeeper.Second, Extra: 2})
+	start := timekeeper.Instant(timekeeper.Hour)
+	Convey("one of two is sent later", t, func() {
+		So(window.Reserve(1, start), ShouldBeTrue)
+		So(window.Reserve(1, start), ShouldBeTrue)
+		So(window.Reserve(1, start), ShouldBeFalse)
+		window.Release()
+		So(window.Spend(1, start.Add(900)), ShouldBeTrue)
+		So(window.Usage(1, start.Add(1500)), ShouldResemble, Usage{Retries: 1, Remaining: 1})
+		So(window.Release, ShouldPanic)
+	})
+	Convey("too few requests are left when it is sent", t, func() {
+		window := NewWindow(WindowSettings{Span: timekeeper.Second, Ratio: 1})
+		window.Earn(start)
+		window.Earn(start)
+		So(window.Reserve(1, start), ShouldBeTrue)
+		So(window.Spend(1, start.Add(2500)), ShouldBeFalse)
 	})
 }
+
+func TestAProcessSpendsHalfOfWhatItEarnedBefore(t *testing.T) {
+	// Guards against callers that fail in the first second of a failure, which retries at other
+	// replicas would have served.
+	const pause = 20 * timekeeper.Millisecond
+	tests := []struct {
+		name      string
+		startedAt timekeeper.Instant
+		want      int
+	}{
+		{"a process that has run for long, with its part", 0, 50 + 52/8},
+		{"one that has just started, without", timekeeper.Instant(timekeeper.Hour), 50},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			settings := fleetSettings
+			settings.StartedAt = test.startedAt
+			window, now, spent := NewWindow(settings), timekeeper.Instant(timekeeper.Hour), 0
+			for range 500 {
+				now = now.Add(pause)
+				window.Earn(now)
+			}
+			for window.Reserve(8, now) && window.Spend(8, now) {
+				spent++
+			}
+			So(spent, ShouldBeBetweenOrEqual, test.want-1, test.want)
+		})
+	}
+}
