assembler, relayer: an entry that is cut off uses no greater part of the fleet's retries

Callers: none seen yet; found while looking for the same cause elsewhere. An entry divided the fleet's extra retries by the entries that it heard at the moment, at least eight parts. Entries that are cut off from all others, as a cut of thirty of a hundred does, took an eighth each: almost four times what all may send. One that had not read which others there are took an eighth as well.

The class is that of the budget itself: a limit of the fleet, divided by what a process happens to see. Parts are counted over all entries known in the last ten minutes, from the store or from digests, and a process uses none before it has read the others. The shares of a replica's connections are a setting of their own now and are counted as before.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -184,7 +184,8 @@
 		RetryBudget: relayer.RetryBudget{
 			Window: direct.settings.Retry.Window, Ratio: direct.settings.Retry.Ratio, Extra: direct.settings.Retry.Extra,
 		},
-		Shares:           func() int { return max(minRetryShares, retrySharesPerEntry*direct.peers.liveEntries()) },
+		ConnectionShares: func() int { return max(minShares, sharesPerEntry*direct.peers.liveEntries()) },
+		RetryParts:       direct.retryParts,
 		OnPlacement:      direct.peers.gossiper.SendPlacement,
 		OnUnreachable:    direct.peers.gossiper.SendUnreachable,
 		OnLeaveAnnounced: direct.peers.gossiper.SendLeaveAnnounced,
@@ -199,14 +200,26 @@
 }
 
 const (
-	// minRetryShares is the least number of shares into which the fleet's retry budget
-	// is divided: it bounds the retries of entries that don't see each other.
-	minRetryShares = 8
-	// retrySharesPerEntry is the number of shares for each live entry: an entry that
-	// restarts has spent its share and takes another.
-	retrySharesPerEntry = 2
+	// minShares is the least number of shares into which the extra retries of the fleet and the
+	// connections of a replica are divided.
+	minShares = 8
+	// sharesPerEntry is the number of shares for each entry; it uses one. The others are left to
+	// entries that it does not know, and to requests that are counted late.
+	sharesPerEntry = 2
+	// retryPeerTimeout is how long a silent peer still counts as an entry that sends retries: it
+	// may be cut off from this entry, but not from the replicas.
+	retryPeerTimeout = 10 * timekeeper.Minute
 )
 
+// retryParts returns the number of parts into which the extra retries of the fleet are divided;
+// zero means that this entry has not read yet which others there are.
+func (direct *Direct) retryParts() int {
+	if !direct.peers.coldSharing.registered() {
+		return 0
+	}
+	return max(minShares, sharesPerEntry*(1+len(direct.peers.gossiper.KnownPeers(retryPeerTimeout))))
+}
+
 // config returns the configuration in force, or nil while none is known or the entry must not
 // serve yet.
 func (direct *Direct) config() *router.Configuration {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -117,7 +117,7 @@
 	if !found || service.Connections <= 0 {
 		return 0
 	}
-	return max(1, service.Connections/max(minConnectionShares, entry.settings.Shares()))
+	return max(1, service.Connections/max(minConnectionShares, entry.settings.ConnectionShares()))
 }
 
 // minConnectionShares is the least number of shares into which the connections of a replica
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -41,10 +41,12 @@
 	// Config returns the configuration in force, or nil while none is known.
 	Config      func() *router.Configuration
 	RetryBudget RetryBudget
-	// Shares returns the number of shares into which the extra retries of the budget and
-	// the connections of a replica are divided; each entry uses one. It may exceed the
-	// number of entries: see retrier.Window.
-	Shares func() int
+	// ConnectionShares returns the number of shares into which the connections of a replica are
+	// divided; each entry uses one. It may exceed the number of entries.
+	ConnectionShares func() int
+	// RetryParts returns the number of parts into which the extra retries of the budget are
+	// divided; each entry uses one: see retrier.Window.
+	RetryParts func() int
 	// TooManyConnections reports whether callers' connections should be closed after
 	// their answer, to make room for other callers.
 	TooManyConnections func() bool
@@ -282,7 +284,7 @@
 // reserveRetry reserves a retry of a request in the budget of its service, and reports whether
 // one remained.
 func (entry *Entry) reserveRetry(service, request string) (reserved bool) {
-	parts := entry.settings.Shares()
+	parts := entry.settings.RetryParts()
 	var usage retrier.Usage
 	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) {
 		usage = window.Usage(parts, now)
@@ -294,7 +296,7 @@
 
 // spendRetry ends a reservation when the retry is about to be sent, and reports whether it may be.
 func (entry *Entry) spendRetry(service, request string) (allowed bool) {
-	parts := entry.settings.Shares()
+	parts := entry.settings.RetryParts()
 	var usage retrier.Usage
 	entry.withBudget(service, func(window *retrier.Window, now timekeeper.Instant) {
 		allowed = window.Spend(parts, now)
@@ -317,19 +319,19 @@
 	outcome := map[bool]string{true: "retry allowed", false: "retry denied"}[allowed]
 	entry.settings.Log.WithFields(logrus.Fields{
 		"request-id": request, labelService: service, "window-requests": usage.Requests, "window-retries": usage.Retries,
-		"reserved": usage.Reserved, "retries-left": usage.Remaining, "shares": entry.settings.Shares(),
+		"reserved": usage.Reserved, "retries-left": usage.Remaining, "parts": entry.settings.RetryParts(),
 		"running-ms": int64(entry.settings.Clock.Now().Since(entry.startedAt)),
 	}).Info(outcome)
 }
 
 // RetriesRemaining returns the number of retries that this entry has left, by service.
 func (entry *Entry) RetriesRemaining() map[string]float64 {
-	shares, now := entry.settings.Shares(), entry.settings.Clock.Now()
+	parts, now := entry.settings.RetryParts(), entry.settings.Clock.Now()
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
 	remaining := make(map[string]float64, len(entry.budgets))
 	for service, window := range entry.budgets {
-		remaining[service] = window.Usage(shares, now).Remaining
+		remaining[service] = window.Usage(parts, now).Remaining
 	}
 	return remaining
 }
--- a/internal/relayer/health_check_test.go
+++ b/internal/relayer/health_check_test.go
@@ -88,7 +88,7 @@
 			cold := 0
 			entry := New(Settings{
 				Clock: clock, Log: log, Scope: testScope(t), Fleet: balancer.Guard(fleet), Pool: pool, Dialect: healthDialect(),
-				Config: func() *router.Configuration { return config }, Shares: func() int { return 8 },
+				Config: func() *router.Configuration { return config }, ConnectionShares: func() int { return 8 }, RetryParts: func() int { return 8 },
 				OnCold: func(balancer.Replica, timekeeper.Instant) { cold++ },
 			})
 			checks := fleet.StartHealthChecks(clock.Now())
--- a/internal/relayer/task_test.go
+++ b/internal/relayer/task_test.go
@@ -54,7 +54,7 @@
 			clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
 			entry := New(Settings{
 				Scope: tally.NoopScope, Log: log,
-				Clock: clock.Clock(), Shares: func() int { return 1 },
+				Clock: clock.Clock(), RetryParts: func() int { return 1 },
 				RetryBudget: RetryBudget{Window: timekeeper.Minute, Extra: retries},
 			})
 			clock.Advance(timekeeper.Hour)
@@ -80,7 +80,7 @@
 	log, lines := logtest.NewNullLogger()
 	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
 	entry := New(Settings{
-		Scope: tally.NoopScope, Log: log, Clock: clock.Clock(), Shares: func() int { return 1 },
+		Scope: tally.NoopScope, Log: log, Clock: clock.Clock(), RetryParts: func() int { return 1 },
 		RetryBudget: RetryBudget{Window: timekeeper.Minute, Extra: 1},
 	})
 	clock.Advance(timekeeper.Hour)
@@ -111,7 +111,7 @@
 		Convey(test.name, t, func() {
 			fleet := balancer.Guard(balancer.New(balancer.Settings{}))
 			clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
-			entry := New(Settings{Scope: tally.NoopScope, Clock: clock.Clock(), Fleet: fleet, Shares: func() int { return 1 }})
+			entry := New(Settings{Scope: tally.NoopScope, Clock: clock.Clock(), Fleet: fleet, RetryParts: func() int { return 1 }})
 			task := &task{entry: entry}
 			row := balancer.Replica{ID: "planner-1", Service: "planner", Slots: 64}
 			var placement *balancer.Placement
--- a/internal/retrier/window.go
+++ b/internal/retrier/window.go
@@ -85,8 +85,8 @@
 func (window *Window) Earn(now timekeeper.Instant) { window.at(window.number(now)).requests++ }
 
 // Reserve reserves one retry, if one remains, and reports whether it did. parts is the number of
-// parts into which Extra is divided; each process uses one. Each reservation ends with a call of
-// Spend or Release.
+// parts into which Extra is divided; each process uses one, or none while parts is zero, since it
+// does not know of others. Each reservation ends with a call of Spend or Release.
 func (window *Window) Reserve(parts int, now timekeeper.Instant) bool {
 	if window.Usage(parts, now).Remaining < 1 {
 		return false
@@ -140,7 +140,10 @@
 // before the previous window do not.
 func (window *Window) unspent(parts int, now timekeeper.Instant) float64 {
 	current, started := window.number(now), window.number(window.settings.StartedAt)
-	part := window.settings.Extra / float64(max(1, parts))
+	part := 0.0
+	if parts > 0 {
+		part = window.settings.Extra / float64(parts)
+	}
 	requests, retries, least := 0.0, 0.0, math.Inf(1)
 	for number := current - window.wholeSlices + 1; number < current; number++ {
 		requests += window.at(number + 1).requests
