--- a/internal/retrier/doc.go
+++ b/internal/retrier/doc.go
@@ -7,5 +7,9 @@
 // set part of the calls be retried, so that the amplification is bounded however
 // many calls fail.
 //
+// Budget limits the retries of one process. Window limits those of all processes
+// of a fleet together: what each may send adds up to no more than the fleet may,
+// while processes restart and callers move between them.
+//
 // The package is decision logic: no I/O, no goroutines, no clock.
 package retrier
--- a/internal/retrier/window_test.go
+++ b/internal/retrier/window_test.go
@@ -70,8 +70,13 @@
 
 // serve passes a request to an entry that is refused by as many replicas as retries says.
 func (fleet *fleet) serve(entry, retries int) {
-	fleet.entries[entry].Earn(fleet.now)
 	fleet.record.requests = append(fleet.record.requests, fleet.now)
+	fleet.handle(entry, retries)
+}
+
+// handle handles a request that an entry has received.
+func (fleet *fleet) handle(entry, retries int) {
+	fleet.entries[entry].Earn(fleet.now)
 	for range retries {
 		if fleet.entries[entry].Reserve(fleet.parts(), fleet.now) {
 			fleet.send(entry)
@@ -199,6 +204,40 @@
 	}
 }
 
+// TestEntriesThatStandStill guards against retries beyond the budget for requests that are counted
+// late, since the entry stood still when they were sent.
+func TestEntriesThatStandStill(t *testing.T) {
+	const entries, frozen, pause = 4, 2, 5 * timekeeper.Millisecond
+	tests := []struct {
+		name   string
+		frozen timekeeper.Span
+	}{{"for half a second", 500}, {"for two seconds", 2000}, {"for three and a half seconds", 3500}}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			fleet := newFleet(entries, fleetSettings)
+			from := fleet.now.Add(15 * timekeeper.Second)
+			to, end := from.Add(test.frozen), from.Add(30*timekeeper.Second)
+			for request := 0; fleet.now < end; fleet.now = fleet.now.Add(pause) {
+				if fleet.now == to {
+					for late := range int(test.frozen / pause) {
+						if entry := late % entries; entry < frozen {
+							fleet.handle(entry, 2)
+						}
+					}
+				}
+				if entry := request % entries; from <= fleet.now && fleet.now < to && entry < frozen {
+					fleet.record.requests = append(fleet.record.requests, fleet.now)
+				} else {
+					fleet.serve(entry, 2)
+				}
+				request++
+			}
+			excess, _ := fleet.record.worst(fleetSettings)
+			So(excess, ShouldBeLessThanOrEqualTo, 0)
+		})
+	}
+}
+
 func TestRetriesReturnAfterTheWindow(t *testing.T) {
 	window := NewWindow(WindowSettings{Span: timekeeper.Second, Extra: 2})
 	start := timekeeper.Instant(timekeeper.Hour)
