relayer: a test of a retry that no longer fits when it is sent

Part of the change of: a retry is reserved when it begins to wait for a replica, and denied before it is sent if too few requests are left. The code before spent it at once and sent it in a later window.

--- a/internal/relayer/task_test.go
+++ b/internal/relayer/task_test.go
@@ -96,6 +96,38 @@
 	})
 }
 
+func TestARetryThatNoLongerFitsIsNotSent(t *testing.T) {
+	// Guards against retries that wait for a replica while requests become few, and reach it in a
+	// window that no longer allows them.
+	const waited = 30 * timekeeper.Second
+	log, _ := logtest.NewNullLogger()
+	clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+	fleet := balancer.Guard(balancer.New(balancer.Settings{}))
+	entry := New(Settings{
+		Scope: tally.NoopScope, Log: log, Clock: clock.Clock(), Fleet: fleet, RetryParts: func() int { return 1 },
+		RetryBudget: RetryBudget{Window: 10 * timekeeper.Second, Ratio: 0.2},
+	})
+	for range 10 {
+		entry.earnRetries("planner")
+	}
+	task := &task{entry: entry, service: "planner"}
+	allowed := task.retryAllowed(attemptResult{verdict: refused})
+	var placement *balancer.Placement
+	fleet.With(func(fleet *balancer.Fleet) {
+		fleet.SetReplicas([]balancer.Replica{{ID: "planner-1", Service: "planner", Slots: 64}}, sequencer.Version{Number: 1})
+		placement, _ = fleet.Choose(balancer.Request{Service: "planner"}, clock.Now())
+	})
+	clock.Advance(waited)
+	cause := task.admit(placement)
+	Convey("it is denied before it is sent, and the replica is not blamed", t, func() {
+		So(allowed, ShouldBeTrue)
+		So(cause, ShouldEqual, errRetryDenied)
+		So(notAdmitted(cause), ShouldBeTrue)
+		So(task.retryAllowed(attemptResult{verdict: unsent, cause: cause}), ShouldBeFalse)
+		So(task.retryReserved, ShouldBeFalse)
+	})
+}
+
 func TestAReplicaThatTurnedColdIsNotExcluded(t *testing.T) {
 	// Guards against the refusal of requests while all replicas of a service are cold, since
 	// those that were placed before may not wait for the same replica again.
