relayer, loader, deploy: entries of a new site use their part of the retries at once

A process that has just started used no part, since a predecessor may have used it; at a new site there is none, and the first caller whose replica fails was denied the retry.

The platform says when all entries start for the first time; the settings have it as first-start, and such a process uses its part at once. The bound holds: for each window the parts are still those of processes that ran at one time, as no predecessor has used any.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -186,6 +186,7 @@
 		},
 		ConnectionShares: func() int { return max(minShares, sharesPerEntry*direct.peers.liveEntries()) },
 		RetryParts:       direct.retryParts,
+		FirstStart:       direct.settings.FirstStart,
 		OnPlacement:      direct.peers.gossiper.SendPlacement,
 		OnUnreachable:    direct.peers.gossiper.SendUnreachable,
 		OnLeaveAnnounced: direct.peers.gossiper.SendLeaveAnnounced,
--- a/internal/assembler/direct_settings.go
+++ b/internal/assembler/direct_settings.go
@@ -58,6 +58,8 @@
 	}
 	withCurrentLevel := updated
 	withCurrentLevel.LogLevel = direct.settings.LogLevel
+	// It is about the start of this process, which is over.
+	withCurrentLevel.FirstStart = direct.settings.FirstStart
 	// Log before the level changes: the new level may suppress this line.
 	log.WithField("needs-restart", withCurrentLevel != direct.settings).Info("settings read again")
 	if level, err := logrus.ParseLevel(updated.LogLevel); err == nil {
--- a/internal/loader/direct.go
+++ b/internal/loader/direct.go
@@ -47,6 +47,9 @@
 	// MovePrice is how many prefilled prompt tokens cost the operators as much as the
 	// transfer of a gigabyte between engines; zero means 2,300.
 	MovePrice float64 `toml:"move-price"`
+	// FirstStart reports whether all entries start for the first time, so that none of them
+	// has a predecessor that may have spent retries.
+	FirstStart bool `toml:"first-start"`
 	// Retry bounds the retries of all entries together.
 	Retry Retry `toml:"retry"`
 	// Cold bounds the rate at which all entries together send to a cold replica.
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -41,6 +41,9 @@
 	// Config returns the configuration in force, or nil while none is known.
 	Config      func() *router.Configuration
 	RetryBudget RetryBudget
+	// FirstStart reports whether all entries start for the first time: see
+	// retrier.WindowSettings.
+	FirstStart bool
 	// ConnectionShares returns the number of shares into which the connections of a replica are
 	// divided; each entry uses one. It may exceed the number of entries.
 	ConnectionShares func() int
@@ -267,10 +270,13 @@
 	defer entry.mu.Unlock()
 	window, found := entry.budgets[service]
 	if !found {
-		window = retrier.NewWindow(retrier.WindowSettings{
+		settings := retrier.WindowSettings{
 			Span: entry.settings.RetryBudget.Window, Ratio: entry.settings.RetryBudget.Ratio, Extra: entry.settings.RetryBudget.Extra,
-			StartedAt: entry.startedAt,
-		})
+		}
+		if !entry.settings.FirstStart {
+			settings.StartedAt = entry.startedAt
+		}
+		window = retrier.NewWindow(settings)
 		entry.budgets[service] = window
 	}
 	work(window, now)
--- a/internal/relayer/task_test.go
+++ b/internal/relayer/task_test.go
@@ -96,6 +96,34 @@
 	})
 }
 
+func TestThePartOfAProcessThatHasJustStarted(t *testing.T) {
+	// Guards against entries of a new site that deny the first callers a retry, and against entries
+	// that use again, after a restart, what their predecessors have used.
+	tests := []struct {
+		name       string
+		firstStart bool
+		after      timekeeper.Span
+		allowed    bool
+	}{
+		{"all entries start for the first time", true, 0, true},
+		{"a restart", false, 0, false},
+		{"a window after a restart", false, 11 * timekeeper.Second, true},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			log, _ := logtest.NewNullLogger()
+			clock := timekeeper.NewManual(timekeeper.Instant(timekeeper.Hour))
+			entry := New(Settings{
+				Scope: tally.NoopScope, Log: log, Clock: clock.Clock(), RetryParts: func() int { return 8 }, FirstStart: test.firstStart,
+				RetryBudget: RetryBudget{Window: 10 * timekeeper.Second, Ratio: 0.2, Extra: 20},
+			})
+			clock.Advance(test.after)
+			task := &task{entry: entry, service: "orders"}
+			So(task.retryAllowed(attemptResult{verdict: refused}), ShouldEqual, test.allowed)
+		})
+	}
+}
+
 func TestARetryThatNoLongerFitsIsNotSent(t *testing.T) {
 	// Guards against retries that wait for a replica while requests become few, and reach it in a
 	// window that no longer allows them.
--- a/internal/retrier/window.go
+++ b/internal/retrier/window.go
@@ -18,7 +18,7 @@
 	Ratio float64
 	// Extra is how many further retries all entries together may make in a window.
 	Extra float64
-	// StartedAt is when the process started; zero means long ago.
+	// StartedAt is when the process started; zero means long ago, or that it has no predecessor.
 	StartedAt timekeeper.Instant
 }
 
