--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -144,7 +144,7 @@
 	direct.frontend = relayer.New(direct.frontendSettings())
 	direct.followStore(store)
 	direct.log.WithFields(logrus.Fields{
-		"data-centre": settings.DataCentre, "store": settings.Store,
+		"data-centre": settings.DataCentre, "store": settings.Store, "first-start": settings.FirstStart,
 		"listen": addressOf(direct.listeners.frontend), "ready-listen": addressOf(direct.listeners.ready),
 		"metrics-listen": addressOf(direct.listeners.metrics), "peer-listen": addressOf(direct.listeners.peer),
 	}).Info("entry started")
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -267,33 +267,6 @@
 	return false
 }
 
-// reserveRetry reserves a retry, and reports whether one remained.
-func (task *task) reserveRetry() bool {
-	task.retryReserved = task.retryReserved || task.entry.reserveRetry(task.service, task.call.ID)
-	return task.retryReserved
-}
-
-// releaseRetry ends the reservation of a retry that is not sent, if there is one.
-func (task *task) releaseRetry() {
-	if task.retryReserved {
-		task.retryReserved = false
-		task.entry.releaseRetry(task.service)
-	}
-}
-
-// spendRetry reports whether the budget allows an attempt that is about to be sent. The first that
-// reaches a replica is not a retry.
-func (task *task) spendRetry() bool {
-	if task.refusals+task.runs == 0 {
-		return true
-	}
-	if !task.reserveRetry() {
-		return false
-	}
-	task.retryReserved = false
-	return task.entry.spendRetry(task.service, task.call.ID)
-}
-
 // placementFailure returns the failure of a request that got no replica.
 func (task *task) placementFailure(ctx context.Context, waiter *balancer.Waiter) classifier.Failure {
 	reason := string(waiter.Reason)
