relayer: log the parts of a request that broke off, and who reported a strike

The logs named the fingerprint of each request in flight at a crash and nothing that two requests can share, so blame of whole requests could not be told from lost strikes. A line "attempt failed" of an answer that broke off now has the fingerprint, the parts of the prompt and for how long the answer had been arriving, "request struck" the peer that reported it. No decision changes.

--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -133,7 +133,7 @@
 	peers.applyColdNotices(digest)
 	peers.applyLeaves(digest, now)
 	for _, strike := range digest.Strikes {
-		peers.direct.frontend.RecordStrike(strike.Request, strike.Replica)
+		peers.direct.frontend.RecordStrike(strike.Request, strike.Replica, digest.Address)
 	}
 	peers.recordPeerAnswered(digest.StoreAnswered)
 	for _, update := range digest.ListChanges {
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"time"
 
@@ -299,17 +300,42 @@
 	request, replica := task.fingerprint, result.replica
 	go func() {
 		if task.entry.confirmDown(replica) {
-			task.entry.RecordStrike(request, replica.Incarnation())
+			task.entry.RecordStrike(request, replica.Incarnation(), "")
 			task.entry.settings.OnStrike(request, replica.Incarnation())
 		}
 	}()
 }
 
 func (task *task) logAttempt(result attemptResult) {
-	task.entry.settings.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request-id": task.call.ID, labelReplica: result.replica.ID, labelService: result.replica.Service,
 		"verdict": result.verdict.String(), "cause": result.causeText(),
-	}).Info("attempt failed")
+	}
+	if result.verdict == broken && result.replicaFailed {
+		task.addBrokenFields(fields)
+	}
+	task.entry.settings.Log.WithFields(fields).Info("attempt failed")
+}
+
+// addBrokenFields adds what requests that break off may have in common, and for how long the answer
+// had been arriving.
+func (task *task) addBrokenFields(fields logrus.Fields) {
+	fields["fingerprint"] = strconv.FormatUint(task.fingerprint, 16)
+	if len(task.call.Parts) > 0 {
+		fields["parts"] = formatParts(task.call.Parts)
+	}
+	if task.startedPlacement == task.placement {
+		fields["answering-ms"] = int64(task.entry.settings.Clock.Now().Since(task.answerStartedAt))
+	}
+}
+
+// formatParts returns the IDs of parts as the caller wrote them, root first.
+func formatParts(parts []balancer.Part) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
 }
 
 // String returns the verdict's name in logs and metrics.
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -150,13 +150,17 @@
 func (entry *Entry) Active() int64 { return entry.active.Load() }
 
 // RecordStrike records that an incarnation of a replica crashed while the request was in
-// flight there, as seen by this entry or a peer.
-func (entry *Entry) RecordStrike(request uint64, incarnation string) {
+// flight there, as seen by this entry, or by the peer if it is not "".
+func (entry *Entry) RecordStrike(request uint64, incarnation, peer string) {
 	if entry.strikes.add(request, incarnation, entry.settings.Clock.Now()) {
 		entry.meters.countStrike()
-		entry.settings.Log.WithFields(logrus.Fields{
+		fields := logrus.Fields{
 			"fingerprint": strconv.FormatUint(request, 16), labelReplica: balancer.IDOf(incarnation), "incarnation": incarnation,
-		}).Warn("request struck")
+		}
+		if peer != "" {
+			fields["peer"] = peer
+		}
+		entry.settings.Log.WithFields(fields).Warn("request struck")
 	}
 }
 
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -85,6 +85,7 @@
 	}
 	task.startedPlacement = task.placement
 	now := task.entry.settings.Clock.Now()
+	task.answerStartedAt = now
 	if task.firstPartAt == 0 {
 		task.firstPartAt = now
 	}
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -83,7 +83,9 @@
 	// startedPlacement is the placement that last had the first part of its answer
 	// recorded.
 	startedPlacement *balancer.Placement
-	replica          string
+	// answerStartedAt is when that part arrived.
+	answerStartedAt timekeeper.Instant
+	replica         string
 }
 
 // rank returns the urgency of the request.
