relayer, quarantiner: a part of prompts that crashes replicas is quarantined at every entry

Cause: a strike named a fingerprint of the whole request. No two of these requests are alike, so none had more strikes than its own attempts gave it. A request was also tried again before the crash of its first attempt counted.

Change: a crash is counted for each feature of the requests in flight there, their fingerprint and the parts of their prompts but the last. A part that was in flight at three crashes of different incarnations since its last answer survived (five, if it has survived within the last minute or two) is suspected: one request with it at a time is sent over the fleet, all others are refused with 503. If the trial crashes its replica while others are served, the part is quarantined for an hour, then for four and sixteen times as long if a trial fails again; if it survives, the part is cleared. A quarantined part explains the crashes it was in flight at, so that parts which came along lose them. Crashes, survivals, trials and quarantines go to the peers at once, quarantines in each digest and in a row of the store. All is asked again at the moment of sending. Replicas that fall silent no longer count as crashed by a request, and probes go on for 260 ms after the first.

Why it works: no answer on such a part ever survives, which is true of no other part for long, and one trial tells it from a part that came along.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -16,7 +16,6 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
-	"github.com/trefoilseam/trefoilseam/internal/gossiper"
 	"github.com/trefoilseam/trefoilseam/internal/loader"
 	"github.com/trefoilseam/trefoilseam/internal/measurer"
 	"github.com/trefoilseam/trefoilseam/internal/relayer"
@@ -103,6 +102,7 @@
 	readiness   readiness
 	peers       *peers
 	versions    *versions
+	quarantines *quarantines
 	connTracker *connTracker
 
 	operatorTable *follower.Follower[platform.OperatorRow]
@@ -141,6 +141,7 @@
 	store, release := platform.NewStore(settings.Store, direct.log, direct.scope, func(era uint64) { direct.learnEra(era, "store") })
 	direct.onRelease(release)
 	direct.versions = newVersions(direct, store)
+	direct.quarantines = newQuarantines(direct, store)
 	direct.peers, release = newPeers(direct, store, direct.listeners.datagrams)
 	direct.onRelease(release)
 	direct.frontend = relayer.New(direct.frontendSettings())
@@ -186,18 +187,16 @@
 		RetryBudget: relayer.RetryBudget{
 			Window: direct.settings.Retry.Window, Ratio: direct.settings.Retry.Ratio, Extra: direct.settings.Retry.Extra,
 		},
-		ConnectionShares: func() int { return max(minShares, sharesPerEntry*direct.peers.liveEntries()) },
-		RetryParts:       direct.retryParts,
-		FirstStart:       direct.settings.FirstStart,
-		OnPlacement:      direct.peers.gossiper.SendPlacement,
-		OnUnreachable:    direct.peers.gossiper.SendUnreachable,
-		OnLeaveAnnounced: direct.peers.gossiper.SendLeaveAnnounced,
-		OnCold:           direct.announceCold,
-		OnStreamBegun:    direct.peers.streams.Record,
-		FindOrigin:       direct.peers.streams.Find,
-		OnStrike: func(request uint64, replica string) {
-			direct.peers.gossiper.SendStrike(gossiper.Strike{Request: request, Replica: replica})
-		},
+		ConnectionShares:   func() int { return max(minShares, sharesPerEntry*direct.peers.liveEntries()) },
+		RetryParts:         direct.retryParts,
+		FirstStart:         direct.settings.FirstStart,
+		OnPlacement:        direct.peers.gossiper.SendPlacement,
+		OnUnreachable:      direct.peers.gossiper.SendUnreachable,
+		OnLeaveAnnounced:   direct.peers.gossiper.SendLeaveAnnounced,
+		OnCold:             direct.announceCold,
+		OnStreamBegun:      direct.peers.streams.Record,
+		FindOrigin:         direct.peers.streams.Find,
+		Crashes:            direct.crashSharing(),
 		TooManyConnections: direct.connTracker.nearLimit,
 		BodyMemory:         int64(bodyMemoryShare * float64(megabytes<<20)),
 		Seed:               newIncarnation(),
@@ -256,6 +255,7 @@
 	addLoop(rest, direct.watchSettings)
 	addLoop(rest, direct.peers.register)
 	addLoop(rest, direct.versions.run)
+	addLoop(rest, direct.quarantines.run)
 	addLoop(rest, direct.peers.gossiper.Run)
 	rest.Add(direct.peers.gossiper.Receive, func(error) { _ = direct.listeners.datagrams.Close() })
 	addServer(rest, direct.listeners.peer, direct.peers, 0)
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
 	"github.com/trefoilseam/trefoilseam/internal/gossiper"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 	"github.com/trefoilseam/trefoilseam/platform"
@@ -72,7 +73,8 @@
 		StoreAnswered: direct.storeAnswered, StoreFailing: direct.storeFailing,
 		ListSummary: func() (follower.Summary, bool) { return direct.replicas.Summary() },
 		Evacuations: peers.evacuations, StoreEras: direct.eras.Known, Retention: direct.retention, ChecksHealth: direct.checksHealth,
-		OnStreams: func(peer string, message resumer.Message) { peers.streams.Handle(peer, message) },
+		Quarantined: func() []quarantiner.Quarantine { return direct.frontend.Quarantined() },
+		OnStreams:   func(peer string, message resumer.Message) { peers.streams.Handle(peer, message) },
 	})
 	peers.streams = resumer.New(resumer.Settings{
 		Clock: direct.clock, Peers: peers.gossiper.LivePeers, Send: peers.gossiper.SendStreams, Versions: direct.versions.of,
@@ -132,9 +134,7 @@
 	})
 	peers.applyColdNotices(digest)
 	peers.applyLeaves(digest, now)
-	for _, strike := range digest.Strikes {
-		peers.direct.frontend.RecordStrike(strike.Request, strike.Replica, digest.Address)
-	}
+	peers.direct.applyCrashes(digest)
 	peers.recordPeerAnswered(digest.StoreAnswered)
 	for _, update := range digest.ListChanges {
 		peers.direct.replicas.ApplyUpdate(update)
--- a/internal/assembler/direct_register.go
+++ b/internal/assembler/direct_register.go
@@ -60,6 +60,7 @@
 	}
 	entries := registry.Entries
 	peers.direct.versions.recall(registry)
+	peers.direct.quarantines.recall(registry)
 	for _, entry := range entries {
 		peers.gossiper.AddPeer(entry.PeerAddress)
 	}
--- a/internal/assembler/direct_start.go
+++ b/internal/assembler/direct_start.go
@@ -98,6 +98,7 @@
 	registry, err := platform.ReadRegistry(ctx, peers.store)
 	switch {
 	case err == nil:
+		peers.direct.quarantines.recall(registry)
 		peers.start(ctx, registry.Entries, registry.Era)
 	case peers.direct.clock.Now().Since(closedAt) >= maxStartWait:
 		peers.direct.openStartGate("not registered", 0)
@@ -149,6 +150,7 @@
 	}
 	peers.direct.learnEra(state.StoreEra, "peer "+address)
 	peers.direct.applyRetention(state.Retention, "peer "+address)
+	peers.direct.applyCrashes(state)
 	if state.Evacuations != nil {
 		peers.direct.applyPeerEvacuations(*state.Evacuations, address)
 	}
--- a/internal/gossiper/digest.go
+++ b/internal/gossiper/digest.go
@@ -8,6 +8,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/sequencer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -32,6 +33,12 @@
 	// leave.
 	LeaveAnnounced []string
 	Strikes        []Strike
+	// Crashes are replicas that crashed with parts in flight, SurvivedParts parts whose crashes no
+	// longer count, TriedParts those of which the peer has begun a trial, and Quarantined those that
+	// are quarantined at the peer.
+	Crashes                   []Crash
+	SurvivedParts, TriedParts []quarantiner.Feature
+	Quarantined               []quarantiner.Quarantine
 	// SameDataCentre reports whether the peer runs in this entry's data centre.
 	SameDataCentre bool
 	// ListSummary is the result of the peer's last read of the list of replicas; nil if the
@@ -118,6 +125,7 @@
 	for _, strike := range message.Strikes {
 		digest.Strikes = append(digest.Strikes, Strike{Request: strike.Request, Replica: strike.Replica})
 	}
+	decodeCrashes(&digest, message, now)
 	if held := message.Retention; held != nil {
 		digest.Retention = balancer.Retention{
 			Left: timekeeper.Span(held.LeftMs), Incarnations: held.Incarnations, DataCentres: held.DataCentres,
@@ -145,7 +153,8 @@
 	return last != nil && last.Configuration == next.Configuration && last.Stopping == next.Stopping && last.StoreEra == next.StoreEra &&
 		last.StoreFailing == next.StoreFailing && sameDataCentres(last.Evacuations, next.Evacuations) &&
 		slices.Equal(last.Replicas, next.Replicas) && slices.Equal(last.Running, next.Running) &&
-		slices.Equal(last.Unread, next.Unread) && slices.Equal(last.Rates, next.Rates) && last.ChecksHealth == next.ChecksHealth
+		slices.Equal(last.Unread, next.Unread) && slices.Equal(last.Rates, next.Rates) && last.ChecksHealth == next.ChecksHealth &&
+		len(last.Quarantined) == len(next.Quarantined)
 }
 
 // sameDataCentres reports whether the same data centres are evacuated; versions may differ.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -107,6 +107,29 @@
 	gossiper.enqueue(func(outbox *outbox) { outbox.strikes.add(strike) })
 }
 
+// SendCrash reports to peers at once that a replica crashed, with the parts in flight there.
+func (gossiper *Gossiper) SendCrash(crash Crash) {
+	gossiper.enqueue(func(outbox *outbox) { outbox.crashes.add(crash) })
+}
+
+// SendSurvival reports to peers that answers on parts survived; at once if that is urgent.
+func (gossiper *Gossiper) SendSurvival(parts []uint64, urgent bool) {
+	gossiper.mu.Lock()
+	gossiper.outbox.survivedParts.add(parts...)
+	gossiper.mu.Unlock()
+	if urgent {
+		gossiper.wake()
+	}
+}
+
+// SendTrial reports to peers at once that a trial of parts begins.
+func (gossiper *Gossiper) SendTrial(parts []uint64) {
+	gossiper.enqueue(func(outbox *outbox) { outbox.triedParts.add(parts...) })
+}
+
+// SendQuarantine sends the quarantined parts to peers at once.
+func (gossiper *Gossiper) SendQuarantine() { gossiper.wake() }
+
 // SendEvacuations sends the evacuations in force at this entry to peers at once.
 func (gossiper *Gossiper) SendEvacuations() { gossiper.wake() }
 
@@ -226,13 +249,14 @@
 	era, _ := gossiper.settings.StoreEras()
 	retention := encodeRetention(gossiper.settings.Retention())
 	checksHealth := gossiper.settings.ChecksHealth()
+	quarantined := gossiper.settings.Quarantined()
 	now := gossiper.settings.Clock.Now()
 	gossiper.mu.Lock()
 	defer gossiper.mu.Unlock()
 	digest := &encoder.PeerDigest{
 		Incarnation: gossiper.settings.Incarnation, Configuration: version, StoreFailing: failing,
 		IntervalMs: uint32(max(gossiper.interval, idleInterval)), Stopping: gossiper.stopping, StoreEra: era,
-		ChecksHealth: checksHealth && !gossiper.stopping,
+		ChecksHealth: checksHealth && !gossiper.stopping, Quarantined: encodeQuarantined(quarantined, now),
 	}
 	if hasEvacuations {
 		digest.Evacuations = encodeEvacuations(evacuations)
@@ -252,7 +276,7 @@
 		Configuration: version, Stopping: digest.Stopping, StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
 		Replicas: digest.Replicas, Running: digest.Running, Unread: digest.Unread, Rates: digest.Rates, ChecksHealth: digest.ChecksHealth,
 		DataCentre: DataCentreKey(gossiper.settings.DataCentre), StoreFailing: failing, Evacuations: digest.Evacuations,
-		StoreEra: era, Retention: retention,
+		StoreEra: era, Retention: retention, Quarantined: digest.Quarantined,
 	}
 	if hasSummary {
 		full.Listing = &encoder.PeerListing{
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -40,6 +40,12 @@
 	Replica string
 }
 
+// Crash is an incarnation of a replica that crashed, with the parts that were in flight there.
+type Crash struct {
+	Incarnation string
+	Parts       []uint64
+}
+
 // Leave is a replica that the store listed as leaving, or no longer listed, at a version.
 type Leave struct {
 	Replica string
@@ -79,7 +85,13 @@
 	limit     int
 }
 
-func (queue *queue[T]) add(item T) {
+func (queue *queue[T]) add(items ...T) {
+	for _, item := range items {
+		queue.addOne(item)
+	}
+}
+
+func (queue *queue[T]) addOne(item T) {
 	if len(queue.items) >= queue.limit {
 		queue.items, queue.remaining = slices.Delete(queue.items, 0, 1), slices.Delete(queue.remaining, 0, 1)
 	}
@@ -145,6 +157,9 @@
 	leaves         queue[Leave]
 	leaveAnnounced queue[string]
 	strikes        queue[Strike]
+	crashes        queue[Crash]
+	survivedParts  queue[uint64]
+	triedParts     queue[uint64]
 	changes        queue[ReplicaUpdate]
 	cold           queue[ColdNotice]
 	recentCold     recentNotices
@@ -157,6 +172,9 @@
 		leaves:         queue[Leave]{limit: maxUpdates},
 		leaveAnnounced: queue[string]{limit: maxUpdates},
 		strikes:        queue[Strike]{limit: maxUpdates},
+		crashes:        queue[Crash]{limit: maxUpdates},
+		survivedParts:  queue[uint64]{limit: maxUpdates},
+		triedParts:     queue[uint64]{limit: maxUpdates},
 		changes:        queue[ReplicaUpdate]{limit: maxListChanges},
 		cold:           queue[ColdNotice]{limit: maxUpdates},
 	}
@@ -165,7 +183,8 @@
 // empty reports whether there are no updates. Reminders alone trigger no digest.
 func (outbox *outbox) empty() bool {
 	return len(outbox.placements.items)+len(outbox.unreachable.items)+
-		len(outbox.leaves.items)+len(outbox.leaveAnnounced.items)+len(outbox.strikes.items)+len(outbox.changes.items)+len(outbox.cold.items) == 0
+		len(outbox.leaves.items)+len(outbox.leaveAnnounced.items)+len(outbox.strikes.items)+len(outbox.changes.items)+len(outbox.cold.items)+
+		len(outbox.crashes.items)+len(outbox.survivedParts.items)+len(outbox.triedParts.items) == 0
 }
 
 // addReminder adds a placement that peers may know already. If the list is full, the oldest
@@ -192,6 +211,10 @@
 	for _, strike := range outbox.strikes.take() {
 		digest.Strikes = append(digest.Strikes, &encoder.PeerStrike{Request: strike.Request, Replica: strike.Replica})
 	}
+	for _, crash := range outbox.crashes.take() {
+		digest.Crashes = append(digest.Crashes, &encoder.PeerCrash{Incarnation: crash.Incarnation, Parts: crash.Parts})
+	}
+	digest.SurvivedParts, digest.TriedParts = outbox.survivedParts.take(), outbox.triedParts.take()
 	for _, changes := range outbox.changes.take() {
 		digest.Listed = append(digest.Listed, encodeUpdate(changes, now))
 	}
--- a/internal/gossiper/settings.go
+++ b/internal/gossiper/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -17,7 +18,7 @@
 const defaultBudget = 7700
 
 // Settings set up a gossiper. All fields but Budget, StoreFailing, ListSummary,
-// Evacuations, StoreEras, Retention, ChecksHealth and OnStreams must be set.
+// Evacuations, StoreEras, Retention, Quarantined, ChecksHealth and OnStreams must be set.
 type Settings struct {
 	Incarnation uint64
 	// DataCentre is the data centre in which the entry runs.
@@ -52,6 +53,8 @@
 	// ChecksHealth reports whether this entry checks the health of replicas if it is selected.
 	// Nil means that it never does.
 	ChecksHealth func() bool
+	// Quarantined returns the parts of prompts that are quarantined at this entry. Nil means none.
+	Quarantined func() []quarantiner.Quarantine
 	// OnDigest is called with each new digest of a peer.
 	OnDigest func(digest Digest)
 	// OnStreams is called with each message of a peer about streams. Nil ignores them.
@@ -82,6 +85,9 @@
 	if settings.Retention == nil {
 		settings.Retention = func() balancer.Retention { return balancer.Retention{} }
 	}
+	if settings.Quarantined == nil {
+		settings.Quarantined = func() []quarantiner.Quarantine { return nil }
+	}
 	if settings.ChecksHealth == nil {
 		settings.ChecksHealth = func() bool { return false }
 	}
--- a/internal/gossiper/state.go
+++ b/internal/gossiper/state.go
@@ -9,13 +9,15 @@
 )
 
 // State returns what this entry knows that a restored store may lack, for an entry that starts:
-// the version of its configuration, the era of the store, the evacuations and what it retains.
+// the version of its configuration, the era of the store, the evacuations, the quarantined parts and what it
+// retains.
 func (gossiper *Gossiper) State() ([]byte, error) {
 	era, _ := gossiper.settings.StoreEras()
 	evacuations, _ := gossiper.settings.Evacuations()
 	text, err := proto.Marshal(&encoder.PeerDigest{
 		Incarnation: gossiper.settings.Incarnation, Configuration: gossiper.settings.Version(), StoreEra: era,
 		Retention: encodeRetention(gossiper.settings.Retention()), Evacuations: encodeEvacuations(evacuations),
+		Quarantined: encodeQuarantined(gossiper.settings.Quarantined(), gossiper.settings.Clock.Now()),
 	})
 	return text, eris.Wrap(err, "state for a peer")
 }
--- /dev/null
+++ b/internal/quarantiner/table.go
@@ -0,0 +1,192 @@
+package quarantiner
+
+import (
+	"slices"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// suspectParts is the number of crashes since the last survival from which a part is suspected.
+	suspectParts = 3
+	// suspectKnown is the number for a part that has survived in survivalMemory, and survivalGap how
+	// long ago that must be: parts that most requests share are in flight at every crash.
+	suspectKnown = 5
+	survivalGap  = timekeeper.Second
+	// refuseRequests is the number of crashes from which a request is refused, for requestLifetime:
+	// callers repeat it for about that time.
+	refuseRequests  = 2
+	requestLifetime = timekeeper.Minute
+	// repeatLimit is the number of crashes from which a request that broke off isn't tried again.
+	repeatLimit = 2
+	// recordLifetime is how long crashes count, and explainedLifetime how long it is remembered that
+	// a quarantined feature explains one.
+	recordLifetime    = timekeeper.Hour
+	explainedLifetime = 10 * timekeeper.Minute
+	// maxRecords bounds the records, and maxExplained the crashes that are explained.
+	maxRecords   = 4096
+	maxExplained = 1024
+)
+
+// Table is an entry's knowledge of crashes and features.
+type Table struct {
+	records     map[Feature]*record
+	survivals   survivals
+	quarantined map[Feature]Quarantine
+	// explained holds the incarnations that crashed with a quarantined feature in flight.
+	explained map[string]timekeeper.Instant
+}
+
+// New returns a table that knows of no crash.
+func New() *Table {
+	return &Table{
+		records: map[Feature]*record{}, quarantined: map[Feature]Quarantine{}, explained: map[string]timekeeper.Instant{},
+	}
+}
+
+// Crash records that an incarnation of a replica crashed while an answer on each of the features was
+// due, and returns the features for which that is news.
+func (table *Table) Crash(incarnation string, inFlight []Feature, now timekeeper.Instant) (struck []Feature) {
+	if slices.ContainsFunc(inFlight, func(feature Feature) bool { return table.isQuarantined(feature, now) }) {
+		table.explain([]string{incarnation}, now)
+	}
+	if _, explained := table.explained[incarnation]; explained {
+		return nil
+	}
+	for _, feature := range inFlight {
+		known := table.recordOf(feature, now)
+		if known.strike(incarnation, now) {
+			struck = append(struck, feature)
+			known.suspect(table.isSuspicious(feature), now)
+		}
+	}
+	return struck
+}
+
+// recordOf returns the record of a feature, and creates it where there is none.
+func (table *Table) recordOf(feature Feature, now timekeeper.Instant) *record {
+	if known, found := table.records[feature]; found && now.Since(known.struckAt) <= recordLifetime {
+		return known
+	}
+	if len(table.records) >= maxRecords {
+		table.evict()
+	}
+	created := &record{struckAt: now}
+	table.records[feature] = created
+	return created
+}
+
+// evict removes the record with the fewest crashes, the oldest of those.
+func (table *Table) evict() {
+	var least Feature
+	for feature, known := range table.records {
+		other, found := table.records[least]
+		if !found || len(known.incarnations) < len(other.incarnations) ||
+			len(known.incarnations) == len(other.incarnations) && known.struckAt < other.struckAt {
+			least = feature
+		}
+	}
+	delete(table.records, least)
+}
+
+// excess returns by how many crashes a part is beyond those from which it is suspected.
+func (table *Table) excess(part Feature) int {
+	needed := suspectParts
+	if table.hasSurvived(part) {
+		needed = suspectKnown
+	}
+	return len(table.records[part].incarnations) - needed
+}
+
+// isSuspicious reports whether a feature with a record is a part with as many crashes as make it
+// suspected.
+func (table *Table) isSuspicious(feature Feature) bool {
+	return feature.Kind == Part && table.excess(feature) >= 0
+}
+
+// hasSurvived reports whether an answer on a part is known to have survived.
+func (table *Table) hasSurvived(part Feature) bool {
+	_, survived := table.survivals.last(part)
+	return survived
+}
+
+// Survive records that answers on the features survived. It returns the parts whose crashes no longer
+// count, and whether one of them was suspected.
+func (table *Table) Survive(features []Feature, now timekeeper.Instant) (cleared []Feature, suspected bool) {
+	for _, feature := range features {
+		if feature.Kind == Part {
+			table.survivals.add(feature, now)
+		}
+		_, lapsed := table.quarantined[feature]
+		lapsed = lapsed && !table.isQuarantined(feature, now)
+		known, found := table.records[feature]
+		if feature.Kind == Part && (found || lapsed) {
+			cleared = append(cleared, feature)
+			suspected = suspected || lapsed || known.suspectedAt != 0
+		}
+		delete(table.records, feature)
+		if lapsed {
+			delete(table.quarantined, feature)
+		}
+	}
+	return cleared, suspected
+}
+
+// isRefused reports whether a request is refused for the crashes that it was in flight at.
+func (table *Table) isRefused(request Feature, now timekeeper.Instant) bool {
+	known, found := table.records[request]
+	return found && request.Kind == Request && len(known.incarnations) >= refuseRequests && now.Since(known.struckAt) <= requestLifetime
+}
+
+// suspectedSince returns since when a part is suspected, and whether it is. One whose quarantine has
+// lapsed is.
+func (table *Table) suspectedSince(part Feature, now timekeeper.Instant) (timekeeper.Instant, bool) {
+	known, found := table.records[part]
+	if quarantine, lapsed := table.quarantined[part]; lapsed {
+		since := quarantine.ends()
+		if found {
+			since = max(since, known.opensAt)
+		}
+		return since, now >= since
+	}
+	if !found || known.suspectedAt == 0 {
+		return 0, false
+	}
+	since := known.opensAt
+	if survivedAt, survived := table.survivals.last(part); survived {
+		since = max(since, survivedAt.Add(survivalGap))
+	}
+	return since, now >= since
+}
+
+// MayRepeat reports whether a request that broke off may be tried again, as far as its features are
+// concerned.
+func (table *Table) MayRepeat(features []Feature, now timekeeper.Instant) bool {
+	return !slices.ContainsFunc(features, func(feature Feature) bool {
+		_, suspected := table.suspectedSince(feature, now)
+		if suspected || table.isQuarantined(feature, now) || table.isRefused(feature, now) {
+			return true
+		}
+		known, found := table.records[feature]
+		return found && !table.hasSurvived(feature) && len(known.incarnations) >= repeatLimit
+	})
+}
+
+// explain records that crashes have a known cause.
+func (table *Table) explain(incarnations []string, now timekeeper.Instant) {
+	for incarnation, at := range table.explained {
+		if now.Since(at) > explainedLifetime || len(table.explained) >= maxExplained {
+			delete(table.explained, incarnation)
+		}
+	}
+	for _, incarnation := range incarnations {
+		table.explained[incarnation] = now
+	}
+	for feature, known := range table.records {
+		known.remove(incarnations)
+		known.suspect(table.isSuspicious(feature), now)
+		if len(known.incarnations) == 0 {
+			delete(table.records, feature)
+		}
+	}
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime"
 	"strconv"
@@ -37,7 +38,9 @@
 	replica balancer.Replica
 	// replicaFailed reports whether the replica caused the failure.
 	replicaFailed bool
-	cause         error
+	// succeeded reports whether the caller has a complete answer that says that the request succeeded.
+	succeeded bool
+	cause     error
 }
 
 // causeText returns the text of the cause, or "" without one.
@@ -164,6 +167,8 @@
 	now, admitted := task.entry.settings.Clock.Now(), true
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { current, admitted = fleet.Admits(placement, now) })
 	switch {
+	case admitted && !task.admitFeatures():
+		return errQuarantined
 	case admitted && !task.spendRetry():
 		return errRetryDenied
 	case admitted:
@@ -176,7 +181,7 @@
 
 // notAdmitted reports whether an attempt failed since the entry itself did not send it.
 func notAdmitted(cause error) bool {
-	return eris.Is(cause, errClosed) || eris.Is(cause, errTurnedCold) || eris.Is(cause, errRetryDenied)
+	return eris.Is(cause, errClosed) || eris.Is(cause, errTurnedCold) || eris.Is(cause, errRetryDenied) || eris.Is(cause, errQuarantined)
 }
 
 // classifyError returns the result of an attempt that failed before the head of an answer.
@@ -275,35 +280,60 @@
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, outcome, now) })
 	task.entry.queue.placeFreed()
 	task.entry.meters.countAttempt(task.service, result)
+	if result.succeeded {
+		task.survive()
+	}
 	if result.verdict == answered && !result.replicaFailed {
-		task.entry.strikes.clear(task.fingerprint)
+		task.endTrial()
 		return
 	}
 	task.logAttempt(result)
-	if callerLeft {
-		return
+	if callerLeft || !task.probeReplica(result) {
+		task.endTrial()
 	}
-	task.probeReplica(result)
 }
 
-// probeReplica checks at once whether a replica that failed a request is down, so that the
-// next requests need not fail to find out. If it is, and the request may have run there, the
-// request gets a strike.
-func (task *task) probeReplica(result attemptResult) {
+// probeReplica checks whether a replica that failed a request is down, so that the next requests need
+// not fail to find out. If it is, and the request may have run there, the request was in flight at a
+// crash. The first probe is waited for: the request must not be tried again before its crashes
+// count. probeReplica reports whether a replica broke off that may have crashed: the trial of the
+// request then ends here.
+func (task *task) probeReplica(result attemptResult) bool {
 	if result.verdict == unsent && eris.Is(result.cause, connector.ErrUnreachable) {
 		task.entry.markUnreachable(result.replica, result.causeText())
-		return
+		return false
 	}
 	if result.verdict != broken || !result.replicaFailed || eris.Is(result.cause, errServer) {
-		return
+		return false
+	}
+	if isTimeout(result.cause) {
+		go task.entry.confirmDown(result.replica)
+		return false
+	}
+	entry, features, trial := task.entry, task.features, task.trial
+	task.trial = nil
+	if task.survivedPlacement == task.placement {
+		features = nil
+	}
+	down := entry.isDown(result.replica)
+	if down {
+		entry.recordCrash(result.replica, features)
 	}
-	request, replica := task.fingerprint, result.replica
 	go func() {
-		if task.entry.confirmDown(replica) {
-			task.entry.RecordStrike(request, replica.Incarnation(), "")
-			task.entry.settings.OnStrike(request, replica.Incarnation())
+		if !down && entry.confirmDown(result.replica) {
+			entry.recordCrash(result.replica, features)
+			down = true
 		}
+		entry.concludeTrial(trial, result.replica.Incarnation(), down)
 	}()
+	return true
+}
+
+// isTimeout reports whether a replica was silent, as one is that can't be reached. It has not
+// necessarily crashed.
+func isTimeout(cause error) bool {
+	var network net.Error
+	return eris.Is(cause, errNoAnswer) || eris.As(cause, &network) && network.Timeout()
 }
 
 func (task *task) logAttempt(result attemptResult) {
@@ -320,7 +350,7 @@
 // addBrokenFields adds what requests that break off may have in common, and for how long the answer
 // had been arriving.
 func (task *task) addBrokenFields(fields logrus.Fields) {
-	fields["fingerprint"] = strconv.FormatUint(task.fingerprint, 16)
+	fields["fingerprint"] = formatID(task.features[0].ID)
 	if len(task.call.Parts) > 0 {
 		fields["parts"] = formatParts(task.call.Parts)
 	}
@@ -329,11 +359,14 @@
 	}
 }
 
+// formatID returns an ID of a part or a fingerprint as logs show it.
+func formatID(id uint64) string { return strconv.FormatUint(id, 16) }
+
 // formatParts returns the IDs of parts as the caller wrote them, root first.
 func formatParts(parts []balancer.Part) string {
 	ids := make([]string, len(parts))
 	for i, part := range parts {
-		ids[i] = strconv.FormatUint(part.ID, 16)
+		ids[i] = formatID(part.ID)
 	}
 	return strings.Join(ids, ",")
 }
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -14,13 +13,14 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/internal/retrier"
 	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// Settings set up an entry. All fields but OnPlacement, OnUnreachable, OnStrike,
+// Settings set up an entry. All fields but OnPlacement, OnUnreachable, Crashes,
 // OnLeaveAnnounced, OnCold, OnStreamBegun, FindOrigin and TooManyConnections must be set. Without
 // FindOrigin, streams that callers take up are refused.
 type Settings struct {
@@ -53,8 +53,8 @@
 	OnPlacement func(replica balancer.Key, parts []balancer.Part, first bool)
 	// OnUnreachable is called for a replica that accepts no connections.
 	OnUnreachable func(replica string)
-	// OnStrike is called for a request that was in flight at a replica when it crashed.
-	OnStrike func(request uint64, incarnation string)
+	// Crashes shares what this entry knows of crashes with its peers. The zero value shares nothing.
+	Crashes CrashSharing
 	// OnLeaveAnnounced is called when an answer announces that an incarnation of a
 	// replica leaves, unless this entry has received that announcement before, also
 	// through a peer.
@@ -86,7 +86,8 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	budgets map[string]*retrier.Window
-	strikes *strikes
+
+	quarantine *quarantine
 
 	queue   *queue
 	shedder *shedder
@@ -117,18 +118,16 @@
 			return resumer.Finding{Source: resumer.ShortHistory}
 		}
 	}
-	if settings.OnStrike == nil {
-		settings.OnStrike = func(uint64, string) {}
-	}
+	settings.Crashes = settings.Crashes.withDefaults()
 	return &Entry{
-		settings:  settings,
-		meters:    newMeters(settings.Scope),
-		startedAt: settings.Clock.Now(),
-		random:    rand.New(rand.NewPCG(settings.Seed, 17)),
-		budgets:   map[string]*retrier.Window{},
-		strikes:   newStrikes(),
-		queue:     newQueue(settings.Fleet, settings.Clock),
-		shedder:   &shedder{clock: settings.Clock},
+		settings:   settings,
+		meters:     newMeters(settings.Scope),
+		startedAt:  settings.Clock.Now(),
+		random:     rand.New(rand.NewPCG(settings.Seed, 17)),
+		budgets:    map[string]*retrier.Window{},
+		quarantine: &quarantine{table: quarantiner.New()},
+		queue:      newQueue(settings.Fleet, settings.Clock),
+		shedder:    &shedder{clock: settings.Clock},
 	}
 }
 
@@ -149,21 +148,6 @@
 // Active returns the number of requests in flight.
 func (entry *Entry) Active() int64 { return entry.active.Load() }
 
-// RecordStrike records that an incarnation of a replica crashed while the request was in
-// flight there, as seen by this entry, or by the peer if it is not "".
-func (entry *Entry) RecordStrike(request uint64, incarnation, peer string) {
-	if entry.strikes.add(request, incarnation, entry.settings.Clock.Now()) {
-		entry.meters.countStrike()
-		fields := logrus.Fields{
-			"fingerprint": strconv.FormatUint(request, 16), labelReplica: balancer.IDOf(incarnation), "incarnation": incarnation,
-		}
-		if peer != "" {
-			fields["peer"] = peer
-		}
-		entry.settings.Log.WithFields(fields).Warn("request struck")
-	}
-}
-
 // ServeHTTP authorizes a request and relays it to a replica of its route.
 func (entry *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	entry.active.Add(1)
@@ -271,21 +255,27 @@
 	return entry.random.Float64()
 }
 
-// confirmDown probes a replica that broke off an answer, and marks it unreachable when it
-// accepts no connection.
+// confirmDown probes a replica that broke off an answer again until it accepts no connection, and
+// marks it unreachable then.
 func (entry *Entry) confirmDown(replica balancer.Replica) (down bool) {
-	for probe := range probeCount {
-		if probe > 0 {
-			_ = entry.settings.Clock.Sleep(context.Background(), probeInterval)
-		}
-		if !entry.acceptsConnection(replica) {
-			entry.markUnreachable(replica, "no connection after it broke off")
+	for _, pause := range probePauses {
+		_ = entry.settings.Clock.Sleep(context.Background(), pause)
+		if entry.isDown(replica) {
 			return true
 		}
 	}
 	return false
 }
 
+// isDown probes a replica, and marks it unreachable if it accepts no connection.
+func (entry *Entry) isDown(replica balancer.Replica) bool {
+	if entry.acceptsConnection(replica) {
+		return false
+	}
+	entry.markUnreachable(replica, "no connection after it broke off")
+	return true
+}
+
 // acceptsConnection reports whether a replica accepts a connection.
 func (entry *Entry) acceptsConnection(replica balancer.Replica) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
@@ -297,13 +287,9 @@
 // round trip.
 const probeTimeout = 400 * timekeeper.Millisecond
 
-// A dying process closes its sockets one after the other: the connection of a request
-// may end some milliseconds before the listener does. A second probe after a pause
-// distinguishes it from a live process.
-const (
-	probeCount    = 2
-	probeInterval = 60 * timekeeper.Millisecond
-)
+// probePauses are the pauses before further probes. A dying process closes its sockets one after the
+// other: the connection of a request may end some time before the listener does.
+var probePauses = []timekeeper.Span{60 * timekeeper.Millisecond, 200 * timekeeper.Millisecond}
 
 // markUnreachable keeps requests from a replica for a while, closes its idle connections
 // and calls OnUnreachable.
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -8,6 +8,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -62,9 +63,22 @@
 	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("refused").Inc(1)
 }
 
-// countStrike counts a strike: a request that was in flight at a replica when it crashed.
-func (meters *meters) countStrike() {
-	meters.scope.Counter("strikes").Inc(1)
+// countStrike counts a strike: a request, or a part of prompts, that was in flight at a replica when
+// it crashed.
+func (meters *meters) countStrike(kind quarantiner.Kind) {
+	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("strikes").Inc(1)
+}
+
+// countQuarantine counts a part of prompts that is quarantined.
+func (meters *meters) countQuarantine() { meters.scope.Counter("quarantines").Inc(1) }
+
+// countKept counts a request that is kept from replicas for one of its features.
+func (meters *meters) countKept(decision quarantiner.Decision) {
+	cause := "suspected"
+	if decision.Final {
+		cause = decision.Refused.Kind.String()
+	}
+	meters.scope.Tagged(map[string]string{"cause": cause}).Counter("kept-from-replicas").Inc(1)
 }
 
 // countAttempt counts an attempt at a replica by its verdict.
--- /dev/null
+++ b/internal/relayer/quarantine.go
@@ -0,0 +1,275 @@
+package relayer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+const (
+	// survivalTime is how long after its first part an answer that goes on has survived. Engines
+	// crash some tens of milliseconds after they begin to write.
+	survivalTime = 500 * timekeeper.Millisecond
+	// tellTime is how long after a crash the other entries have told what was in flight there.
+	tellTime = 150 * timekeeper.Millisecond
+	// quarantinedRetryAfter is the Retry-After for requests that are refused for long.
+	quarantinedRetryAfter = timekeeper.Minute
+	// maxToldParts bounds the parts that peers are told of for each request that was in flight at a
+	// crash.
+	maxToldParts = 16
+)
+
+// CrashSharing is how entries share what they know of crashes. All fields must be set.
+type CrashSharing struct {
+	// OnCrash is called when a replica crashed while a request with the features was in flight, with
+	// those for which that is news.
+	OnCrash func(incarnation string, inFlight []quarantiner.Feature)
+	// OnSurvival is called for parts whose crashes no longer count, since an answer survived; urgent
+	// reports whether requests may wait for that.
+	OnSurvival func(parts []quarantiner.Feature, urgent bool)
+	// OnTrial is called when a trial of suspected parts begins.
+	OnTrial func(parts []quarantiner.Feature)
+	// OnQuarantine is called when this entry quarantines a part.
+	OnQuarantine func(quarantine quarantiner.Quarantine)
+	// Rank returns how many entries may try a suspected part before this one.
+	Rank func(part quarantiner.Feature) int
+}
+
+func (sharing CrashSharing) withDefaults() CrashSharing {
+	if sharing.OnCrash == nil {
+		return CrashSharing{
+			OnCrash:    func(string, []quarantiner.Feature) {},
+			OnSurvival: func([]quarantiner.Feature, bool) {}, OnTrial: func([]quarantiner.Feature) {},
+			OnQuarantine: func(quarantiner.Quarantine) {}, Rank: func(quarantiner.Feature) int { return 0 },
+		}
+	}
+	return sharing
+}
+
+// quarantine guards a table. Its lock is never held while another one is taken.
+type quarantine struct {
+	mu    sync.Mutex
+	table *quarantiner.Table
+}
+
+// with calls work with the table while holding the lock.
+func (quarantine *quarantine) with(work func(table *quarantiner.Table)) {
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	work(quarantine.table)
+}
+
+// RecordCrash records that an incarnation of a replica crashed while requests with the features were
+// in flight there, as seen by this entry, or by the peer if it is not "".
+func (entry *Entry) RecordCrash(incarnation string, inFlight []quarantiner.Feature, peer string) (struck []quarantiner.Feature) {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { struck = table.Crash(incarnation, inFlight, now) })
+	for _, feature := range struck {
+		entry.meters.countStrike(feature.Kind)
+		entry.logFeature(feature, logrus.Fields{
+			labelReplica: balancer.IDOf(incarnation), "incarnation": incarnation, "peer": peer,
+		}).Warn("request struck")
+	}
+	return struck
+}
+
+// RecordSurvival records that answers on the parts survived at a peer.
+func (entry *Entry) RecordSurvival(parts []quarantiner.Feature) {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { table.Survive(parts, now) })
+}
+
+// RecordTrial records that a peer has begun a trial of parts.
+func (entry *Entry) RecordTrial(parts []quarantiner.Feature) {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { table.BeginTrial(parts, now) })
+}
+
+// Quarantine quarantines a part that a peer or the store knows of, which from names, and reports
+// whether that is news.
+func (entry *Entry) Quarantine(quarantine quarantiner.Quarantine, from string) (changed bool) {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { changed = table.Quarantine(quarantine, now) })
+	if changed {
+		entry.applyQuarantine(quarantine, from)
+	}
+	return changed
+}
+
+// applyQuarantine refuses the requests that wait, and logs a quarantine.
+func (entry *Entry) applyQuarantine(quarantine quarantiner.Quarantine, from string) {
+	part := quarantine.Feature
+	entry.queue.withdraw(func(waiter *balancer.Waiter) bool { return hasPart(waiter.Request.Parts, part) })
+	entry.meters.countQuarantine()
+	entry.logFeature(part, logrus.Fields{
+		"from": from, "incarnations": quarantine.Incarnations, "lapses": quarantine.Lapses,
+		"age-ms": int64(entry.settings.Clock.Now().Since(quarantine.Since)),
+	}).Error("part quarantined, it crashes replicas")
+}
+
+// Quarantined returns the parts that are quarantined at this entry.
+func (entry *Entry) Quarantined() (quarantined []quarantiner.Quarantine) {
+	entry.quarantine.with(func(table *quarantiner.Table) { quarantined = table.Quarantined() })
+	return quarantined
+}
+
+func (entry *Entry) logFeature(feature quarantiner.Feature, fields logrus.Fields) *logrus.Entry {
+	name := map[quarantiner.Kind]string{quarantiner.Request: "fingerprint", quarantiner.Part: "part"}[feature.Kind]
+	return entry.settings.Log.WithFields(fields).WithField(name, formatID(feature.ID))
+}
+
+// featuresOf returns what a request may share with others: its fingerprint, and the parts of its
+// prompt but the last, which is its own.
+func featuresOf(fingerprint uint64, parts []balancer.Part) []quarantiner.Feature {
+	shared := balancer.SharedParts(parts)
+	features := make([]quarantiner.Feature, 0, 1+len(shared))
+	features = append(features, quarantiner.Feature{Kind: quarantiner.Request, ID: fingerprint})
+	for _, part := range shared {
+		features = append(features, quarantiner.Feature{Kind: quarantiner.Part, ID: part.ID})
+	}
+	return features
+}
+
+// hasPart reports whether a part is one that requests may share.
+func hasPart(parts []balancer.Part, feature quarantiner.Feature) bool {
+	for _, part := range balancer.SharedParts(parts) {
+		if part.ID == feature.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// errQuarantined is returned for a request that is kept from replicas for one of its features.
+var errQuarantined = eris.New("the request has a part that crashed replicas")
+
+// checkFeatures returns the failure of a request that is kept from replicas, and whether it may be
+// sent.
+func (task *task) checkFeatures() (classifier.Failure, bool) {
+	var decision quarantiner.Decision
+	now := task.entry.settings.Clock.Now()
+	task.entry.quarantine.with(func(table *quarantiner.Table) {
+		decision = table.Check(task.features, task.entry.settings.Crashes.Rank, now)
+	})
+	if decision.Allowed() {
+		return classifier.Failure{}, true
+	}
+	return task.refusalFor(decision), false
+}
+
+// refusalFor returns the failure for a request that is kept from replicas.
+func (task *task) refusalFor(decision quarantiner.Decision) classifier.Failure {
+	task.refused = decision
+	detail := "a suspected part is on trial"
+	wait := task.retryAfter() + decision.Wait
+	switch {
+	case !decision.Final:
+	case decision.Refused.Kind == quarantiner.Request:
+		detail, wait = "the request crashed replicas", quarantinedRetryAfter
+	default:
+		detail, wait = "a part of the prompt crashed replicas", quarantinedRetryAfter
+	}
+	task.entry.meters.countKept(decision)
+	return classifier.New(classifier.Overloaded, detail).WithRetryAfter(wait)
+}
+
+// admitFeatures checks at the moment of sending whether the request may be sent, and begins the trial
+// of its suspected parts if it is one.
+func (task *task) admitFeatures() bool {
+	if len(task.trial) > 0 {
+		return true
+	}
+	var decision quarantiner.Decision
+	now := task.entry.settings.Clock.Now()
+	task.entry.quarantine.with(func(table *quarantiner.Table) {
+		decision = table.Admit(task.features, task.entry.settings.Crashes.Rank, now)
+	})
+	if !decision.Allowed() {
+		task.refused = decision
+		return false
+	}
+	if task.trial = decision.Trial; len(task.trial) > 0 {
+		task.entry.settings.Crashes.OnTrial(task.trial)
+		for _, part := range task.trial {
+			task.entry.logFeature(part, logrus.Fields{"request-id": task.call.ID, labelReplica: task.replica}).Info("trial of a suspected part begins")
+		}
+	}
+	return true
+}
+
+// mayRepeat reports whether the request may be tried again after it broke off.
+func (task *task) mayRepeat() (allowed bool) {
+	now := task.entry.settings.Clock.Now()
+	task.entry.quarantine.with(func(table *quarantiner.Table) { allowed = table.MayRepeat(task.features, now) })
+	return allowed
+}
+
+// survive records that the answer survived.
+func (task *task) survive() {
+	if task.survivedPlacement == task.placement {
+		return
+	}
+	task.survivedPlacement, task.trial = task.placement, nil
+	var cleared []quarantiner.Feature
+	urgent := false
+	now := task.entry.settings.Clock.Now()
+	task.entry.quarantine.with(func(table *quarantiner.Table) { cleared, urgent = table.Survive(task.features, now) })
+	if len(cleared) == 0 {
+		return
+	}
+	task.entry.settings.Crashes.OnSurvival(cleared, urgent)
+	if urgent {
+		for _, part := range cleared {
+			task.entry.logFeature(part, logrus.Fields{"request-id": task.call.ID, labelReplica: task.replica}).Info("suspected part cleared")
+		}
+	}
+}
+
+// endTrial ends a trial that has shown nothing.
+func (task *task) endTrial() {
+	if len(task.trial) == 0 {
+		return
+	}
+	now := task.entry.settings.Clock.Now()
+	task.entry.quarantine.with(func(table *quarantiner.Table) { table.EndTrial(task.trial, now) })
+	task.trial = nil
+}
+
+// recordCrash records that a replica crashed while a request was in flight, and tells the peers.
+func (entry *Entry) recordCrash(replica balancer.Replica, features []quarantiner.Feature) {
+	incarnation := replica.Incarnation()
+	if struck := entry.RecordCrash(incarnation, features, ""); len(struck) > 0 {
+		entry.settings.Crashes.OnCrash(incarnation, struck[:min(len(struck), 1+maxToldParts)])
+	}
+}
+
+// concludeTrial ends a trial at whose replica an answer broke off. If the replica has crashed, parts
+// are quarantined once the peers have told what they had in flight there.
+func (entry *Entry) concludeTrial(trial []quarantiner.Feature, incarnation string, crashed bool) {
+	if len(trial) == 0 {
+		return
+	}
+	if crashed {
+		_ = entry.settings.Clock.Sleep(context.Background(), tellTime)
+	}
+	var convicted []quarantiner.Quarantine
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) {
+		if crashed {
+			convicted = table.Convict(trial, incarnation, now)
+			return
+		}
+		table.EndTrial(trial, now)
+	})
+	for _, quarantine := range convicted {
+		entry.applyQuarantine(quarantine, "trial")
+		entry.settings.Crashes.OnQuarantine(quarantine)
+	}
+}
--- a/internal/relayer/queue.go
+++ b/internal/relayer/queue.go
@@ -58,6 +58,11 @@
 	queue.trigger()
 	select {
 	case <-wake:
+		if waiter.Placement == nil && waiter.Reason == "" {
+			// It was withdrawn before it was enqueued.
+			queue.abandon(waiter)
+			waiter.Reason = reasonQuarantined
+		}
 	case <-ctx.Done():
 		queue.abandon(waiter)
 	}
@@ -97,6 +102,24 @@
 	})
 }
 
+// reasonQuarantined is why a request is refused that waited when a part of its prompt was quarantined.
+const reasonQuarantined balancer.Reason = "quarantined"
+
+// withdraw refuses the waiting requests that match.
+func (queue *queue) withdraw(matches func(waiter *balancer.Waiter) bool) {
+	queue.mu.Lock()
+	defer queue.mu.Unlock()
+	for waiter, wake := range queue.waiters {
+		if !matches(waiter) {
+			continue
+		}
+		queue.abandon(waiter)
+		queue.fleet.With(func(*balancer.Fleet) { waiter.Reason = reasonQuarantined })
+		close(wake)
+		delete(queue.waiters, waiter)
+	}
+}
+
 // forget removes a waiter that no longer needs to be woken.
 func (queue *queue) forget(waiter *balancer.Waiter) {
 	queue.mu.Lock()
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -48,6 +48,7 @@
 		result.cause, result.replicaFailed = errServer, true
 	}
 	task.copyHead(answer)
+	result.succeeded = answer.StatusCode < http.StatusMultipleChoices
 	if len(buffered) < maxBufferedAnswer {
 		answer.Finish(true)
 		task.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
@@ -62,7 +63,7 @@
 	task.w.WriteHeader(answer.StatusCode)
 	_, _ = task.w.Write(buffered)
 	if _, err := io.Copy(task.w, answer.Body); err != nil {
-		result.verdict, result.cause, result.replicaFailed = broken, err, true
+		result.verdict, result.cause, result.replicaFailed, result.succeeded = broken, err, true, false
 		return result
 	}
 	answer.Finish(true)
@@ -92,13 +93,16 @@
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.AnswerStarted(task.placement, now) })
 }
 
-// markPause records the pause since the previous part of a stream, and returns the current
-// instant. Zero for last means that there was no previous part.
+// markPause records the pause since the previous part of a stream, and whether the answer has survived,
+// and returns the current instant. Zero for last means that there was no previous part.
 func (task *task) markPause(last timekeeper.Instant) timekeeper.Instant {
 	now := task.entry.settings.Clock.Now()
 	if last != 0 {
 		task.longestPause = max(task.longestPause, now.Since(last))
 	}
+	if now.Since(task.answerStartedAt) >= survivalTime {
+		task.survive()
+	}
 	return now
 }
 
@@ -159,7 +163,7 @@
 		task.w.WriteHeader(answer.StatusCode)
 	}
 	answer.Finish(true)
-	result.verdict, result.cause, result.replicaFailed = answered, nil, false
+	result.verdict, result.cause, result.replicaFailed, result.succeeded = answered, nil, false, true
 	return result
 }
 
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -12,6 +12,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -67,8 +68,10 @@
 	unsent   int
 	// retryReserved reports whether a retry is reserved in the budget and not sent yet.
 	retryReserved bool
-	// fingerprint is equal for retries of the request by its caller.
-	fingerprint uint64
+	// features are what the request shares with others, beginning with its fingerprint, and trial
+	// those that it is the trial of. refused says why it was kept from replicas.
+	features, trial []quarantiner.Feature
+	refused         quarantiner.Decision
 
 	// headCopied reports whether the head of an answer was copied to the caller's answer.
 	// The request can then only continue that answer or be aborted.
@@ -85,7 +88,9 @@
 	startedPlacement *balancer.Placement
 	// answerStartedAt is when that part arrived.
 	answerStartedAt timekeeper.Instant
-	replica         string
+	// survivedPlacement is the placement whose answer last was recorded to have survived.
+	survivedPlacement *balancer.Placement
+	replica           string
 }
 
 // rank returns the urgency of the request.
@@ -119,17 +124,18 @@
 		return
 	}
 	defer task.entry.bodyBytes.Add(-int64(len(task.body)))
+	task.features = featuresOf(fingerprint(task.r, task.team.Name, task.body), task.call.Parts)
+	if failure, allowed := task.checkFeatures(); !allowed {
+		task.service = task.route.Service(0)
+		task.finish(failure)
+		return
+	}
 	ctx, cancel := context.WithTimeout(task.r.Context(), task.remaining(task.entry.settings.Clock.Now()).Duration())
 	defer cancel()
 	if failure, chosen := task.chooseService(ctx); !chosen {
 		task.finish(failure)
 		return
 	}
-	task.fingerprint = fingerprint(task.r, task.team.Name, task.body)
-	if task.entry.strikes.blocked(task.fingerprint, task.entry.settings.Clock.Now()) {
-		task.finish(classifier.New(classifier.Overloaded, "the request crashed replicas").WithRetryAfter(strikeLifetime))
-		return
-	}
 	task.entry.earnRetries(task.service)
 	task.finish(task.serve(ctx))
 }
@@ -262,13 +268,13 @@
 	switch result.verdict {
 	case unsent:
 		task.unsent++
-		return task.unsent <= maxUnsent && !eris.Is(result.cause, errRetryDenied)
+		return task.unsent <= maxUnsent && !eris.Is(result.cause, errRetryDenied) && !eris.Is(result.cause, errQuarantined)
 	case refused:
 		task.refusals++
 		return task.refusals <= maxRefusals && task.reserveRetry()
 	case broken:
 		task.runs++
-		return task.route.Idempotent() && task.runs < task.route.MaxReplicas && task.canContinue() && task.reserveRetry()
+		return task.route.Idempotent() && task.runs < task.route.MaxReplicas && task.canContinue() && task.mayRepeat() && task.reserveRetry()
 	case answered:
 	}
 	return false
@@ -283,6 +289,12 @@
 	if task.runs > 0 {
 		return classifier.New(classifier.UpstreamBroken, reason)
 	}
+	if waiter.Reason == reasonQuarantined {
+		failure, allowed := task.checkFeatures()
+		if !allowed {
+			return failure
+		}
+	}
 	kind := classifier.Overloaded
 	switch waiter.Reason {
 	case balancer.NoReplicas, balancer.AllEvacuated, balancer.NoneOfVersion:
@@ -306,6 +318,8 @@
 func (task *task) finalFailure(ctx context.Context, result attemptResult) classifier.Failure {
 	ran := task.runs > 0 || result.verdict == broken
 	switch {
+	case !ran && eris.Is(result.cause, errQuarantined):
+		return task.refusalFor(task.refused)
 	case !ran:
 		return classifier.New(classifier.Unreachable, result.causeText()).WithRetryAfter(task.retryAfter() + task.backoffRemaining())
 	case ctx.Err() != nil:
