balancer, relayer: the entry that has most requests may use more connections to a replica

Cause: each entry had the same share of the connections that a replica accepts, 7 of 360 with 24 entries, whatever the demand of each.

Change: the entry whose last digest said at least twice the requests of any peer's may use a quarter of the connections beyond its share. The shares themselves are half of all, so that two entries may use the quarter at a time while a rush moves from one to the other; a rush to all entries alike lends to none.

TestConnectionsOfOneReplica keeps the sum to what a replica accepts, with digests 300 ms apart and a fifth of them lost.

Tried: sixteen requests as the least for which the quarter is lent; an entry with a share of seven connections to each of two replicas never gets there.

--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -51,7 +51,9 @@
 	entries  entries
 	peers    map[string]peerDigest
 	// peersInFlight is what all peers together have in flight, by replica.
-	peersInFlight   map[Key]InFlight
+	peersInFlight map[Key]InFlight
+	// sentRunning is the number of requests in flight that this entry's last digest said.
+	sentRunning     int
 	excessLatencies map[string]*excessLatency
 	queues          map[string]*serviceQueue
 	teams           map[string]*decaying
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -21,6 +21,8 @@
 // peerDigest is what a peer has in flight at all replicas.
 type peerDigest struct {
 	inFlight map[Key]InFlight
+	// running is the number of requests at all replicas together.
+	running int
 	// until is when the digest expires: the peer is then down, and so are its requests.
 	until timekeeper.Instant
 	// receivedAt is when the digest arrived, and interval the time since the peer's previous
@@ -45,7 +47,7 @@
 // SetPeerInFlight applies a digest of what a peer has in flight, by replica key, with the
 // digest's lifetime.
 func (fleet *Fleet) SetPeerInFlight(peer string, inFlight map[Key]InFlight, lifetime timekeeper.Span, now timekeeper.Instant) {
-	digest := peerDigest{inFlight: inFlight, until: now.Add(lifetime), receivedAt: now, interval: lifetime / digestsPerLifetime}
+	digest := peerDigest{inFlight: inFlight, running: runningOf(inFlight), until: now.Add(lifetime), receivedAt: now, interval: lifetime / digestsPerLifetime}
 	if before, found := fleet.peers[peer]; found {
 		digest.interval = now.Since(before.receivedAt)
 		fleet.addDigest(before, -1)
@@ -111,7 +113,7 @@
 	}
 }
 
-// InFlight returns what this entry has in flight, by replica key.
+// InFlight returns what this entry has in flight, by replica key, for a digest to its peers.
 func (fleet *Fleet) InFlight(now timekeeper.Instant) map[Key]InFlight {
 	inFlight := make(map[Key]InFlight)
 	for _, member := range fleet.replicas {
@@ -120,6 +122,7 @@
 			inFlight[member.key] = held
 		}
 	}
+	fleet.sentRunning = runningOf(inFlight)
 	return inFlight
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -105,7 +105,7 @@
 var errNoAnswer = eris.New("the replica was silent for too long")
 
 // target returns the connection target for a replica. Entries share the connections that a
-// replica accepts; each entry takes at most a sixth, so that six entries can do so at once.
+// replica accepts.
 func (task *task) target(replica balancer.Replica) connector.Target {
 	return connector.Target{Key: replica.ID, Address: replica.Address, MaxConnections: task.maxConnections()}
 }
@@ -116,12 +116,15 @@
 	return task.entry.maxConnections(task.config, task.service)
 }
 
-func (entry *Entry) maxConnections(config *router.Configuration, name string) int {
+func (entry *Entry) maxConnections(config *router.Configuration, name string) (limit int) {
 	service, found := config.Service(name)
 	if !found || service.Connections <= 0 {
 		return 0
 	}
-	return max(1, service.Connections/max(minConnectionShares, entry.settings.ConnectionShares()))
+	now := entry.settings.Clock.Now()
+	shares := max(minConnectionShares, entry.settings.ConnectionShares())
+	entry.settings.Fleet.With(func(fleet *balancer.Fleet) { limit = fleet.ConnectionLimit(service.Connections, shares, now) })
+	return limit
 }
 
 // minConnectionShares is the least number of shares into which the connections of a replica
