relayer, assembler: the entry that most connections go to sheds them before it reads

Cause: load is shed after the head of a request is read, which costs the callers a try, as if all entries were overloaded alike.

Change: an entry that has far more requests than any other closes new connections instead, before it reads, at the share at which it would refuse. Callers see that nothing was read, and others serve them at once. While all entries have about the same load, requests are refused as before.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -326,10 +326,11 @@
 }
 
 // callerListener wraps a listener for the server for callers: it limits the number of
-// connections and returns each as a callerConn.
+// connections, sheds some under overload, and returns each as a callerConn.
 func (direct *Direct) callerListener(listener net.Listener) net.Listener {
 	return callerListener{
-		Listener: limitListener{Listener: listener, tracker: direct.connTracker}, stopping: &direct.readiness.stopping,
+		Listener: limitListener{Listener: listener, tracker: direct.connTracker, sheds: direct.frontend.ShedsConnection},
+		stopping: &direct.readiness.stopping,
 	}
 }
 
--- a/internal/assembler/direct_callers.go
+++ b/internal/assembler/direct_callers.go
@@ -147,13 +147,15 @@
 type limitListener struct {
 	net.Listener
 	tracker *connTracker
+	// sheds reports whether to close the next connection.
+	sheds func() bool
 }
 
-// Accept returns the next connection. It closes connections beyond the limit.
+// Accept returns the next connection. It closes connections beyond the limit and those that are shed.
 func (listener limitListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := listener.Listener.Accept()
-		if err != nil || !listener.tracker.full() {
+		if err != nil || !listener.tracker.full() && !listener.sheds() {
 			return conn, err
 		}
 		_ = conn.Close()
--- a/internal/assembler/direct_callers_test.go
+++ b/internal/assembler/direct_callers_test.go
@@ -106,7 +106,7 @@
 	}
 	Convey("a connection is accepted again once another has ended", t, func() {
 		rejected, accepted := &closingConn{}, &closingConn{}
-		listener := limitListener{Listener: &fakeListener{conns: []net.Conn{rejected}}, tracker: tracker}
+		listener := limitListener{Listener: &fakeListener{conns: []net.Conn{rejected}}, tracker: tracker, sheds: func() bool { return false }}
 		_, err := listener.Accept()
 		So(err, ShouldEqual, net.ErrClosed)
 		So(rejected.closed, ShouldBeTrue)
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -161,7 +161,7 @@
 		entry.refuseEarly(w, r, call, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
-	if entry.shedder.sheds(entry.draw()) {
+	if entry.shedder.sheds(entry.draw()) && !entry.hasMostRequests() {
 		entry.shed(w, r, call)
 		return
 	}
@@ -191,6 +191,23 @@
 	task.run()
 }
 
+// hasMostRequests reports whether this entry has far more requests in flight than any other.
+func (entry *Entry) hasMostRequests() (most bool) {
+	now := entry.settings.Clock.Now()
+	entry.settings.Fleet.With(func(fleet *balancer.Fleet) { most = fleet.HasMostRequests(now) })
+	return most
+}
+
+// ShedsConnection reports whether to close a connection that has just been accepted. If only this
+// entry is overloaded, its callers are served at once by another one, and know that nothing was read.
+func (entry *Entry) ShedsConnection() bool {
+	if !entry.shedder.sheds(entry.draw()) || !entry.hasMostRequests() {
+		return false
+	}
+	entry.meters.countShedConnection()
+	return true
+}
+
 // headBytes returns the size of a request's head as it was sent, except for optional
 // white space.
 func headBytes(r *http.Request) int {
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -63,6 +63,9 @@
 	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("refused").Inc(1)
 }
 
+// countShedConnection counts a connection that is closed before anything of it was read.
+func (meters *meters) countShedConnection() { meters.scope.Counter("connections-shed").Inc(1) }
+
 // countStrike counts a strike: a request, or a part of prompts, that was in flight at a replica when
 // it crashed.
 func (meters *meters) countStrike(kind quarantiner.Kind) {
