relayer, connector: an answer without a length is not whole if its replica is down

What callers saw: a stream that has neither a length nor chunks ends with its connection. If its replica crashed between two events, the entry passed it on as complete, and the first attempt of a request that crashes replicas looked like an answer that survived.

Cause: only an end inside an event counted as broken off.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -70,6 +70,14 @@
 	answer.once.Do(func() { answer.finish(whole) })
 }
 
+// EndsWithConnection reports whether the answer has neither a length nor chunks, so that the end of
+// the connection is its end, also if the replica crashes.
+func (answer *Answer) EndsWithConnection() bool { return endsWithConnection(answer.Response) }
+
+func endsWithConnection(head *http.Response) bool {
+	return head.ContentLength < 0 && len(head.TransferEncoding) == 0
+}
+
 const (
 	// maxStrayAnswers bounds the answers to other requests that are skipped.
 	maxStrayAnswers = 3
@@ -215,8 +223,7 @@
 
 // reusable reports whether a connection may carry another exchange.
 func reusable(conn *connection, head *http.Response) bool {
-	untilClose := head.ContentLength < 0 && len(head.TransferEncoding) == 0
-	return !head.Close && !untilClose && !conn.stray && conn.clean()
+	return !head.Close && !endsWithConnection(head) && !conn.stray && conn.clean()
 }
 
 // keepAliveTimeout returns the idle timeout that the Keep-Alive header states, or
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -275,13 +276,13 @@
 // confirmDown probes a replica that broke off an answer again until it accepts no connection, and
 // marks it unreachable then.
 func (entry *Entry) confirmDown(replica balancer.Replica) (down bool) {
-	for _, pause := range probePauses {
-		_ = entry.settings.Clock.Sleep(context.Background(), pause)
-		if entry.isDown(replica) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(probePauses, func(pause timekeeper.Span) bool { return entry.isDownAfter(replica, pause) })
+}
+
+// isDownAfter is isDown after a pause.
+func (entry *Entry) isDownAfter(replica balancer.Replica, pause timekeeper.Span) bool {
+	_ = entry.settings.Clock.Sleep(context.Background(), pause)
+	return entry.isDown(replica)
 }
 
 // isDown probes a replica, and marks it unreachable if it accepts no connection.
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -43,6 +43,10 @@
 		result.verdict, result.cause, result.replicaFailed = broken, err, true
 		return result
 	}
+	if len(buffered) < maxBufferedAnswer && task.endedInCrash(answer) {
+		result.verdict, result.cause, result.replicaFailed = broken, errEndedInCrash, true
+		return result
+	}
 	task.markFirstPart()
 	if answer.StatusCode >= http.StatusInternalServerError {
 		result.cause, result.replicaFailed = errServer, true
@@ -62,7 +66,11 @@
 	}
 	task.w.WriteHeader(answer.StatusCode)
 	_, _ = task.w.Write(buffered)
-	if _, err := io.Copy(task.w, answer.Body); err != nil {
+	_, err = io.Copy(task.w, answer.Body)
+	if err == nil && task.endedInCrash(answer) {
+		err = errEndedInCrash
+	}
+	if err != nil {
 		result.verdict, result.cause, result.replicaFailed, result.succeeded = broken, err, true, false
 		return result
 	}
@@ -109,6 +117,7 @@
 var (
 	errCallerWrite  = eris.New("writing to the caller failed")
 	errPartialEvent = eris.New("the stream ended within an event")
+	errEndedInCrash = eris.New("the answer ended with its connection, and the replica is down")
 )
 
 // relayStream relays a stream event by event.
@@ -158,6 +167,10 @@
 		result.cause = errPartialEvent
 		return result
 	}
+	if task.endedInCrash(answer) {
+		result.cause = errEndedInCrash
+		return result
+	}
 	if !task.headCopied {
 		task.copyHead(answer)
 		task.w.WriteHeader(answer.StatusCode)
@@ -167,6 +180,13 @@
 	return result
 }
 
+// endedInCrash reports whether an answer that ended with its connection may have ended because its
+// replica crashed.
+func (task *task) endedInCrash(answer *connector.Answer) bool {
+	replica := task.placement.Replica
+	return answer.EndsWithConnection() && (task.entry.isDown(replica) || task.entry.isDownAfter(replica, probePauses[0]))
+}
+
 // forward writes whole events to the caller and flushes them.
 func (task *task) forward(control *http.ResponseController, answer *connector.Answer, events []byte) error {
 	if !task.headCopied {
