--- a/internal/striker/poison_test.go
+++ b/internal/striker/poison_test.go
@@ -33,8 +33,10 @@
 	platform *imitator.Platform
 	book     Book
 	ledgers  []*Ledger
-	crashes  int
-	refused  map[uint64]bool
+	// poisons are the requests that crash engines.
+	poisons map[uint64]bool
+	crashes int
+	refused map[uint64]bool
 }
 
 const (
@@ -45,6 +47,7 @@
 
 func newSimulation(policy policy, seed uint64) *simulation {
 	created := &simulation{policy: policy, random: rand.New(rand.NewPCG(seed, 3)), clock: timekeeper.NewManual(1), refused: map[uint64]bool{}}
+	created.poisons = map[uint64]bool{poison: true}
 	created.platform = imitator.NewPlatform(created.clock.Clock())
 	created.book = NewBook(created.platform.InProcess().Table, created.clock.Now)
 	for i := range engineCount {
@@ -105,7 +108,7 @@
 func (simulation *simulation) run(ledger *Ledger, running []uint64) []uint64 {
 	crash := false
 	for _, fingerprint := range running {
-		crash = crash || fingerprint == poison
+		crash = crash || simulation.poisons[fingerprint]
 	}
 	simulation.clock.Advance(10)
 	if !crash {
@@ -174,6 +177,22 @@
 	}
 }
 
+// Guards against a part of prompts that crashes one engine after the other, since no two of the requests
+// with it have the same fingerprint.
+func TestRequestsThatShareAPoisonPart(t *testing.T) {
+	const requests, allowedCrashes = 30, 8
+	simulation := newSimulation(isolateThenRefuse, 7)
+	for i := range uint64(requests) {
+		simulation.poisons[poison+i] = true
+		for waiting := []uint64{poison + i}; len(waiting) > 0; {
+			waiting = simulation.runBatch(simulation.random.IntN(engineCount), waiting)
+		}
+	}
+	if simulation.crashes > allowedCrashes {
+		t.Fatalf("%d engines crashed under %d requests that share a part, %d are allowed", simulation.crashes, requests, allowedCrashes)
+	}
+}
+
 func BenchmarkEnginesLostForABadRequest(b *testing.B) {
 	const seeds = 100
 	for _, policy := range []policy{unprotected, refuseAfterFirstCrash, isolateThenRefuse} {
