--- a/cmd/trefoilseam/audit.go
+++ b/cmd/trefoilseam/audit.go
@@ -23,6 +23,7 @@
 	errNotHeld  = eris.New("not every promise is shown to have held")
 	errTampered = eris.New("the record is not as it was written")
 	errMixed    = eris.New("streams went on at another software version than the one that began them")
+	errCrashes  = eris.New("requests with a quarantined part of their prompts reached replicas")
 )
 
 // recordFlushDelay is how long before now a report ends by default: later records of
@@ -46,14 +47,46 @@
 func auditCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name:        "audit",
-		ShortUsage:  "trefoilseam audit report|streams|verify [flags]",
+		ShortUsage:  "trefoilseam audit crashes|report|streams|verify [flags]",
 		ShortHelp:   "check the fleet's own record",
 		FlagSet:     flag.NewFlagSet("trefoilseam audit", flag.ContinueOnError),
-		Subcommands: []*ffcli.Command{auditReportCommand(), auditStreamsCommand(), auditVerifyCommand()},
+		Subcommands: []*ffcli.Command{auditCrashesCommand(), auditReportCommand(), auditStreamsCommand(), auditVerifyCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 }
 
+func auditCrashesCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "crashes",
+		ShortUsage: "trefoilseam audit crashes [FILE...]",
+		ShortHelp:  "find parts of prompts that were in flight at crashes, in the logs of entries",
+		LongHelp: "Reads the logs of all entries without agents from the files, or from standard input. Ends\n" +
+			"with 1 if requests with a quarantined part reached replicas that crashed, once all entries\n" +
+			"had to know of it.",
+		FlagSet: flag.NewFlagSet("trefoilseam audit crashes", flag.ContinueOnError),
+		Exec:    func(_ context.Context, args []string) error { return auditCrashes(os.Stdout, args) },
+	}
+}
+
+func auditCrashes(out io.Writer, files []string) error {
+	logs, release, err := openLogs(files)
+	if err != nil {
+		return err
+	}
+	defer release()
+	report, err := explainer.CheckCrashes(logs...)
+	if err != nil {
+		return err
+	}
+	if err := report.Write(out); err != nil {
+		return err
+	}
+	if !report.Held() {
+		return errCrashes
+	}
+	return nil
+}
+
 func auditStreamsCommand() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "streams",
--- a/cmd/trefoilseam/examples.go
+++ b/cmd/trefoilseam/examples.go
@@ -21,6 +21,7 @@
 	{"dev", "trefoilseam dev -listen 127.0.0.1:8088 -log-level warn"},
 	{"audit verify", "trefoilseam audit verify -platform http://127.0.0.1:7000"},
 	{"audit report", "trefoilseam audit report -platform http://127.0.0.1:7000 -from 2026-12-01T00:00:00Z -html report.html"},
+	{"audit crashes", "trefoilseam audit crashes entry-1.log entry-2.log"},
 	{"audit streams", "trefoilseam audit streams entry-1.log entry-2.log"},
 	{"config check", "trefoilseam config check -base base.toml -overlay addis=addis.toml"},
 	{"config settings", "trefoilseam config settings -kind direct -settings entry.toml"},
