quarantiner: the trial of a new part waits until other answers survive

What callers would have seen: where a part ends all engines of a service, each engine that came back got the next trial at once, before anything else had survived there. Such a crash tells nothing, so the part stayed suspected and each return cost an engine.

Cause: a trial could begin while its failure could not convict.

Change: the trial of a part that has never survived waits for the survival of another answer, one second at the most. Parts that have survived don't: where all requests share one, they would wait for each other.

--- a/internal/quarantiner/example_test.go
+++ b/internal/quarantiner/example_test.go
@@ -22,13 +22,16 @@
 	}
 	fmt.Println(table.Check([]quarantiner.Feature{shared}, firstRank, now).Allowed())
 
-	// The next request with the suspected part is its trial. Others are held back.
+	// Once an answer without the suspected part survives, the next request with the part is its trial.
+	// Others are held back.
+	now = now.Add(50)
+	table.Survive([]quarantiner.Feature{shared}, now)
+	now = now.Add(50)
 	fmt.Println(table.Admit([]quarantiner.Feature{shared, bad}, firstRank, now).Trial)
 	fmt.Println(table.Check([]quarantiner.Feature{shared, bad}, firstRank, now).Refused)
 
-	// Meanwhile an answer without it survives. The trial fails.
+	// The trial fails.
 	now = now.Add(100)
-	table.Survive([]quarantiner.Feature{shared}, now)
 	table.Crash("d", []quarantiner.Feature{shared, bad}, now)
 	fmt.Println(len(table.Convict([]quarantiner.Feature{bad}, "d", now)))
 	fmt.Println(table.Check([]quarantiner.Feature{shared, bad}, firstRank, now).Final)
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -262,6 +262,7 @@
 		{name: "six a second", entries: 4, engines: 9, rate: 6, parts: 1, soundRate: 60},
 		{name: "forty a second", entries: 4, engines: 9, rate: 40, parts: 1, soundRate: 60},
 		{name: "a burst", entries: 4, engines: 9, rate: 6, parts: 1, burst: 24, soundRate: 60},
+		{name: "two engines, few other requests", entries: 4, engines: 2, rate: 6, parts: 1, soundRate: 6},
 		{name: "as root", entries: 4, engines: 9, rate: 6, parts: 1, soundRate: 60, asRoot: true},
 		{name: "three parts", entries: 4, engines: 12, rate: 6, parts: 3, soundRate: 60},
 		{name: "a tenth of the messages lost", entries: 12, engines: 12, rate: 6, parts: 1, soundRate: 60, loss: 0.3},
--- a/internal/quarantiner/trial.go
+++ b/internal/quarantiner/trial.go
@@ -10,6 +10,8 @@
 	// trialSpacing is how much later an entry of the next rank may begin a trial. The result of a
 	// trial, or that one has begun, is known to the others by then.
 	trialSpacing = 300 * timekeeper.Millisecond
+	// trialPatience is how long a trial waits for the survival of another answer.
+	trialPatience = timekeeper.Second
 	// trialTimeout is after how long a trial without a known result counts as ended.
 	trialTimeout = 3 * timekeeper.Second
 	// trialsOfKnown is the number of trials that must fail before a part is quarantined that has
@@ -44,10 +46,7 @@
 		if !suspected {
 			continue
 		}
-		if known, found := table.records[feature]; found {
-			since = max(since, known.trialEnds)
-		}
-		opens := since.Add(trialSpacing * timekeeper.Span(rank(feature)))
+		opens := table.trialOpens(feature, since).Add(trialSpacing * timekeeper.Span(rank(feature)))
 		if now < opens && decision.Allowed() {
 			decision.Refused, decision.Wait = feature, opens.Since(now)
 		}
@@ -59,6 +58,20 @@
 	return decision
 }
 
+// trialOpens returns when the entry of the first rank may begin a trial of a part that has been suspected
+// since an instant. A part that is new to the fleet waits until other answers survive: only then does
+// the result of its trial tell something. Parts that all share do not wait for each other.
+func (table *Table) trialOpens(part Feature, since timekeeper.Instant) timekeeper.Instant {
+	opens := since
+	if table.survivals.latest <= since && !table.hasSurvived(part) {
+		opens = since.Add(trialPatience)
+	}
+	if known, found := table.records[part]; found {
+		opens = max(opens, known.trialEnds)
+	}
+	return opens
+}
+
 // Admit is Check at the moment of sending. It begins the trial of an allowed request, which EndTrial
 // or Convict must end.
 func (table *Table) Admit(features []Feature, rank func(Feature) int, now timekeeper.Instant) Decision {
