quarantiner, gossiper, relayer: parts that crashes don't tell apart need two failed trials, at any entries

What callers would have seen: after all entries have been killed in the middle of crashes none remembers a survival. A part that all share and the one that crashes replicas then have the same crashes; one failed trial quarantined both, and nobody was served until the quarantine lapsed.

Cause: a tie convicted, and the trials of a part in doubt were counted by each entry for itself.

Change: a tie leaves a doubt as a part that has survived does; a second trial must fail, and a request with one of the parts alone clears that one in between. A trial that failed in doubt is told to the peers, and counts once. A waiter that is withdrawn before it is enqueued is refused under the lock.

Evidence: TestTable, "parts that the crashes don't tell apart ...": before, both parts are quarantined at the first trial.

--- a/internal/assembler/direct_quarantine.go
+++ b/internal/assembler/direct_quarantine.go
@@ -32,6 +32,9 @@
 		},
 		OnSurvival: func(parts []quarantiner.Feature, urgent bool) { send.SendSurvival(idsOf(parts), urgent) },
 		OnTrial:    func(parts []quarantiner.Feature) { send.SendTrial(idsOf(parts)) },
+		OnFailedTrial: func(incarnation string, parts []quarantiner.Feature) {
+			send.SendCrash(gossiper.Crash{Incarnation: incarnation, TriedParts: idsOf(parts)})
+		},
 		OnQuarantine: func(quarantiner.Quarantine) {
 			send.SendQuarantine()
 			direct.quarantines.trigger()
@@ -72,6 +75,9 @@
 	}
 	for _, crash := range digest.Crashes {
 		direct.frontend.RecordCrash(crash.Incarnation, gossiper.PartFeatures(crash.Parts), digest.Address)
+		if len(crash.TriedParts) > 0 {
+			direct.frontend.RecordFailedTrial(gossiper.PartFeatures(crash.TriedParts), crash.Incarnation)
+		}
 	}
 	if len(digest.TriedParts) > 0 {
 		direct.frontend.RecordTrial(digest.TriedParts)
--- a/internal/gossiper/crashes.go
+++ b/internal/gossiper/crashes.go
@@ -21,7 +21,7 @@
 // decodeCrashes decodes what a digest says about crashes.
 func decodeCrashes(digest *Digest, message *encoder.PeerDigest, now timekeeper.Instant) {
 	for _, crash := range message.Crashes {
-		digest.Crashes = append(digest.Crashes, Crash{Incarnation: crash.Incarnation, Parts: crash.Parts})
+		digest.Crashes = append(digest.Crashes, Crash{Incarnation: crash.Incarnation, Parts: crash.Parts, TriedParts: crash.TriedParts})
 	}
 	digest.SurvivedParts, digest.TriedParts = PartFeatures(message.SurvivedParts), PartFeatures(message.TriedParts)
 	for _, one := range message.Quarantined {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/internal/sequencer"
@@ -86,6 +87,12 @@
 	first.SendLeaveAnnounced("planner-5@17")
 	first.SendStrike(Strike{Request: 1 << 63, Replica: "planner-2"})
 	first.SendCold(ColdNotice{Replica: balancer.KeyOf("planner-4"), Until: clock.Now().Add(2500)})
+	crash := Crash{Incarnation: "planner-2@3", Parts: []uint64{1 << 62, 5}, TriedParts: []uint64{6}}
+	first.SendCrash(crash)
+	first.SendSurvival([]uint64{7}, false)
+	first.SendTrial([]uint64{8})
+	quarantined := quarantiner.Quarantine{Feature: quarantiner.Feature{Kind: quarantiner.Part, ID: 9}, Since: clock.Now().Add(-700), Lapses: 1}
+	first.settings.Quarantined = func() []quarantiner.Quarantine { return []quarantiner.Quarantine{quarantined} }
 	first.sendDigest()
 	Convey("every field arrives", t, func() {
 		digest := second.wait(t, 1)[0]
@@ -103,6 +110,10 @@
 		So(digest.Cold, ShouldResemble, []ColdNotice{{Replica: balancer.KeyOf("planner-4"), Until: clock.Now().Add(2500)}})
 		So(digest.LeaveAnnounced, ShouldResemble, []string{"planner-5@17"})
 		So(digest.Strikes, ShouldResemble, []Strike{{Request: 1 << 63, Replica: "planner-2"}})
+		So(digest.Crashes, ShouldResemble, []Crash{crash})
+		So(digest.SurvivedParts, ShouldResemble, PartFeatures([]uint64{7}))
+		So(digest.TriedParts, ShouldResemble, PartFeatures([]uint64{8}))
+		So(digest.Quarantined, ShouldResemble, []quarantiner.Quarantine{quarantined})
 	})
 	Convey("the peer knows the sender and sends its own digest", t, func() {
 		So(second.LivePeers(), ShouldResemble, []string{first.address()})
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -40,10 +40,11 @@
 	Replica string
 }
 
-// Crash is an incarnation of a replica that crashed, with the parts that were in flight there.
+// Crash is an incarnation of a replica that crashed, with the parts that were in flight there, and those
+// at whose trial it crashed, which left a doubt.
 type Crash struct {
-	Incarnation string
-	Parts       []uint64
+	Incarnation       string
+	Parts, TriedParts []uint64
 }
 
 // Leave is a replica that the store listed as leaving, or no longer listed, at a version.
@@ -212,7 +213,9 @@
 		digest.Strikes = append(digest.Strikes, &encoder.PeerStrike{Request: strike.Request, Replica: strike.Replica})
 	}
 	for _, crash := range outbox.crashes.take() {
-		digest.Crashes = append(digest.Crashes, &encoder.PeerCrash{Incarnation: crash.Incarnation, Parts: crash.Parts})
+		digest.Crashes = append(digest.Crashes, &encoder.PeerCrash{
+			Incarnation: crash.Incarnation, Parts: crash.Parts, TriedParts: crash.TriedParts,
+		})
 	}
 	digest.SurvivedParts, digest.TriedParts = outbox.survivedParts.take(), outbox.triedParts.take()
 	for _, changes := range outbox.changes.take() {
--- a/internal/quarantiner/example_test.go
+++ b/internal/quarantiner/example_test.go
@@ -33,7 +33,8 @@
 	// The trial fails.
 	now = now.Add(100)
 	table.Crash("d", []quarantiner.Feature{shared, bad}, now)
-	fmt.Println(len(table.Convict([]quarantiner.Feature{bad}, "d", now)))
+	convicted, _ := table.Convict([]quarantiner.Feature{bad}, "d", now)
+	fmt.Println(len(convicted))
 	fmt.Println(table.Check([]quarantiner.Feature{shared, bad}, firstRank, now).Final)
 
 	// Output:
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -172,7 +172,9 @@
 		return
 	}
 	model.after(conclusionTime, func() {
-		for _, quarantine := range model.entries[request.entry].Convict(request.trial, incarnation, model.now) {
+		convicted, inDoubt := model.entries[request.entry].Convict(request.trial, incarnation, model.now)
+		model.tell(request.entry, func(peer *Table) { peer.FailTrial(inDoubt, incarnation, model.now) })
+		for _, quarantine := range convicted {
 			model.partsQuarantined = append(model.partsQuarantined, quarantine.Feature)
 			// Digests carry quarantines again and again, so that none is lost.
 			for to, table := range model.entries {
--- a/internal/quarantiner/record.go
+++ b/internal/quarantiner/record.go
@@ -17,8 +17,8 @@
 	// opensAt is when the entry of the first rank may begin a trial, and trialEnds when one that no
 	// result is known of counts as ended.
 	opensAt, trialEnds timekeeper.Instant
-	// failedTrials counts the trials at which a replica crashed.
-	failedTrials int
+	// failedTrials are the incarnations that crashed at trials of the part which left a doubt.
+	failedTrials []string
 }
 
 // strike adds an incarnation, and reports whether it is new.
--- a/internal/quarantiner/table_test.go
+++ b/internal/quarantiner/table_test.go
@@ -43,7 +43,8 @@
 func (history *history) try(features ...Feature) (convicted []Quarantine) {
 	decision := history.Admit(features, rankOf(0), history.now)
 	history.crash(1, features...)
-	return history.Convict(decision.Trial, fmt.Sprint("replica-", history.crashes), history.now)
+	convicted, _ = history.Convict(decision.Trial, fmt.Sprint("replica-", history.crashes), history.now)
+	return convicted
 }
 
 func rankOf(rank int) func(Feature) int { return func(Feature) int { return rank } }
@@ -129,6 +130,27 @@
 		history.crash(suspectParts, otherPart, badPart)
 		So(history.check(otherPart).Trial, ShouldBeEmpty)
 	})
+	Convey("parts that the crashes don't tell apart need two trials, and a survival in between clears one", t, func() {
+		history := newHistory()
+		history.crash(suspectParts, rootPart, badPart)
+		history.survive(otherPart)
+		So(history.try(rootPart, badPart), ShouldBeEmpty)
+		history.survive(rootPart)
+		convicted := history.try(rootPart, badPart)
+		So(convicted, ShouldHaveLength, 1)
+		So(convicted[0].Feature, ShouldEqual, badPart)
+		So(history.check(rootPart).Allowed(), ShouldBeTrue)
+	})
+	Convey("a trial that failed at another entry counts, once", t, func() {
+		history := newHistory()
+		history.crash(suspectParts, rootPart, badPart)
+		history.survive(otherPart)
+		for range 2 {
+			history.FailTrial([]Feature{badPart}, "elsewhere", history.now)
+		}
+		history.survive(otherPart)
+		So(history.try(rootPart, badPart), ShouldHaveLength, 1)
+	})
 	Convey("a quarantine lapses, and lasts longer after a failed trial", t, func() {
 		history := newHistory()
 		history.Quarantine(Quarantine{Feature: badPart, Since: history.now}, history.now)
--- a/internal/quarantiner/trial.go
+++ b/internal/quarantiner/trial.go
@@ -14,9 +14,10 @@
 	trialPatience = timekeeper.Second
 	// trialTimeout is after how long a trial without a known result counts as ended.
 	trialTimeout = 3 * timekeeper.Second
-	// trialsOfKnown is the number of trials that must fail before a part is quarantined that has
-	// survived in survivalMemory. For others one is enough.
-	trialsOfKnown = 2
+	// trialsInDoubt is the number of trials that must fail before a part is quarantined that has survived
+	// in survivalMemory, or that the crashes don't tell from another one: the second trial may be of a
+	// request that has only one of them. Otherwise one is enough.
+	trialsInDoubt = 2
 )
 
 // Decision is whether a request may be sent to a replica.
@@ -96,64 +97,93 @@
 	}
 }
 
-// Convict quarantines parts at whose trial an incarnation crashed, and returns which. It ends the
-// trial of the others: those that the crash doesn't tell from another part, and all while nothing
-// survives, since replicas then crash for another reason. It is called once the entries have told
-// each other what was in flight at the crash.
-func (table *Table) Convict(trial []Feature, incarnation string, now timekeeper.Instant) (convicted []Quarantine) {
-	var left []Feature
-	for _, part := range trial {
-		if !table.failTrial(part, incarnation) {
-			left = append(left, part)
-			continue
+// FailTrial records that an incarnation crashed at a trial of parts, at this entry or another one, which
+// left a doubt.
+func (table *Table) FailTrial(parts []Feature, incarnation string, now timekeeper.Instant) {
+	for _, part := range parts {
+		if known, found := table.records[part]; found && !slices.Contains(known.failedTrials, incarnation) {
+			known.failedTrials = append(known.failedTrials, incarnation)
 		}
-		convicted = append(convicted, Quarantine{
-			Feature: part, Since: now, Lapses: table.quarantined[part].Lapses, Incarnations: slices.Clone(table.records[part].incarnations),
-		})
 	}
-	for i, quarantine := range convicted {
-		if _, lapsed := table.quarantined[quarantine.Feature]; lapsed {
-			convicted[i].Lapses++
+	table.EndTrial(parts, now)
+}
+
+// Convict quarantines parts at whose trial an incarnation crashed, and returns which, and those of which
+// more trials must fail. It ends the trial of all others without a result: parts that another one
+// explains better, and all while nothing survives, since replicas then crash for another reason. It is
+// called once the entries have told each other what was in flight at the crash.
+func (table *Table) Convict(trial []Feature, incarnation string, now timekeeper.Instant) (convicted []Quarantine, inDoubt []Feature) {
+	var without []Feature
+	for _, part := range trial {
+		switch table.judge(part, incarnation) {
+		case noResult:
+			without = append(without, part)
+		case doubtful:
+			inDoubt = append(inDoubt, part)
+		case guilty:
+			quarantine := Quarantine{Feature: part, Since: now, Incarnations: slices.Clone(table.records[part].incarnations)}
+			if earlier, lapsed := table.quarantined[part]; lapsed {
+				quarantine.Lapses = earlier.Lapses + 1
+			}
+			convicted = append(convicted, quarantine)
 		}
-		table.Quarantine(convicted[i], now)
 	}
-	table.EndTrial(left, now)
-	return convicted
+	for _, quarantine := range convicted {
+		table.Quarantine(quarantine, now)
+	}
+	table.FailTrial(inDoubt, incarnation, now)
+	table.EndTrial(without, now)
+	return convicted, inDoubt
 }
 
-// failTrial counts a trial of a part at which an incarnation crashed, and reports whether that is
-// enough to quarantine it.
-func (table *Table) failTrial(part Feature, incarnation string) bool {
+// verdict is what the crash of a replica at the trial of a part says about it.
+type verdict uint8
+
+const (
+	noResult verdict = iota
+	// doubtful means that further trials must fail.
+	doubtful
+	guilty
+)
+
+// judge returns what the crash of an incarnation at the trial of a part says.
+func (table *Table) judge(part Feature, incarnation string) verdict {
 	known, found := table.records[part]
-	if !found || !slices.Contains(known.incarnations, incarnation) || table.hasBetter(part, incarnation) {
-		return false
+	if !found || !slices.Contains(known.incarnations, incarnation) {
+		return noResult
 	}
-	if _, lapsed := table.quarantined[part]; lapsed {
-		return true
+	better, equal := table.rivals(part, incarnation)
+	_, lapsed := table.quarantined[part]
+	switch {
+	case better:
+		return noResult
+	case lapsed:
+		return guilty
+	case table.survivals.latest <= known.suspectedAt:
+		return noResult
+	case (equal || table.hasSurvived(part)) && len(known.failedTrials)+1 < trialsInDoubt:
+		return doubtful
 	}
-	if table.survivals.latest <= known.suspectedAt {
-		return false
-	}
-	known.failedTrials++
-	return known.failedTrials >= trialsOfKnown || !table.hasSurvived(part)
+	return guilty
 }
 
-// hasBetter reports whether another suspected part was in flight at a crash and explains it better:
-// one of which no answer is known to have survived, or that was in flight at more crashes.
-func (table *Table) hasBetter(part Feature, incarnation string) bool {
+// rivals reports whether other suspected parts were in flight at a crash that explain it better than a
+// part, or as well. Those explain it better of which no answer is known to have survived, or that were
+// in flight at more crashes.
+func (table *Table) rivals(part Feature, incarnation string) (better, equal bool) {
+	survived := table.hasSurvived(part)
 	for other, known := range table.records {
 		if other == part || !table.isSuspicious(other) || !slices.Contains(known.incarnations, incarnation) {
 			continue
 		}
-		if survived := table.hasSurvived(part); survived != table.hasSurvived(other) {
-			if survived {
-				return true
-			}
-			continue
-		}
-		if table.excess(other) > table.excess(part) {
-			return true
+		switch otherSurvived := table.hasSurvived(other); {
+		case survived != otherSurvived:
+			better = better || survived
+		case table.excess(other) > table.excess(part):
+			better = true
+		case table.excess(other) == table.excess(part):
+			equal = true
 		}
 	}
-	return false
+	return better, equal
 }
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -21,6 +21,9 @@
 	tellTime = 150 * timekeeper.Millisecond
 	// quarantinedRetryAfter is the Retry-After for requests that are refused for long.
 	quarantinedRetryAfter = timekeeper.Minute
+	// maxTrialWait bounds how much later callers come back for a suspected part. Another entry may try it
+	// sooner than this one.
+	maxTrialWait = timekeeper.Second
 	// maxToldParts bounds the parts that peers are told of for each request that was in flight at a
 	// crash.
 	maxToldParts = 16
@@ -36,6 +39,8 @@
 	OnSurvival func(parts []quarantiner.Feature, urgent bool)
 	// OnTrial is called when a trial of suspected parts begins.
 	OnTrial func(parts []quarantiner.Feature)
+	// OnFailedTrial is called when an incarnation crashed at a trial of parts and left a doubt.
+	OnFailedTrial func(incarnation string, parts []quarantiner.Feature)
 	// OnQuarantine is called when this entry quarantines a part.
 	OnQuarantine func(quarantine quarantiner.Quarantine)
 	// Rank returns how many entries may try a suspected part before this one.
@@ -47,13 +52,15 @@
 		return CrashSharing{
 			OnCrash:    func(string, []quarantiner.Feature) {},
 			OnSurvival: func([]quarantiner.Feature, bool) {}, OnTrial: func([]quarantiner.Feature) {},
-			OnQuarantine: func(quarantiner.Quarantine) {}, Rank: func(quarantiner.Feature) int { return 0 },
+			OnFailedTrial: func(string, []quarantiner.Feature) {},
+			OnQuarantine:  func(quarantiner.Quarantine) {}, Rank: func(quarantiner.Feature) int { return 0 },
 		}
 	}
 	return sharing
 }
 
-// quarantine guards a table. Its lock is never held while another one is taken.
+// quarantine guards a table. Its lock is held while CrashSharing.Rank is called, which takes that of the
+// gossiper; no other lock is taken after it.
 type quarantine struct {
 	mu    sync.Mutex
 	table *quarantiner.Table
@@ -73,9 +80,11 @@
 	entry.quarantine.with(func(table *quarantiner.Table) { struck = table.Crash(incarnation, inFlight, now) })
 	for _, feature := range struck {
 		entry.meters.countStrike(feature.Kind)
-		entry.logFeature(feature, logrus.Fields{
-			labelReplica: balancer.IDOf(incarnation), "incarnation": incarnation, "peer": peer,
-		}).Warn("request struck")
+		fields := logrus.Fields{labelReplica: balancer.IDOf(incarnation), "incarnation": incarnation}
+		if peer != "" {
+			fields["peer"] = peer
+		}
+		entry.logFeature(feature, fields).Warn("request struck")
 	}
 	return struck
 }
@@ -92,6 +101,12 @@
 	entry.quarantine.with(func(table *quarantiner.Table) { table.BeginTrial(parts, now) })
 }
 
+// RecordFailedTrial records that an incarnation crashed at a peer's trial of parts and left a doubt.
+func (entry *Entry) RecordFailedTrial(parts []quarantiner.Feature, incarnation string) {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { table.FailTrial(parts, incarnation, now) })
+}
+
 // Quarantine quarantines a part that a peer or the store knows of, which from names, and reports
 // whether that is news.
 func (entry *Entry) Quarantine(quarantine quarantiner.Quarantine, from string) (changed bool) {
@@ -168,7 +183,7 @@
 func (task *task) refusalFor(decision quarantiner.Decision) classifier.Failure {
 	task.refused = decision
 	detail := "a suspected part is on trial"
-	wait := task.retryAfter() + decision.Wait
+	wait := task.retryAfter() + min(decision.Wait, maxTrialWait)
 	switch {
 	case !decision.Final:
 	case decision.Refused.Kind == quarantiner.Request:
@@ -260,14 +275,18 @@
 		_ = entry.settings.Clock.Sleep(context.Background(), tellTime)
 	}
 	var convicted []quarantiner.Quarantine
+	var inDoubt []quarantiner.Feature
 	now := entry.settings.Clock.Now()
 	entry.quarantine.with(func(table *quarantiner.Table) {
 		if crashed {
-			convicted = table.Convict(trial, incarnation, now)
+			convicted, inDoubt = table.Convict(trial, incarnation, now)
 			return
 		}
 		table.EndTrial(trial, now)
 	})
+	if len(inDoubt) > 0 {
+		entry.settings.Crashes.OnFailedTrial(incarnation, inDoubt)
+	}
 	for _, quarantine := range convicted {
 		entry.applyQuarantine(quarantine, "trial")
 		entry.settings.Crashes.OnQuarantine(quarantine)
--- a/internal/relayer/queue.go
+++ b/internal/relayer/queue.go
@@ -58,11 +58,7 @@
 	queue.trigger()
 	select {
 	case <-wake:
-		if waiter.Placement == nil && waiter.Reason == "" {
-			// It was withdrawn before it was enqueued.
-			queue.abandon(waiter)
-			waiter.Reason = reasonQuarantined
-		}
+		queue.refuseWithdrawn(waiter)
 	case <-ctx.Done():
 		queue.abandon(waiter)
 	}
@@ -120,6 +116,17 @@
 	}
 }
 
+// refuseWithdrawn refuses a waiter that was woken without a decision: it was withdrawn before it was
+// enqueued.
+func (queue *queue) refuseWithdrawn(waiter *balancer.Waiter) {
+	decided := true
+	queue.fleet.With(func(*balancer.Fleet) { decided = waiter.Placement != nil || waiter.Reason != "" })
+	if !decided {
+		queue.abandon(waiter)
+		waiter.Reason = reasonQuarantined
+	}
+}
+
 // forget removes a waiter that no longer needs to be woken.
 func (queue *queue) forget(waiter *balancer.Waiter) {
 	queue.mu.Lock()
