--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
-	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/internal/sequencer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
