trefoilseam, quarantiner, assembler: operators list and lift quarantines

A quarantine that is wrong could only lapse. An entry now lists the parts that it keeps from replicas at the address for its peers, and lifts one on request. That is a statement about the part like the quarantine itself: it goes to the peers and into the store, and the later of two wins. Crashes count anew.

--- a/cmd/trefoilseam/examples.go
+++ b/cmd/trefoilseam/examples.go
@@ -23,6 +23,8 @@
 	{"audit report", "trefoilseam audit report -platform http://127.0.0.1:7000 -from 2026-12-01T00:00:00Z -html report.html"},
 	{"audit crashes", "trefoilseam audit crashes entry-1.log entry-2.log"},
 	{"audit streams", "trefoilseam audit streams entry-1.log entry-2.log"},
+	{"quarantine list", "trefoilseam quarantine list -entry 10.1.0.40:7340"},
+	{"quarantine lift", "trefoilseam quarantine lift -entry 10.1.0.40:7340 91bd3f06"},
 	{"config check", "trefoilseam config check -base base.toml -overlay addis=addis.toml"},
 	{"config settings", "trefoilseam config settings -kind direct -settings entry.toml"},
 	{"config render", "trefoilseam config render -base base.toml -overlay addis=addis.toml -site addis"},
--- a/cmd/trefoilseam/main.go
+++ b/cmd/trefoilseam/main.go
@@ -73,6 +73,7 @@
 			auditCommand(),
 			configCommand(),
 			strikesCommand(),
+			quarantineCommand(),
 			statusCommand(),
 			explainCommand(),
 			experimentCommand(),
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -297,9 +298,13 @@
 // ServeHTTP sends a peer the configuration in force or the list of replicas. It answers
 // 503 while maxTransfers other copies are being sent.
 func (peers *peers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == pathState {
+	switch {
+	case r.URL.Path == pathState:
 		peers.serveState(w, r)
 		return
+	case strings.HasPrefix(r.URL.Path, PathQuarantine):
+		peers.direct.serveQuarantine(w, r)
+		return
 	}
 	if !peers.transfers.begin() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/assembler/direct_quarantine.go
+++ b/internal/assembler/direct_quarantine.go
@@ -96,14 +96,19 @@
 	triggered chan struct{}
 
 	mu sync.Mutex
-	// written is what the store has in writtenEra, as far as this entry knows: by part, how often its
-	// quarantine had lapsed.
-	written    map[quarantiner.Feature]int
+	// written is what the store has in writtenEra, as far as this entry knows.
+	written    map[quarantiner.Feature]writtenQuarantine
 	writtenEra uint64
 }
 
+// writtenQuarantine is what a row says of a part.
+type writtenQuarantine struct {
+	lapses int
+	lifted bool
+}
+
 func newQuarantines(direct *Direct, store *platform.Store) *quarantines {
-	return &quarantines{direct: direct, store: store, triggered: make(chan struct{}, 1), written: map[quarantiner.Feature]int{}}
+	return &quarantines{direct: direct, store: store, triggered: make(chan struct{}, 1), written: map[quarantiner.Feature]writtenQuarantine{}}
 }
 
 // trigger makes this entry write what it has quarantined at once.
@@ -121,12 +126,12 @@
 	quarantines.enterEra(registry.Era)
 	for _, row := range registry.Quarantined {
 		part := quarantiner.Feature{Kind: quarantiner.Part, ID: row.Part}
-		quarantines.written[part] = max(quarantines.written[part], row.Lapses)
+		quarantines.written[part] = writtenQuarantine{lapses: row.Lapses, lifted: row.Lifted}
 	}
 	quarantines.mu.Unlock()
 	for _, row := range registry.Quarantined {
 		quarantines.direct.frontend.Quarantine(quarantiner.Quarantine{
-			Feature: quarantiner.Feature{Kind: quarantiner.Part, ID: row.Part}, Since: now.Add(-row.For), Lapses: row.Lapses,
+			Feature: quarantiner.Feature{Kind: quarantiner.Part, ID: row.Part}, Since: now.Add(-row.For), Lapses: row.Lapses, Lifted: row.Lifted,
 		}, "store")
 	}
 }
@@ -169,14 +174,15 @@
 	defer quarantines.mu.Unlock()
 	quarantines.enterEra(era)
 	return slices.DeleteFunc(all, func(quarantine quarantiner.Quarantine) bool {
-		lapses, found := quarantines.written[quarantine.Feature]
-		return found && lapses >= quarantine.Lapses
+		written, found := quarantines.written[quarantine.Feature]
+		return found && written == writtenQuarantine{lapses: quarantine.Lapses, lifted: quarantine.Lifted}
 	})
 }
 
 func (quarantines *quarantines) write(ctx context.Context, quarantine quarantiner.Quarantine) {
 	row := platform.QuarantinedPart{
-		Part: quarantine.Feature.ID, Lapses: quarantine.Lapses, For: quarantines.direct.clock.Now().Since(quarantine.Since),
+		Part: quarantine.Feature.ID, For: quarantines.direct.clock.Now().Since(quarantine.Since),
+		Lapses: quarantine.Lapses, Lifted: quarantine.Lifted,
 	}
 	log := quarantines.direct.log.WithField("part", quarantine.Feature.String())
 	if err := platform.WriteQuarantine(ctx, quarantines.store, row); err != nil {
@@ -186,5 +192,5 @@
 	log.Info("quarantine written")
 	quarantines.mu.Lock()
 	defer quarantines.mu.Unlock()
-	quarantines.written[quarantine.Feature] = quarantine.Lapses
+	quarantines.written[quarantine.Feature] = writtenQuarantine{lapses: quarantine.Lapses, lifted: quarantine.Lifted}
 }
--- a/internal/gossiper/crashes.go
+++ b/internal/gossiper/crashes.go
@@ -12,7 +12,7 @@
 	messages := make([]*encoder.PeerQuarantine, 0, len(quarantined))
 	for _, one := range quarantined {
 		messages = append(messages, &encoder.PeerQuarantine{
-			Part: one.Feature.ID, AgeMs: uint64(max(0, now.Since(one.Since))), Lapses: uint32(max(0, one.Lapses)),
+			Part: one.Feature.ID, AgeMs: uint64(max(0, now.Since(one.Since))), Lapses: uint32(max(0, one.Lapses)), Lifted: one.Lifted,
 		})
 	}
 	return messages
@@ -27,7 +27,7 @@
 	for _, one := range message.Quarantined {
 		digest.Quarantined = append(digest.Quarantined, quarantiner.Quarantine{
 			Feature: quarantiner.Feature{Kind: quarantiner.Part, ID: one.Part},
-			Since:   now.Add(-timekeeper.Span(min(one.AgeMs, maxQuarantineAge))), Lapses: int(one.Lapses),
+			Since:   now.Add(-timekeeper.Span(min(one.AgeMs, maxQuarantineAge))), Lapses: int(one.Lapses), Lifted: one.Lifted,
 		})
 	}
 }
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -117,8 +117,7 @@
 		if feature.Kind == Part {
 			table.survivals.add(feature, now)
 		}
-		_, lapsed := table.quarantined[feature]
-		lapsed = lapsed && !table.isQuarantined(feature, now)
+		lapsed := table.hasLapsed(feature, now)
 		known, found := table.records[feature]
 		if feature.Kind == Part && (found || lapsed) {
 			cleared = append(cleared, feature)
@@ -142,7 +141,7 @@
 // lapsed is.
 func (table *Table) suspectedSince(part Feature, now timekeeper.Instant) (timekeeper.Instant, bool) {
 	known, found := table.records[part]
-	if quarantine, lapsed := table.quarantined[part]; lapsed {
+	if quarantine, quarantined := table.quarantined[part]; quarantined && !quarantine.Lifted {
 		since := quarantine.ends()
 		if found {
 			since = max(since, known.opensAt)
--- a/internal/quarantiner/table_test.go
+++ b/internal/quarantiner/table_test.go
@@ -165,9 +165,31 @@
 		So(history.Quarantine(Quarantine{Feature: badPart, Since: history.now}, history.now), ShouldBeFalse)
 		history.wait(lifetimeGrowth * lifetimeGrowth * firstLifetime)
 		history.survive(badPart)
-		So(history.Quarantined(), ShouldBeEmpty)
+		So(history.Quarantined(history.now), ShouldBeEmpty)
 		So(history.check(badPart).Trial, ShouldBeEmpty)
 	})
+	Convey("a lifted quarantine stays lifted, until the part crashes replicas again", t, func() {
+		history := newHistory()
+		earlier := Quarantine{Feature: badPart, Since: history.now}
+		So(history.Lift(badPart, history.now), ShouldBeFalse)
+		So(history.Quarantine(earlier, history.now), ShouldBeTrue)
+		history.wait(2 * mergeSlack)
+		So(history.Lift(badPart, history.now), ShouldBeTrue)
+		So(history.Lift(badPart, history.now), ShouldBeFalse)
+		So(history.Quarantine(earlier, history.now), ShouldBeFalse)
+		So(history.check(badPart).Trial, ShouldBeEmpty)
+		peer := newHistory()
+		So(peer.Quarantine(earlier, history.now), ShouldBeTrue)
+		So(peer.Quarantine(history.Quarantined(history.now)[0], history.now), ShouldBeTrue)
+		So(peer.check(badPart).Allowed(), ShouldBeTrue)
+		history.wait(mergeSlack)
+		history.crash(suspectParts, badPart)
+		history.survive(rootPart)
+		So(history.try(badPart), ShouldHaveLength, 1)
+		So(peer.Quarantine(history.Quarantined(history.now)[0], history.now), ShouldBeTrue)
+		history.wait(liftMemory)
+		So(history.check(badPart).Allowed(), ShouldBeTrue)
+	})
 	Convey("records and quarantines are bounded, and those with most crashes stay", t, func() {
 		history := newHistory()
 		history.crash(suspectParts, badPart)
@@ -180,6 +202,6 @@
 		for number := range uint64(2 * MaxQuarantined) {
 			history.Quarantine(Quarantine{Feature: Feature{Kind: Part, ID: number}, Since: history.now}, history.now)
 		}
-		So(history.Quarantined(), ShouldHaveLength, MaxQuarantined)
+		So(history.Quarantined(history.now), ShouldHaveLength, MaxQuarantined)
 	})
 }
--- a/internal/quarantiner/trial.go
+++ b/internal/quarantiner/trial.go
@@ -115,15 +115,15 @@
 func (table *Table) Convict(trial []Feature, incarnation string, now timekeeper.Instant) (convicted []Quarantine, inDoubt []Feature) {
 	var without []Feature
 	for _, part := range trial {
-		switch table.judge(part, incarnation) {
+		switch table.judge(part, incarnation, now) {
 		case noResult:
 			without = append(without, part)
 		case doubtful:
 			inDoubt = append(inDoubt, part)
 		case guilty:
 			quarantine := Quarantine{Feature: part, Since: now, Incarnations: slices.Clone(table.records[part].incarnations)}
-			if earlier, lapsed := table.quarantined[part]; lapsed {
-				quarantine.Lapses = earlier.Lapses + 1
+			if table.hasLapsed(part, now) {
+				quarantine.Lapses = table.quarantined[part].Lapses + 1
 			}
 			convicted = append(convicted, quarantine)
 		}
@@ -147,17 +147,16 @@
 )
 
 // judge returns what the crash of an incarnation at the trial of a part says.
-func (table *Table) judge(part Feature, incarnation string) verdict {
+func (table *Table) judge(part Feature, incarnation string, now timekeeper.Instant) verdict {
 	known, found := table.records[part]
 	if !found || !slices.Contains(known.incarnations, incarnation) {
 		return noResult
 	}
 	better, equal := table.rivals(part, incarnation)
-	_, lapsed := table.quarantined[part]
 	switch {
 	case better:
 		return noResult
-	case lapsed:
+	case table.hasLapsed(part, now):
 		return guilty
 	case table.survivals.latest <= known.suspectedAt:
 		return noResult
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -118,9 +118,23 @@
 	return changed
 }
 
-// applyQuarantine refuses the requests that wait, and logs a quarantine.
+// Lift ends the quarantine of a part, and reports whether there was one, or a suspicion.
+func (entry *Entry) Lift(part quarantiner.Feature, from string) (lifted bool) {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { lifted = table.Lift(part, now) })
+	if lifted {
+		entry.applyQuarantine(quarantiner.Quarantine{Feature: part, Since: now, Lifted: true}, from)
+	}
+	return lifted
+}
+
+// applyQuarantine refuses the requests that wait, and logs a quarantine or its end.
 func (entry *Entry) applyQuarantine(quarantine quarantiner.Quarantine, from string) {
 	part := quarantine.Feature
+	if quarantine.Lifted {
+		entry.logFeature(part, logrus.Fields{"from": from}).Warn("quarantine lifted")
+		return
+	}
 	entry.queue.withdraw(func(waiter *balancer.Waiter) bool { return hasPart(waiter.Request.Parts, part) })
 	entry.meters.countQuarantine()
 	entry.logFeature(part, logrus.Fields{
@@ -129,9 +143,10 @@
 	}).Error("part quarantined, it crashes replicas")
 }
 
-// Quarantined returns the parts that are quarantined at this entry.
+// Quarantined returns the parts that are quarantined at this entry: see quarantiner.Table.
 func (entry *Entry) Quarantined() (quarantined []quarantiner.Quarantine) {
-	entry.quarantine.with(func(table *quarantiner.Table) { quarantined = table.Quarantined() })
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { quarantined = table.Quarantined(now) })
 	return quarantined
 }
 
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -359,55 +358,3 @@
 	}
 	task.entry.refuse(task.w, task.r, failure, task.call.ID)
 }
-
-// log writes a log line about the request's outcome.
-func (task *task) log(failure classifier.Failure, now timekeeper.Instant) {
-	fields := logrus.Fields{
-		"request-id": task.call.ID, "route": task.route.Name, "team": task.team.Name, "version": task.config.Version(),
-		labelService: task.service, "rank": int(task.rank()), "total-ms": int64(now.Since(task.arrived)), "runs": task.runs,
-	}
-	if task.ahead > 0 {
-		fields["ahead"] = task.ahead
-	}
-	if task.placement != nil {
-		fields[labelReplica] = task.replica
-		fields["uncached"] = task.placement.Uncached
-		fields["expected-ms"] = int64(task.placement.Expected)
-	}
-	if task.firstPartAt != 0 {
-		fields["first-ms"] = int64(task.firstPartAt.Since(task.arrived))
-	}
-	if task.refusals > 0 || task.unsent > 0 {
-		fields["refusals"], fields["unsent"] = task.refusals, task.unsent
-	}
-	if failure.Kind == 0 {
-		task.entry.settings.Log.WithFields(fields).Info("request answered")
-		return
-	}
-	fields["kind"], fields["detail"] = failure.Kind.String(), failure.Detail
-	if failure.RetryAfter > 0 {
-		fields["retry-after-ms"] = int64(failure.RetryAfter)
-	}
-	task.entry.settings.Log.WithFields(fields).Warn("request failed")
-}
-
-// logPlacement logs the chosen replica and the inputs of the choice. It is called before
-// anything is sent, so that the line exists if the process dies.
-func (task *task) logPlacement(placement *balancer.Placement) {
-	fields := logrus.Fields{
-		"request-id": task.call.ID, labelReplica: placement.Replica.ID, labelService: task.service, "route": task.route.Name,
-		"version": task.config.Version(), "rank": int(task.rank()), "uncached": placement.Uncached, "held": placement.Load,
-		"candidates": placement.Candidates, "expected-ms": int64(placement.Expected),
-		"access": placement.Access.String(), "list-version": placement.ListVersion.Number, "list-era": placement.ListVersion.Era, "try": 1 + task.runs + task.refusals + task.unsent,
-		"waited-ms": int64(task.entry.settings.Clock.Now().Since(task.arrived)),
-	}
-	task.addStreamFields(fields, placement)
-	if placement.Source != "" {
-		fields["source"], fields["fetched"] = placement.Source, placement.Fetched
-	}
-	task.entry.settings.Log.WithFields(fields).Info("request placed")
-}
-
-func formatVersion(version uint64) string {
-	return strconv.FormatUint(version, 10)
-}
