--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
