balancer: an entry with few connections may have most requests, too

What callers would have seen: with 103 entries before a few engines an entry's shares come to so few connections that it never had the eight requests from which more were lent: the one that most new connections go to went on refusing.

Cause: a least number of requests stood for "the digests of others are not older than the rush".

Change: that is asked itself. All live peers must have sent a digest since this entry's digests say two or more.

--- a/internal/balancer/connection_limit.go
+++ b/internal/balancer/connection_limit.go
@@ -8,10 +8,9 @@
 	// may use it at a time while one takes over from the other.
 	lentShare = 0.25
 	// mostFactor is how many times the requests of any peer an entry must have to have most, and
-	// minMost how many at least. Digests are up to a second old: a rush to all entries alike must not
-	// look to each of them as if it had most.
+	// minMost how many at least.
 	mostFactor = 2
-	minMost    = 8
+	minMost    = 2
 )
 
 // ConnectionLimit returns how many of the connections that a replica accepts from all entries
@@ -26,15 +25,35 @@
 }
 
 // HasMostRequests reports whether this entry has far more requests in flight than any other, by the
-// digests that entries sent last. An entry without peers can't know.
+// digests that entries sent last. All peers must have sent one since this entry has as many as
+// minMost: in a rush to all entries alike, older digests would make each believe that it has most. An
+// entry without peers can't know.
 func (fleet *Fleet) HasMostRequests(now timekeeper.Instant) bool {
+	if fleet.manySince == 0 {
+		return false
+	}
 	live, most := false, 0
 	for _, digest := range fleet.peers {
-		if now <= digest.until {
-			live, most = true, max(most, digest.running)
+		if now > digest.until {
+			continue
+		}
+		if digest.receivedAt <= fleet.manySince {
+			return false
 		}
+		live, most = true, max(most, digest.running)
+	}
+	return live && fleet.sentRunning >= mostFactor*most
+}
+
+// recordSent records how many requests in flight a digest says that this entry has.
+func (fleet *Fleet) recordSent(running int, now timekeeper.Instant) {
+	fleet.sentRunning = running
+	switch {
+	case running < minMost:
+		fleet.manySince = 0
+	case fleet.manySince == 0:
+		fleet.manySince = now
 	}
-	return live && fleet.sentRunning >= max(minMost, mostFactor*most)
 }
 
 // runningOf returns the number of requests at all replicas.
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -52,8 +52,10 @@
 	peers    map[string]peerDigest
 	// peersInFlight is what all peers together have in flight, by replica.
 	peersInFlight map[Key]InFlight
-	// sentRunning is the number of requests in flight that this entry's last digest said.
+	// sentRunning is the number of requests in flight that this entry's last digest said, and
+	// manySince from when on its digests have said at least minMost; zero means that they don't.
 	sentRunning     int
+	manySince       timekeeper.Instant
 	excessLatencies map[string]*excessLatency
 	queues          map[string]*serviceQueue
 	teams           map[string]*decaying
--- a/internal/balancer/peers.go
+++ b/internal/balancer/peers.go
@@ -122,7 +122,7 @@
 			inFlight[member.key] = held
 		}
 	}
-	fleet.sentRunning = runningOf(inFlight)
+	fleet.recordSent(runningOf(inFlight), now)
 	return inFlight
 }
 
