quarantiner: a lifted quarantine explains no crashes

A peer that heard of a lift forgot the crashes of all parts that had been in flight with the lifted one, so a part that crashes replicas lost its suspicion there. TestTable, "a lifted quarantine ...", failed before.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -56,8 +56,9 @@
 		delete(table.quarantined, all[0].Feature)
 	}
 	table.quarantined[part] = quarantine
-	if known, found := table.records[part]; found {
-		delete(table.records, part)
+	known, found := table.records[part]
+	delete(table.records, part)
+	if found && !quarantine.Lifted {
 		table.explain(known.incarnations, now)
 	}
 	return true
