quarantiner, assembler: one name for an ambiguous trial, and the part in a log line as in the others

No decision changes. "quarantine written" named the part as part-bad1, all other lines as bad1, so that a search for a part missed it. Comments and names on trials that must be repeated use one term.

--- a/internal/assembler/direct_quarantine.go
+++ b/internal/assembler/direct_quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -184,7 +185,7 @@
 		Part: quarantine.Feature.ID, For: quarantines.direct.clock.Now().Since(quarantine.Since),
 		Lapses: quarantine.Lapses, Lifted: quarantine.Lifted,
 	}
-	log := quarantines.direct.log.WithField("part", quarantine.Feature.String())
+	log := quarantines.direct.log.WithField("part", strconv.FormatUint(quarantine.Feature.ID, 16))
 	if err := platform.WriteQuarantine(ctx, quarantines.store, row); err != nil {
 		log.WithField(labelCause, err.Error()).Warn("quarantine not written")
 		return
--- a/internal/explainer/crashes_test.go
+++ b/internal/explainer/crashes_test.go
@@ -40,7 +40,7 @@
 		{"few crashes", crashes("bad", 4) + quarantined + late + late, true, "4 crashes, quarantined at 10:00:06.000, 0 attempts"},
 		{"three late", crashes("bad", 5) + quarantined + late, true, "5 crashes, quarantined at 10:00:06.000, 3 attempts"},
 		{"six late", crashes("bad", 5) + quarantined + late + late, false, "6 attempts broke off late"},
-		{"in the time that news takes", crashes("bad", 5) + quarantined + strings.Repeat(brokenLine(7, "root,bad"), 9), true, "0 attempts"},
+		{"in the time that messages take", crashes("bad", 5) + quarantined + strings.Repeat(brokenLine(7, "root,bad"), 9), true, "0 attempts"},
 		{"a part that came along", crashes("root", 9) + late + late, true, "part root: in flight at 9 crashes, not quarantined"},
 	}
 	for _, test := range tests {
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -41,7 +41,7 @@
 }
 
 // Crash is an incarnation of a replica that crashed, with the parts that were in flight there, and those
-// at whose trial it crashed, which left a doubt.
+// at whose trial it crashed, with an ambiguous result.
 type Crash struct {
 	Incarnation       string
 	Parts, TriedParts []uint64
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -20,9 +20,9 @@
 	crashTime  = 60 * timekeeper.Millisecond
 	// downTime is how long an engine stays away.
 	downTime = 2500 * timekeeper.Millisecond
-	// newsTime is how long news takes to reach a peer, and conclusionTime how long after a crash a
+	// messageTime is how long a message takes to reach a peer, and conclusionTime how long after a crash a
 	// trial is concluded.
-	newsTime       = 60 * timekeeper.Millisecond
+	messageTime    = 60 * timekeeper.Millisecond
 	conclusionTime = 150 * timekeeper.Millisecond
 	// modelSpan is how long a model runs, and troubleAt when its trouble begins.
 	modelSpan = 20 * timekeeper.Second
@@ -79,13 +79,13 @@
 	model.later = append(model.later, modelEvent{at: model.now.Add(span), do: do})
 }
 
-// tell gives news to all entries but one.
+// tell sends a message to all entries but one.
 func (model *model) tell(from int, apply func(table *Table)) {
 	for to, table := range model.entries {
 		if to == from || model.random.Float64() < model.loss*model.loss {
 			continue
 		}
-		model.after(newsTime, func() { apply(table) })
+		model.after(messageTime, func() { apply(table) })
 	}
 }
 
@@ -172,14 +172,14 @@
 		return
 	}
 	model.after(conclusionTime, func() {
-		convicted, inDoubt := model.entries[request.entry].Convict(request.trial, incarnation, model.now)
-		model.tell(request.entry, func(peer *Table) { peer.FailTrial(inDoubt, incarnation, model.now) })
+		convicted, ambiguous := model.entries[request.entry].Convict(request.trial, incarnation, model.now)
+		model.tell(request.entry, func(peer *Table) { peer.FailTrial(ambiguous, incarnation, model.now) })
 		for _, quarantine := range convicted {
 			model.partsQuarantined = append(model.partsQuarantined, quarantine.Feature)
 			// Digests carry quarantines again and again, so that none is lost.
 			for to, table := range model.entries {
 				if to != request.entry {
-					model.after(newsTime, func() { table.Quarantine(quarantine, model.now) })
+					model.after(messageTime, func() { table.Quarantine(quarantine, model.now) })
 				}
 			}
 		}
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -46,7 +46,7 @@
 	return quarantine.Since.Add(span)
 }
 
-// Quarantine quarantines a part, or lifts its quarantine, and reports whether that is news.
+// Quarantine quarantines a part, or lifts its quarantine, and reports whether that was not known.
 func (table *Table) Quarantine(quarantine Quarantine, now timekeeper.Instant) bool {
 	part := quarantine.Feature
 	if known, found := table.quarantined[part]; found && !known.replacedBy(quarantine, now) {
--- a/internal/quarantiner/record.go
+++ b/internal/quarantiner/record.go
@@ -17,7 +17,7 @@
 	// opensAt is when the entry of the first rank may begin a trial, and trialEnds when one that no
 	// result is known of counts as ended.
 	opensAt, trialEnds timekeeper.Instant
-	// failedTrials are the incarnations that crashed at trials of the part which left a doubt.
+	// failedTrials are the incarnations that crashed at trials of the part with an ambiguous result.
 	failedTrials []string
 }
 
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -45,7 +45,7 @@
 }
 
 // Crash records that an incarnation of a replica crashed while an answer on each of the features was
-// due, and returns the features for which that is news.
+// due, and returns the features for which that was not known.
 func (table *Table) Crash(incarnation string, inFlight []Feature, now timekeeper.Instant) (struck []Feature) {
 	if slices.ContainsFunc(inFlight, func(feature Feature) bool { return table.isQuarantined(feature, now) }) {
 		table.explain([]string{incarnation}, now)
--- a/internal/quarantiner/trial.go
+++ b/internal/quarantiner/trial.go
@@ -14,10 +14,10 @@
 	trialPatience = timekeeper.Second
 	// trialTimeout is after how long a trial without a known result counts as ended.
 	trialTimeout = 3 * timekeeper.Second
-	// trialsInDoubt is the number of trials that must fail before a part is quarantined that has survived
+	// trialsIfAmbiguous is the number of trials that must fail before a part is quarantined that has survived
 	// in survivalMemory, or that the crashes don't tell from another one: the second trial may be of a
 	// request that has only one of them. Otherwise one is enough.
-	trialsInDoubt = 2
+	trialsIfAmbiguous = 2
 )
 
 // Decision is whether a request may be sent to a replica.
@@ -97,8 +97,8 @@
 	}
 }
 
-// FailTrial records that an incarnation crashed at a trial of parts, at this entry or another one, which
-// left a doubt.
+// FailTrial records that an incarnation crashed at a trial of parts, at this entry or another one, with an
+// ambiguous result.
 func (table *Table) FailTrial(parts []Feature, incarnation string, now timekeeper.Instant) {
 	for _, part := range parts {
 		if known, found := table.records[part]; found && !slices.Contains(known.failedTrials, incarnation) {
@@ -112,14 +112,14 @@
 // more trials must fail. It ends the trial of all others without a result: parts that another one
 // explains better, and all while nothing survives, since replicas then crash for another reason. It is
 // called once the entries have told each other what was in flight at the crash.
-func (table *Table) Convict(trial []Feature, incarnation string, now timekeeper.Instant) (convicted []Quarantine, inDoubt []Feature) {
+func (table *Table) Convict(trial []Feature, incarnation string, now timekeeper.Instant) (convicted []Quarantine, ambiguous []Feature) {
 	var without []Feature
 	for _, part := range trial {
 		switch table.judge(part, incarnation, now) {
 		case noResult:
 			without = append(without, part)
-		case doubtful:
-			inDoubt = append(inDoubt, part)
+		case moreTrials:
+			ambiguous = append(ambiguous, part)
 		case guilty:
 			quarantine := Quarantine{Feature: part, Since: now, Incarnations: slices.Clone(table.records[part].incarnations)}
 			if table.hasLapsed(part, now) {
@@ -131,9 +131,9 @@
 	for _, quarantine := range convicted {
 		table.Quarantine(quarantine, now)
 	}
-	table.FailTrial(inDoubt, incarnation, now)
+	table.FailTrial(ambiguous, incarnation, now)
 	table.EndTrial(without, now)
-	return convicted, inDoubt
+	return convicted, ambiguous
 }
 
 // verdict is what the crash of a replica at the trial of a part says about it.
@@ -141,8 +141,8 @@
 
 const (
 	noResult verdict = iota
-	// doubtful means that further trials must fail.
-	doubtful
+	// moreTrials means that further trials must fail.
+	moreTrials
 	guilty
 )
 
@@ -160,8 +160,8 @@
 		return guilty
 	case table.survivals.latest <= known.suspectedAt:
 		return noResult
-	case (equal || table.hasSurvived(part)) && len(known.failedTrials)+1 < trialsInDoubt:
-		return doubtful
+	case (equal || table.hasSurvived(part)) && len(known.failedTrials)+1 < trialsIfAmbiguous:
+		return moreTrials
 	}
 	return guilty
 }
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -32,14 +32,14 @@
 // CrashSharing is how entries share what they know of crashes. All fields must be set.
 type CrashSharing struct {
 	// OnCrash is called when a replica crashed while a request with the features was in flight, with
-	// those for which that is news.
+	// those for which that was not known.
 	OnCrash func(incarnation string, inFlight []quarantiner.Feature)
 	// OnSurvival is called for parts whose crashes no longer count, since an answer survived; urgent
 	// reports whether requests may wait for that.
 	OnSurvival func(parts []quarantiner.Feature, urgent bool)
 	// OnTrial is called when a trial of suspected parts begins.
 	OnTrial func(parts []quarantiner.Feature)
-	// OnFailedTrial is called when an incarnation crashed at a trial of parts and left a doubt.
+	// OnFailedTrial is called when an incarnation crashed at a trial of parts with an ambiguous result.
 	OnFailedTrial func(incarnation string, parts []quarantiner.Feature)
 	// OnQuarantine is called when this entry quarantines a part.
 	OnQuarantine func(quarantine quarantiner.Quarantine)
@@ -101,14 +101,14 @@
 	entry.quarantine.with(func(table *quarantiner.Table) { table.BeginTrial(parts, now) })
 }
 
-// RecordFailedTrial records that an incarnation crashed at a peer's trial of parts and left a doubt.
+// RecordFailedTrial records that an incarnation crashed at a peer's trial of parts with an ambiguous result.
 func (entry *Entry) RecordFailedTrial(parts []quarantiner.Feature, incarnation string) {
 	now := entry.settings.Clock.Now()
 	entry.quarantine.with(func(table *quarantiner.Table) { table.FailTrial(parts, incarnation, now) })
 }
 
 // Quarantine quarantines a part that a peer or the store knows of, which from names, and reports
-// whether that is news.
+// whether that was not known.
 func (entry *Entry) Quarantine(quarantine quarantiner.Quarantine, from string) (changed bool) {
 	now := entry.settings.Clock.Now()
 	entry.quarantine.with(func(table *quarantiner.Table) { changed = table.Quarantine(quarantine, now) })
@@ -290,17 +290,17 @@
 		_ = entry.settings.Clock.Sleep(context.Background(), tellTime)
 	}
 	var convicted []quarantiner.Quarantine
-	var inDoubt []quarantiner.Feature
+	var ambiguous []quarantiner.Feature
 	now := entry.settings.Clock.Now()
 	entry.quarantine.with(func(table *quarantiner.Table) {
 		if crashed {
-			convicted, inDoubt = table.Convict(trial, incarnation, now)
+			convicted, ambiguous = table.Convict(trial, incarnation, now)
 			return
 		}
 		table.EndTrial(trial, now)
 	})
-	if len(inDoubt) > 0 {
-		entry.settings.Crashes.OnFailedTrial(incarnation, inDoubt)
+	if len(ambiguous) > 0 {
+		entry.settings.Crashes.OnFailedTrial(incarnation, ambiguous)
 	}
 	for _, quarantine := range convicted {
 		entry.applyQuarantine(quarantine, "trial")
