--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -18,7 +18,7 @@
 // Figures of the case.
 const (
 	host     = "ficu95.example"
-	service  = "vend-ops"
+	service  = "orders-app"
 	tenants  = 10
 	machines = 4
 	replicas = 5
@@ -28,7 +28,7 @@
 	workTime = 15
 	// For coldStart seconds after its start, a replica tolerates coldRate requests a second: entries check
 	// the health of those that get as many.
-	coldStart, coldRate = 3, 8.3
+	coldStart, coldRate = 3, 12
 	// windows of spoilTime with windowGap between them, in which spoilers replicas send spoilShare of
 	// their answers a second time.
 	windows    = 16
@@ -51,9 +51,9 @@
 	return stage.Configuration{
 		Version: 3,
 		Routes: []stage.Route{
-			{Name: "dispense-refund", Host: host, Prefix: "/refund/", Kind: "unsafe", Timeout: 1500, Target: 120, Priority: 2, Service: service, Attempts: 1},
+			{Name: "order-lookup", Host: host, Prefix: "/orders/", Kind: "unsafe", Timeout: 1200, Target: 150, Priority: 2, Service: service, Attempts: 1},
 		},
-		Services: []stage.Service{{Name: service, HealthPath: stage.HealthPath, Connections: 240, ColdStart: coldStart, ColdRate: coldRate}},
+		Services: []stage.Service{{Name: service, HealthPath: stage.HealthPath, Connections: 96, ColdStart: coldStart, ColdRate: coldRate}},
 		Limits:   stage.SheetLimits(),
 		Tenants:  holders,
 	}
@@ -112,7 +112,7 @@
 	for number := range machines {
 		machine, err := site.platform.StartMachine(stage.MachineSettings{
 			Name: fmt.Sprintf("front-bole-hall-%d", number+1), Zone: "bole-hall", Megabytes: 284, Descriptors: 4100,
-			Bounds: map[string]any{"bounds.coldOver": 1.5, "bounds.coldSlack": 5, "bounds.budgetExtra": 100},
+			Bounds: map[string]any{"bounds.coldOver": 1.5, "bounds.coldSlack": 5},
 		})
 		if err != nil {
 			return err
@@ -150,7 +150,7 @@
 	defer client.Close()
 	for count := 0; !site.stopped.Load(); count++ {
 		id := fmt.Sprintf("%04x%012x", number, count)
-		outcome := client.Do(stage.Call{ID: id, Method: "POST", Path: "/refund/2f", Body: []byte(`{"refund":"` + id + `"}`), Deadline: 1500})
+		outcome := client.Do(stage.Call{ID: id, Method: "POST", Path: "/orders/2f", Body: []byte(`{"order":"` + id + `"}`), Deadline: 2500})
 		site.mu.Lock()
 		site.once[id] = outcome.Status
 		site.counts[outcome.Status]++
