--- a/review/cmd/case1/main.go
+++ b/review/cmd/case1/main.go
@@ -23,7 +23,7 @@
 	machines = 4
 	replicas = 5
 	// clients send their next request as soon as they have an answer: the service works at its limit.
-	clients = 90
+	clients = 120
 	// workTime is the mean time that a request takes.
 	workTime = 15
 	// For coldStart seconds after its start, a replica tolerates coldRate requests a second: entries check
@@ -31,7 +31,7 @@
 	coldStart, coldRate = 3, 12
 	// windows of spoilTime with windowGap between them, in which spoilers replicas send spoilShare of
 	// their answers a second time.
-	windows    = 16
+	windows    = 18
 	spoilTime  = 5 * timekeeper.Second
 	windowGap  = 500 * timekeeper.Millisecond
 	spoilers   = 3
