connector: which part of a replica's answer is long, in logs and metrics

Callers of review/2 saw requests at sound replicas end without an answer, after the entry was killed for its memory. Four readers could have taken it: the head of an answer, answers to other requests, a body that is buffered, and a stream's event.

The bytes read from a connection are counted by part, and a line and a counter (long-answers) tell the part, from 1 MiB on and each time that it has doubled.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -189,14 +189,17 @@
 // returns the number of stray answers.
 func readHead(conn *connection, request Request) (*http.Response, int, error) {
 	for stray := 0; stray <= maxStrayAnswers; stray++ {
+		conn.meter.begin(Head)
 		head, err := readFinalHead(conn, request.Method)
 		if err != nil {
 			return nil, stray, err
 		}
 		if request.Matches == nil || request.Matches(head.Header) {
+			conn.meter.begin(Body)
 			return head, stray, nil
 		}
 		conn.stray = true
+		conn.meter.begin(Stray)
 		read, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxStrayBody))
 		if err != nil || read == maxStrayBody || head.Close {
 			return nil, stray + 1, errStray
@@ -218,6 +221,7 @@
 		if head.StatusCode == http.StatusSwitchingProtocols {
 			return nil, eris.New("the replica switched protocols unasked")
 		}
+		conn.meter.begin(Interim)
 	}
 }
 
