connector: an answer's head, interim answers and body are bounded

Cause: http.ReadResponse reads the status line and the header without a bound, and readFinalHead passes it the connection as it is.

Change: a connection's reader has a bound for the part that is read. Heads, with the interim answers before them, have 16 KiB and 256 fields (the pages' heads have some hundred bytes); a body has the bound of its request, 64 MiB by default, and one that announces more fails with its head. An answer to another request that ends with its connection isn't read on. Beyond the bound the exchange fails at once with a TooLongError that names part and limit, the connection is closed, and the attempt counts as failed by the replica: another one gets the request if it may be sent again, else the caller is told 502. The line "attempt failed" names part and limit, and the counter long-answers moves from the pool to the service's answers.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -138,7 +138,7 @@
 		TeamShares: settings.Overload.TeamShares, ReturnTimes: settings.Overload.ReturnTimes,
 	}))
 	direct.pool, release = connector.NewPool(connector.Settings{
-		Clock: direct.clock, OnOpen: func() { direct.scope.Counter("connections-opened").Inc(1) }, OnLong: direct.recordLongAnswer,
+		Clock: direct.clock, OnOpen: func() { direct.scope.Counter("connections-opened").Inc(1) },
 	})
 	direct.onRelease(release)
 	store, release := platform.NewStore(settings.Store, direct.log, direct.scope, func(era uint64) { direct.learnEra(era, "store") })
@@ -227,12 +227,6 @@
 	return max(minShares, sharesPerEntry*(1+len(direct.peers.gossiper.KnownPeers(retryPeerTimeout))))
 }
 
-// recordLongAnswer counts and logs a long part of an answer.
-func (direct *Direct) recordLongAnswer(replica string, part connector.Part, read int64) {
-	direct.scope.Tagged(map[string]string{"part": part.String()}).Counter("long-answers").Inc(1)
-	direct.log.WithFields(logrus.Fields{labelReplica: replica, "part": part.String(), "read-bytes": read}).Warn("answer of a replica is long")
-}
-
 // config returns the configuration in force, or nil while none is known or the entry must not
 // serve yet.
 func (direct *Direct) config() *router.Configuration {
--- a/internal/connector/connection.go
+++ b/internal/connector/connection.go
@@ -26,8 +26,8 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
-	// meter counts what reader reads from the connection.
-	meter *meteredReader
+	// bound limits what reader reads from the connection.
+	bound *boundedReader
 	// used reports whether it has been idle in the pool.
 	used bool
 	// stray reports whether an answer to another request arrived on it.
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -46,6 +47,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// MaxBody bounds the body of the answer, in bytes; zero means DefaultMaxBody. Reading beyond it
+	// returns a TooLongError, as does Do if the answer announces a longer body.
+	MaxBody int64
 	// Matches reports whether an answer's header belongs to this request; nil accepts
 	// every answer.
 	Matches func(head http.Header) bool
@@ -110,12 +114,17 @@
 		return nil, Failure{Progress: Unsent, Cause: ctx.Err()}
 	}
 	written := writeRequest(conn, request)
+	limit := cmp.Or(request.MaxBody, DefaultMaxBody)
 	head, stray, err := readHead(conn, request) //nolint:bodyclose // the body ends with the exchange, in Finish.
+	if err == nil {
+		err = checkHead(head, limit)
+	}
 	if err != nil {
 		unwatch()
 		pool.discard(target, conn)
 		return nil, Failure{Progress: Sent, Reused: conn.used, Cause: err}
 	}
+	head.Body = &boundedBody{ReadCloser: head.Body, limit: limit, left: limit}
 	answer := &Answer{Response: head, StrayAnswers: stray}
 	answer.finish = func(whole bool) {
 		stopped := unwatch()
@@ -181,6 +190,14 @@
 	return out.Bytes()
 }
 
+// checkHead returns an error if a head has too many fields or announces a body longer than limit.
+func checkHead(head *http.Response, limit int64) error {
+	if head.ContentLength > limit && head.Request.Method != http.MethodHead {
+		return TooLongError{Part: Body, Limit: limit}
+	}
+	return checkFields(head.Header)
+}
+
 // errStray is returned when only answers to other requests arrived.
 var errStray = eris.New("the answer belongs to another request")
 
@@ -189,17 +206,20 @@
 // returns the number of stray answers.
 func readHead(conn *connection, request Request) (*http.Response, int, error) {
 	for stray := 0; stray <= maxStrayAnswers; stray++ {
-		conn.meter.begin(Head)
+		conn.bound.begin(Head, maxHeadBytes)
 		head, err := readFinalHead(conn, request.Method)
 		if err != nil {
 			return nil, stray, err
 		}
 		if request.Matches == nil || request.Matches(head.Header) {
-			conn.meter.begin(Body)
+			conn.bound.begin(Body, 0)
 			return head, stray, nil
 		}
 		conn.stray = true
-		conn.meter.begin(Stray)
+		if endsWithConnection(head) {
+			return nil, stray + 1, errStray
+		}
+		conn.bound.begin(Stray, 0)
 		read, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxStrayBody))
 		if err != nil || read == maxStrayBody || head.Close {
 			return nil, stray + 1, errStray
@@ -212,6 +232,10 @@
 func readFinalHead(conn *connection, method string) (*http.Response, error) {
 	for {
 		head, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		if conn.bound.exceeded {
+			// The line that the bound cut off may have been taken for a whole, malformed one.
+			return nil, conn.bound.tooLong()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -221,7 +245,7 @@
 		if head.StatusCode == http.StatusSwitchingProtocols {
 			return nil, eris.New("the replica switched protocols unasked")
 		}
-		conn.meter.begin(Interim)
+		conn.bound.part = Interim
 	}
 }
 
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -30,9 +30,6 @@
 	// 1.5 s, which allows for retransmissions of a lost packet after 200 ms,
 	// 400 ms and 800 ms.
 	AckTimeout timekeeper.Span
-	// OnLong is called while a long part of an answer is read from a replica, with the key of its
-	// target, the part and the bytes that have been read; it may be nil.
-	OnLong func(key string, part Part, read int64)
 	// OnOpen is called before each attempt to open a connection, including those of
 	// Probe; it may be nil.
 	OnOpen func()
@@ -45,9 +42,6 @@
 	if settings.AckTimeout == 0 {
 		settings.AckTimeout = 1500 * timekeeper.Millisecond
 	}
-	if settings.OnLong == nil {
-		settings.OnLong = func(string, Part, int64) {}
-	}
 	if settings.OnOpen == nil {
 		settings.OnOpen = func() {}
 	}
@@ -157,9 +151,9 @@
 		pool.release(target)
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
-	meter := &meteredReader{from: raw, onLong: func(part Part, read int64) { pool.settings.OnLong(target.Key, part, read) }}
+	bound := &boundedReader{from: raw}
 	return &connection{
-		Conn: raw, reader: bufio.NewReaderSize(meter, readBufferSize), meter: meter, idleTimeout: defaultIdleTimeout,
+		Conn: raw, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout,
 	}, nil
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -290,6 +290,10 @@
 		task.endTrial()
 		return
 	}
+	var long connector.TooLongError
+	if eris.As(result.cause, &long) {
+		task.entry.meters.countLongAnswer(task.service, long.Part)
+	}
 	task.logAttempt(result)
 	if callerLeft || !task.probeReplica(result) {
 		task.endTrial()
@@ -347,6 +351,10 @@
 	if result.verdict == broken && result.replicaFailed {
 		task.addBrokenFields(fields)
 	}
+	var long connector.TooLongError
+	if eris.As(result.cause, &long) {
+		fields["part"], fields["limit"] = long.Part.String(), long.Limit
+	}
 	task.entry.settings.Log.WithFields(fields).Info("attempt failed")
 }
 
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -8,6 +8,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/reserver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -91,6 +92,12 @@
 	meters.scope.Tagged(tags).Counter("attempts").Inc(1)
 }
 
+// countLongAnswer counts an answer that was too long by its part.
+func (meters *meters) countLongAnswer(service string, part connector.Part) {
+	tags := map[string]string{labelService: meters.service(service), "part": part.String()}
+	meters.scope.Tagged(tags).Counter("long-answers").Inc(1)
+}
+
 // countStatement counts a statement that a replica made in an answer.
 func (meters *meters) countStatement(service, statement string) {
 	tags := map[string]string{labelService: meters.service(service), "statement": statement}
