relayer: events of streams, and streams whose tokens are counted, are bounded

What callers saw: of a stream without the end of an event they got its bytes, 256 KiB at a time, until the deadline, and then a broken-off answer in the middle of an event.

Cause: relayStream forwarded the incomplete event beyond maxEventBytes, to bound its own memory, so that nothing bounded the event; and each stream could hold 256 KiB, whatever the memory of the machine.

Change: an event beyond 256 KiB fails the attempt, like a stream that breaks off: nothing of it is forwarded, and a resumable stream goes on at another replica. A stream whose caller states its tokens has 64 KiB and 4 KiB a token at most. What is held of answers beyond 4 KiB each counts towards an eighth of the entry's memory; when that is used up, plain answers are relayed as they come, and a stream with a longer event breaks off.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -43,6 +43,8 @@
 	callerMaxHeaderBytes = 64 << 10
 	// bodyMemoryShare is the share of the process's memory that request bodies may take.
 	bodyMemoryShare = 0.25
+	// answerMemoryShare is the share that answers may take while they are held.
+	answerMemoryShare = 0.125
 	// heapLimitShare is the share of the process's memory that is set as the runtime's
 	// soft limit: beyond it the collector works harder, so that the process is not killed
 	// for its memory.
@@ -202,6 +204,7 @@
 		Crashes:            direct.crashSharing(),
 		TooManyConnections: direct.connTracker.nearLimit,
 		BodyMemory:         int64(bodyMemoryShare * float64(megabytes<<20)),
+		AnswerMemory:       int64(answerMemoryShare * float64(megabytes<<20)),
 		Seed:               newIncarnation(),
 	}
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -143,7 +143,7 @@
 		Source: placement.Source, LastEventID: task.lastEvent,
 	})
 	return connector.Request{
-		Method: task.r.Method, Path: task.r.RequestURI, Host: task.r.Host, Header: header, Body: task.body,
+		Method: task.r.Method, Path: task.r.RequestURI, Host: task.r.Host, Header: header, Body: task.body, MaxBody: task.maxAnswer(),
 		Matches: func(head http.Header) bool {
 			id := task.entry.settings.Dialect.ReadHead(0, head).ID
 			return id == "" || id == task.call.ID
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -48,6 +48,9 @@
 	TooManyConnections func() bool
 	// BodyMemory bounds the total size of the request bodies in memory, in bytes.
 	BodyMemory int64
+	// AnswerMemory bounds what is held of answers that aren't small, in bytes. Beyond it answers
+	// are relayed without being held, and streams with long events break off.
+	AnswerMemory int64
 	// OnPlacement is called for each attempt of a request with prompt parts; first
 	// reports whether the replica is expected to prefill a shared part for the first
 	// time (balancer.Placement.FirstPrefill).
@@ -83,6 +86,8 @@
 	active atomic.Int64
 	// bodyBytes is the total size of the request bodies in memory.
 	bodyBytes atomic.Int64
+	// answers is the memory for answers.
+	answers *memory
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -128,6 +133,7 @@
 		random:     rand.New(rand.NewPCG(settings.Seed, 17)),
 		budgets:    map[string]*retrier.Window{},
 		quarantine: &quarantine{table: quarantiner.New()},
+		answers:    &memory{limit: settings.AnswerMemory},
 		queue:      newQueue(settings.Fleet, settings.Clock),
 		shedder:    &shedder{clock: settings.Clock},
 	}
--- a/internal/relayer/entry_bench_test.go
+++ b/internal/relayer/entry_bench_test.go
@@ -53,7 +53,7 @@
 	}}})
 	return New(Settings{
 		Clock: clock, Log: log, Scope: testScope(t), Fleet: balancer.Guard(fleet), Pool: pool, Dialect: plainDialect(),
-		Config: func() *router.Configuration { return config }, ConnectionShares: func() int { return 8 }, RetryParts: func() int { return 8 }, BodyMemory: 1 << 30,
+		Config: func() *router.Configuration { return config }, ConnectionShares: func() int { return 8 }, RetryParts: func() int { return 8 }, BodyMemory: 1 << 30, AnswerMemory: 1 << 30,
 	})
 }
 
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -19,14 +21,19 @@
 	// receives any of them, in bytes, so that a request can be retried when its answer
 	// is truncated.
 	maxBufferedAnswer = 64 << 10
+	// smallAnswer is the part of an answer that is held without being counted, in bytes.
+	smallAnswer = 4 << 10
 	// maxAnswerDrainBytes bounds what is read of a discarded answer to keep its
 	// connection.
 	maxAnswerDrainBytes = 16 << 10
 	// copyBufferSize is the size of the buffer for reading a stream, in bytes.
 	copyBufferSize = 4 << 10
-	// maxEventBytes is the size, in bytes, above which the buffered part of an
-	// incomplete event is forwarded.
+	// maxEventBytes bounds an event of a stream, in bytes.
 	maxEventBytes = 256 << 10
+	// maxTokenBytes and streamOverheadBytes bound a stream whose caller states how many tokens
+	// it has at most: each token may take an event with its probabilities.
+	maxTokenBytes       = 4 << 10
+	streamOverheadBytes = 64 << 10
 )
 
 // drainAnswer discards an answer, and keeps its connection if the answer is short.
@@ -35,15 +42,27 @@
 	answer.Finish(err == nil && read < maxAnswerDrainBytes)
 }
 
+// maxAnswer returns the bound of the answer's body in bytes.
+func (task *task) maxAnswer() int64 {
+	tokens := int64(task.call.MaxOutputTokens)
+	if task.route.Kind != router.Stream || tokens <= 0 || tokens > (connector.DefaultMaxBody-streamOverheadBytes)/maxTokenBytes {
+		return connector.DefaultMaxBody
+	}
+	return streamOverheadBytes + tokens*maxTokenBytes
+}
+
 // relayWhole relays an answer that is not a stream. Short answers are buffered; longer
 // ones are copied as they come.
 func (task *task) relayWhole(result attemptResult, answer *connector.Answer) attemptResult {
-	buffered, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer))
+	limit, release := task.reserveBuffer(answer)
+	defer release()
+	buffered, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
 	if err != nil {
 		result.verdict, result.cause, result.replicaFailed = broken, err, true
 		return result
 	}
-	if len(buffered) < maxBufferedAnswer && task.endedInCrash(answer) {
+	whole := int64(len(buffered)) <= limit
+	if whole && task.endedInCrash(answer) {
 		result.verdict, result.cause, result.replicaFailed = broken, errEndedInCrash, true
 		return result
 	}
@@ -53,7 +72,7 @@
 	}
 	task.copyHead(answer)
 	result.succeeded = answer.StatusCode < http.StatusMultipleChoices
-	if len(buffered) < maxBufferedAnswer {
+	if whole {
 		answer.Finish(true)
 		task.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 		task.w.WriteHeader(answer.StatusCode)
@@ -66,6 +85,7 @@
 	}
 	task.w.WriteHeader(answer.StatusCode)
 	_, _ = task.w.Write(buffered)
+	release()
 	_, err = io.Copy(task.w, answer.Body)
 	if err == nil && task.endedInCrash(answer) {
 		err = errEndedInCrash
@@ -79,6 +99,20 @@
 	return result
 }
 
+// reserveBuffer returns how much of an answer may be held before the caller receives any of it, and
+// a function that returns the memory.
+func (task *task) reserveBuffer(answer *connector.Answer) (limit int64, release func()) {
+	limit = maxBufferedAnswer
+	if answer.ContentLength >= 0 {
+		limit = min(limit, answer.ContentLength)
+	}
+	answers := task.entry.answers
+	if limit <= smallAnswer || !answers.take(limit, answers.limit) {
+		return min(limit, smallAnswer), func() {}
+	}
+	return limit, sync.OnceFunc(func() { answers.give(limit) })
+}
+
 // copyHead copies the head of the answer. From then on the request can't get another
 // answer.
 func (task *task) copyHead(answer *connector.Answer) {
@@ -116,6 +150,7 @@
 
 var (
 	errCallerWrite  = eris.New("writing to the caller failed")
+	errAnswerMemory = eris.New("the memory for answers is used up")
 	errPartialEvent = eris.New("the stream ended within an event")
 	errEndedInCrash = eris.New("the answer ended with its connection, and the replica is down")
 )
@@ -128,33 +163,74 @@
 func (task *task) relayStream(ctx context.Context, result attemptResult, answer *connector.Answer) attemptResult {
 	control := http.NewResponseController(task.w)
 	buffer := make([]byte, copyBufferSize)
-	var pending []byte
+	pending := pendingEvents{memory: task.entry.answers}
+	defer pending.release()
 	last := timekeeper.Instant(0)
 	for {
 		read, err := answer.Body.Read(buffer)
 		if read > 0 {
 			task.markFirstPart()
 			last = task.markPause(last)
-			pending = append(pending, buffer[:read]...)
-			whole := wholeEvents(pending)
-			if len(pending)-whole > maxEventBytes {
-				whole = len(pending)
+			if failure := pending.append(buffer[:read]); failure != nil {
+				result.verdict, result.cause, result.replicaFailed = broken, failure, !eris.Is(failure, errAnswerMemory)
+				return result
 			}
-			if whole > 0 {
-				if failure := task.forward(control, answer, pending[:whole]); failure != nil {
+			if whole := wholeEvents(pending.text); whole > 0 {
+				if failure := task.forward(control, answer, pending.text[:whole]); failure != nil {
 					result.verdict, result.cause = broken, failure
 					return result
 				}
-				pending = append(pending[:0], pending[whole:]...)
+				pending.drop(whole)
 			}
 		}
 		if err == nil {
 			continue
 		}
-		return task.endStream(ctx, result, answer, pending, err)
+		return task.endStream(ctx, result, answer, pending.text, err)
 	}
 }
 
+// pendingEvents is the text of events that haven't been forwarded.
+type pendingEvents struct {
+	text   []byte
+	memory *memory
+	// taken is how much of the memory the text takes.
+	taken int64
+}
+
+// append adds text. It returns an error if an event is longer than its bound, or the memory for
+// answers is used up.
+func (pending *pendingEvents) append(text []byte) error {
+	length := len(pending.text) + len(text)
+	if length > maxEventBytes+copyBufferSize {
+		return connector.TooLongError{Part: connector.Event, Limit: maxEventBytes}
+	}
+	if length > smallAnswer+copyBufferSize && pending.taken == 0 {
+		const need = maxEventBytes + copyBufferSize
+		if !pending.memory.take(need, pending.memory.limit) {
+			return errAnswerMemory
+		}
+		pending.taken = need
+	}
+	pending.text = append(pending.text, text...)
+	return nil
+}
+
+// drop removes text that was forwarded.
+func (pending *pendingEvents) drop(whole int) {
+	pending.text = append(pending.text[:0], pending.text[whole:]...)
+	if pending.taken > 0 && len(pending.text) == 0 {
+		pending.text = nil
+		pending.release()
+	}
+}
+
+// release returns the memory.
+func (pending *pendingEvents) release() {
+	pending.memory.give(pending.taken)
+	pending.taken = 0
+}
+
 // endStream returns the result of a stream whose body has ended or failed.
 func (task *task) endStream(
 	ctx context.Context, result attemptResult, answer *connector.Answer, pending []byte, err error,
