relayer: a refusal whose body doesn't end is acted on at once

What callers saw: a replica that refuses a request and then sends the body of its refusal slowly held the caller until the deadline, though another replica was free.

Cause: drainAnswer reads up to 16 KiB of a discarded answer to keep its connection, without a bound in time.

Change: 100 ms; then the connection is closed.

The test failed before: 10.2 s (its deadline) for 'the body of a refusal, slowly'.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -63,6 +64,7 @@
 	*http.Response
 	// StrayAnswers is the number of answers to other requests that were skipped.
 	StrayAnswers int
+	conn         *connection
 	// finish returns the connection to the pool, or closes it.
 	finish func(whole bool)
 	once   sync.Once
@@ -74,6 +76,17 @@
 	answer.once.Do(func() { answer.finish(whole) })
 }
 
+// Discard ends the exchange without the body. It reads up to limit bytes of it for up to a span: the
+// connection can be reused if that is all.
+func (answer *Answer) Discard(limit int64, span timekeeper.Span) {
+	_ = answer.conn.SetReadDeadline(timekeeper.In(span))
+	read, err := io.Copy(io.Discard, io.LimitReader(answer.Body, limit))
+	if answer.conn.SetReadDeadline(time.Time{}) != nil {
+		read = limit
+	}
+	answer.Finish(err == nil && read < limit)
+}
+
 // EndsWithConnection reports whether the answer has neither a length nor chunks, so that the end of
 // the connection is its end, also if the replica crashes.
 func (answer *Answer) EndsWithConnection() bool { return endsWithConnection(answer.Response) }
@@ -125,7 +138,7 @@
 		return nil, Failure{Progress: Sent, Reused: conn.used, Cause: err}
 	}
 	head.Body = &boundedBody{ReadCloser: head.Body, limit: limit, left: limit}
-	answer := &Answer{Response: head, StrayAnswers: stray}
+	answer := &Answer{Response: head, StrayAnswers: stray, conn: conn}
 	answer.finish = func(whole bool) {
 		stopped := unwatch()
 		if whole && stopped && reusable(conn, head) && fullyWritten(written) {
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -125,6 +125,12 @@
 	const slow = 3 * timekeeper.Second
 	safe, once := router.Route{Kind: router.Safe}, router.Route{Kind: router.Once}
 	stream, resumable := router.Route{Kind: router.Stream}, router.Route{Kind: router.Stream, Resumable: true}
+	drip := func(conn net.Conn, id string) {
+		_, err := io.WriteString(conn, strings.ReplaceAll(refusal+"Content-Length: 900\r\n\r\n", "{id}", id))
+		for ; err == nil; _, err = io.WriteString(conn, "x") {
+			_ = timekeeper.Steady().Sleep(t.Context(), 20)
+		}
+	}
 	tests := []struct {
 		name  string
 		route router.Route
@@ -145,6 +151,7 @@
 		{"chunks", once, flood(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "100\r\n"+strings.Repeat("x", 256)+"\r\n"), 200, "", true, "body"},
 		{"chunks of a byte", once, flood(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"), 200, "", true, ""},
 		{"the body of a refusal", once, flood(refusal+"Connection: close\r\n\r\n", "x"), 200, "sound", false, ""},
+		{"the body of a refusal, slowly", once, drip, 200, "sound", false, ""},
 		{"one event", stream, flood(streamHead+"\r\n"+twoEvents, "x"), 200, twoEvents, true, "event"},
 		{"one event, resumable", resumable, flood(streamHead+"\r\n"+twoEvents, "x"), 200, twoEvents + "id: 3\ndata: c\n\n", false, "event"},
 		{"one event of many lines", stream, flood(streamHead+"\r\n"+twoEvents, "data: x\n"), 200, twoEvents, true, "event"},
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -23,9 +23,10 @@
 	maxBufferedAnswer = 64 << 10
 	// smallAnswer is the part of an answer that is held without being counted, in bytes.
 	smallAnswer = 4 << 10
-	// maxAnswerDrainBytes bounds what is read of a discarded answer to keep its
-	// connection.
+	// maxAnswerDrainBytes and answerDrainTimeout bound what is read of a discarded answer to
+	// keep its connection.
 	maxAnswerDrainBytes = 16 << 10
+	answerDrainTimeout  = 100 * timekeeper.Millisecond
 	// copyBufferSize is the size of the buffer for reading a stream, in bytes.
 	copyBufferSize = 4 << 10
 	// maxEventBytes bounds an event of a stream, in bytes.
@@ -37,10 +38,7 @@
 )
 
 // drainAnswer discards an answer, and keeps its connection if the answer is short.
-func drainAnswer(answer *connector.Answer) {
-	read, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxAnswerDrainBytes))
-	answer.Finish(err == nil && read < maxAnswerDrainBytes)
-}
+func drainAnswer(answer *connector.Answer) { answer.Discard(maxAnswerDrainBytes, answerDrainTimeout) }
 
 // maxAnswer returns the bound of the answer's body in bytes.
 func (task *task) maxAnswer() int64 {
