relayer: a caller that doesn't read its answer is given up after its deadline

What callers saw: nothing; but a caller that doesn't read kept its request, its buffers and its place among the entry's connections until TCP gave up, ten seconds or more.

Cause: writes to callers had no deadline. The end of the request's time closed the connection to the replica, and the write went on waiting.

Change: once an answer has begun, writes have until the deadline, the grace of answers and two seconds. An error of such a write is told apart from one of the replica in the line "attempt failed".

The test failed before: both requests were in flight after 10 s, with a deadline of 0.3 s.

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/uber-go/tally/v4"
 
@@ -241,3 +242,49 @@
 		})
 	}
 }
+
+func TestACallerThatDoesNotReadItsAnswer(t *testing.T) {
+	// Guards against callers that hold an entry's memory past the deadline, and against replicas
+	// that are blamed for them.
+	const deadline = 300 * timekeeper.Millisecond
+	tests := []struct {
+		name  string
+		route router.Route
+		head  string
+	}{
+		{"a plain answer", router.Route{Kind: router.Once}, plainHead + "Content-Length: 50000000\r\n\r\n"},
+		{"a stream", router.Route{Kind: router.Stream}, streamHead + "\r\n"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			answer := func(conn net.Conn, id string) {
+				_, _ = io.WriteString(conn, strings.ReplaceAll(test.head, "{id}", id))
+				_, _ = io.WriteString(conn, strings.Repeat("data: some text\n\n", 50_000_000/17))
+			}
+			entry, _ := endlessEntry(t, twoReplicas(t, answer, answer), test.route)
+			log, lines := logtest.NewNullLogger()
+			entry.settings.Log = log
+			entry.settings.Dialect.ReadCall = func(r *http.Request) (Call, error) {
+				return Call{ID: r.Header.Get("Id"), Deadline: deadline}, nil
+			}
+			front := httptest.NewServer(entry)
+			defer front.Close()
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", front.Listener.Addr().String())
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: kitchen.example\r\nId: r-1\r\nContent-Length: 0\r\n\r\n")
+			clock := timekeeper.Steady()
+			began := clock.Now()
+			ended := func() bool { return entry.Active() == 0 && len(lines.AllEntries()) > 0 }
+			for !ended() && clock.Now().Since(began) < 10*timekeeper.Second {
+				_ = clock.Sleep(t.Context(), 5)
+			}
+			So(clock.Now().Since(began), ShouldBeLessThan, deadline+answerGrace+writeGrace+timekeeper.Second)
+			failed := false
+			for _, line := range lines.AllEntries() {
+				failed = failed || line.Message == "attempt failed" && strings.Contains(line.Data["cause"].(string), errCallerWrite.Error())
+			}
+			So(failed, ShouldBeTrue)
+		})
+	}
+}
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -35,6 +35,8 @@
 	// it has at most: each token may take an event with its probabilities.
 	maxTokenBytes       = 4 << 10
 	streamOverheadBytes = 64 << 10
+	// writeGrace is how long after its deadline a caller may still read an answer that has begun.
+	writeGrace = 2 * timekeeper.Second
 )
 
 // drainAnswer discards an answer, and keeps its connection if the answer is short.
@@ -82,14 +84,17 @@
 		task.w.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
 	task.w.WriteHeader(answer.StatusCode)
-	_, _ = task.w.Write(buffered)
+	caller := &callerWriter{to: task.w}
+	_, err = caller.Write(buffered)
 	release()
-	_, err = io.Copy(task.w, answer.Body)
+	if err == nil {
+		_, err = io.Copy(caller, answer.Body)
+	}
 	if err == nil && task.endedInCrash(answer) {
 		err = errEndedInCrash
 	}
 	if err != nil {
-		result.verdict, result.cause, result.replicaFailed, result.succeeded = broken, err, true, false
+		result.verdict, result.cause, result.replicaFailed, result.succeeded = broken, err, !caller.failed, false
 		return result
 	}
 	answer.Finish(true)
@@ -97,6 +102,21 @@
 	return result
 }
 
+// callerWriter writes an answer to the caller, and records whether that failed.
+type callerWriter struct {
+	to     io.Writer
+	failed bool
+}
+
+// Write writes a piece of the answer.
+func (writer *callerWriter) Write(piece []byte) (int, error) {
+	count, err := writer.to.Write(piece)
+	if err != nil {
+		writer.failed, err = true, eris.Wrap(errCallerWrite, err.Error())
+	}
+	return count, err
+}
+
 // reserveBuffer returns how much of an answer may be held before the caller receives any of it, and
 // a function that returns the memory.
 func (task *task) reserveBuffer(answer *connector.Answer) (limit int64, release func()) {
@@ -116,6 +136,7 @@
 func (task *task) copyHead(answer *connector.Answer) {
 	task.entry.settings.Dialect.CopyAnswer(task.w.Header(), answer.Header)
 	task.headCopied = true
+	_ = http.NewResponseController(task.w).SetWriteDeadline(timekeeper.In(task.remaining(task.entry.settings.Clock.Now()) + writeGrace))
 }
 
 // markFirstPart records that the first part of the answer has arrived from the replica of
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -143,7 +143,11 @@
 		return
 	}
 	task.entry.earnRetries(task.service)
-	task.finish(task.serve(ctx))
+	failure = task.serve(ctx)
+	if task.headCopied {
+		_ = http.NewResponseController(task.w).SetWriteDeadline(time.Time{})
+	}
+	task.finish(failure)
 }
 
 // remaining returns the time left for replicas, with the grace. The timeout starts at the
