relayer: a refusal reaches a caller that is still sending its body

What callers saw: of a refusal (503 with Retry-After, 404, 413) of a long body nothing: the connection was reset under them, and they weren't told when to come back.

Cause: net/http reads 256 KiB of a body that its handler left, and closes the connection under the rest. And a refusal that is flushed first had no length, so its end came with the end of the drain.

Refusals have a length.

The test failed before, both framings: 'broken pipe' at the ninth piece of 64 KiB.

--- a/internal/classifier/failure.go
+++ b/internal/classifier/failure.go
@@ -84,6 +84,8 @@
 	}
 	header := w.Header()
 	header.Set("Content-Type", "application/problem+json")
+	// Without it, an answer that is flushed before the rest of the request is read has no end.
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if answer.Retry {
 		header.Set("Retry-After", retryAfter)
 	}
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -78,8 +78,8 @@
 	twoEvents  = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 )
 
-// endlessEntry returns an entry with two replicas and one route, and its metrics.
-func endlessEntry(t *testing.T, addresses [2]string, route router.Route) (*Entry, tally.TestScope) {
+// endlessEntry returns an entry with two replicas and one route for calls of a kind, and its metrics.
+func endlessEntry(t *testing.T, addresses [2]string, route router.Route, call Call) (*Entry, tally.TestScope) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	clock := timekeeper.Steady()
@@ -95,7 +95,8 @@
 	config := router.New(router.Content{Version: 1, Routes: []router.Route{route}})
 	dialect := plainDialect()
 	dialect.ReadCall = func(r *http.Request) (Call, error) {
-		return Call{ID: r.Header.Get("Id"), Deadline: 10000, MaxOutputTokens: 80}, nil
+		call.ID = r.Header.Get("Id")
+		return call, nil
 	}
 	dialect.ReadHead = func(_ int, header http.Header) Head {
 		return Head{ID: header.Get("Id"), Signed: header.Get("Signed") != "", NotRun: header.Get("Not-Run") != ""}
@@ -123,7 +124,7 @@
 func TestCallersOfAnswersWithoutEnd(t *testing.T) {
 	// Guards against an answer without an end that is relayed, held or waited for until the deadline
 	// of its request.
-	const slow = 3 * timekeeper.Second
+	const deadline, slow = 10 * timekeeper.Second, 5 * timekeeper.Second
 	safe, once := router.Route{Kind: router.Safe}, router.Route{Kind: router.Once}
 	stream, resumable := router.Route{Kind: router.Stream}, router.Route{Kind: router.Stream, Resumable: true}
 	drip := func(conn net.Conn, id string) {
@@ -149,7 +150,7 @@
 		{"an announced body, safe", safe, flood(plainHead+"Content-Length: 900000000000\r\n\r\n", "x"), 200, "sound", false, "body"},
 		{"an announced body, once only", once, flood(plainHead+"Content-Length: 900000000000\r\n\r\n", "x"), 502, "", false, "body"},
 		{"a body without a length", once, flood(plainHead+"Connection: close\r\n\r\n", "x"), 200, "", true, "body"},
-		{"chunks", once, flood(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "100\r\n"+strings.Repeat("x", 256)+"\r\n"), 200, "", true, "body"},
+		{"chunks", once, flood(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "1000\r\n"+strings.Repeat("x", 4096)+"\r\n"), 200, "", true, "body"},
 		{"chunks of a byte", once, flood(plainHead+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"), 200, "", true, ""},
 		{"the body of a refusal", once, flood(refusal+"Connection: close\r\n\r\n", "x"), 200, "sound", false, ""},
 		{"the body of a refusal, slowly", once, drip, 200, "sound", false, ""},
@@ -170,7 +171,7 @@
 				}
 				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "{id}", id))
 			}
-			entry, scope := endlessEntry(t, twoReplicas(t, test.first, sound), test.route)
+			entry, scope := endlessEntry(t, twoReplicas(t, test.first, sound), test.route, Call{Deadline: deadline, MaxOutputTokens: 80})
 			front := httptest.NewServer(entry)
 			defer front.Close()
 			request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL+"/", http.NoBody)
@@ -225,7 +226,7 @@
 					_ = timekeeper.Steady().Sleep(t.Context(), test.pause)
 				}
 			}
-			entry, _ := endlessEntry(t, twoReplicas(t, sound, sound), test.route)
+			entry, _ := endlessEntry(t, twoReplicas(t, sound, sound), test.route, Call{Deadline: timekeeper.Minute})
 			front := httptest.NewServer(entry)
 			defer front.Close()
 			request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL+"/", http.NoBody)
@@ -261,12 +262,9 @@
 				_, _ = io.WriteString(conn, strings.ReplaceAll(test.head, "{id}", id))
 				_, _ = io.WriteString(conn, strings.Repeat("data: some text\n\n", 50_000_000/17))
 			}
-			entry, _ := endlessEntry(t, twoReplicas(t, answer, answer), test.route)
+			entry, _ := endlessEntry(t, twoReplicas(t, answer, answer), test.route, Call{Deadline: deadline})
 			log, lines := logtest.NewNullLogger()
 			entry.settings.Log = log
-			entry.settings.Dialect.ReadCall = func(r *http.Request) (Call, error) {
-				return Call{ID: r.Header.Get("Id"), Deadline: deadline}, nil
-			}
 			front := httptest.NewServer(entry)
 			defer front.Close()
 			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", front.Listener.Addr().String())
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -256,10 +256,12 @@
 	entry.refuse(w, r, failure, call.ID)
 }
 
-// refuse answers a request with a failure and drains its body.
+// refuse answers a request with a failure and drains its body, unless that didn't arrive in time.
 func (entry *Entry) refuse(w http.ResponseWriter, r *http.Request, failure classifier.Failure, id string) {
 	entry.settings.Dialect.Refuse(w, failure, id)
-	drainRequest(w, r)
+	if failure.Kind != classifier.SlowCaller {
+		entry.drainRequest(w, r)
+	}
 }
 
 // refuseEarly refuses, counts and logs a request before a task exists for it: one with an
