relayer: bodies take their memory before they are read

Cause: a body counted once it had been read. The check before compared with the bodies that had arrived, so any number could be on its way; and each was copied once more to be sent.

What was taken is returned on each way out. Bodies over 64 KiB are sent without a copy. Gauges: body-bytes, answer-bytes.

--- a/internal/assembler/direct_stats.go
+++ b/internal/assembler/direct_stats.go
@@ -38,6 +38,9 @@
 	direct.reportShares(direct.shares())
 	direct.reportReaders()
 	direct.scope.Gauge("log-lines-dropped").Update(float64(direct.droppedLines()))
+	bodies, answers := direct.frontend.HeldBytes()
+	direct.scope.Gauge("body-bytes").Update(float64(bodies))
+	direct.scope.Gauge("answer-bytes").Update(float64(answers))
 	direct.scope.Gauge("requests-active").Update(float64(direct.frontend.Active()))
 }
 
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -104,6 +104,8 @@
 	// in bytes. It fits into the TCP window of any connection, so the write does
 	// not block on a replica that answers without reading.
 	maxInlineBody = 2048
+	// maxCopiedBody is the longest body that is copied, to be sent with the head by one write.
+	maxCopiedBody = 64 << 10
 )
 
 // Do sends a request and returns the head of its answer. When ctx ends, the
@@ -164,7 +166,11 @@
 		return done
 	}
 	go func() {
-		if _, err := conn.Write(out); err == nil {
+		_, err := conn.Write(out)
+		if err == nil && len(request.Body) > maxCopiedBody {
+			_, err = conn.Write(request.Body)
+		}
+		if err == nil {
 			close(done)
 		}
 	}()
@@ -182,10 +188,14 @@
 	}
 }
 
-// render returns the head and body of a request, to be sent by one write.
+// render returns the head of a request, and the body unless it is longer than maxCopiedBody.
 func render(request Request) []byte {
 	var out bytes.Buffer
-	out.Grow(512 + len(request.Body))
+	copied := request.Body
+	if len(copied) > maxCopiedBody {
+		copied = nil
+	}
+	out.Grow(512 + len(copied))
 	out.WriteString(request.Method)
 	out.WriteByte(' ')
 	out.WriteString(request.Path)
@@ -199,7 +209,7 @@
 		out.WriteString("\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(request.Body)
+	out.Write(copied)
 	return out.Bytes()
 }
 
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -46,7 +46,8 @@
 	// TooManyConnections reports whether callers' connections should be closed after
 	// their answer, to make room for other callers.
 	TooManyConnections func() bool
-	// BodyMemory bounds the total size of the request bodies in memory, in bytes.
+	// BodyMemory bounds the total size of the request bodies in memory, in bytes, from the time at
+	// which they are read.
 	BodyMemory int64
 	// AnswerMemory bounds what is held of answers that aren't small, in bytes. Beyond it answers
 	// are relayed without being held, and streams with long events break off.
@@ -84,10 +85,8 @@
 	stopsAt atomic.Int64
 	// active is the number of requests in flight.
 	active atomic.Int64
-	// bodyBytes is the total size of the request bodies in memory.
-	bodyBytes atomic.Int64
-	// answers is the memory for answers.
-	answers *memory
+	// bodies and answers are the memory for request bodies and for answers.
+	bodies, answers *memory
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -133,6 +132,7 @@
 		random:     rand.New(rand.NewPCG(settings.Seed, 17)),
 		budgets:    map[string]*retrier.Window{},
 		quarantine: &quarantine{table: quarantiner.New()},
+		bodies:     &memory{limit: settings.BodyMemory},
 		answers:    &memory{limit: settings.AnswerMemory},
 		queue:      newQueue(settings.Fleet, settings.Clock),
 		shedder:    &shedder{clock: settings.Clock},
@@ -153,6 +153,11 @@
 // none is cut off. It is called after CloseConnections.
 func (entry *Entry) Stop(at timekeeper.Instant) { entry.stopsAt.Store(int64(at)) }
 
+// HeldBytes returns how many bytes of request bodies and of answers are held in memory.
+func (entry *Entry) HeldBytes() (bodies, answers int64) {
+	return entry.bodies.used.Load(), entry.answers.used.Load()
+}
+
 // Active returns the number of requests in flight.
 func (entry *Entry) Active() int64 { return entry.active.Load() }
 
@@ -194,7 +199,7 @@
 		return
 	}
 	task := &task{
-		entry: entry, w: w, r: r, call: call, route: route, team: access.Team, config: config, arrived: arrived,
+		entry: entry, w: w, r: r, releaseBody: func() {}, call: call, route: route, team: access.Team, config: config, arrived: arrived,
 	}
 	task.run()
 }
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -23,10 +22,6 @@
 	answerGrace = 150 * timekeeper.Millisecond
 	// defaultTimeout bounds a request when neither caller nor route sets a timeout.
 	defaultTimeout = timekeeper.Minute
-	// bodyTimeout bounds the time in which a caller sends the body.
-	bodyTimeout = 10 * timekeeper.Second
-	// defaultBodyLimit bounds a body when the configuration doesn't, in bytes.
-	defaultBodyLimit = 4 << 20
 	// maxUnsent bounds the retries of a request that was not sent. It did not run, so
 	// a retry costs only time.
 	maxUnsent = 8
@@ -46,7 +41,9 @@
 	config  *router.Configuration
 	service string
 	body    []byte
-	arrived timekeeper.Instant
+	// releaseBody returns the memory of the body.
+	releaseBody func()
+	arrived     timekeeper.Instant
 	// until is the deadline of the request.
 	until timekeeper.Instant
 
@@ -125,11 +122,11 @@
 		return
 	}
 	failure, read := task.readBody()
+	defer task.releaseBody()
 	if !read {
 		task.finish(failure)
 		return
 	}
-	defer task.entry.bodyBytes.Add(-int64(len(task.body)))
 	task.features = featuresOf(fingerprint(task.r, task.team.Name, task.body), task.call.Parts)
 	if failure, allowed := task.checkFeatures(); !allowed {
 		task.service = task.route.Service(0)
@@ -156,54 +153,6 @@
 	return task.until.Add(answerGrace).Since(now)
 }
 
-// readBody reads the whole body before the request is placed, so that a slow caller
-// occupies a connection of the entry and no replica.
-func (task *task) readBody() (classifier.Failure, bool) {
-	limit := task.config.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	if task.r.ContentLength > limit {
-		return classifier.New(classifier.BodyTooLarge, ""), false
-	}
-	if task.entry.bodyBytes.Load()+max(0, task.r.ContentLength) > task.entry.settings.BodyMemory {
-		failure := classifier.New(classifier.Overloaded, "the memory for request bodies is used up")
-		return failure.WithRetryAfter(timekeeper.Second), false
-	}
-	if task.r.ContentLength == 0 {
-		return classifier.Failure{}, true
-	}
-	control := http.NewResponseController(task.w)
-	_ = control.SetReadDeadline(timekeeper.In(bodyTimeout))
-	body, err := readAll(http.MaxBytesReader(task.w, task.r.Body, limit), task.r.ContentLength)
-	if err != nil {
-		return bodyFailure(err), false
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	task.body = body
-	task.entry.bodyBytes.Add(int64(len(body)))
-	return classifier.Failure{}, true
-}
-
-// readAll reads a body into a buffer of its exact length, if that is known.
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
-}
-
-// bodyFailure returns the failure for an error of reading the body.
-func bodyFailure(err error) classifier.Failure {
-	var large *http.MaxBytesError
-	if eris.As(err, &large) {
-		return classifier.New(classifier.BodyTooLarge, "")
-	}
-	return classifier.New(classifier.SlowCaller, err.Error())
-}
-
 // serve tries replicas until one answers, none can be had, no retry is allowed or ctx
 // ends.
 func (task *task) serve(ctx context.Context) classifier.Failure {
