limiter: what is cut off at its bound isn't taken for whole

What could be seen: an object of the platform, or a configuration or list of a peer, that is longer than its reader's bound was used as far as the bound went; other answers ended in an error of the decoder that didn't tell the cause, and a request to a page of a process was told 400 for it.

Cause: io.LimitReader ends a text without an error; the store's readers, the peers' fetch, the handler of JSON pages and the commands each had one, or none (status, quarantine, an engine's answer to an order). Heads of answers had net/http's 10 MB.

Change: limiter.ReadAll and Decode return a TooLongError beyond the bound, and clients of the platform, of peers and of engines take heads of 64 KiB. A page tells 413.

--- a/cmd/trefoilseam/quarantine.go
+++ b/cmd/trefoilseam/quarantine.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/trefoilseam/trefoilseam/internal/assembler"
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 )
 
 // errQuarantine is returned if an entry refuses a request about quarantined parts.
@@ -101,7 +102,7 @@
 		return nil, eris.Wrapf(err, "entry %s", entry)
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := limiter.ReadAll(response.Body, maxPageBytes)
 	if err != nil {
 		return nil, eris.Wrapf(err, "entry %s", entry)
 	}
--- a/cmd/trefoilseam/shares.go
+++ b/cmd/trefoilseam/shares.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -17,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/trefoilseam/trefoilseam/internal/assembler"
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 )
 
 // maxSharesBytes bounds an entry's answer.
@@ -110,6 +110,6 @@
 		return nil, eris.Errorf("entry %s: status %d", entry, response.StatusCode)
 	}
 	var shares []assembler.ShareStatus
-	err = json.NewDecoder(io.LimitReader(response.Body, maxSharesBytes)).Decode(&shares)
+	err = limiter.Decode(response.Body, maxSharesBytes, &shares)
 	return shares, eris.Wrapf(err, "answer of %s", entry)
 }
--- a/cmd/trefoilseam/status.go
+++ b/cmd/trefoilseam/status.go
@@ -21,6 +21,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/budgeter"
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 	"github.com/trefoilseam/trefoilseam/internal/publisher"
 	"github.com/trefoilseam/trefoilseam/internal/reporter"
 	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
@@ -70,6 +71,9 @@
 	return statusReport{}, eris.Wrap(errUsage, "give either -admin or -platform")
 }
 
+// maxPageBytes bounds a page of a process.
+const maxPageBytes = 64 << 20
+
 // fetchProcessStatus fetches the status page of one process.
 func fetchProcessStatus(ctx context.Context, admin string) (statusReport, error) {
 	var report statusReport
@@ -84,7 +88,7 @@
 		return report, eris.Wrap(err, "status page")
 	}
 	defer func() { _ = response.Body.Close() }()
-	return report, eris.Wrap(json.NewDecoder(response.Body).Decode(&report), "status page")
+	return report, eris.Wrap(limiter.Decode(response.Body, maxPageBytes, &report), "status page")
 }
 
 // fetchSiteStatus fetches the digest of each agent on the platform's list. An agent
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
 	"github.com/trefoilseam/trefoilseam/internal/gossiper"
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -67,7 +67,8 @@
 func newPeers(direct *Direct, store *platform.Store, conn net.PacketConn) (*peers, func()) {
 	dialer := &net.Dialer{Timeout: fetchTimeout.Duration(), Control: connector.UserTimeoutControl(fetchTimeout)}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	peers := &peers{direct: direct, store: store, client: &http.Client{Transport: transport}, eraLearnt: make(chan struct{}, 1)}
+	client, release := limiter.Client(transport)
+	peers := &peers{direct: direct, store: store, client: client, eraLearnt: make(chan struct{}, 1)}
 	peers.gossiper = gossiper.New(gossiper.Settings{
 		Incarnation: newIncarnation(), DataCentre: direct.settings.DataCentre, Clock: direct.clock, Log: direct.log,
 		Scope: direct.scope, Conn: conn, InFlight: direct.inFlight, Version: direct.offeredVersion, OnDigest: peers.applyDigest,
@@ -82,7 +83,7 @@
 		Clock: direct.clock, Peers: peers.gossiper.LivePeers, Send: peers.gossiper.SendStreams, Versions: direct.versions.of,
 		Alone: func() bool { return len(peers.gossiper.KnownPeers(retryPeerTimeout)) == 0 },
 	})
-	return peers, transport.CloseIdleConnections
+	return peers, release
 }
 
 // liveEntries returns the number of live entries, including this one.
@@ -236,7 +237,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("status %d", response.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxFetchBytes))
+	return limiter.ReadAll(response.Body, maxFetchBytes)
 }
 
 // errNoReplicaList is returned if no peer could be asked or none has a list of replicas.
--- a/internal/handler/json.go
+++ b/internal/handler/json.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 )
 
 // maxBodyBytes bounds the JSON body of a request.
@@ -18,7 +20,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		var in In
 		if err := decodeBody(r, &in); err != nil {
-			classifier.Write(w, classifier.New(classifier.BadRequest, err.Error()), "")
+			classifier.Write(w, decodeFailure(err), "")
 			return
 		}
 		out, err := work(r, in)
@@ -36,8 +38,17 @@
 	return JSON(func(_ *http.Request, _ struct{}) (Out, error) { return work(), nil })
 }
 
+// decodeFailure returns the failure for an error of decodeBody.
+func decodeFailure(err error) classifier.Failure {
+	var long limiter.TooLongError
+	if eris.As(err, &long) {
+		return classifier.New(classifier.BodyTooLarge, err.Error())
+	}
+	return classifier.New(classifier.BadRequest, err.Error())
+}
+
 func decodeBody(r *http.Request, in any) error {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	body, err := limiter.ReadAll(r.Body, maxBodyBytes)
 	if err != nil || len(body) == 0 {
 		return err
 	}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -11,6 +11,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 	"github.com/trefoilseam/trefoilseam/internal/planner"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -112,6 +113,9 @@
 	return agent.upstream.order(ctx, http.MethodPost, body)
 }
 
+// maxStateBytes bounds what an engine answers to an order.
+const maxStateBytes = 1 << 20
+
 // order sends a request to the engine's endpoint for orders.
 func (up *upstream) order(ctx context.Context, method string, body []byte) (engineState, classifier.Failure, bool) {
 	var state engineState
@@ -132,7 +136,7 @@
 	default:
 		return state, classifier.New(classifier.UpstreamBroken, response.Status), false
 	}
-	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+	if err := limiter.Decode(response.Body, maxStateBytes, &state); err != nil {
 		return state, classifier.New(classifier.UpstreamBroken, err.Error()), false
 	}
 	return state, classifier.Failure{}, true
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 	"github.com/trefoilseam/trefoilseam/internal/marker"
 	"github.com/trefoilseam/trefoilseam/internal/replayer"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
@@ -32,8 +33,8 @@
 	return &upstream{
 		base:      strings.TrimSuffix(base, "/"),
 		service:   service,
-		pooled:    &http.Transport{MaxIdleConnsPerHost: service.Slots, DisableCompression: true},
-		singleUse: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		pooled:    &http.Transport{MaxIdleConnsPerHost: service.Slots, DisableCompression: true, MaxResponseHeaderBytes: limiter.MaxHeadBytes},
+		singleUse: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: limiter.MaxHeadBytes},
 	}
 }
 
--- a/internal/storekeeper/remote.go
+++ b/internal/storekeeper/remote.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -18,20 +18,21 @@
 // fail instead of blocking their callers.
 const CallTimeout = 2 * timekeeper.Second
 
-// maxAnswerBytes limits how much of an answer of the platform is read.
+// maxAnswerBytes bounds an answer of the platform.
 const maxAnswerBytes = 64 << 20
 
 // Remote returns the platform at an HTTP address such as
 // "http://127.0.0.1:7000", and a function that closes idle connections.
 func Remote(address string) (Platform, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8}
-	remote := remote{base: address, client: &http.Client{Transport: transport, Timeout: CallTimeout.Duration()}}
+	client, release := limiter.Client(&http.Transport{MaxIdleConnsPerHost: 8})
+	client.Timeout = CallTimeout.Duration()
+	remote := remote{base: address, client: client}
 	platform := Platform{
 		Table:     Table{Get: remote.getRow, Scan: remote.scan, Commit: remote.commit, Era: remote.era},
 		Objects:   Objects{Put: remote.put, Get: remote.get, List: remote.list},
 		Directory: Directory{List: remote.instances},
 	}
-	return platform, transport.CloseIdleConnections
+	return platform, release
 }
 
 type remote struct {
@@ -112,7 +113,7 @@
 		return nil, eris.Wrap(ErrUnknown, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := limiter.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, eris.Wrap(ErrUnknown, err.Error())
 	}
