caller: answers and events are bounded

What could be seen: a program that uses pkg/caller read an answer, or a line or event of a stream, without an end into its memory, in a time that grew with its square.

Cause: io.ReadAll and ReadString had no bound, and the data of an event was concatenated line by line.

A call whose answer is longer ends with ErrUnknown, a stream breaks off there.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -5,13 +5,13 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -27,6 +27,9 @@
 	// Pause is the backoff before the first resend, and doubles with each resend. A
 	// longer Retry-After takes its place. Zero means 200 milliseconds.
 	Pause timekeeper.Span
+	// MaxAnswerBytes bounds the body of an answer and an event of a stream; zero means 64 MiB.
+	// A call whose answer is longer fails with ErrUnknown; a stream breaks off there, and is resumed.
+	MaxAnswerBytes int64
 	// Client sends the requests; nil means a client without keep-alive, so that the
 	// transport never resends a request by itself.
 	Client *http.Client
@@ -61,8 +64,11 @@
 	if settings.Pause == 0 {
 		settings.Pause = 200 * timekeeper.Millisecond
 	}
+	if settings.MaxAnswerBytes == 0 {
+		settings.MaxAnswerBytes = 64 << 20
+	}
 	if settings.Client == nil {
-		settings.Client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		settings.Client, _ = limiter.Client(&http.Transport{DisableKeepAlives: true})
 	}
 	if settings.Clock.Now == nil {
 		settings.Clock = timekeeper.Wall()
@@ -161,7 +167,11 @@
 		return Answer{}, outcome{err: err, mayHaveRun: true, retry: ctx.Err() == nil}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := limiter.ReadAll(response.Body, caller.settings.MaxAnswerBytes)
+	var long limiter.TooLongError
+	if eris.As(err, &long) {
+		return Answer{}, outcome{err: err, mayHaveRun: true}
+	}
 	if err != nil {
 		return Answer{}, outcome{err: err, mayHaveRun: true, retry: ctx.Err() == nil}
 	}
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/trefoilseam/trefoilseam/internal/limiter"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -101,7 +102,7 @@
 	}
 	events := bufio.NewReader(response.Body)
 	for {
-		event, err := readEvent(events)
+		event, err := readEvent(events, caller.settings.MaxAnswerBytes)
 		if err != nil {
 			return false, err
 		}
@@ -148,28 +149,47 @@
 	return retryableRefusal{Problem: problem, wait: outcome.wait}
 }
 
-// readEvent reads one event. It returns io.ErrUnexpectedEOF when the stream ends or
+// readEvent reads one event of at most limit bytes. It returns io.ErrUnexpectedEOF when the stream ends or
 // breaks: readConnection stops at the terminal event, so it never reads a complete stream
 // to its end.
-func readEvent(in *bufio.Reader) (Event, error) {
+func readEvent(in *bufio.Reader, limit int64) (Event, error) {
 	var event Event
+	var data []string
+	left := limit
 	for {
-		line, err := in.ReadString('\n')
+		line, err := readLine(in, left)
 		if err != nil {
-			return Event{}, io.ErrUnexpectedEOF
+			return Event{}, err
 		}
+		left -= int64(len(line))
 		line = strings.TrimRight(line, "\r\n")
 		field, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
 		switch {
-		case line == "" && event.Data != "":
+		case line == "" && len(data) > 0:
+			event.Data = strings.Join(data, "\n")
 			return event, nil
 		case field == "id":
 			event.ID = value
-		case field == "data" && event.Data != "":
-			event.Data += "\n" + value
-		case field == "data":
-			event.Data = value
+		case field == "data" && (value != "" || len(data) > 0):
+			data = append(data, value)
+		}
+	}
+}
+
+// readLine reads a line of at most limit bytes.
+func readLine(in *bufio.Reader, limit int64) (string, error) {
+	var line []byte
+	for {
+		piece, err := in.ReadSlice('\n')
+		line = append(line, piece...)
+		switch {
+		case int64(len(line)) > limit:
+			return "", limiter.TooLongError{Limit: limit}
+		case err == nil:
+			return string(line), nil
+		case err != bufio.ErrBufferFull:
+			return "", io.ErrUnexpectedEOF
 		}
 	}
 }
--- a/pkg/caller/stream_fuzz_test.go
+++ b/pkg/caller/stream_fuzz_test.go
@@ -40,7 +40,7 @@
 	in := bufio.NewReader(stream)
 	var events []Event
 	for {
-		event, err := readEvent(in)
+		event, err := readEvent(in, 1<<20)
 		if err == io.ErrUnexpectedEOF {
 			return events
 		}
