relayer: an answer without a request ID on a used connection isn't the request's

Cause: health checks use the kept connections, and their answers have no request ID. A second answer to a check that came late was taken for the answer to the next request on the connection: Matches accepted each answer without an ID.

Change: an answer without an ID belongs to a request only if it is the first on its connection, where no earlier request can have one on its way. On a used connection it is skipped like an answer with another ID, and the connection isn't used again.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -51,9 +51,10 @@
 	// MaxBody bounds the body of the answer, in bytes; zero means DefaultMaxBody. Reading beyond it
 	// returns a TooLongError, as does Do if the answer announces a longer body.
 	MaxBody int64
-	// Matches reports whether an answer's header belongs to this request; nil accepts
-	// every answer.
-	Matches func(head http.Header) bool
+	// Matches reports whether an answer's header belongs to this request; first reports whether
+	// it is the first answer on its connection, so that it can't belong to an earlier request.
+	// Nil accepts every answer.
+	Matches func(head http.Header, first bool) bool
 	// Admit is called once a connection is open, before the first byte is sent; if it
 	// returns an error, the request is not sent. Nil admits the request.
 	Admit func() error
@@ -234,7 +235,7 @@
 		if err != nil {
 			return nil, stray, err
 		}
-		if request.Matches == nil || request.Matches(head.Header) {
+		if request.Matches == nil || request.Matches(head.Header, !conn.used && stray == 0) {
 			conn.bound.begin(Body, 0)
 			return head, stray, nil
 		}
--- a/internal/connector/exchange_test.go
+++ b/internal/connector/exchange_test.go
@@ -64,7 +64,7 @@
 func requestOf(id string) Request {
 	return Request{
 		Method: http.MethodPost, Path: "/", Host: "kitchen.example", Header: http.Header{"Test-Id": {id}}, Body: []byte("ten meals"),
-		Matches: func(head http.Header) bool { return head.Get("Test-Id") == id },
+		Matches: func(head http.Header, _ bool) bool { return head.Get("Test-Id") == id },
 	}
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -144,9 +144,9 @@
 	})
 	return connector.Request{
 		Method: task.r.Method, Path: task.r.RequestURI, Host: task.r.Host, Header: header, Body: task.body, MaxBody: task.maxAnswer(),
-		Matches: func(head http.Header) bool {
+		Matches: func(head http.Header, first bool) bool {
 			id := task.entry.settings.Dialect.ReadHead(0, head).ID
-			return id == "" || id == task.call.ID
+			return id == task.call.ID || id == "" && first
 		},
 		Admit: func() error { return task.admit(placement) },
 	}
--- a/internal/relayer/health_check.go
+++ b/internal/relayer/health_check.go
@@ -69,7 +69,7 @@
 	}
 	answer, err := entry.settings.Pool.Do(ctx, target, connector.Request{
 		Method: http.MethodGet, Path: check.Path, Host: check.Replica.Address, Header: dialect.CheckHealth(check.Replica.ID),
-		Matches: func(head http.Header) bool { return dialect.ReadHead(0, head).ID == "" },
+		Matches: func(head http.Header, _ bool) bool { return dialect.ReadHead(0, head).ID == "" },
 	})
 	if err != nil {
 		entry.meters.countHealthCheck(check.Replica.Service, "unanswered")
