relayer: what is quoted of an answer in an error is bounded

What could be seen: of an answer that can't be parsed, up to 16 KiB went to the log and to the caller, each byte as four characters.

Cause: errors of net/http quote the line that they can't parse.

Change: the text of a cause has 256 bytes at most, in logs and in answers.

The test failed before: a failure of 60,182 bytes for the caller, of a status line of 12,000.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -43,12 +43,19 @@
 	cause     error
 }
 
-// causeText returns the text of the cause, or "" without one.
+// maxCauseBytes bounds the text of a cause: that of an answer which can't be parsed quotes it.
+const maxCauseBytes = 256
+
+// causeText returns the text of the cause, cut off at maxCauseBytes, or "" without one.
 func (result attemptResult) causeText() string {
 	if result.cause == nil {
 		return ""
 	}
-	return result.cause.Error()
+	text := result.cause.Error()
+	if len(text) > maxCauseBytes {
+		return strings.ToValidUTF8(text[:maxCauseBytes], "") + "..."
+	}
+	return text
 }
 
 // attempt sends the request to one replica and relays its answer.
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -286,3 +286,30 @@
 		})
 	}
 }
+
+func TestAnAnswerThatIsQuotedInAnError(t *testing.T) {
+	// Guards against bytes of a faulty replica that go to the log and the caller at their full length.
+	tests := []struct{ name, text string }{
+		{"a status line", strings.Repeat("\x80", 12_000) + "\r\n\r\n"},
+		{"a header field", "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 12_000) + "\r\n\r\n"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			answer := func(conn net.Conn, _ string) { _, _ = io.WriteString(conn, test.text) }
+			entry, _ := endlessEntry(t, twoReplicas(t, answer, answer), router.Route{Kind: router.Once}, Call{Deadline: timekeeper.Minute})
+			log, lines := logtest.NewNullLogger()
+			entry.settings.Log = log
+			recorder := httptest.NewRecorder()
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://kitchen.example/", http.NoBody)
+			request.Header.Set("Id", "r-1")
+			entry.ServeHTTP(recorder, request)
+			So(recorder.Code, ShouldEqual, http.StatusBadGateway)
+			So(recorder.Body.Len(), ShouldBeLessThan, 1000)
+			for _, line := range lines.AllEntries() {
+				text, err := line.String()
+				So(err, ShouldBeNil)
+				So(len(text), ShouldBeLessThan, 2000)
+			}
+		})
+	}
+}
