relayer: bytes that aren't text are no events of a stream

What callers could see: bytes that a faulty replica sends in the body of a stream, with an empty line among them, were forwarded as events; and where the stream can be resumed, the rest of another replica's answer followed them, as if all were one answer.

Cause: an event was whatever ends with an empty line.

Change: events that aren't UTF-8, as the HTML standard asks for, fail the attempt and aren't forwarded.

The test failed before: the caller got the bytes up to the stream's bound.

--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -158,6 +158,7 @@
 		{"one event, resumable", resumable, flood(streamHead+"\r\n"+twoEvents, "x"), 200, twoEvents + "id: 3\ndata: c\n\n", false, "event"},
 		{"one event of many lines", stream, flood(streamHead+"\r\n"+twoEvents, "data: x\n"), 200, twoEvents, true, "event"},
 		{"one event at the start", resumable, flood(streamHead+"\r\n", "x"), 200, "id: 3\ndata: c\n\n", false, "event"},
+		{"bytes that are no events, resumable", resumable, flood(streamHead+"\r\n", "\x80\n\n"), 200, "id: 3\ndata: c\n\n", false, ""},
 		{"events", stream, flood(streamHead+"\r\n"+twoEvents, "id: 3\ndata: c\n\n"), 200, "", true, "body"},
 		{"comments", stream, flood(streamHead+"\r\n"+twoEvents, ": x\n\n"), 200, "", true, "body"},
 		{"a head of a stream", stream, flood(streamHead, "a: b\r\n"), 502, "", false, "head"},
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 
@@ -170,6 +171,7 @@
 var (
 	errCallerWrite  = eris.New("writing to the caller failed")
 	errAnswerMemory = eris.New("the memory for answers is used up")
+	errNotText      = eris.New("the stream is not UTF-8 text")
 	errPartialEvent = eris.New("the stream ended within an event")
 	errEndedInCrash = eris.New("the answer ended with its connection, and the replica is down")
 )
@@ -178,7 +180,8 @@
 //
 // Only whole events are forwarded: a stream that breaks off within an event can
 // resume at another replica after the last whole one, and no caller receives an
-// event that is joined from the answers of two replicas.
+// event that is joined from the answers of two replicas. Events are UTF-8, by the HTML
+// standard; other bytes are no events.
 func (task *task) relayStream(ctx context.Context, result attemptResult, answer *connector.Answer) attemptResult {
 	control := http.NewResponseController(task.w)
 	buffer := make([]byte, copyBufferSize)
@@ -195,6 +198,10 @@
 				return result
 			}
 			if whole := wholeEvents(pending.text); whole > 0 {
+				if !utf8.Valid(pending.text[:whole]) {
+					result.verdict, result.cause, result.replicaFailed = broken, errNotText, true
+					return result
+				}
 				if failure := task.forward(control, answer, pending.text[:whole]); failure != nil {
 					result.verdict, result.cause = broken, failure
 					return result
