assembler: peers that don't read their copy don't keep others from theirs

What could be seen: a peer that asks for a configuration or list and doesn't read it, as a frozen one, held one of the three transfers of an entry until TCP gave up after ten seconds; three of them, and other peers were answered 503.

Cause: the pages for peers had no deadline for writing.

--- a/internal/assembler/direct_offers.go
+++ b/internal/assembler/direct_offers.go
@@ -30,6 +30,9 @@
 	// sixteen peers at once; sent to three at a time, it reaches the first three, which
 	// can pass it on, in a third of a second.
 	maxTransfers = 3
+	// transferTimeout bounds the sending of a page to a peer or an operator; a peer gives up a copy
+	// after fetchTimeout.
+	transferTimeout = 2 * fetchTimeout
 )
 
 // offer is a newer configuration that a peer has.
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -301,6 +301,10 @@
 // ServeHTTP sends a peer the configuration in force or the list of replicas. It answers
 // 503 while maxTransfers other copies are being sent.
 func (peers *peers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// A peer that doesn't read would keep its transfer from others. The connection is closed, as its
+	// next answer would have the same deadline.
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetWriteDeadline(timekeeper.In(transferTimeout))
 	switch {
 	case r.URL.Path == pathState:
 		peers.serveState(w, r)
--- a/internal/assembler/direct_peers_test.go
+++ b/internal/assembler/direct_peers_test.go
@@ -1,11 +1,16 @@
 package assembler
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+	"github.com/trefoilseam/trefoilseam/platform"
 )
 
 func TestACopyLongerThanTheBound(t *testing.T) {
@@ -28,3 +33,30 @@
 		})
 	}
 }
+
+func TestPeersThatDoNotReadTheirCopy(t *testing.T) {
+	// Guards against peers that ask for copies and don't read them, and so keep others from theirs.
+	Convey("others get theirs after the timeout", t, func() {
+		direct := &Direct{}
+		direct.document.Store(&platform.Document{Raw: make([]byte, maxFetchBytes)})
+		peers := &peers{direct: direct, client: http.DefaultClient}
+		server := httptest.NewServer(peers)
+		defer server.Close()
+		address := server.Listener.Addr().String()
+		for range maxTransfers {
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+			So(err, ShouldBeNil)
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "GET "+pathConfiguration+" HTTP/1.1\r\nHost: peer\r\n\r\n")
+		}
+		for peers.transfers.active.Load() < maxTransfers {
+			_ = timekeeper.Steady().Sleep(t.Context(), 1)
+		}
+		_, err := peers.fetch(t.Context(), address, pathConfiguration)
+		So(err, ShouldNotBeNil)
+		_ = timekeeper.Steady().Sleep(t.Context(), transferTimeout+500)
+		text, err := peers.fetch(t.Context(), address, pathConfiguration)
+		So(err, ShouldBeNil)
+		So(text, ShouldHaveLength, maxFetchBytes)
+	})
+}
