receiver, forwarder: entries with agents bound the bodies of all requests together

What could be seen: at an entry with agents, any number of bodies of up to the service's limit each could be on its way at once.

Cause: the forwarder bounded each body and not all of them, as the relayer once did.

Change: the reading of bodies moves from the relayer into receiver, which both use. An entry with agents takes 256 MiB for bodies; beyond it a caller is refused, 503 with Retry-After.

--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -1,11 +1,11 @@
 package forwarder
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -18,6 +18,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/receiver"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -189,24 +190,30 @@
 	return classifier.New(classifier.BodyTooLarge, "the limit is "+strconv.FormatInt(limit, 10)+" bytes")
 }
 
-// readBody reads the whole request body within limit and the body timeout. It runs
-// before a slot is requested, so that a slow sender occupies only a connection of
-// the entry.
+// readBody reads the whole request body within limit, the memory for bodies and the body timeout. It
+// runs before a slot is requested, so that a slow sender occupies only a connection of the entry. The
+// memory is returned when the request has been answered.
 func (entry *Entry) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(entry.settings.Clock.Now().Add(entry.settings.BodyTimeout).Time())
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := receiver.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, receiver.Settings{
+		Memory: entry.bodies, Timeout: entry.settings.BodyTimeout, Now: entry.settings.Clock.Now,
+		SetDeadline: func(span timekeeper.Span) { _ = control.SetReadDeadline(timekeeper.In(span)) },
+	})
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		return nil, bodyTooLarge(limit)
+	case errors.Is(err, receiver.ErrMemory):
+		return nil, classifier.New(classifier.Overloaded, err.Error()).WithRetryAfter(timekeeper.Second)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, classifier.New(classifier.SlowCaller, "")
 	case err != nil:
 		return nil, classifier.New(classifier.BadRequest, "the body ended early")
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	text := body.Text()
+	context.AfterFunc(r.Context(), body.Release)
+	return text, nil
 }
 
 // urgency returns the parameter u of a Priority header, or defaultUrgency.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -14,6 +14,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/dialer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/placer"
+	"github.com/trefoilseam/trefoilseam/internal/receiver"
 	"github.com/trefoilseam/trefoilseam/internal/recorder"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -55,6 +56,8 @@
 	Record func(event recorder.Event)
 	// BodyTimeout bounds the time to receive a request body; zero means 10 seconds.
 	BodyTimeout timekeeper.Span
+	// BodyMemory bounds the request bodies in memory together, in bytes; zero means 256 MiB.
+	BodyMemory int64
 	// WriteTimeout bounds each write to a caller; zero means 20 seconds.
 	WriteTimeout timekeeper.Span
 }
@@ -63,6 +66,9 @@
 	if settings.BodyTimeout == 0 {
 		settings.BodyTimeout = 10 * timekeeper.Second
 	}
+	if settings.BodyMemory == 0 {
+		settings.BodyMemory = 256 << 20
+	}
 	if settings.WriteTimeout == 0 {
 		settings.WriteTimeout = 20 * timekeeper.Second
 	}
@@ -96,12 +102,15 @@
 	budgets     *budgets
 	unreachable *unreachableReplicas
 	strikeCache strikeCache
+	bodies      *receiver.Memory
 }
 
 // New returns an entry with the given settings.
 func New(settings Settings) *Entry {
+	settings = settings.withDefaults()
 	return &Entry{
-		settings:    settings.withDefaults(),
+		settings:    settings,
+		bodies:      receiver.NewMemory(settings.BodyMemory),
 		inFlight:    newInFlight(),
 		budgets:     newBudgets(),
 		unreachable: newUnreachableReplicas(),
--- a/internal/relayer/body_test.go
+++ b/internal/relayer/body_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/trefoilseam/trefoilseam/internal/receiver"
 	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -33,13 +34,16 @@
 // send sends bytes of the body.
 func (upload upload) send(count int) { _, _ = io.WriteString(upload.conn, strings.Repeat("x", count)) }
 
-// bodySite returns an entry that may hold 4 MiB of bodies, and its address.
+// bodyMemory is the memory for bodies of the entry of bodySite, in bytes.
+const bodyMemory = 4 << 20
+
+// bodySite returns an entry and its address.
 func bodySite(t *testing.T) (*Entry, string) {
 	sound := func(conn net.Conn, id string) {
 		_, _ = io.WriteString(conn, strings.ReplaceAll(plainHead, "{id}", id)+"Content-Length: 2\r\n\r\nok")
 	}
 	entry, _ := endlessEntry(t, twoReplicas(t, sound, sound), router.Route{Kind: router.Once}, Call{Deadline: 20 * timekeeper.Second})
-	entry.bodies.limit = 4 << 20
+	entry.bodies = receiver.NewMemory(bodyMemory)
 	front := httptest.NewServer(entry)
 	t.Cleanup(front.Close)
 	return entry, front.Listener.Addr().String()
@@ -48,12 +52,12 @@
 // awaitHeld waits until bodies hold an amount of memory.
 func awaitHeld(t *testing.T, entry *Entry, bytes int64) int64 {
 	for range 2000 {
-		if entry.bodies.used.Load() == bytes {
+		if entry.bodies.Used() == bytes {
 			break
 		}
 		_ = timekeeper.Steady().Sleep(t.Context(), 5)
 	}
-	return entry.bodies.used.Load()
+	return entry.bodies.Used()
 }
 
 func TestBodiesThatArriveAtOnce(t *testing.T) {
@@ -80,7 +84,7 @@
 							one.send(length / 16)
 						}
 						mu.Lock()
-						most = max(most, entry.bodies.used.Load())
+						most = max(most, entry.bodies.Used())
 						mu.Unlock()
 						_ = timekeeper.Steady().Sleep(t.Context(), 20)
 					}
@@ -102,7 +106,7 @@
 			status, _ := short.status(5 * timekeeper.Second)
 			sending.Wait()
 			So(status, ShouldEqual, http.StatusOK)
-			So(most, ShouldBeLessThanOrEqualTo, entry.bodies.limit)
+			So(most, ShouldBeLessThanOrEqualTo, bodyMemory)
 			So(statuses[http.StatusOK]+statuses[http.StatusServiceUnavailable], ShouldEqual, callers)
 			So(statuses[-1], ShouldEqual, 0)
 			So(statuses[http.StatusServiceUnavailable], ShouldBeGreaterThan, 0)
@@ -134,7 +138,7 @@
 		Convey(test.name, t, func() {
 			entry, address := bodySite(t)
 			if test.length < 0 {
-				entry.bodies.limit = 64 << 20
+				entry.bodies = receiver.NewMemory(64 << 20)
 			}
 			first := beginBody(t, address, test.length)
 			if test.length > 0 {
@@ -159,9 +163,9 @@
 	Convey("a hundred of them leave room for a long body", t, func() {
 		entry, address := bodySite(t)
 		for range 100 {
-			beginBody(t, address, smallBody)
+			beginBody(t, address, receiver.MaxShort)
 		}
-		So(awaitHeld(t, entry, 100*firstBodyBytes), ShouldEqual, 100*firstBodyBytes)
+		So(awaitHeld(t, entry, 100*receiver.FirstBytes), ShouldEqual, 100*receiver.FirstBytes)
 		long := beginBody(t, address, 1<<20)
 		long.send(1 << 20)
 		status, _ := long.status(5 * timekeeper.Second)
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -196,7 +196,7 @@
 			for entry.Active() > 0 {
 				_ = clock.Sleep(t.Context(), 1)
 			}
-			So(entry.answers.used.Load(), ShouldEqual, 0)
+			So(entry.answers.Used(), ShouldEqual, 0)
 		})
 	}
 }
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
+	"github.com/trefoilseam/trefoilseam/internal/receiver"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/internal/retrier"
 	"github.com/trefoilseam/trefoilseam/internal/router"
@@ -86,7 +87,7 @@
 	// active is the number of requests in flight.
 	active atomic.Int64
 	// bodies and answers are the memory for request bodies and for answers.
-	bodies, answers *memory
+	bodies, answers *receiver.Memory
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -132,8 +133,8 @@
 		random:     rand.New(rand.NewPCG(settings.Seed, 17)),
 		budgets:    map[string]*retrier.Window{},
 		quarantine: &quarantine{table: quarantiner.New()},
-		bodies:     &memory{limit: settings.BodyMemory},
-		answers:    &memory{limit: settings.AnswerMemory},
+		bodies:     receiver.NewMemory(settings.BodyMemory),
+		answers:    receiver.NewMemory(settings.AnswerMemory),
 		queue:      newQueue(settings.Fleet, settings.Clock),
 		shedder:    &shedder{clock: settings.Clock},
 	}
@@ -155,7 +156,7 @@
 
 // HeldBytes returns how many bytes of request bodies and of answers are held in memory.
 func (entry *Entry) HeldBytes() (bodies, answers int64) {
-	return entry.bodies.used.Load(), entry.answers.used.Load()
+	return entry.bodies.Used(), entry.answers.Used()
 }
 
 // Active returns the number of requests in flight.
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
+	"github.com/trefoilseam/trefoilseam/internal/receiver"
 	"github.com/trefoilseam/trefoilseam/internal/router"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -126,10 +127,10 @@
 		limit = min(limit, answer.ContentLength)
 	}
 	answers := task.entry.answers
-	if limit <= smallAnswer || !answers.take(limit, answers.limit) {
+	if limit <= smallAnswer || !answers.Take(limit) {
 		return min(limit, smallAnswer), func() {}
 	}
-	return limit, sync.OnceFunc(func() { answers.give(limit) })
+	return limit, sync.OnceFunc(func() { answers.Give(limit) })
 }
 
 // copyHead copies the head of the answer. From then on the request can't get another
@@ -228,7 +229,7 @@
 // pendingEvents is the text of events that haven't been forwarded.
 type pendingEvents struct {
 	text   []byte
-	memory *memory
+	memory *receiver.Memory
 	// taken is how much of the memory the text takes.
 	taken int64
 }
@@ -242,7 +243,7 @@
 	}
 	if length > smallAnswer+copyBufferSize && pending.taken == 0 {
 		const need = maxEventBytes + copyBufferSize
-		if !pending.memory.take(need, pending.memory.limit) {
+		if !pending.memory.Take(need) {
 			return errAnswerMemory
 		}
 		pending.taken = need
@@ -262,7 +263,7 @@
 
 // release returns the memory.
 func (pending *pendingEvents) release() {
-	pending.memory.give(pending.taken)
+	pending.memory.Give(pending.taken)
 	pending.taken = 0
 }
 
