relayer: a pending event takes memory as it grows

A stream with an event over 8 KiB took 260 KiB, so that 78 such streams would have used up what the smallest machine has for answers, at any length of their events.

--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -241,12 +241,12 @@
 	if length > maxEventBytes+copyBufferSize {
 		return connector.TooLongError{Part: connector.Event, Limit: maxEventBytes}
 	}
-	if length > smallAnswer+copyBufferSize && pending.taken == 0 {
-		const need = maxEventBytes + copyBufferSize
-		if !pending.memory.Take(need) {
+	if length > smallAnswer+copyBufferSize && int64(length) > pending.taken {
+		size := min(2*int64(length), maxEventBytes+copyBufferSize)
+		if !pending.memory.Take(size - pending.taken) {
 			return errAnswerMemory
 		}
-		pending.taken = need
+		pending.taken = size
 	}
 	pending.text = append(pending.text, text...)
 	return nil
