--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -25,38 +25,41 @@
 
 // twoReplicas starts two replicas of which the one that is asked first answers with the script, and
 // returns their addresses.
-func twoReplicas(t *testing.T, first func(conn net.Conn, id string), then func(conn net.Conn, id string)) [2]string {
+func twoReplicas(t *testing.T, first func(conn net.Conn, id string), then func(conn net.Conn, id string)) (addresses [2]string) {
 	var asked atomic.Int32
-	var addresses [2]string
-	for i := range addresses {
-		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	answer := func(conn net.Conn, id string) {
+		if asked.Add(1) == 1 {
+			first(conn, id)
+			return
 		}
-		t.Cleanup(func() { _ = listener.Close() })
-		addresses[i] = listener.Addr().String()
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer func() { _ = conn.Close() }()
-					request, err := http.ReadRequest(bufio.NewReader(conn))
-					if err != nil {
-						return
-					}
-					answer := then
-					if asked.Add(1) == 1 {
-						answer = first
-					}
-					answer(conn, request.Header.Get("Id"))
-				}()
-			}
-		}()
+		then(conn, id)
+	}
+	return [2]string{scriptedReplica(t, answer), scriptedReplica(t, answer)}
+}
+
+// scriptedReplica starts a replica that answers one request on each connection with the script, and
+// returns its address.
+func scriptedReplica(t *testing.T, answer func(conn net.Conn, id string)) string {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	return addresses
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					answer(conn, request.Header.Get("Id"))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
 }
 
 // flood writes a text, and then another one again and again until the connection is closed, but no
@@ -314,3 +317,29 @@
 		})
 	}
 }
+
+func TestAReplicaThatKeepsAnsweringWithoutEnd(t *testing.T) {
+	// Guards against a replica that sends answers without an end and goes on getting its share of the
+	// requests.
+	const requests = 60
+	Convey("it is asked seldom, and all callers are served by the other", t, func() {
+		var asked atomic.Int32
+		faulty := scriptedReplica(t, func(conn net.Conn, id string) {
+			asked.Add(1)
+			flood("", "\x80")(conn, id)
+		})
+		sound := scriptedReplica(t, func(conn net.Conn, id string) {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(plainHead, "{id}", id)+"Connection: close\r\nContent-Length: 5\r\n\r\nsound")
+		})
+		entry, _ := endlessEntry(t, [2]string{faulty, sound}, router.Route{Kind: router.Safe}, Call{Deadline: timekeeper.Minute})
+		for range requests {
+			recorder := httptest.NewRecorder()
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://kitchen.example/", http.NoBody)
+			request.Header.Set("Id", "r-1")
+			entry.ServeHTTP(recorder, request)
+			So(recorder.Code, ShouldEqual, http.StatusOK)
+		}
+		So(asked.Load(), ShouldBeGreaterThan, 0)
+		So(asked.Load(), ShouldBeLessThan, requests/10)
+	})
+}
