--- a/review/rig-2/crashes.go
+++ b/review/rig-2/crashes.go
@@ -72,53 +72,71 @@
 	return request{id: id, path: "/menu/today", body: body, deadline: 12000, patience: 12000, parts: "5c1e07a2:800," + part + ":60"}
 }
 
+// plan is a case in which a request that crashes replicas comes again and again, and nothing else is wrong.
+type plan struct {
+	replicas replicaSettings
+	// count is the number of replicas.
+	count int
+	// request returns an attempt, sound ones and that of the request that crashes replicas.
+	request func(id, body string) request
+	// change changes the attempts of the latter; nil doesn't.
+	change func(out *request)
+	// body is its body, which says whether it crashes replicas.
+	body string
+}
+
 // crashesLate plays a stream that crashes each replica a second after its first event.
 func crashesLate(ctx context.Context, site *site, trouble bool) (bool, error) {
 	settings := replicaSettings{service: "planner", slots: 64, events: 40, pause: 50, crashAfter: timekeeper.Second}
-	if err := site.open(ctx, settings, 9); err != nil {
-		return false, err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	callers := &callers{site: site}
-	callers.begin(ctx, func(id string) request { return streamRequest(id, "sound "+id) })
-	if err := site.clock.Sleep(ctx, warmUp); err != nil {
-		return false, err
-	}
-	body := crashing
-	if !trouble {
-		body = "a request that crashes no replica"
-	}
-	callers.repeat(ctx, 1500, func(id string) request { return streamRequest(id, body) })
-	if err := site.clock.Sleep(ctx, 40*timekeeper.Second); err != nil {
-		return false, err
-	}
-	cancel()
-	callers.running.Wait()
-	return site.judgeCrashes(callers), nil
+	return site.play(ctx, plan{replicas: settings, count: 9, request: streamRequest, body: bodyIf(trouble)})
 }
 
 // crashesAfterLeave plays a stream that crashes each replica, and whose client leaves before that.
 func crashesAfterLeave(ctx context.Context, site *site, trouble bool) (bool, error) {
 	settings := replicaSettings{service: "planner", slots: 64, events: 40, pause: 50, crashAfter: 150, unstoppable: true}
-	if err := site.open(ctx, settings, 9); err != nil {
+	leave := func(out *request) {
+		if trouble {
+			out.patience = 150
+		}
+	}
+	return site.play(ctx, plan{replicas: settings, count: 9, request: streamRequest, change: leave, body: crashing})
+}
+
+// crashesAfterAnswer plays an unsafe request that crashes each replica shortly after its answer.
+func crashesAfterAnswer(ctx context.Context, site *site, trouble bool) (bool, error) {
+	settings := replicaSettings{service: "orders", slots: 6, pause: 60, crashAfter: 100, answersFirst: true}
+	return site.play(ctx, plan{replicas: settings, count: 6, request: plainRequest, body: bodyIf(trouble)})
+}
+
+// bodyIf returns the body of a request that crashes replicas, or of one that doesn't.
+func bodyIf(trouble bool) string {
+	if trouble {
+		return crashing
+	}
+	return "a request that crashes no replica"
+}
+
+// play plays a plan for a while, and judges it.
+func (site *site) play(ctx context.Context, plan plan) (bool, error) {
+	const pause, span = 1500 * timekeeper.Millisecond, 40 * timekeeper.Second
+	if err := site.open(ctx, plan.replicas, plan.count); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	callers := &callers{site: site}
-	callers.begin(ctx, func(id string) request { return streamRequest(id, "sound "+id) })
+	callers.begin(ctx, func(id string) request { return plan.request(id, "sound "+id) })
 	if err := site.clock.Sleep(ctx, warmUp); err != nil {
 		return false, err
 	}
-	callers.repeat(ctx, 1500, func(id string) request {
-		out := streamRequest(id, crashing)
-		if trouble {
-			out.patience = 150
+	callers.repeat(ctx, pause, func(id string) request {
+		out := plan.request(id, plan.body)
+		if plan.change != nil {
+			plan.change(&out)
 		}
 		return out
 	})
-	if err := site.clock.Sleep(ctx, 40*timekeeper.Second); err != nil {
+	if err := site.clock.Sleep(ctx, span); err != nil {
 		return false, err
 	}
 	cancel()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -28,6 +28,7 @@
 
 // cases are the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(ctx context.Context, site *site, trouble bool) (broken bool, err error){
+	"crashes-answered":   crashesAfterAnswer,
 	"crashes-late":       crashesLate,
 	"crashes-left":       crashesAfterLeave,
 	"rows-after-silence": rowsAfterSilence,
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -38,6 +38,8 @@
 	// crashAfter is how long after the begin of its run a request crashes the replica: the first
 	// event of a stream, the arrival of a plain request.
 	crashAfter timekeeper.Span
+	// answersFirst reports whether a plain request is answered before it crashes the replica.
+	answersFirst bool
 	// unstoppable replicas go on with a run whose connection has closed.
 	unstoppable bool
 }
@@ -136,11 +138,17 @@
 		return
 	}
 	replica.begin(id)
-	if crashes {
+	if crashes && !replica.settings.answersFirst {
 		_ = replica.site.clock.Sleep(r.Context(), replica.settings.crashAfter)
 		replica.crash(id)
 		panic(http.ErrAbortHandler)
 	}
+	if crashes {
+		go func() {
+			_ = replica.site.clock.Sleep(context.Background(), replica.settings.crashAfter)
+			replica.crash(id)
+		}()
+	}
 	if replica.site.clock.Sleep(r.Context(), replica.settings.pause) == nil {
 		_, _ = io.WriteString(w, "the answer to "+id)
 	}
