review: the crashes of requests become cases 6 to 8

Cause: a graver case takes the fifth place, and the gravest come first. Change: the cases 5, 6 and 7 are 6, 7 and 8.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/trefoilseam ] && [ -x target/review-rig-2 ] || { echo "build first: the deploy file's line, then review/build-2.sh"; exit 2; }
-exec target/review-rig-2 -case crashes-left -record review/6/record.txt
+exec target/review-rig-2 -case crashes-late -record review/6/record.txt
