review: case 5, a replica whose row went and came back is given too much for good

Cause: a replica that is listed again begins with a count of zero, from which the requests that were in flight are subtracted when they end. Change: the case with its script.

--- a/review/rig-2/crashes.go
+++ b/review/rig-2/crashes.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -26,6 +27,8 @@
 type callers struct {
 	site    *site
 	running sync.WaitGroup
+	// pause is the time between two sound requests; zero means soundPause.
+	pause timekeeper.Span
 
 	mu           sync.Mutex
 	sent, served int
@@ -34,7 +37,7 @@
 // begin sends sound requests at a steady rate.
 func (callers *callers) begin(ctx context.Context, request func(id string) request) {
 	callers.running.Go(func() {
-		for number := 0; callers.site.clock.Sleep(ctx, soundPause) == nil; number++ {
+		for number := 0; callers.site.clock.Sleep(ctx, cmp.Or(callers.pause, soundPause)) == nil; number++ {
 			callers.running.Go(func() {
 				status, whole := callers.site.send(context.Background(), callers.site.anyEntry(number), request(fmt.Sprintf("sound-%d", number)))
 				callers.mu.Lock()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -31,6 +31,7 @@
 	"crashes-answered":   crashesAfterAnswer,
 	"crashes-late":       crashesLate,
 	"crashes-left":       crashesAfterLeave,
+	"rows-lapse":         rowsLapse,
 	"rows-after-silence": rowsAfterSilence,
 	"crashes-roll":       crashesDuringRoll,
 }
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -40,6 +40,8 @@
 	crashAfter timekeeper.Span
 	// answersFirst reports whether a plain request is answered before it crashes the replica.
 	answersFirst bool
+	// counted replicas count what they hold, and crash if it is more than their memory.
+	counted bool
 	// unstoppable replicas go on with a run whose connection has closed.
 	unstoppable bool
 }
@@ -170,6 +172,14 @@
 func (replica *replica) stream(w http.ResponseWriter, r *http.Request, id string, crashes bool) {
 	site, settings := replica.site, replica.settings
 	w.Header().Set("Content-Type", "text/event-stream")
+	if settings.counted {
+		tooMany, end := site.holdings.begin(replica, id)
+		defer end()
+		if tooMany {
+			replica.crash(id)
+			panic(http.ErrAbortHandler)
+		}
+	}
 	crashAt, ctx := timekeeper.Instant(0), r.Context()
 	if settings.unstoppable {
 		ctx = context.WithoutCancel(ctx)
--- a/review/rig-2/site.go
+++ b/review/rig-2/site.go
@@ -37,8 +37,9 @@
 	storeAddress   string
 	entries        []*entry
 	// servers serve the store.
-	servers []*http.Server
-	client  *http.Client
+	servers  []*http.Server
+	client   *http.Client
+	holdings holdings
 
 	// taken are the addresses that entries have.
 	taken map[string]bool
@@ -74,6 +75,7 @@
 		binary: binary, folder: folder, clock: clock, record: record, store: emulator.NewStore(clock),
 		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 		senders: map[string]*entry{}, reached: map[string]bool{}, taken: map[string]bool{},
+		holdings: holdings{current: map[*replica]int{}},
 	}
 	if site.storeAddress, err = site.serveStore(); err != nil {
 		return nil, nil, err
