--- a/review/rig-2/counts.go
+++ b/review/rig-2/counts.go
@@ -15,7 +15,7 @@
 	// memoryTokens is the memory of an engine. One that holds requests with more tokens crashes.
 	memoryTokens = 316_355
 	// requestTokens are those of each prompt and its answer.
-	requestTokens = 4200
+	requestTokens = 4000
 	// cutTime is for how long a replica can't reach the store, and rowLifetime how long its row lasts then.
 	cutTime     = 5 * timekeeper.Second
 	rowLifetime = missedBeats * heartbeat
