validator, connector: an answer that is reset during the upload isn't whole

Callers got part of an answer as a complete one: a replica answers a long upload at once with a 200 without a length, sends part of the body and resets the connection while the upload is still being written. Streams without a length ended early in the same way.

Cause: the kernel reports the reset of a socket once. The goroutine that writes the request meets it, its error was dropped, and the reader gets an ordinary end of the connection, which ends an answer that has neither a length nor chunks.

Change: connections to replicas are validator.Conns. Where a read meets the end of the connection, a write that failed is asked first: unless it failed after the other side had ended in order (EPIPE on Linux), the read returns an error. If a write is still under way, the state of the socket tells: CLOSE_WAIT is an orderly end, of which the replica may read on; on a closed socket the write returns at once and is asked. Where the system doesn't tell, the end isn't trusted. The caller gets what any broken answer gets: another replica where the request may run again, else 502; a stream that may be resumed goes on elsewhere. The line 'attempt failed' has the part 'end', and relay_broken_answers counts it.

Why it works: a reset is given to the first call that fails, so it is either the read's or the write's, and both are looked at. An end in order before a reset is told by the kernel as EPIPE in place of ECONNRESET.

--- a/internal/connector/doc.go
+++ b/internal/connector/doc.go
@@ -8,6 +8,9 @@
 // would go to the wrong caller. And it may dial a second connection while the
 // first is being opened, whereas replicas reset connections over their limit.
 //
+// An answer is whole by its length, its chunks, or an orderly end of its connection; one that is reset
+// fails while its body is read (package validator).
+//
 // A failed exchange reports its progress: Unsent means that no byte of the
 // request left this process, and only then is it certain that nothing ran.
 package connector
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/trefoilseam/trefoilseam/internal/validator"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -151,9 +152,10 @@
 		pool.release(target)
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
-	bound := &boundedReader{from: raw}
+	conn := validator.NewConn(raw)
+	bound := &boundedReader{from: conn}
 	return &connection{
-		Conn: raw, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout,
+		Conn: conn, reader: bufio.NewReaderSize(bound, readBufferSize), bound: bound, idleTimeout: defaultIdleTimeout,
 	}, nil
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/router"
+	"github.com/trefoilseam/trefoilseam/internal/validator"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -297,16 +298,25 @@
 		task.endTrial()
 		return
 	}
-	var long connector.TooLongError
-	if eris.As(result.cause, &long) {
-		task.entry.meters.countLongAnswer(task.service, long.Part)
-	}
+	task.countFaultyAnswer(result.cause)
 	task.logAttempt(result)
 	if callerLeft || !task.probeReplica(result) {
 		task.endTrial()
 	}
 }
 
+// countFaultyAnswer counts an answer that was too long, broken off or invalid.
+func (task *task) countFaultyAnswer(cause error) {
+	var long connector.TooLongError
+	if eris.As(cause, &long) {
+		task.entry.meters.countLongAnswer(task.service, long.Part)
+	}
+	var broken validator.Error
+	if eris.As(cause, &broken) {
+		task.entry.meters.countBrokenAnswer(task.service, broken.Part)
+	}
+}
+
 // probeReplica checks whether a replica that failed a request is down, so that the next requests need
 // not fail to find out. If it is, and the request may have run there, the request was in flight at a
 // crash. The first probe is waited for: the request must not be tried again before its crashes
@@ -362,6 +372,10 @@
 	if eris.As(result.cause, &long) {
 		fields["part"], fields["limit"] = long.Part.String(), long.Limit
 	}
+	var broken validator.Error
+	if eris.As(result.cause, &broken) {
+		fields["part"] = string(broken.Part)
+	}
 	task.entry.settings.Log.WithFields(fields).Info("attempt failed")
 }
 
--- /dev/null
+++ b/internal/relayer/broken_answer_test.go
@@ -0,0 +1,94 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/trefoilseam/trefoilseam/internal/receiver"
+	"github.com/trefoilseam/trefoilseam/internal/router"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// resetAfter writes a text to a caller whose request is long, and resets the connection.
+func resetAfter(text string) func(conn net.Conn, id string) {
+	return func(conn net.Conn, id string) {
+		tcp := conn.(*net.TCPConn)
+		_ = tcp.SetReadBuffer(4 << 10)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "{id}", id))
+		_ = timekeeper.Steady().Sleep(context.Background(), 2)
+		_, _ = tcp.SetLinger(0), tcp.Close()
+	}
+}
+
+// brokenAnswers returns how many answers were counted as broken, by part.
+func brokenAnswers(scope tally.TestScope) map[string]int64 {
+	counts := map[string]int64{}
+	for _, counter := range scope.Snapshot().Counters() {
+		if counter.Name() == "relay.broken-answers" {
+			counts[counter.Tags()["part"]] += counter.Value()
+		}
+	}
+	return counts
+}
+
+func TestCallersOfBrokenAnswers(t *testing.T) {
+	// Guards against part of an answer, or bytes that are none, that a caller gets as a whole answer.
+	const upload = 4 << 20
+	safe, once := router.Route{Kind: router.Safe}, router.Route{Kind: router.Once}
+	stream, resumable := router.Route{Kind: router.Stream}, router.Route{Kind: router.Stream, Resumable: true}
+	tests := []struct {
+		name  string
+		route router.Route
+		first func(conn net.Conn, id string)
+		// status and body are what the caller gets; broken reports whether its answer breaks off.
+		status int
+		body   string
+		broken bool
+		part   string
+	}{
+		{"reset during the upload, once only", once, resetAfter(plainHead + "\r\npart"), 502, "", false, "end"},
+		{"reset during the upload, safe", safe, resetAfter(plainHead + "\r\npart"), 200, "sound", false, "end"},
+		{"reset during the upload, in a stream", stream, resetAfter(streamHead + "\r\n" + twoEvents), 200, twoEvents, true, "end"},
+		{"reset during the upload, in a resumable stream", resumable, resetAfter(streamHead + "\r\n" + twoEvents), 200, twoEvents + "id: 3\ndata: c\n\n", false, "end"},
+		{"reset before the first event", stream, resetAfter(streamHead + "\r\n"), 502, "", false, "end"},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			sound := func(conn net.Conn, id string) {
+				text := plainHead + "Content-Length: 5\r\n\r\nsound"
+				if test.route.Kind == router.Stream {
+					text = streamHead + "\r\nid: 3\ndata: c\n\n"
+				}
+				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "{id}", id))
+				_ = conn.(*net.TCPConn).CloseWrite()
+				_, _ = io.Copy(io.Discard, conn)
+			}
+			entry, scope := endlessEntry(t, twoReplicas(t, test.first, sound), test.route, Call{Deadline: 10 * timekeeper.Second, MaxOutputTokens: 80})
+			entry.bodies = receiver.NewMemory(2 * upload)
+			front := httptest.NewServer(entry)
+			defer front.Close()
+			request, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL+"/", bytes.NewReader(make([]byte, upload)))
+			request.Host = "kitchen.example"
+			request.Header.Set("Id", "r-1")
+			response, err := http.DefaultClient.Do(request)
+			So(err, ShouldBeNil)
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			So(response.StatusCode, ShouldEqual, test.status)
+			So(err != nil, ShouldEqual, test.broken)
+			if test.body != "" {
+				So(string(body), ShouldEqual, test.body)
+			}
+			So(brokenAnswers(scope), ShouldResemble, map[string]int64{test.part: 1})
+		})
+	}
+}
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/reserver"
+	"github.com/trefoilseam/trefoilseam/internal/validator"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -101,6 +102,12 @@
 	meters.scope.Tagged(tags).Counter("long-answers").Inc(1)
 }
 
+// countBrokenAnswer counts an answer that wasn't whole or valid by its part.
+func (meters *meters) countBrokenAnswer(service string, part validator.Part) {
+	tags := map[string]string{labelService: meters.service(service), "part": string(part)}
+	meters.scope.Tagged(tags).Counter("broken-answers").Inc(1)
+}
+
 // countStatement counts a statement that a replica made in an answer.
 func (meters *meters) countStatement(service, statement string) {
 	tags := map[string]string{labelService: meters.service(service), "statement": statement}
--- /dev/null
+++ b/internal/validator/error.go
@@ -0,0 +1,28 @@
+package validator
+
+// Part is a part of an answer.
+type Part string
+
+// End is the end of an answer that ends with its connection.
+const End Part = "end"
+
+// Error is the error of an answer that isn't whole, or that HTTP/1.1 doesn't allow. The connection
+// can't carry another exchange.
+type Error struct {
+	// Part is the first part that is broken.
+	Part Part
+	// Cause is why a connection ended, nil if that isn't known.
+	Cause error
+}
+
+// Error names the part and its fault.
+func (broken Error) Error() string {
+	text := "the connection was reset before the end of the answer"
+	if broken.Cause != nil {
+		text += ": " + broken.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (broken Error) Unwrap() error { return broken.Cause }
