validator, connector: an answer whose head HTTP/1.1 doesn't allow is none

Callers got an answer with a line that isn't a field, or with a body that wasn't the replica's: where the name of a field holds a blank, as in 'Content-Length : 4', the field doesn't frame the body, so that bytes after it, or the sizes of chunks, were passed on in it. A status of 000 was skipped like an interim answer, and what came next was taken as the answer. Versions other than 1, codes over 599 and control bytes in the reason were taken too.

Cause: http.ReadResponse is lenient; the connector took what it parsed, and each code under 200 as interim.

Change: validator.CheckHead, by httpguts of golang.org/x/net, is asked for each head, those of interim answers included. Such an answer is a broken one: its connection is closed, another replica gets the request where it may run again, else its caller is told 502. The line 'attempt failed' names the part and quotes it, relay_broken_answers counts it by part.

Why it works: a name, code, reason and version is held against the grammar, not against a list of faults. net/http rejects the rest: control bytes, tabs and bytes over 127 in names, control bytes in values, two lengths, lengths with a sign, unknown codings. Those cases held before and stay as tests.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/trefoilseam/trefoilseam/internal/validator"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -263,6 +264,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := validator.CheckHead(head); err != nil {
+			return nil, err
+		}
 		if head.StatusCode >= http.StatusOK {
 			return head, nil
 		}
--- a/internal/relayer/broken_answer_test.go
+++ b/internal/relayer/broken_answer_test.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// reply writes a text and ends the connection in order.
+func reply(text string) func(conn net.Conn, id string) {
+	return func(conn net.Conn, id string) {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "{id}", id))
+		_ = conn.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
 // brokenAnswers returns how many answers were counted as broken, by part.
 func brokenAnswers(scope tally.TestScope) map[string]int64 {
 	counts := map[string]int64{}
@@ -60,17 +69,22 @@
 		{"reset during the upload, in a stream", stream, resetAfter(streamHead + "\r\n" + twoEvents), 200, twoEvents, true, "end"},
 		{"reset during the upload, in a resumable stream", resumable, resetAfter(streamHead + "\r\n" + twoEvents), 200, twoEvents + "id: 3\ndata: c\n\n", false, "end"},
 		{"reset before the first event", stream, resetAfter(streamHead + "\r\n"), 502, "", false, "end"},
+		{"status 000, once only", once, reply("HTTP/1.1 000 Trouble\r\nId: {id}\r\nSigned: 1\r\nContent-Length: 4\r\n\r\nbody"), 502, "", false, "status"},
+		{"status 000, safe", safe, reply("HTTP/1.1 000 Trouble\r\nId: {id}\r\nSigned: 1\r\n\r\n"), 200, "sound", false, "status"},
+		{"status 000 before a sound answer", once, reply("HTTP/1.1 000 Trouble\r\n\r\n" + plainHead + "Content-Length: 4\r\n\r\nbody"), 502, "", false, "status"},
+		{"a blank in a name, once only", once, reply(plainHead + "Content Type: x\r\nContent-Length: 4\r\n\r\nbody"), 502, "", false, "field-name"},
+		{"a blank in a name, safe", safe, reply(plainHead + "Content Type: x\r\nContent-Length: 4\r\n\r\nbody"), 200, "sound", false, "field-name"},
+		{"a length behind a blank", once, reply(plainHead + "Content-Length : 4\r\n\r\nbodymore"), 502, "", false, "field-name"},
+		{"chunks behind a blank", once, reply(plainHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"), 502, "", false, "field-name"},
+		{"a control byte in a name", once, reply(plainHead + "Content\x01Type: x\r\nContent-Length: 4\r\n\r\nbody"), 502, "", false, ""},
+		{"a blank in a name of a stream", stream, reply(streamHead + "Content Type: x\r\n\r\n" + twoEvents), 502, "", false, "field-name"},
+		{"a blank in a name of a refusal", once, reply(refusal + "Content Type: x\r\nContent-Length: 0\r\n\r\n"), 502, "", false, "field-name"},
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			sound := func(conn net.Conn, id string) {
-				text := plainHead + "Content-Length: 5\r\n\r\nsound"
-				if test.route.Kind == router.Stream {
-					text = streamHead + "\r\nid: 3\ndata: c\n\n"
-				}
-				_, _ = io.WriteString(conn, strings.ReplaceAll(text, "{id}", id))
-				_ = conn.(*net.TCPConn).CloseWrite()
-				_, _ = io.Copy(io.Discard, conn)
+			sound := reply(plainHead + "Content-Length: 5\r\n\r\nsound")
+			if test.route.Kind == router.Stream {
+				sound = reply(streamHead + "\r\nid: 3\ndata: c\n\n")
 			}
 			entry, scope := endlessEntry(t, twoReplicas(t, test.first, sound), test.route, Call{Deadline: 10 * timekeeper.Second, MaxOutputTokens: 80})
 			entry.bodies = receiver.NewMemory(2 * upload)
@@ -88,7 +102,9 @@
 			if test.body != "" {
 				So(string(body), ShouldEqual, test.body)
 			}
-			So(brokenAnswers(scope), ShouldResemble, map[string]int64{test.part: 1})
+			if test.part != "" {
+				So(brokenAnswers(scope), ShouldResemble, map[string]int64{test.part: 1})
+			}
 		})
 	}
 }
