validator, limiter, runner: clients of net/http reject broken answers too

What callers saw: behind agents, part of an upstream's answer that was reset during the upload as a whole one, a status of 000, and a body that wasn't the upstream's where a blank stood before the colon of its length. pkg/caller returned the same as answers of an entry. The store, peers' copies, engines' orders and prefixes, and the pages that commands read went through the same transport.

Cause: http.Transport writes and reads at the same time, and closes the connection for a failed write only after the reader may have taken the end for an orderly one; it parses heads as http.ReadResponse does, and takes statuses under 100.

Change: validator.Transport wraps http.Transport: its connections are Conns, and it holds each head against CheckFinalHead. limiter.Client and limiter.Transport return it, and all clients of the project come from there: platform.Store, storekeeper.Remote, peers, agents, pkg/caller, commands.

Why it works: an answer is an error for each reader before it acts on it. A write without an answer counts as unknown, as it did for a lost one.

--- a/cmd/trefoilseam/quarantine.go
+++ b/cmd/trefoilseam/quarantine.go
@@ -97,7 +97,9 @@
 	if err != nil {
 		return nil, eris.Wrap(errUsage, err.Error())
 	}
-	response, err := http.DefaultClient.Do(request)
+	client, release := newPageClient()
+	defer release()
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, eris.Wrapf(err, "entry %s", entry)
 	}
--- a/cmd/trefoilseam/shares.go
+++ b/cmd/trefoilseam/shares.go
@@ -101,7 +101,9 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "entry %s", entry)
 	}
-	response, err := http.DefaultClient.Do(request)
+	client, release := newPageClient()
+	defer release()
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, eris.Wrapf(err, "entry %s", entry)
 	}
--- a/cmd/trefoilseam/status.go
+++ b/cmd/trefoilseam/status.go
@@ -83,7 +83,9 @@
 	if err != nil {
 		return report, eris.Wrap(errUsage, err.Error())
 	}
-	response, err := http.DefaultClient.Do(request)
+	client, release := newPageClient()
+	defer release()
+	response, err := client.Do(request)
 	if err != nil {
 		return report, eris.Wrap(err, "status page")
 	}
--- a/internal/limiter/read.go
+++ b/internal/limiter/read.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/validator"
 )
 
 // MaxHeadBytes bounds the head of an answer of the platform, a peer or an engine, in bytes.
@@ -42,9 +44,15 @@
 	return eris.Wrap(json.Unmarshal(text, into), "decode JSON")
 }
 
-// Client returns a client whose answers have heads of at most MaxHeadBytes, and a function that closes
-// its idle connections. The transport isn't shared and may be changed before the first call.
-func Client(transport *http.Transport) (*http.Client, func()) {
+// Transport returns a transport whose answers have heads of at most MaxHeadBytes, and are whole and
+// valid: others are errors of package validator. The given one isn't shared and may be changed before
+// the first call.
+func Transport(transport *http.Transport) *validator.Transport {
 	transport.MaxResponseHeaderBytes = MaxHeadBytes
-	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+	return validator.NewTransport(transport)
+}
+
+// Client returns a client of a Transport, and a function that closes its idle connections.
+func Client(transport *http.Transport) (*http.Client, func()) {
+	return &http.Client{Transport: Transport(transport)}, transport.CloseIdleConnections
 }
--- a/internal/runner/upstream.go
+++ b/internal/runner/upstream.go
@@ -13,14 +13,15 @@
 	"github.com/trefoilseam/trefoilseam/internal/marker"
 	"github.com/trefoilseam/trefoilseam/internal/replayer"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
+	"github.com/trefoilseam/trefoilseam/internal/validator"
 )
 
 // upstream is the HTTP client of the upstream instance.
 type upstream struct {
 	base      string
 	service   resolver.Service
-	pooled    *http.Transport
-	singleUse *http.Transport
+	pooled    *validator.Transport
+	singleUse *validator.Transport
 }
 
 // newUpstream returns the HTTP client of an upstream.
@@ -33,8 +34,8 @@
 	return &upstream{
 		base:      strings.TrimSuffix(base, "/"),
 		service:   service,
-		pooled:    &http.Transport{MaxIdleConnsPerHost: service.Slots, DisableCompression: true, MaxResponseHeaderBytes: limiter.MaxHeadBytes},
-		singleUse: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: limiter.MaxHeadBytes},
+		pooled:    limiter.Transport(&http.Transport{MaxIdleConnsPerHost: service.Slots, DisableCompression: true}),
+		singleUse: limiter.Transport(&http.Transport{DisableKeepAlives: true, DisableCompression: true}),
 	}
 }
 
--- /dev/null
+++ b/internal/validator/transport_test.go
@@ -0,0 +1,79 @@
+package validator
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestAnswersToATransport(t *testing.T) {
+	// Guards against part of an answer, or bytes that are none, that a client of net/http takes for an answer.
+	const long = 8 << 20
+	tests := []struct {
+		name, answer string
+		length       int
+		reset        bool
+		part         Part
+	}{
+		{"sound", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", 0, false, ""},
+		{"sound, to the end of the connection", "HTTP/1.1 200 OK\r\n\r\nbody", 0, false, ""},
+		{"reset during the upload", "HTTP/1.1 200 OK\r\n\r\nbody", long, true, End},
+		{"reset after a short request", "HTTP/1.1 200 OK\r\n\r\nbody", 0, true, End},
+		{"status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody", 0, false, Status},
+		{"status 000 without a body", "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n", 0, false, Status},
+		{"status 600", "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\nbody", 0, false, Status},
+		{"a switch of protocols", "HTTP/1.1 101 Switching\r\n\r\nbody", 0, false, Status},
+		{"a length behind a blank", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbodymore", 0, false, FieldName},
+		{"a control byte in the reason", "HTTP/1.1 200 O\x01K\r\nContent-Length: 4\r\n\r\nbody", 0, false, Reason},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, test.answer)
+				if test.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			transport := NewTransport(&http.Transport{})
+			defer transport.CloseIdleConnections()
+			for range 10 {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, bytes.NewReader(make([]byte, test.length)))
+				So(err, ShouldBeNil)
+				body, err := roundTrip(transport, request)
+				if test.part == "" {
+					So(err, ShouldBeNil)
+					So(body, ShouldEqual, "body")
+					continue
+				}
+				So(err, ShouldNotBeNil)
+				var broken Error
+				if eris.As(err, &broken) {
+					So(broken.Part, ShouldEqual, test.part)
+				}
+			}
+		})
+	}
+}
+
+// roundTrip sends a request and returns the body of its answer.
+func roundTrip(transport http.RoundTripper, request *http.Request) (string, error) {
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -31,7 +31,8 @@
 	// A call whose answer is longer fails with ErrUnknown; a stream breaks off there, and is resumed.
 	MaxAnswerBytes int64
 	// Client sends the requests; nil means a client without keep-alive, so that the
-	// transport never resends a request by itself.
+	// transport never resends a request by itself. It also rejects answers that were reset
+	// or aren't HTTP/1.1, which a transport of net/http may take for whole ones.
 	Client *http.Client
 	// Clock times the pauses between tries and the expiry of cached keys; the zero value
 	// means the wall clock.
