assembler, relayer: a stop ends with an answer for each request in flight

What callers saw: in a planned stop, in calm, requests that lasted longer than the grace were cut without an answer, among them some that must run at most once and had been taken after the signal.

Cause: during the delay of the stop an entry took each request, whatever its deadline, and the requests in flight at the end of the grace ended with the process.

Change: from the signal on, a request that must run at most once is refused, unexecuted and with Retry-After, if its deadline is later than the entry's end. 300 ms before the exit the contexts of the requests in flight are cancelled with a cause that tells them from callers that left: each gets its final answer, 502 if it may have run, a refusal if not, and a stream that has begun breaks off. No replica is blamed.

Why it works: what is taken and can't be repeated has its deadline, and with it an answer, before the end. What was in flight before is told the truth while the process still runs. The cancellation is that of the connections' base context, so a request pays nothing for it.

Evidence: TestRequestsAtTheEndOfTheGrace fails on the code before in each of its six cases (no answer), and holds now.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -54,15 +54,6 @@
 	gcPercent = 25
 	// defaultMegabytes is the assumed memory of the process if the settings name none.
 	defaultMegabytes = 256
-	// stopPollInterval is how often a stopping entry checks whether its last call ended.
-	stopPollInterval = 30 * timekeeper.Millisecond
-	// exitMargin is how long before the end of the stop grace period, at which the platform
-	// kills the process, a stopping entry exits.
-	exitMargin = 300 * timekeeper.Millisecond
-	// closeMargin is how long before its exit a stopping entry closes its listener, to
-	// answer what has arrived: on a machine with an eighth of a core, requests stay unread
-	// for half a second.
-	closeMargin = timekeeper.Second
 )
 
 // DirectEnvironment holds the external dependencies of a Direct.
@@ -117,7 +108,10 @@
 	replicas         *follower.Follower[balancer.Replica]
 
 	listeners directListeners
-	cleanups  []func()
+	// requests is the context of all requests of callers, endRequests cancels it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	cleanups    []func()
 }
 
 // NewDirect returns a listening entry and a function that releases its resources. file
@@ -127,6 +121,8 @@
 	direct.log = env.Log.WithField("process", settings.Name)
 	direct.connTracker = newConnTracker(direct.clock, settings.Descriptors)
 	limitMemory(settings)
+	direct.requests, direct.endRequests = context.WithCancelCause(context.Background())
+	direct.onRelease(func() { direct.endRequests(nil) })
 	var release func()
 	direct.scope, direct.metrics, release = measurer.New(settings.Name, direct.log)
 	direct.onRelease(release)
@@ -313,13 +309,8 @@
 		}
 		return <-stopped
 	}, func(error) {
-		// Answers must close their connections before the entry reports not ready, so
-		// this comes first.
-		direct.frontend.CloseConnections()
-		direct.readiness.stopping.Store(true)
-		direct.peers.gossiper.AnnounceStop()
-		direct.log.WithField("active", direct.frontend.Active()).Info("entry stops: not ready, callers are asked to leave")
-		go func() { stopped <- direct.shutDown(server) }()
+		exitAt := direct.beginStop()
+		go func() { stopped <- direct.shutDown(server, exitAt) }()
 	})
 }
 
@@ -329,6 +320,7 @@
 		Handler:           serveUnlessClosed(handler, func() { direct.scope.Counter("requests-on-closed-connections").Inc(1) }),
 		ReadHeaderTimeout: callerHeaderTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
 		MaxHeaderBytes: callerMaxHeaderBytes, ConnState: direct.connTracker.trackState, ConnContext: withConn,
+		BaseContext: func(net.Listener) context.Context { return direct.requests },
 	}
 }
 
@@ -340,46 +332,3 @@
 		stopping: &direct.readiness.stopping,
 	}
 }
-
-// shutDown ends the server once no request is in flight, at the latest shortly before
-// the process would be killed.
-//
-// The platform's load balancer checks readiness once a second and stops sending callers
-// after two failed checks; if all entries stop at once, it goes on sending them. So the
-// listener stays open after the delay for as long as requests are in flight: requests
-// that fit into the remaining time are served, others are refused with Retry-After.
-//
-// The listener and idle connections are closed while there is time to answer all
-// requests that have arrived. Otherwise, if a stream lasts until the entry's exit, a
-// request that arrives just before it stays unread, and its caller gets neither an
-// answer nor a refusal.
-func (direct *Direct) shutDown(server *http.Server) error {
-	exitAt := direct.clock.Now().Add(direct.settings.StopGrace - exitMargin)
-	closeAt := exitAt.Add(-closeMargin)
-	ctx, cancel := context.WithTimeout(context.Background(), (direct.settings.StopGrace - exitMargin).Duration())
-	defer cancel()
-	unregistered := make(chan struct{})
-	go func() {
-		defer close(unregistered)
-		direct.peers.unregister(ctx)
-	}()
-	_ = direct.clock.Sleep(ctx, direct.settings.StopDelay)
-	direct.frontend.Stop(exitAt)
-	for direct.frontend.Active() > 0 && direct.clock.Now() < closeAt || hasPendingConnections(direct.listeners.frontend) {
-		if direct.clock.Sleep(ctx, stopPollInterval) != nil {
-			break
-		}
-	}
-	err := server.Shutdown(ctx)
-	// callerConn.Close keeps connections on which a request has just arrived: wait until
-	// these requests are answered.
-	for direct.connTracker.count() > 0 && direct.clock.Sleep(ctx, stopPollInterval) == nil {
-		continue
-	}
-	select {
-	case <-unregistered:
-	case <-ctx.Done():
-	}
-	direct.log.WithField("cut", direct.frontend.Active()).WithField("whole", err == nil).Info("entry stopped")
-	return nil
-}
--- a/internal/assembler/direct_stop_test.go
+++ b/internal/assembler/direct_stop_test.go
@@ -5,10 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/sequencer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 	"github.com/trefoilseam/trefoilseam/platform"
 	"github.com/trefoilseam/trefoilseam/platform/emulator"
@@ -28,12 +32,20 @@
 	direct, release := directOnLoopback(t)
 	t.Cleanup(release)
 	direct.settings.StopGrace = grace
-	document, err := platform.DecodeConfiguration(emulator.Configuration(1, emulator.Routes(host)))
+	entry := &stoppingEntry{Direct: direct, stopped: make(chan struct{})}
+	entry.server = direct.callerServer(direct.frontend)
+	entry.configure(t, 1, emulator.Routes(host))
+	return entry
+}
+
+// configure gives the entry a version of the configuration.
+func (entry *stoppingEntry) configure(t *testing.T, version int, routes []emulator.Route) {
+	t.Helper()
+	document, err := platform.DecodeConfiguration(emulator.Configuration(version, routes))
 	if err != nil {
 		t.Fatal(err)
 	}
-	direct.applyConfiguration(document, "test")
-	return &stoppingEntry{Direct: direct, server: direct.callerServer(direct.frontend), stopped: make(chan struct{})}
+	entry.applyConfiguration(document, "test")
 }
 
 func (entry *stoppingEntry) serve() {
@@ -41,10 +53,10 @@
 }
 
 func (entry *stoppingEntry) stop() {
-	entry.readiness.stopping.Store(true)
+	exitAt := entry.beginStop()
 	go func() {
 		defer close(entry.stopped)
-		_ = entry.shutDown(entry.server)
+		_ = entry.shutDown(entry.server, exitAt)
 	}()
 }
 
@@ -164,3 +176,68 @@
 		<-entry.stopped
 	})
 }
+
+// silentReplica accepts requests and never answers. It returns its address and the count of requests.
+func silentReplica(t *testing.T) (address string, requests *atomic.Int32) {
+	t.Helper()
+	requests = &atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), requests
+}
+
+func TestRequestsAtTheEndOfTheGrace(t *testing.T) {
+	// Guards against requests that are cut without an answer when the grace of a stop ends, and against taking
+	// some that may not be repeated so late that they might be.
+	const long = 20 * timekeeper.Second
+	tests := []struct {
+		name string
+		kind string
+		// during reports whether the request is sent in the delay of the stop, rather than before the stop.
+		during bool
+		status int
+		sent   int32
+	}{
+		{"sent before the stop, once only", "unsafe", false, http.StatusBadGateway, 1},
+		{"sent before the stop, safe", "safe", false, http.StatusBadGateway, 1},
+		{"sent before the stop, a stream", "stream", false, http.StatusBadGateway, 1},
+		{"sent during the delay, once only", "unsafe", true, http.StatusServiceUnavailable, 0},
+		{"sent during the delay, a stream", "stream", true, http.StatusServiceUnavailable, 0},
+		{"sent during the delay, safe", "safe", true, http.StatusBadGateway, 1},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			entry := newStoppingEntry(t, closeMargin+exitMargin+300)
+			entry.settings.StopDelay = 600
+			entry.configure(t, 2, []emulator.Route{
+				{Name: "slow", Host: host, Prefix: "/slow/", Kind: test.kind, Timeout: int(long), Service: emulator.Orders, Attempts: 1, Public: true},
+			})
+			address, requests := silentReplica(t)
+			entry.fleet.With(func(fleet *balancer.Fleet) {
+				fleet.SetReplicas([]balancer.Replica{{ID: "r-1", Service: emulator.Orders, Address: address, Slots: 8}}, sequencer.Version{Number: 1})
+			})
+			entry.serve()
+			if test.during {
+				entry.stop()
+				So(entry.runs(t, 100), ShouldBeTrue)
+			}
+			conn, err := entry.call(t, emulator.RequestHead(http.MethodPost, host, "/slow/", "r-1", 2)+"{}")
+			So(err, ShouldBeNil)
+			if !test.during {
+				for ends := entry.clock.Now().Add(testTimeout); requests.Load() == 0 && entry.clock.Now() < ends; {
+					_ = entry.clock.Sleep(t.Context(), 1)
+				}
+				entry.stop()
+			}
+			// The process would have exited by then.
+			_ = conn.SetReadDeadline(timekeeper.In(3 * timekeeper.Second))
+			So(answered(conn), ShouldEqual, test.status)
+			So(requests.Load(), ShouldEqual, test.sent)
+			<-entry.stopped
+		})
+	}
+}
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -276,9 +276,9 @@
 // strikes, logs a failure, and probes the replica if it may be down.
 func (task *task) recordOutcome(placement *balancer.Placement, result attemptResult) {
 	outcome := balancer.Served
-	callerLeft := task.r.Context().Err() != nil
+	cancelled := task.r.Context().Err() != nil
 	switch {
-	case callerLeft && result.verdict != answered, notAdmitted(result.cause):
+	case cancelled && result.verdict != answered, notAdmitted(result.cause):
 		outcome = balancer.Abandoned
 	case result.verdict == unsent && eris.Is(result.cause, connector.ErrUnreachable):
 		outcome = balancer.Unreachable
@@ -300,7 +300,7 @@
 	}
 	task.countFaultyAnswer(result.cause)
 	task.logAttempt(result)
-	if callerLeft || !task.probeReplica(result) {
+	if cancelled || !task.probeReplica(result) {
 		task.endTrial()
 	}
 }
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -86,8 +87,9 @@
 	meters    *meters
 	startedAt timekeeper.Instant
 	closing   atomic.Bool
-	// stopsAt is the instant at which the entry stops, or zero while it is not stopping.
-	stopsAt atomic.Int64
+	draining  atomic.Bool
+	// endsAt is the instant at which a stopping entry ends.
+	endsAt atomic.Int64
 	// active is the number of requests in flight.
 	active atomic.Int64
 	// bodies and answers are the memory for request bodies and for answers.
@@ -154,12 +156,28 @@
 // shedding depends on it.
 func (entry *Entry) MeasureLateness(ctx context.Context) { entry.shedder.run(ctx) }
 
-// CloseConnections makes the entry close each connection after its next answer.
-func (entry *Entry) CloseConnections() { entry.closing.Store(true) }
+// ErrStopping is the cause with which the contexts of requests are cancelled that are in flight when
+// the entry ends. They get their final answers then; other cancelled requests have lost their callers.
+var ErrStopping = eris.New("the entry stops")
 
-// Stop refuses requests that might not be answered before the entry stops, so that
-// none is cut off. It is called after CloseConnections.
-func (entry *Entry) Stop(at timekeeper.Instant) { entry.stopsAt.Store(int64(at)) }
+// Stop makes the entry close each connection after its next answer. It refuses requests that must run
+// at most once and might not be answered by an instant.
+func (entry *Entry) Stop(endsAt timekeeper.Instant) {
+	entry.endsAt.Store(int64(endsAt))
+	entry.closing.Store(true)
+}
+
+// Drain makes a stopping entry refuse all requests that might not be answered by the instant at which
+// it ends.
+func (entry *Entry) Drain() { entry.draining.Store(true) }
+
+// endsBefore reports whether a request is refused since the entry may end before its answer.
+func (entry *Entry) endsBefore(task *task) bool {
+	if !entry.closing.Load() || !entry.draining.Load() && task.route.Idempotent() {
+		return false
+	}
+	return task.until.Add(answerGrace) > timekeeper.Instant(entry.endsAt.Load())
+}
 
 // HeldBytes returns how many bytes of request bodies and of answers are held in memory.
 func (entry *Entry) HeldBytes() (bodies, answers int64) {
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -117,8 +117,8 @@
 // run reads the request's body, relays the request and answers the caller.
 func (task *task) run() {
 	task.until = task.deadline()
-	if stopsAt := timekeeper.Instant(task.entry.stopsAt.Load()); stopsAt != 0 && task.until.Add(answerGrace) > stopsAt {
-		task.finish(classifier.New(classifier.Draining, "the entry stops").WithRetryAfter(task.retryAfter()))
+	if task.entry.endsBefore(task) {
+		task.finish(classifier.New(classifier.Draining, ErrStopping.Error()).WithRetryAfter(task.retryAfter()))
 		return
 	}
 	failure, read := task.readBody()
@@ -147,6 +147,12 @@
 	task.finish(failure)
 }
 
+// callerLeft reports whether the caller has closed its connection.
+func (task *task) callerLeft() bool {
+	ctx := task.r.Context()
+	return ctx.Err() != nil && context.Cause(ctx) != ErrStopping
+}
+
 // remaining returns the time left for replicas, with the grace. The timeout starts at the
 // request's head, so a slow body uses up part of it.
 func (task *task) remaining(now timekeeper.Instant) timekeeper.Span {
@@ -169,7 +175,7 @@
 		if result.verdict == answered {
 			return classifier.Failure{}
 		}
-		if task.r.Context().Err() != nil {
+		if task.callerLeft() {
 			return classifier.New(classifier.CallerGone, result.causeText())
 		}
 		if ctx.Err() != nil || !task.retryAllowed(result) {
@@ -271,7 +277,7 @@
 // placementFailure returns the failure of a request that got no replica.
 func (task *task) placementFailure(ctx context.Context, waiter *balancer.Waiter) classifier.Failure {
 	reason := string(waiter.Reason)
-	if task.r.Context().Err() != nil {
+	if task.callerLeft() {
 		return classifier.New(classifier.CallerGone, "the caller left while the request waited for a replica")
 	}
 	if task.runs > 0 {
