assembler, resumer, balancer: an entry that stood still doesn't trust its list

Reported of another system: during a release one machine stood still or was cut off for a few seconds while replicas of a new software version joined; streams that had begun there broke, were taken up at that machine and went on at another version.

In the model it can happen: a machine is suspended, its clock doesn't count that, and its list seems fresh. A version that was listed meanwhile began a stream; the peers that knew it were killed, and the list is back. The entry concludes that no other version can have begun it.

Cause: the age of the list is taken by a clock that stands still with the machine.

Change: once a second and before each stream that is taken up, the time since boot shows whether the process stood still for over two seconds. If so, its history of versions begins anew, and no stream goes on by its rows, until the list is confirmed by a later instant. A line says so.

Why it works: what an entry knew before it stood still counts for nothing that depends on versions; records, which are right or missing, count as before.

TestContinuationsOfAProcessThatStoodStill and TestAProcessThatStoodStillKnowsNoVersion need the new calls.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -196,7 +196,7 @@
 		OnLeaveAnnounced:   direct.peers.gossiper.SendLeaveAnnounced,
 		OnCold:             direct.announceCold,
 		OnStreamBegun:      direct.peers.streams.Record,
-		FindOrigin:         direct.peers.streams.Find,
+		FindOrigin:         direct.findOrigin,
 		ListConfirmation:   func() follower.Confirmation { return direct.replicas.LastConfirmation() },
 		Crashes:            direct.crashSharing(),
 		TooManyConnections: direct.connTracker.nearLimit,
--- a/internal/assembler/direct_versions.go
+++ b/internal/assembler/direct_versions.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -13,8 +14,13 @@
 	"github.com/trefoilseam/trefoilseam/platform"
 )
 
+// maxStandstill bounds the time between two calls of versions.confirm, which a loop calls once a second,
+// of a process that runs.
+const maxStandstill = 2 * timekeeper.Second
+
 // versions is what the entry has seen of the software versions of each service. The follower of the
-// list of replicas holds its lock while it calls observe, so mu is taken after that lock.
+// list of replicas holds its lock while it calls observe, so mu is taken after that lock; that
+// of the fleet is taken last.
 type versions struct {
 	clock timekeeper.Clock
 	fleet *balancer.Guarded
@@ -23,6 +29,9 @@
 	// called without mu.
 	confirmedAt func() timekeeper.Instant
 
+	// sinceBoot is the time by a clock that counts suspended time.
+	sinceBoot func() timekeeper.Instant
+
 	// isPrimary reports whether this entry writes what it has seen into the store.
 	isPrimary func() bool
 	store     *platform.Store
@@ -30,6 +39,8 @@
 
 	mu      sync.Mutex
 	history *resumer.History
+	// lookedAt is when confirm was last called, by sinceBoot.
+	lookedAt timekeeper.Instant
 	// written is what the store has of each service in writtenEra, as far as this entry knows.
 	written    map[string]resumer.Sighting
 	writtenEra uint64
@@ -39,8 +50,8 @@
 	return &versions{
 		clock: direct.clock, fleet: direct.fleet, store: store, log: direct.log,
 		history: resumer.NewHistory(direct.settings.FirstStart), written: map[string]resumer.Sighting{},
-		confirmedAt: func() timekeeper.Instant { return direct.replicas.LastConfirmed() },
-		isPrimary:   func() bool { return direct.peers.isPrimary() },
+		confirmedAt: func() timekeeper.Instant { return direct.replicas.LastConfirmed() }, sinceBoot: timekeeper.SinceBoot().Now,
+		isPrimary: func() bool { return direct.peers.isPrimary() },
 		era: func() uint64 {
 			newest, _ := direct.eras.Known()
 			return newest
@@ -56,16 +67,34 @@
 	versions.history.Observe(list, now)
 }
 
-// confirm records when the list was last known to be up to date. It is called more often than a
+// confirm records when the list was last known to be up to date, and whether this process has stood still
+// since the last call: what it knows is then older than it seems. It is called more often than a
 // history bears a gap.
 func (versions *versions) confirm() {
-	at := versions.confirmedAt()
-	versions.fleet.With(func(fleet *balancer.Fleet) { fleet.ConfirmList(at) })
+	now, at, looked := versions.clock.Now(), versions.confirmedAt(), versions.sinceBoot()
 	versions.mu.Lock()
 	defer versions.mu.Unlock()
+	stood := looked.Since(cmp.Or(versions.lookedAt, looked))
+	versions.lookedAt = looked
+	if stood > maxStandstill {
+		versions.log.WithField("span-ms", int64(stood)).Warn("this process stood still: streams go on once the list of replicas is confirmed")
+		versions.history.Interrupt(now)
+	}
+	versions.fleet.With(func(fleet *balancer.Fleet) {
+		if stood > maxStandstill {
+			fleet.DoubtList(now)
+		}
+		fleet.ConfirmList(at)
+	})
 	versions.history.Confirm(at)
 }
 
+// findOrigin finds out where a stream began, for a request that may have waited while this process stood still.
+func (direct *Direct) findOrigin(ctx context.Context, question resumer.Question) resumer.Finding {
+	direct.versions.confirm()
+	return direct.peers.streams.Find(ctx, question)
+}
+
 // of returns what the entry has seen of a service.
 func (versions *versions) of(service string) resumer.Versions {
 	versions.confirm()
--- a/internal/assembler/direct_versions_test.go
+++ b/internal/assembler/direct_versions_test.go
@@ -57,3 +57,30 @@
 		So(successor().For, ShouldBeLessThan, timekeeper.Minute)
 	})
 }
+
+func TestAProcessThatStoodStillKnowsNoVersion(t *testing.T) {
+	// Guards against streams that go on by a list which seems fresh, as the clock didn't count the time for
+	// which the machine was suspended.
+	store := emulator.NewStore(timekeeper.Steady())
+	row := emulator.Row{Service: "planner", Address: "127.0.0.1:7400", DataCentre: "bole", State: "ready", Slots: 8}
+	store.Put("servers", "planner-1", row.Encode())
+	direct, release := directWithStore(t, store)
+	defer release()
+	versions := direct.versions
+	boot := timekeeper.Instant(timekeeper.Hour)
+	versions.history, versions.sinceBoot = resumer.NewHistory(true), func() timekeeper.Instant { return boot }
+	known := resumer.Versions{Only: "v1", For: resumer.HistorySpan}
+	Convey("until the list is confirmed, and its history begins anew", t, func() {
+		direct.replicas.Step(t.Context())
+		So(versions.of("planner"), ShouldResemble, known)
+		boot = boot.Add(maxStandstill)
+		So(versions.of("planner"), ShouldResemble, known)
+		boot = boot.Add(maxStandstill + 1)
+		So(versions.of("planner"), ShouldResemble, resumer.Versions{})
+		_ = direct.clock.Sleep(t.Context(), 2)
+		direct.replicas.Step(t.Context())
+		got := versions.of("planner")
+		So(got.Only, ShouldEqual, "v1")
+		So(got.For, ShouldBeLessThan, timekeeper.Second)
+	})
+}
--- a/internal/balancer/origin_test.go
+++ b/internal/balancer/origin_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+func TestContinuationsOfAProcessThatStoodStill(t *testing.T) {
+	// Guards against a continuation by rows that have become outdated while the process stood still.
+	fleet := versionedFleet()
+	fleet.ConfirmList(start.Add(-100))
+	fleet.DoubtList(start)
+	Convey("none goes on until the list is confirmed, and new streams have no known origin", t, func() {
+		_, reason := fleet.Choose(continuation("v1.1"), start)
+		So(reason, ShouldEqual, NoneOfVersion)
+		placement, _ := fleet.Choose(continuation(""), start)
+		So(placement.Replica.Origin().Known(), ShouldBeFalse)
+		fleet.ConfirmList(start.Add(1))
+		placement, reason = fleet.Choose(continuation("v1.1"), start)
+		So(reason, ShouldEqual, noReason)
+		So(placement.Replica.ID, ShouldEqual, "planner-3")
+	})
+}
+
 func TestAStreamBeginsAtAReplicaThatMayHaveRestarted(t *testing.T) {
 	// Guards against a stream that is recorded as begun at the version of an outdated row.
 	fleet := New(Settings{DataCentre: "bole", Seed: 1})
--- a/internal/resumer/fleet_test.go
+++ b/internal/resumer/fleet_test.go
@@ -22,6 +22,10 @@
 	listed  []string
 	isCut   bool
 	cutAt   timekeeper.Instant
+	// isSuspended reports whether the entry is cut off since its machine is suspended, and suspended for how
+	// long that was in all: its clock doesn't count it. isBehind reports whether it has no list since.
+	isSuspended, isBehind bool
+	suspended             timekeeper.Span
 }
 
 // begunStream is a stream with where and when it began.
@@ -40,14 +44,19 @@
 	isLost   func() bool
 }
 
-// clock returns the fleet's clock, whose timers fire at once: answers arrive before they are
+// timeAt returns the time by the clock of an entry.
+func (fleet *testFleet) timeAt(entry *testEntry) timekeeper.Instant {
+	return fleet.now.Add(-entry.suspended)
+}
+
+// clock returns the clock of an entry, whose timers fire at once: answers arrive before they are
 // waited for.
-func (fleet *testFleet) clock() timekeeper.Clock {
+func (fleet *testFleet) clock(entry *testEntry) timekeeper.Clock {
 	clock := timekeeper.NewManual(start).Clock()
-	clock.Now = func() timekeeper.Instant { return fleet.now }
+	clock.Now = func() timekeeper.Instant { return fleet.timeAt(entry) }
 	clock.After = func(timekeeper.Span) (<-chan timekeeper.Instant, func()) {
 		fired := make(chan timekeeper.Instant, 1)
-		fired <- fleet.now
+		fired <- clock.Now()
 		return fired, func() {}
 	}
 	return clock
@@ -57,7 +66,7 @@
 func (fleet *testFleet) start(address string, firstStart bool) {
 	entry := &testEntry{history: NewHistory(firstStart)}
 	entry.Resumer = New(Settings{
-		Clock: fleet.clock(),
+		Clock: fleet.clock(entry),
 		Peers: func() []string {
 			var peers []string
 			for other := range fleet.entries {
@@ -75,7 +84,7 @@
 		},
 		Versions: func(service string) Versions {
 			fleet.confirm(entry)
-			return entry.history.VersionsOf(service, fleet.now)
+			return entry.history.VersionsOf(service, fleet.timeAt(entry))
 		},
 	})
 	fleet.entries[address] = entry
@@ -84,7 +93,7 @@
 
 // observe gives an entry the list of the store.
 func (fleet *testFleet) observe(entry *testEntry) {
-	if entry.isCut {
+	if entry.isCut || entry.isBehind {
 		return
 	}
 	entry.listed = slices.Clone(fleet.listed)
@@ -92,14 +101,14 @@
 	for i, version := range entry.listed {
 		rows[i] = balancer.Replica{Service: "planner", SoftwareVersion: version}
 	}
-	entry.history.Observe(rows, fleet.now)
+	entry.history.Observe(rows, fleet.timeAt(entry))
 	fleet.confirm(entry)
 }
 
 // confirm confirms the list of an entry, unless it is cut off.
 func (fleet *testFleet) confirm(entry *testEntry) {
-	if !entry.isCut {
-		entry.history.Confirm(fleet.now)
+	if !entry.isCut && !entry.isBehind {
+		entry.history.Confirm(fleet.timeAt(entry))
 	}
 }
 
@@ -126,12 +135,23 @@
 func (fleet *testFleet) join(span timekeeper.Span) {
 	for _, entry := range fleet.entries {
 		if entry.isCut && fleet.now.Since(entry.cutAt) >= span {
-			entry.isCut = false
+			fleet.resume(entry)
+			entry.isBehind = false
 			fleet.observe(entry)
 		}
 	}
 }
 
+// resume ends the cut of an entry. One that was suspended has no new list yet.
+func (fleet *testFleet) resume(entry *testEntry) {
+	entry.isCut = false
+	if entry.isSuspended {
+		entry.isSuspended, entry.isBehind = false, true
+		entry.suspended += fleet.now.Since(entry.cutAt)
+		entry.history.Interrupt(fleet.timeAt(entry))
+	}
+}
+
 func newTestFleet(count int, versions ...string) *testFleet {
 	fleet := &testFleet{now: start, entries: map[string]*testEntry{}, listed: versions, isLost: func() bool { return false }}
 	for number := range count {
@@ -156,6 +176,9 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"begin": func(t *rapid.T) {
 				entry := fleet.entries[anEntry()]
+				if entry.isSuspended {
+					return
+				}
 				version := rapid.SampledFrom(entry.listed).Draw(t, "version")
 				record := Record{
 					Key: KeyOf("bole", "host", "/stock/", fmt.Sprint(tries)), Lifetime: MaxLifetime,
@@ -173,7 +196,11 @@
 				if fleet.now.Since(stream.at) >= MaxLifetime {
 					return
 				}
-				finding := fleet.entries[anEntry()].Find(t.Context(), Question{Key: stream.Key, Service: "planner"})
+				taker := fleet.entries[anEntry()]
+				if taker.isSuspended {
+					return
+				}
+				finding := taker.Find(t.Context(), Question{Key: stream.Key, Service: "planner"})
 				if finding.Origin.Known() && finding.Origin != stream.Origin {
 					t.Fatalf("a stream of %v is taken for one of %v, by %s", stream.Origin, finding.Origin, finding.Source)
 				}
@@ -184,6 +211,22 @@
 					entry.isCut, entry.cutAt = true, fleet.now
 				}
 			},
+			"suspend": func(*rapid.T) {
+				if entry := fleet.entries[anEntry()]; !entry.isCut {
+					entry.isCut, entry.isSuspended, entry.cutAt = true, true, fleet.now
+				}
+			},
+			"resume": func(*rapid.T) {
+				if entry := fleet.entries[anEntry()]; entry.isSuspended {
+					fleet.resume(entry)
+				}
+			},
+			"catch up": func(*rapid.T) {
+				if entry := fleet.entries[anEntry()]; entry.isBehind {
+					entry.isBehind = false
+					fleet.observe(entry)
+				}
+			},
 			"join": func(*rapid.T) { fleet.join(0) },
 			// A version is listed for longer than the list of an entry that is cut off counts.
 			"list": func(t *rapid.T) {
--- a/internal/resumer/history.go
+++ b/internal/resumer/history.go
@@ -19,6 +19,8 @@
 	recalled map[string]sighting
 	// confirmed is when the list was last known to be up to date; zero means never.
 	confirmed timekeeper.Instant
+	// interrupted is when this process last went on after it had stood still.
+	interrupted timekeeper.Instant
 }
 
 // sighting is the only version of a service that has been listed since an instant; the version is
@@ -79,13 +81,22 @@
 	}
 }
 
+// Interrupt records that this process stood still until an instant, for longer than its clock may show.
+// What it knows of the list says nothing until the list is confirmed.
+func (history *History) Interrupt(at timekeeper.Instant) { history.interrupted = at }
+
+// isFresh reports whether the list is up to date.
+func (history *History) isFresh(now timekeeper.Instant) bool {
+	return history.confirmed > history.interrupted && now.Since(history.confirmed) <= maxListAge
+}
+
 // Confirm records that the list was up to date at an instant. After a gap the history begins anew: a
 // version may have been listed and removed meanwhile.
 func (history *History) Confirm(at timekeeper.Instant) {
-	if at <= history.confirmed {
+	if at <= max(history.confirmed, history.interrupted) {
 		return
 	}
-	if history.confirmed != 0 && at.Since(history.confirmed) > maxListAge {
+	if history.confirmed != 0 && (at.Since(history.confirmed) > maxListAge || history.confirmed <= history.interrupted) {
 		history.began = at
 		clear(history.recalled)
 		for service, seen := range history.services {
@@ -107,7 +118,7 @@
 
 // Sightings returns what has been seen of each service; nothing while the list isn't up to date.
 func (history *History) Sightings(now timekeeper.Instant) []Sighting {
-	if history.confirmed == 0 || now.Since(history.confirmed) > maxListAge {
+	if !history.isFresh(now) {
 		return nil
 	}
 	sightings := make([]Sighting, 0, len(history.services))
@@ -125,7 +136,7 @@
 		return Versions{}
 	case seen.version == "":
 		return Versions{Several: true}
-	case history.confirmed == 0 || now.Since(history.confirmed) > maxListAge:
+	case !history.isFresh(now):
 		return Versions{}
 	}
 	return Versions{Only: seen.version, For: min(now.Since(seen.since), HistorySpan)}
