KNOWN-RED: a version that is listed for less than three seconds

It isn't mended: the bound on gaps in a history would have to be shorter than the second in which lists are confirmed, or each question would wait for a confirmation.

--- a/internal/resumer/fleet_test.go
+++ b/internal/resumer/fleet_test.go
@@ -241,6 +241,25 @@
 	})
 }
 
+func TestAVersionThatIsListedBriefly(t *testing.T) {
+	// Guards against a stream that goes on at another version, as its own was listed and removed within a gap that
+	// a history bears, and all entries that knew it were killed.
+	fleet := newTestFleet(2, "v1")
+	record := Record{
+		Key: KeyOf("bole", "host", "/stock/", "try-1"), Lifetime: MaxLifetime, Origin: balancer.Origin{Service: "planner", SoftwareVersion: "v1.1"},
+	}
+	fleet.entries["entry-0"].isCut, fleet.entries["entry-0"].cutAt = true, fleet.now
+	fleet.list("v1.1")
+	fleet.entries["entry-1"].Record(record)
+	fleet.start("entry-1", false)
+	fleet.list("v1")
+	fleet.join(0)
+	Convey("its origin isn't known", t, func() {
+		finding := fleet.entries["entry-0"].Find(t.Context(), Question{Key: record.Key, Service: "planner"})
+		So(finding.Origin.Known(), ShouldBeFalse)
+	})
+}
+
 func TestWhatIsKnownOfAStream(t *testing.T) {
 	// Guards against refusing streams whose version can be known, and against continuing others.
 	key := KeyOf("bole", "host", "/stock/", "try-1")
