runner: an agent's memory beside answers without an end

Reported of another system: bytes without an end in a head or a body took the memory of the machine that had called.

--- a/internal/runner/broken_answer_test.go
+++ b/internal/runner/broken_answer_test.go
@@ -1,14 +1,18 @@
 package runner
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
 	"github.com/trefoilseam/trefoilseam/internal/replayer"
 	"github.com/trefoilseam/trefoilseam/internal/resolver"
@@ -56,3 +60,51 @@
 		}
 	}
 }
+
+func TestAnswersWithoutEndOfTheUpstream(t *testing.T) {
+	// Guards against an agent that keeps all of an answer without an end, in its head, an event or the body.
+	const most = 64 << 20
+	stream := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	tests := []struct {
+		name, first, then string
+		kind              resolver.ServiceKind
+		drain             bool
+	}{
+		{"no answer", "", "\x80", resolver.KindPlain, false},
+		{"a head", "HTTP/1.1 200 OK\r\n", "a: b\r\n", resolver.KindPlain, false},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n", resolver.KindPlain, false},
+		{"an event", stream, "x", resolver.KindModel, false},
+		{"a body that nobody reads", "HTTP/1.1 200 OK\r\n\r\n", "x", resolver.KindPlain, false},
+		{"a body whose caller has left", "HTTP/1.1 200 OK\r\n\r\n", "x", resolver.KindPlain, true},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				piece := strings.Repeat(test.then, 1+(16<<10)/len(test.then))
+				_, err = io.WriteString(conn, test.first)
+				for sent := 0; err == nil && sent < most; sent += len(piece) {
+					_, err = io.WriteString(conn, piece)
+				}
+			}))
+			defer server.Close()
+			up := newUpstream(server.URL, resolver.Service{Slots: 1, Kind: test.kind})
+			defer up.close()
+			started := &run{id: "r-1", answer: replayer.New(replayer.Settings{})}
+			if test.drain {
+				started.answer.Drain()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			before := inUse()
+			complete, _ := up.call(ctx, Settings{Name: "a"}, &encoder.Offer{}, &encoder.Run{Method: http.MethodGet, Path: "/"}, started)
+			So(inUse()-before, ShouldBeLessThan, 4<<20)
+			So(complete && !test.drain, ShouldBeFalse)
+			started.answer.Close(started.id, complete, classifier.Failure{})
+		})
+	}
+}
