--- a/internal/assembler/direct_versions.go
+++ b/internal/assembler/direct_versions.go
@@ -82,7 +82,7 @@
 	}
 	versions.fleet.With(func(fleet *balancer.Fleet) {
 		if stood > maxStandstill {
-			fleet.DoubtList(now)
+			fleet.ExpireList(now)
 		}
 		fleet.ConfirmList(at)
 	})
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -70,8 +70,8 @@
 	version sequencer.Version
 	// listConfirmed is when the list was last known to be up to date; zero means never.
 	listConfirmed timekeeper.Instant
-	// listDoubted is when this process last went on after it had stood still.
-	listDoubted timekeeper.Instant
+	// listExpired is when this process last went on after it had stood still.
+	listExpired timekeeper.Instant
 	// era is the newest era of the store that is known, and retained what is held against the
 	// store since it began. departed are the replicas that were removed from the list.
 	era         uint64
--- a/internal/balancer/origin.go
+++ b/internal/balancer/origin.go
@@ -33,7 +33,7 @@
 // mayHaveRestarted reports whether a replica may have come back, under its ID, with other software than
 // its row says: since it was unreachable, or since this process stood still.
 func (fleet *Fleet) mayHaveRestarted(member *replica) bool {
-	return fleet.listConfirmed < fleet.listDoubted || member.unreachableAt != 0 && fleet.listConfirmed < member.unreachableAt.Add(restartNotice)
+	return fleet.listConfirmed < fleet.listExpired || member.unreachableAt != 0 && fleet.listConfirmed < member.unreachableAt.Add(restartNotice)
 }
 
 // knownRow returns the row of a replica, without the software version if that may be another one.
@@ -50,9 +50,9 @@
 	fleet.listConfirmed = max(fleet.listConfirmed, at)
 }
 
-// DoubtList records that this process stood still until an instant: rows may be older than they seem
-// until the list is confirmed.
-func (fleet *Fleet) DoubtList(at timekeeper.Instant) { fleet.listDoubted = at }
+// ExpireList records that this process stood still until an instant: rows may be outdated until the list
+// is confirmed.
+func (fleet *Fleet) ExpireList(at timekeeper.Instant) { fleet.listExpired = at }
 
 // markUnreachable records that the replica accepted no connection.
 func (member *replica) markUnreachable(now timekeeper.Instant) {
--- a/internal/balancer/origin_test.go
+++ b/internal/balancer/origin_test.go
@@ -69,7 +69,7 @@
 	// Guards against a continuation by rows that have become outdated while the process stood still.
 	fleet := versionedFleet()
 	fleet.ConfirmList(start.Add(-100))
-	fleet.DoubtList(start)
+	fleet.ExpireList(start)
 	Convey("none goes on until the list is confirmed, and new streams have no known origin", t, func() {
 		_, reason := fleet.Choose(continuation("v1.1"), start)
 		So(reason, ShouldEqual, NoneOfVersion)
