--- a/internal/relayer/health_check_test.go
+++ b/internal/relayer/health_check_test.go
@@ -55,6 +55,14 @@
 			w.WriteHeader(status)
 		}
 	}
+	raw := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				_, _ = io.WriteString(conn, text)
+				_ = conn.Close()
+			}
+		}
+	}
 	tests := []struct {
 		name   string
 		answer http.HandlerFunc
@@ -68,6 +76,8 @@
 		{"from a predecessor at the address", answer(200, "Replica", "i-0", "Cold", "2500"), false},
 		{"from another replica that refuses it", answer(421, "Replica", "i-0", "Cold", "2500"), false},
 		{"to another request", answer(200, "Id", "r-7", "Replica", "i-1", "Cold", "2500"), false},
+		{"with a blank in a name", raw("HTTP/1.1 200 OK\r\nReplica: i-1\r\nCold: 2500\r\nServer Note: x\r\nContent-Length: 0\r\n\r\n"), false},
+		{"with status 000", raw("HTTP/1.1 000 Trouble\r\nReplica: i-1\r\nCold: 2500\r\nContent-Length: 0\r\n\r\n"), false},
 		{"none", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, false},
 	}
 	for _, test := range tests {
