assembler: a broken answer doesn't look whole to a caller of HTTP/1.0

What callers saw: found while looking for the same cause elsewhere, not reported. An entry that can't finish an answer aborts it by closing the connection. A caller of HTTP/1.1 misses the last chunk; one of HTTP/1.0 gets no chunks, and an orderly close ends its answer: part of one looked whole.

Cause: net/http closes the connection of an aborted handler in order.

Change: if the handler of a request of HTTP/1.0 panics, the connection is reset when it is closed, at entries with and without agents.

Why it works: a reset is no end of an answer (RFC 9112, section 8).

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -317,7 +317,7 @@
 // callerServer returns the server that passes callers' requests to a handler.
 func (direct *Direct) callerServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           serveUnlessClosed(handler, func() { direct.scope.Counter("requests-on-closed-connections").Inc(1) }),
+		Handler:           serveUnlessClosed(resetAborted(handler), func() { direct.scope.Counter("requests-on-closed-connections").Inc(1) }),
 		ReadHeaderTimeout: callerHeaderTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
 		MaxHeaderBytes: callerMaxHeaderBytes, ConnState: direct.connTracker.trackState, ConnContext: withConn,
 		BaseContext: func(net.Listener) context.Context { return direct.requests },
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -68,9 +68,10 @@
 // newServer returns a server with the limits that all servers here share.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           resetAborted(handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withConn,
 	}
 }
