--- a/internal/validator/transport.go
+++ b/internal/validator/transport.go
@@ -27,8 +27,8 @@
 // RoundTrip sends a request and returns the head of its answer.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := transport.Transport.RoundTrip(request)
-	if err != nil {
-		return nil, err
+	if err != nil || isHTTP2(response) {
+		return response, err
 	}
 	if err := CheckFinalHead(response); err != nil {
 		_ = response.Body.Close()
@@ -38,3 +38,8 @@
 	}
 	return response, nil
 }
+
+// isHTTP2 reports whether an answer came by HTTP/2, whose frames net/http checks.
+func isHTTP2(response *http.Response) bool {
+	return response.TLS != nil && response.TLS.NegotiatedProtocol == "h2"
+}
--- a/internal/validator/transport_test.go
+++ b/internal/validator/transport_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -67,6 +70,27 @@
 	}
 }
 
+func TestAnswersOverTLS(t *testing.T) {
+	// Guards against sound answers of another version of the protocol that are rejected.
+	for _, http2 := range []bool{false, true} {
+		Convey(fmt.Sprintf("HTTP/2: %v", http2), t, func() {
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.Proto) }))
+			server.EnableHTTP2 = http2
+			server.StartTLS()
+			defer server.Close()
+			roots := x509.NewCertPool()
+			roots.AddCert(server.Certificate())
+			transport := NewTransport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}})
+			defer transport.CloseIdleConnections()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL, http.NoBody)
+			So(err, ShouldBeNil)
+			body, err := roundTrip(transport, request)
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, map[bool]string{false: "HTTP/1.1", true: "HTTP/2.0"}[http2])
+		})
+	}
+}
+
 // roundTrip sends a request and returns the body of its answer.
 func roundTrip(transport http.RoundTripper, request *http.Request) (string, error) {
 	response, err := transport.RoundTrip(request)
