--- a/internal/assembler/direct_stop_test.go
+++ b/internal/assembler/direct_stop_test.go
@@ -191,8 +191,8 @@
 }
 
 func TestRequestsAtTheEndOfTheGrace(t *testing.T) {
-	// Guards against requests that are cut without an answer when the grace of a stop ends, and against taking
-	// some that may not be repeated so late that they might be.
+	// Guards against requests that are cut without an answer when the grace of a stop ends, and against
+	// taking some that may not be repeated so late that they might be.
 	const long = 20 * timekeeper.Second
 	tests := []struct {
 		name string
--- a/internal/assembler/direct_versions.go
+++ b/internal/assembler/direct_versions.go
@@ -14,8 +14,8 @@
 	"github.com/trefoilseam/trefoilseam/platform"
 )
 
-// maxStandstill bounds the time between two calls of versions.confirm, which a loop calls once a second,
-// of a process that runs.
+// maxStandstill bounds the time between two calls of versions.confirm, which a loop calls once a
+// second, of a process that runs.
 const maxStandstill = 2 * timekeeper.Second
 
 // versions is what the entry has seen of the software versions of each service. The follower of the
@@ -67,8 +67,8 @@
 	versions.history.Observe(list, now)
 }
 
-// confirm records when the list was last known to be up to date, and whether this process has stood still
-// since the last call: what it knows is then older than it seems. It is called more often than a
+// confirm records when the list was last known to be up to date, and whether this process has stood
+// still since the last call: what it knows is then older than it seems. It is called more often than a
 // history bears a gap.
 func (versions *versions) confirm() {
 	now, at, looked := versions.clock.Now(), versions.confirmedAt(), versions.sinceBoot()
@@ -89,7 +89,8 @@
 	versions.history.Confirm(at)
 }
 
-// findOrigin finds out where a stream began, for a request that may have waited while this process stood still.
+// findOrigin finds out where a stream began, for a request that may have waited while this process
+// stood still.
 func (direct *Direct) findOrigin(ctx context.Context, question resumer.Question) resumer.Finding {
 	direct.versions.confirm()
 	return direct.peers.streams.Find(ctx, question)
--- a/internal/assembler/direct_versions_test.go
+++ b/internal/assembler/direct_versions_test.go
@@ -59,8 +59,8 @@
 }
 
 func TestAProcessThatStoodStillKnowsNoVersion(t *testing.T) {
-	// Guards against streams that go on by a list which seems fresh, as the clock didn't count the time for
-	// which the machine was suspended.
+	// Guards against streams that go on by a list which seems fresh, as the clock didn't count the time
+	// for which the machine was suspended.
 	store := emulator.NewStore(timekeeper.Steady())
 	row := emulator.Row{Service: "planner", Address: "127.0.0.1:7400", DataCentre: "bole", State: "ready", Slots: 8}
 	store.Put("servers", "planner-1", row.Encode())
--- a/internal/assembler/earlier_version_test.go
+++ b/internal/assembler/earlier_version_test.go
@@ -18,8 +18,8 @@
 )
 
 func TestABrokenAnswerToACallerOfHTTP10(t *testing.T) {
-	// Guards against an answer that breaks off and looks whole to a caller without chunks, for whom an orderly
-	// end of the connection ends it.
+	// Guards against an answer that breaks off and looks whole to a caller without chunks, for whom an
+	// orderly end of the connection ends it.
 	tests := []struct {
 		name  string
 		whole bool
--- a/internal/balancer/origin.go
+++ b/internal/balancer/origin.go
@@ -50,8 +50,8 @@
 	fleet.listConfirmed = max(fleet.listConfirmed, at)
 }
 
-// ExpireList records that this process stood still until an instant: rows may be outdated until the list
-// is confirmed.
+// ExpireList records that this process stood still until an instant: rows may be outdated until the
+// list is confirmed.
 func (fleet *Fleet) ExpireList(at timekeeper.Instant) { fleet.listExpired = at }
 
 // markUnreachable records that the replica accepted no connection.
--- a/internal/connector/head_test.go
+++ b/internal/connector/head_test.go
@@ -12,8 +12,8 @@
 )
 
 func TestAnswersThatAreNotHTTP(t *testing.T) {
-	// Guards against an answer that the protocol doesn't allow, and with it fields or a body that the replica
-	// didn't mean.
+	// Guards against an answer that the protocol doesn't allow, and with it fields or a body that the
+	// replica didn't mean.
 	const rest = "Test-Id: 1\r\nContent-Length: 4\r\n\r\nbodymore"
 	tests := []struct {
 		name, answer string
--- a/internal/connector/reset_test.go
+++ b/internal/connector/reset_test.go
@@ -24,8 +24,8 @@
 }
 
 func TestAnAnswerThatIsResetDuringTheUpload(t *testing.T) {
-	// Guards against part of an answer without a length that is taken for a whole one, because the write of
-	// the request met the reset and the read an ordinary end.
+	// Guards against part of an answer without a length that is taken for a whole one, because the write
+	// of the request met the reset and the read an ordinary end.
 	const part = "partial"
 	tests := []struct {
 		name   string
@@ -65,8 +65,8 @@
 }
 
 func TestAWholeAnswerBeforeTheBodyWasRead(t *testing.T) {
-	// Guards against a sound answer without a length that is rejected, because the replica answers before it has
-	// read a long request.
+	// Guards against a sound answer without a length that is rejected, because the replica answers before
+	// it has read a long request.
 	tests := []struct {
 		name string
 		end  func(conn net.Conn, reader *bufio.Reader)
--- a/internal/resumer/fleet_test.go
+++ b/internal/resumer/fleet_test.go
@@ -22,8 +22,8 @@
 	listed  []string
 	isCut   bool
 	cutAt   timekeeper.Instant
-	// isSuspended reports whether the entry is cut off since its machine is suspended, and suspended for how
-	// long that was in all: its clock doesn't count it. isBehind reports whether it has no list since.
+	// isSuspended reports whether the entry is cut off since its machine is suspended, and suspended for
+	// how long that was in all: its clock doesn't count it. isBehind reports whether it has no list since.
 	isSuspended, isBehind bool
 	suspended             timekeeper.Span
 }
@@ -242,8 +242,8 @@
 }
 
 func TestAVersionThatIsListedBriefly(t *testing.T) {
-	// Guards against a stream that goes on at another version, as its own was listed and removed within a gap that
-	// a history bears, and all entries that knew it were killed.
+	// Guards against a stream that goes on at another version, as its own was listed and removed within a
+	// gap that a history bears, and all entries that knew it were killed.
 	fleet := newTestFleet(2, "v1")
 	record := Record{
 		Key: KeyOf("bole", "host", "/stock/", "try-1"), Lifetime: MaxLifetime, Origin: balancer.Origin{Service: "planner", SoftwareVersion: "v1.1"},
--- a/internal/runner/broken_answer_test.go
+++ b/internal/runner/broken_answer_test.go
@@ -62,7 +62,8 @@
 }
 
 func TestAnswersWithoutEndOfTheUpstream(t *testing.T) {
-	// Guards against an agent that keeps all of an answer without an end, in its head, an event or the body.
+	// Guards against an agent that keeps all of an answer without an end, in its head, an event or the
+	// body.
 	const most = 64 << 20
 	stream := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 	tests := []struct {
--- a/internal/validator/error.go
+++ b/internal/validator/error.go
@@ -5,7 +5,7 @@
 // Part is a part of an answer.
 type Part string
 
-// End is the end of an answer that ends with its connection.
+// End is the end of an answer: its connection was reset before.
 const End Part = "end"
 
 // maxText bounds what an Error quotes of an answer, in bytes.
@@ -16,7 +16,7 @@
 type Error struct {
 	// Part is the first part that is broken.
 	Part Part
-	// Text is what was sent as that part, empty if Part is End.
+	// Text is what was sent as that part; it is empty if Part is End.
 	Text string
 	// Cause is why a connection ended, nil if that isn't known.
 	Cause error
--- a/internal/validator/state_linux.go
+++ b/internal/validator/state_linux.go
@@ -39,6 +39,6 @@
 	return unknown
 }
 
-// endedBefore reports whether a write failed after the other side had sent its end: Linux then reports a
-// reset as EPIPE, and else as ECONNRESET.
+// endedBefore reports whether a write failed after the other side had sent its end: Linux then reports
+// a reset as EPIPE, and else as ECONNRESET.
 func endedBefore(err error) bool { return eris.Is(err, syscall.EPIPE) }
--- a/internal/validator/transport_test.go
+++ b/internal/validator/transport_test.go
@@ -16,7 +16,8 @@
 )
 
 func TestAnswersToATransport(t *testing.T) {
-	// Guards against part of an answer, or bytes that are none, that a client of net/http takes for an answer.
+	// Guards against part of an answer, or bytes that are none, that a client of net/http takes for an
+	// answer.
 	const long = 8 << 20
 	tests := []struct {
 		name, answer string
