--- a/internal/assembler/earlier_version_test.go
+++ b/internal/assembler/earlier_version_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -30,20 +29,16 @@
 			entry.configure(t, 2, []emulator.Route{
 				{Name: "menu", Host: host, Prefix: "/menu/", Kind: "stream", Timeout: 3000, Service: emulator.Planner, Attempts: 1, Public: true},
 			})
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				id := r.Header.Get("X-Trefoilseam-Request-Id")
-				w.Header().Set("X-Trefoilseam-Request-Id", id)
-				w.Header().Set("X-Trefoilseam-Replica-Signature", "planner-1."+id)
-				w.Header().Set("Content-Type", "text/event-stream")
-				_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
-				_ = http.NewResponseController(w).Flush()
-				if !test.whole {
-					panic(http.ErrAbortHandler)
-				}
-			}))
-			defer server.Close()
+			replica, stop, err := emulator.StartReplica(emulator.ReplicaSettings{
+				ID: "planner-1", Service: emulator.Planner, Slots: 8, Events: 4, Clock: entry.clock,
+			}, "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer stop()
+			if !test.whole {
+				replica.SetFault(func(string) emulator.Fault { return emulator.DisconnectMidAnswer })
+			}
 			entry.fleet.With(func(fleet *balancer.Fleet) {
-				list := []balancer.Replica{{ID: "planner-1", Service: emulator.Planner, Address: server.Listener.Addr().String(), Slots: 8}}
+				list := []balancer.Replica{{ID: "planner-1", Service: emulator.Planner, Address: replica.Address(), Slots: 8}}
 				fleet.SetReplicas(list, sequencer.Version{Number: 1})
 			})
 			entry.serve()
