platform: two goroutines decode rows with one record of invalid ones

Cause: a follower reads its table from the goroutine of Run and from that of refreshFromStore. Both decode rows with one rowDecoder, whose map of logged invalid rows had no lock. After a silence both answers arrive at once; one invalid row is enough.

Change: the decoder has no state. invalidRows has a lock, orders answers by version, and counts the rows for a metric for as long as they last. Follower and Source say which goroutine owns what; what else the goroutines share is guarded by copyLock, random, readCredit and lastFetch are used by Run alone.

Why it works: no map is reached without its lock.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -31,7 +31,7 @@
 }
 
 // Source reads one table. Both fields must be set. Each call must end soon enough that an
-// unresponsive connection does no harm.
+// unresponsive connection does no harm. Calls may overlap, and their answers may come in any order.
 type Source[T any] struct {
 	// Snapshot returns all rows and the newest version. All are of one era.
 	Snapshot func(ctx context.Context) ([]Change[T], Version, error)
@@ -43,25 +43,26 @@
 
 // Follower keeps a copy of a table.
 //
-// One goroutine reads; others may call ApplyUpdate, Compare, Summary and Rows. copyLock
+// Up to three goroutines read: that of Run, and with a Bound the two of keepFresh, one from the store
+// and one from other processes. Others may call ApplyUpdate, Compare, Summary and Rows. copyLock
 // guards the copy, and is held during calls of Apply, Confirm, Publish, Sum and
-// ServingOthersSince. The other functions of the settings are called without it and may
-// call the follower. The lock mu is taken after copyLock.
+// ServingOthersSince. The other functions of the settings are called without it, at the same time by
+// several goroutines, and may call the follower. The lock mu is taken after copyLock.
 type Follower[T any] struct {
 	settings Settings[T]
-	random   *rand.Rand
-
 	// ageJitter is drawn from [0, 1): see age.
 	ageJitter float64
-	// storeRandom draws when a stale process asks the store; copyLock guards it.
-	storeRandom *rand.Rand
 
+	// random, readCredit and lastFetch belong to the goroutine of Run.
+	random     *rand.Rand
 	readCredit readCredit
 	// lastFetch is when another process's copy was last fetched while the store failed.
 	lastFetch timekeeper.Instant
 
 	copyLock sync.Mutex
-	rows     map[string]T
+	// storeRandom draws when a stale process asks the store.
+	storeRandom *rand.Rand
+	rows        map[string]T
 	// lapsing is when each lapsed row is removed, by key, unless it is written again.
 	lapsing map[string]timekeeper.Instant
 	version Version
