relayer: a replica has survived a request only when it has answered completely

Cause: markPause recorded an answer that had gone on for 500 ms as survived. That deleted the request's crashes, and probeReplica then recorded the crash of that placement without its features.

Change: survive is called for whole answers alone; survivalTime and survivedPlacement are gone.

Tests of relayer, quarantiner and of parts that crash replicas pass. Why it works: the crashes of a request stay until an answer on it has ended.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -321,9 +321,6 @@
 	}
 	entry, features, trial := task.entry, task.features, task.trial
 	task.trial = nil
-	if task.survivedPlacement == task.placement {
-		features = nil
-	}
 	down := entry.isDown(result.replica)
 	if down {
 		entry.recordCrash(result.replica, features)
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// survivalTime is how long after its first part an answer that goes on has survived. Engines
-	// crash some tens of milliseconds after they begin to write.
-	survivalTime = 500 * timekeeper.Millisecond
 	// tellTime is how long after a crash the other entries have told what was in flight there.
 	tellTime = 150 * timekeeper.Millisecond
 	// quarantinedRetryAfter is the Retry-After for requests that are refused for long.
@@ -241,12 +238,10 @@
 	return allowed
 }
 
-// survive records that the answer survived.
+// survive records that the replica has answered completely. Before that the replica may still crash, however
+// long the answer has gone on.
 func (task *task) survive() {
-	if task.survivedPlacement == task.placement {
-		return
-	}
-	task.survivedPlacement, task.trial = task.placement, nil
+	task.trial = nil
 	var cleared []quarantiner.Feature
 	urgent := false
 	now := task.entry.settings.Clock.Now()
--- a/internal/relayer/relay.go
+++ b/internal/relayer/relay.go
@@ -156,16 +156,13 @@
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.AnswerStarted(task.placement, now) })
 }
 
-// markPause records the pause since the previous part of a stream, and whether the answer has survived,
-// and returns the current instant. Zero for last means that there was no previous part.
+// markPause records the pause since the previous part of a stream and returns the current instant. Zero for
+// last means that there was no previous part.
 func (task *task) markPause(last timekeeper.Instant) timekeeper.Instant {
 	now := task.entry.settings.Clock.Now()
 	if last != 0 {
 		task.longestPause = max(task.longestPause, now.Since(last))
 	}
-	if now.Since(task.answerStartedAt) >= survivalTime {
-		task.survive()
-	}
 	return now
 }
 
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -84,9 +84,7 @@
 	startedPlacement *balancer.Placement
 	// answerStartedAt is when that part arrived.
 	answerStartedAt timekeeper.Instant
-	// survivedPlacement is the placement whose answer last was recorded to have survived.
-	survivedPlacement *balancer.Placement
-	replica           string
+	replica         string
 	// arrival is the task's first waiter, and nil before; the standing of the request is there.
 	arrival *balancer.Waiter
 	// class is the class of the last waiter, "" if the service wasn't contended.
