quarantiner, relayer: crashes count against requests whose runs have just ended

Cause: only requests in flight at a crash were struck; recordOutcome recorded no crash for a caller that had left, and a complete answer deleted the record of its request at once.

Change: quarantiner.Runs holds the runs that ended or were given up a short while ago. A crash counts against those too, whoever saw it. Replicas that have just run requests are watched by their idle connections; only a refused connection shows a crash, and the planned end of a replica is none. Requests that replicas have outlived before need five crashes.

Why it works: what a replica ran last is suspected with what it runs, until the replica has lived on for longer than a crash takes to be seen.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -255,6 +255,7 @@
 	addLoop(rest, direct.frontend.Run)
 	addLoop(rest, direct.frontend.MeasureLateness)
 	addLoop(rest, direct.frontend.CheckHealth)
+	addLoop(rest, direct.frontend.WatchReplicas)
 	addLoop(rest, direct.watchSettings)
 	addLoop(rest, direct.peers.register)
 	addLoop(rest, direct.versions.run)
--- a/internal/assembler/direct_peers.go
+++ b/internal/assembler/direct_peers.go
@@ -136,6 +136,9 @@
 			fleet.MarkUnreachable(replica, now)
 		}
 	})
+	for _, replica := range digest.Unreachable {
+		peers.direct.frontend.CheckUnreachable(replica)
+	}
 	peers.applyColdNotices(digest)
 	peers.applyLeaves(digest, now)
 	peers.direct.applyCrashes(digest)
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -105,6 +105,15 @@
 	return member.Leaving || fleet.version.Before(member.leaveVersion)
 }
 
+// Leaves reports whether an incarnation of a replica is known to leave, or is not listed any more.
+func (fleet *Fleet) Leaves(row Replica) bool {
+	member, found := fleet.replicas[row.ID]
+	if !found || member.Incarnation() != row.Incarnation() {
+		return !found
+	}
+	return fleet.isLeaving(member) || fleet.retained.covers(member.Replica) || member.statements.leaving != 0
+}
+
 // Transition is a change in the eligibility of a replica.
 type Transition struct {
 	Replica  Replica
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -198,6 +200,45 @@
 	return raw.Close()
 }
 
+// IsRefused reports whether nothing listens at an address. It opens and closes a connection otherwise.
+func (pool *Pool) IsRefused(ctx context.Context, address string) bool {
+	pool.settings.OnOpen()
+	raw, err := pool.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = raw.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// HasClosedIdle reports whether a replica has closed the connection to it that was last put back, before it
+// expired, and no longer counts that connection.
+func (pool *Pool) HasClosedIdle(key string) bool {
+	now := pool.settings.Clock.Now()
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	replica, found := pool.replicas[key]
+	if !found || len(replica.idle) == 0 {
+		return false
+	}
+	last := len(replica.idle) - 1
+	conn := replica.idle[last]
+	if conn.idleUntil <= now || conn.clean() {
+		return false
+	}
+	_ = conn.Close()
+	replica.idle = replica.idle[:last]
+	replica.open--
+	return true
+}
+
+// IsConnected reports whether there is a connection to a replica.
+func (pool *Pool) IsConnected(key string) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	replica, found := pool.replicas[key]
+	return found && replica.open > 0
+}
+
 // Retire closes the idle connections to a replica that is unreachable or removed.
 func (pool *Pool) Retire(key string) {
 	pool.mu.Lock()
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -17,6 +17,8 @@
 	// callers repeat it for about that time.
 	refuseRequests  = 2
 	requestLifetime = timekeeper.Minute
+	// refuseKnown is the number for a request that replicas have outlived in survivalMemory.
+	refuseKnown = 5
 	// repeatLimit is the number of crashes from which a request that broke off isn't tried again.
 	repeatLimit = 2
 	// recordLifetime is how long crashes count, and explainedLifetime how long it is remembered that
@@ -30,8 +32,10 @@
 
 // Table is an entry's knowledge of crashes and features.
 type Table struct {
-	records     map[Feature]*record
-	survivals   survivals
+	records   map[Feature]*record
+	survivals survivals
+	// requests are the survivals of whole requests.
+	requests    survivals
 	quarantined map[Feature]Quarantine
 	// explained holds the incarnations that crashed with a quarantined feature in flight.
 	explained map[string]timekeeper.Instant
@@ -116,6 +120,8 @@
 	for _, feature := range features {
 		if feature.Kind == Part {
 			table.survivals.add(feature, now)
+		} else {
+			table.requests.add(feature, now)
 		}
 		lapsed := table.hasLapsed(feature, now)
 		known, found := table.records[feature]
@@ -134,7 +140,22 @@
 // isRefused reports whether a request is refused for the crashes that it was in flight at.
 func (table *Table) isRefused(request Feature, now timekeeper.Instant) bool {
 	known, found := table.records[request]
-	return found && request.Kind == Request && len(known.incarnations) >= refuseRequests && now.Since(known.struckAt) <= requestLifetime
+	return found && request.Kind == Request && len(known.incarnations) >= table.refuseFrom(request) && now.Since(known.struckAt) <= requestLifetime
+}
+
+// refuseFrom returns the number of crashes from which a request is refused.
+func (table *Table) refuseFrom(request Feature) int {
+	if _, survived := table.requests.last(request); survived {
+		return refuseKnown
+	}
+	return refuseRequests
+}
+
+// HasCrashed reports whether replicas are known to have crashed because of a request, or may have.
+func (table *Table) HasCrashed(request Feature) bool {
+	_, struck := table.records[request]
+	_, quarantined := table.quarantined[request]
+	return struck || quarantined
 }
 
 // suspectedSince returns since when a part is suspected, and whether it is. One whose quarantine has
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -288,6 +288,7 @@
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, outcome, now) })
 	task.entry.queue.placeFreed()
 	task.entry.meters.countAttempt(task.service, result)
+	task.recordRun(placement.Replica, result)
 	if result.succeeded {
 		task.survive()
 	}
@@ -310,6 +311,7 @@
 func (task *task) probeReplica(result attemptResult) bool {
 	if result.verdict == unsent && eris.Is(result.cause, connector.ErrUnreachable) {
 		task.entry.markUnreachable(result.replica, result.causeText())
+		task.entry.CheckUnreachable(result.replica.ID)
 		return false
 	}
 	if result.verdict != broken || !result.replicaFailed || eris.Is(result.cause, errServer) {
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -56,11 +57,12 @@
 	return sharing
 }
 
-// quarantine guards a table. Its lock is held while CrashSharing.Rank is called, which takes that of the
+// quarantine guards a table and the runs that have just ended. Its lock is held while CrashSharing.Rank is called, which takes that of the
 // gossiper; no other lock is taken after it.
 type quarantine struct {
 	mu    sync.Mutex
 	table *quarantiner.Table
+	runs  *quarantiner.Runs[balancer.Replica]
 }
 
 // with calls work with the table while holding the lock.
@@ -71,11 +73,19 @@
 }
 
 // RecordCrash records that an incarnation of a replica crashed while requests with the features were
-// in flight there, as seen by this entry, or by the peer if it is not "".
+// in flight there, as seen by this entry, or by the peer if it is not "". The crash also counts against
+// the requests of this entry whose runs there ended shortly before; the peers are told of those.
 func (entry *Entry) RecordCrash(incarnation string, inFlight []quarantiner.Feature, peer string) (struck []quarantiner.Feature) {
 	now := entry.settings.Clock.Now()
-	entry.quarantine.with(func(table *quarantiner.Table) { struck = table.Crash(incarnation, inFlight, now) })
-	for _, feature := range struck {
+	var ended []quarantiner.Feature
+	entry.quarantine.with(func(table *quarantiner.Table) {
+		struck = table.Crash(incarnation, inFlight, now)
+		ended = table.Crash(incarnation, entry.quarantine.runs.Crash(incarnation, now), now)
+	})
+	if len(ended) > 0 {
+		entry.settings.Crashes.OnCrash(incarnation, ended)
+	}
+	for _, feature := range slices.Concat(struck, ended) {
 		entry.meters.countStrike(feature.Kind)
 		fields := logrus.Fields{labelReplica: balancer.IDOf(incarnation), "incarnation": incarnation}
 		if peer != "" {
@@ -238,14 +248,14 @@
 	return allowed
 }
 
-// survive records that the replica has answered completely. Before that the replica may still crash, however
-// long the answer has gone on.
+// survive records that an answer on the parts of the prompt has ended. Before that the replica may still crash,
+// however long the answer has gone on.
 func (task *task) survive() {
 	task.trial = nil
 	var cleared []quarantiner.Feature
 	urgent := false
 	now := task.entry.settings.Clock.Now()
-	task.entry.quarantine.with(func(table *quarantiner.Table) { cleared, urgent = table.Survive(task.features, now) })
+	task.entry.quarantine.with(func(table *quarantiner.Table) { cleared, urgent = table.Survive(task.features[1:], now) })
 	if len(cleared) == 0 {
 		return
 	}
@@ -267,8 +277,12 @@
 	task.trial = nil
 }
 
-// recordCrash records that a replica crashed while a request was in flight, and tells the peers.
+// recordCrash records that a replica crashed while a request was in flight, and tells the peers. The planned end
+// of a replica is no crash.
 func (entry *Entry) recordCrash(replica balancer.Replica, features []quarantiner.Feature) {
+	if entry.leaves(replica) {
+		return
+	}
 	incarnation := replica.Incarnation()
 	if struck := entry.RecordCrash(incarnation, features, ""); len(struck) > 0 {
 		entry.settings.Crashes.OnCrash(incarnation, struck[:min(len(struck), 1+maxToldParts)])
--- /dev/null
+++ b/internal/relayer/runs.go
@@ -0,0 +1,125 @@
+package relayer
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/trefoilseam/trefoilseam/internal/balancer"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+)
+
+// watchInterval is how often the entry looks whether replicas have closed idle connections.
+const watchInterval = 200 * timekeeper.Millisecond
+
+// WatchReplicas finds crashes of replicas that have just run requests of this entry, until ctx ends.
+func (entry *Entry) WatchReplicas(ctx context.Context) {
+	entry.settings.Clock.Every(ctx, func() timekeeper.Span { return watchInterval }, func(context.Context) {
+		for _, replica := range entry.watchedReplicas() {
+			if entry.settings.Pool.HasClosedIdle(replica.ID) {
+				go entry.findCrash(replica)
+			}
+		}
+		for _, settled := range entry.settleRuns() {
+			entry.settle(settled)
+		}
+	})
+}
+
+func (entry *Entry) watchedReplicas() (watched []balancer.Replica) {
+	entry.quarantine.mu.Lock()
+	defer entry.quarantine.mu.Unlock()
+	return entry.quarantine.runs.Watched()
+}
+
+func (entry *Entry) settleRuns() []quarantiner.Settled[balancer.Replica] {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.mu.Lock()
+	defer entry.quarantine.mu.Unlock()
+	return entry.quarantine.runs.Settle(now)
+}
+
+// CheckUnreachable looks for a crash of a replica that accepts no connections, by the word of a peer.
+func (entry *Entry) CheckUnreachable(id string) {
+	for _, replica := range entry.watchedReplicas() {
+		if replica.ID == id {
+			go entry.findCrash(replica)
+		}
+	}
+}
+
+// findCrash records the crash of a replica if it refuses connections and requests have just run there.
+func (entry *Entry) findCrash(replica balancer.Replica) {
+	for _, pause := range append([]timekeeper.Span{0}, probePauses...) {
+		_ = entry.settings.Clock.Sleep(context.Background(), pause)
+		entry.quarantine.mu.Lock()
+		watched := entry.quarantine.runs.Watches(replica.Incarnation())
+		entry.quarantine.mu.Unlock()
+		if !watched {
+			return
+		}
+		if entry.refusesConnections(replica) {
+			entry.markUnreachable(replica, "no connection after it closed one")
+			entry.recordCrash(replica, nil)
+			return
+		}
+	}
+}
+
+// refusesConnections reports whether nothing listens at the address of a replica. One that can't be
+// reached doesn't count.
+func (entry *Entry) refusesConnections(replica balancer.Replica) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	defer cancel()
+	return entry.settings.Pool.IsRefused(ctx, replica.Address)
+}
+
+// settle records that a replica has outlived a request. Without a connection to the replica that is only
+// known after a probe, which is made for requests that were in flight at crashes.
+func (entry *Entry) settle(settled quarantiner.Settled[balancer.Replica]) {
+	if entry.settings.Pool.IsConnected(settled.Replica.ID) {
+		entry.surviveRequest(settled.Request)
+		return
+	}
+	var suspected bool
+	entry.quarantine.with(func(table *quarantiner.Table) { suspected = table.HasCrashed(settled.Request) })
+	if !suspected {
+		return
+	}
+	go func() {
+		if entry.refusesConnections(settled.Replica) {
+			entry.recordCrash(settled.Replica, []quarantiner.Feature{settled.Request})
+		} else if !entry.leaves(settled.Replica) && entry.acceptsConnection(settled.Replica) {
+			entry.surviveRequest(settled.Request)
+		}
+	}()
+}
+
+// surviveRequest records that a request has ended and its replica has outlived it.
+func (entry *Entry) surviveRequest(request quarantiner.Feature) {
+	now := entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) { table.Survive([]quarantiner.Feature{request}, now) })
+}
+
+// leaves reports whether a replica is known to leave, so that its end is no crash.
+func (entry *Entry) leaves(replica balancer.Replica) (leaves bool) {
+	entry.settings.Fleet.With(func(fleet *balancer.Fleet) { leaves = fleet.Leaves(replica) })
+	return leaves
+}
+
+// recordRun records a run that has ended or was given up, since the replica may still crash because of it.
+func (task *task) recordRun(replica balancer.Replica, result attemptResult) {
+	if len(task.features) == 0 || result.verdict != answered && result.verdict != broken {
+		return
+	}
+	now, request := task.entry.settings.Clock.Now(), task.features[0]
+	quarantine := task.entry.quarantine
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	if result.verdict == answered || eris.Is(result.cause, errServer) {
+		quarantine.runs.End(replica.Incarnation(), replica, request, now)
+		return
+	}
+	quarantine.runs.Abandon(replica.Incarnation(), replica, request, task.until, now)
+}
