--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -98,8 +98,9 @@
 	config := router.New(router.Content{Version: 1, Routes: []router.Route{route}})
 	dialect := plainDialect()
 	dialect.ReadCall = func(r *http.Request) (Call, error) {
-		call.ID = r.Header.Get("Id")
-		return call, nil
+		read := call
+		read.ID = r.Header.Get("Id")
+		return read, nil
 	}
 	dialect.ReadHead = func(_ int, header http.Header) Head {
 		return Head{ID: header.Get("Id"), Signed: header.Get("Signed") != "", NotRun: header.Get("Not-Run") != ""}
