quarantiner, gossiper, platform: the crashes of a whole request outlast a restart and a minute

Cause: crashes of whole requests were in memory only and told to peers once; a refusal ended after a minute with nothing learnt.

Change: a request with two crashes is quarantined: in each digest, in the state that an entry reads from peers before it is ready, and in a row of the store. Quarantines lapse after a minute, then an hour, 4 and 16; one trial over the fleet follows. A request that its replica outlives is free at all entries. Crashes with a common cause don't count, and what a quarantined request explains doesn't count against sound ones. Older entries ignore the new fields and the row. Operators list and lift requests too.

Why it works: what is known of a request is stated again and again by each entry, and kept by the store.

--- a/cmd/trefoilseam/quarantine.go
+++ b/cmd/trefoilseam/quarantine.go
@@ -26,7 +26,7 @@
 	return &ffcli.Command{
 		Name:        "quarantine",
 		ShortUsage:  "trefoilseam quarantine list|lift [flags]",
-		ShortHelp:   "list and lift quarantines of parts of prompts that crash replicas",
+		ShortHelp:   "list and lift quarantines of parts of prompts and of requests that crash replicas",
 		FlagSet:     flag.NewFlagSet("trefoilseam quarantine", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{quarantineListCommand(), quarantineLiftCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
@@ -39,7 +39,7 @@
 	return &ffcli.Command{
 		Name:       "list",
 		ShortUsage: "trefoilseam quarantine list -entry ADDRESS",
-		ShortHelp:  "list the parts that an entry without agents keeps from replicas",
+		ShortHelp:  "list the parts and requests that an entry without agents keeps from replicas",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec:       func(ctx context.Context, _ []string) error { return listQuarantined(ctx, os.Stdout, *entry) },
@@ -51,8 +51,8 @@
 	entry := flags.String("entry", "", "address at which an entry listens for its peers")
 	return &ffcli.Command{
 		Name:       "lift",
-		ShortUsage: "trefoilseam quarantine lift -entry ADDRESS PART...",
-		ShortHelp:  "let requests with the parts be sent again, at all entries; crashes count anew",
+		ShortUsage: "trefoilseam quarantine lift -entry ADDRESS PART|request-FINGERPRINT...",
+		ShortHelp:  "let the requests, or those with the parts, be sent again, at all entries; crashes count anew",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix(envPrefix)},
 		Exec: func(ctx context.Context, parts []string) error {
--- a/internal/assembler/direct_quarantine.go
+++ b/internal/assembler/direct_quarantine.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilseam/trefoilseam/internal/gossiper"
 	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
@@ -31,8 +32,8 @@
 				send.SendCrash(crash)
 			}
 		},
-		OnSurvival: func(parts []quarantiner.Feature, urgent bool) { send.SendSurvival(idsOf(parts), urgent) },
-		OnTrial:    func(parts []quarantiner.Feature) { send.SendTrial(idsOf(parts)) },
+		OnSurvival: send.SendSurvival,
+		OnTrial:    send.SendTrial,
 		OnFailedTrial: func(incarnation string, parts []quarantiner.Feature) {
 			send.SendCrash(gossiper.Crash{Incarnation: incarnation, TriedParts: idsOf(parts)})
 		},
@@ -80,20 +81,20 @@
 			direct.frontend.RecordFailedTrial(gossiper.PartFeatures(crash.TriedParts), crash.Incarnation)
 		}
 	}
-	if len(digest.TriedParts) > 0 {
-		direct.frontend.RecordTrial(digest.TriedParts)
+	if len(digest.Tried) > 0 {
+		direct.frontend.RecordTrial(digest.Tried)
 	}
-	if len(digest.SurvivedParts) > 0 {
-		direct.frontend.RecordSurvival(digest.SurvivedParts)
+	if len(digest.Survived) > 0 {
+		direct.frontend.RecordSurvival(digest.Survived)
 	}
 }
 
-// quarantines keeps the quarantined parts in the store, for entries that start when all others have
+// quarantines keeps the quarantined parts and requests in the store, for entries that start when all others have
 // been killed.
 type quarantines struct {
 	direct *Direct
 	store  *platform.Store
-	// triggered has an element if this entry has quarantined a part.
+	// triggered has an element if this entry has quarantined a feature.
 	triggered chan struct{}
 
 	mu sync.Mutex
@@ -102,7 +103,7 @@
 	writtenEra uint64
 }
 
-// writtenQuarantine is what a row says of a part.
+// writtenQuarantine is what a row says of a feature.
 type writtenQuarantine struct {
 	lapses int
 	lifted bool
@@ -126,17 +127,24 @@
 	quarantines.mu.Lock()
 	quarantines.enterEra(registry.Era)
 	for _, row := range registry.Quarantined {
-		part := quarantiner.Feature{Kind: quarantiner.Part, ID: row.Part}
-		quarantines.written[part] = writtenQuarantine{lapses: row.Lapses, lifted: row.Lifted}
+		quarantines.written[featureOf(row)] = writtenQuarantine{lapses: row.Lapses, lifted: row.Lifted}
 	}
 	quarantines.mu.Unlock()
 	for _, row := range registry.Quarantined {
 		quarantines.direct.frontend.Quarantine(quarantiner.Quarantine{
-			Feature: quarantiner.Feature{Kind: quarantiner.Part, ID: row.Part}, Since: now.Add(-row.For), Lapses: row.Lapses, Lifted: row.Lifted,
+			Feature: featureOf(row), Since: now.Add(-row.For), Lapses: row.Lapses, Lifted: row.Lifted,
 		}, "store")
 	}
 }
 
+// featureOf returns the feature that a row is about.
+func featureOf(row platform.Quarantined) quarantiner.Feature {
+	if row.Request {
+		return quarantiner.Feature{Kind: quarantiner.Request, ID: row.ID}
+	}
+	return quarantiner.Feature{Kind: quarantiner.Part, ID: row.ID}
+}
+
 // run writes what the store lacks: at once what this entry has quarantined, and all else while it is a
 // primary.
 func (quarantines *quarantines) run(ctx context.Context) {
@@ -154,6 +162,9 @@
 			for _, quarantine := range quarantines.unwritten() {
 				quarantines.write(ctx, quarantine)
 			}
+			for _, feature := range quarantines.outdated() {
+				quarantines.remove(ctx, feature)
+			}
 		}
 	}
 }
@@ -180,12 +191,44 @@
 	})
 }
 
+// outdated returns the requests of which the store has a row that no entry needs any more.
+func (quarantines *quarantines) outdated() (outdated []quarantiner.Feature) {
+	known := map[quarantiner.Feature]bool{}
+	for _, quarantine := range quarantines.direct.frontend.Quarantined() {
+		known[quarantine.Feature] = true
+	}
+	quarantines.mu.Lock()
+	defer quarantines.mu.Unlock()
+	for feature := range quarantines.written {
+		if feature.Kind == quarantiner.Request && !known[feature] {
+			outdated = append(outdated, feature)
+		}
+	}
+	return outdated
+}
+
+func (quarantines *quarantines) remove(ctx context.Context, feature quarantiner.Feature) {
+	row := platform.Quarantined{ID: feature.ID, Request: true}
+	if err := platform.RemoveQuarantine(ctx, quarantines.store, row); err != nil {
+		quarantines.logFeature(feature).WithField(labelCause, err.Error()).Warn("quarantine not removed")
+		return
+	}
+	quarantines.mu.Lock()
+	defer quarantines.mu.Unlock()
+	delete(quarantines.written, feature)
+}
+
+func (quarantines *quarantines) logFeature(feature quarantiner.Feature) logrus.FieldLogger {
+	name := map[quarantiner.Kind]string{quarantiner.Request: "fingerprint", quarantiner.Part: "part"}[feature.Kind]
+	return quarantines.direct.log.WithField(name, strconv.FormatUint(feature.ID, 16))
+}
+
 func (quarantines *quarantines) write(ctx context.Context, quarantine quarantiner.Quarantine) {
-	row := platform.QuarantinedPart{
-		Part: quarantine.Feature.ID, For: quarantines.direct.clock.Now().Since(quarantine.Since),
-		Lapses: quarantine.Lapses, Lifted: quarantine.Lifted,
+	row := platform.Quarantined{
+		ID: quarantine.Feature.ID, Request: quarantine.Feature.Kind == quarantiner.Request,
+		For: quarantines.direct.clock.Now().Since(quarantine.Since), Lapses: quarantine.Lapses, Lifted: quarantine.Lifted,
 	}
-	log := quarantines.direct.log.WithField("part", strconv.FormatUint(quarantine.Feature.ID, 16))
+	log := quarantines.logFeature(quarantine.Feature)
 	if err := platform.WriteQuarantine(ctx, quarantines.store, row); err != nil {
 		log.WithField(labelCause, err.Error()).Warn("quarantine not written")
 		return
--- a/internal/gossiper/digest.go
+++ b/internal/gossiper/digest.go
@@ -34,12 +34,12 @@
 	// leave.
 	LeaveAnnounced []string
 	Strikes        []Strike
-	// Crashes are replicas that crashed with parts in flight, SurvivedParts parts whose crashes no
-	// longer count, TriedParts those of which the peer has begun a trial, and Quarantined those that
+	// Crashes are replicas that crashed with parts in flight, Survived parts and requests whose crashes no
+	// longer count, Tried those of which the peer has begun a trial, and Quarantined those that
 	// are quarantined at the peer.
-	Crashes                   []Crash
-	SurvivedParts, TriedParts []quarantiner.Feature
-	Quarantined               []quarantiner.Quarantine
+	Crashes         []Crash
+	Survived, Tried []quarantiner.Feature
+	Quarantined     []quarantiner.Quarantine
 	// SameDataCentre reports whether the peer runs in this entry's data centre.
 	SameDataCentre bool
 	// ListSummary is the result of the peer's last read of the list of replicas; nil if the
@@ -160,7 +160,8 @@
 		last.StoreFailing == next.StoreFailing && sameDataCentres(last.Evacuations, next.Evacuations) &&
 		slices.Equal(last.Replicas, next.Replicas) && slices.Equal(last.Running, next.Running) &&
 		slices.Equal(last.Unread, next.Unread) && slices.Equal(last.Rates, next.Rates) && last.ChecksHealth == next.ChecksHealth &&
-		len(last.Quarantined) == len(next.Quarantined) && sameServices(last.Demands, next.Demands)
+		len(last.Quarantined) == len(next.Quarantined) && len(last.QuarantinedRequests) == len(next.QuarantinedRequests) &&
+		sameServices(last.Demands, next.Demands)
 }
 
 // sameDataCentres reports whether the same data centres are evacuated; versions may differ.
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/elector"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/reserver"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -113,22 +114,22 @@
 	gossiper.enqueue(func(outbox *outbox) { outbox.crashes.add(crash) })
 }
 
-// SendSurvival reports to peers that answers on parts survived; at once if that is urgent.
-func (gossiper *Gossiper) SendSurvival(parts []uint64, urgent bool) {
+// SendSurvival reports to peers that answers on features survived; at once if that is urgent.
+func (gossiper *Gossiper) SendSurvival(features []quarantiner.Feature, urgent bool) {
 	gossiper.mu.Lock()
-	gossiper.outbox.survivedParts.add(parts...)
+	gossiper.outbox.survived.add(features...)
 	gossiper.mu.Unlock()
 	if urgent {
 		gossiper.wake()
 	}
 }
 
-// SendTrial reports to peers at once that a trial of parts begins.
-func (gossiper *Gossiper) SendTrial(parts []uint64) {
-	gossiper.enqueue(func(outbox *outbox) { outbox.triedParts.add(parts...) })
+// SendTrial reports to peers at once that a trial of features begins.
+func (gossiper *Gossiper) SendTrial(features []quarantiner.Feature) {
+	gossiper.enqueue(func(outbox *outbox) { outbox.tried.add(features...) })
 }
 
-// SendQuarantine sends the quarantined parts to peers at once.
+// SendQuarantine sends the quarantined features to peers at once.
 func (gossiper *Gossiper) SendQuarantine() { gossiper.wake() }
 
 // SendEvacuations sends the evacuations in force at this entry to peers at once.
@@ -260,8 +261,8 @@
 	digest := &encoder.PeerDigest{
 		Incarnation: gossiper.settings.Incarnation, Configuration: version, StoreFailing: failing,
 		IntervalMs: uint32(max(gossiper.interval, idleInterval)), Stopping: gossiper.stopping, StoreEra: era,
-		ChecksHealth: checksHealth && !gossiper.stopping, Quarantined: encodeQuarantined(quarantined, now),
-		Demands: encodeDemands(demands),
+		ChecksHealth: checksHealth && !gossiper.stopping, Quarantined: encodeQuarantined(quarantiner.Part, quarantined, now),
+		QuarantinedRequests: encodeQuarantined(quarantiner.Request, quarantined, now), Demands: encodeDemands(demands),
 	}
 	if hasEvacuations {
 		digest.Evacuations = encodeEvacuations(evacuations)
@@ -281,7 +282,8 @@
 		Configuration: version, Stopping: digest.Stopping, StoreAgeMs: ageOf(gossiper.settings.StoreAnswered(), now),
 		Replicas: digest.Replicas, Running: digest.Running, Unread: digest.Unread, Rates: digest.Rates, ChecksHealth: digest.ChecksHealth,
 		DataCentre: DataCentreKey(gossiper.settings.DataCentre), StoreFailing: failing, Evacuations: digest.Evacuations,
-		StoreEra: era, Retention: retention, Quarantined: digest.Quarantined, Demands: digest.Demands,
+		StoreEra: era, Retention: retention, Quarantined: digest.Quarantined, QuarantinedRequests: digest.QuarantinedRequests,
+		Demands: digest.Demands,
 	}
 	if hasSummary {
 		full.Listing = &encoder.PeerListing{
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -89,10 +89,14 @@
 	first.SendCold(ColdNotice{Replica: balancer.KeyOf("planner-4"), Until: clock.Now().Add(2500)})
 	crash := Crash{Incarnation: "planner-2@3", Parts: []uint64{1 << 62, 5}, TriedParts: []uint64{6}}
 	first.SendCrash(crash)
-	first.SendSurvival([]uint64{7}, false)
-	first.SendTrial([]uint64{8})
-	quarantined := quarantiner.Quarantine{Feature: quarantiner.Feature{Kind: quarantiner.Part, ID: 9}, Since: clock.Now().Add(-700), Lapses: 1}
-	first.settings.Quarantined = func() []quarantiner.Quarantine { return []quarantiner.Quarantine{quarantined} }
+	survived, tried := append(PartFeatures([]uint64{7}), requestFeatures([]uint64{17})...), append(PartFeatures([]uint64{8}), requestFeatures([]uint64{18})...)
+	first.SendSurvival(survived, false)
+	first.SendTrial(tried)
+	quarantined := []quarantiner.Quarantine{
+		{Feature: quarantiner.Feature{Kind: quarantiner.Part, ID: 9}, Since: clock.Now().Add(-700), Lapses: 1},
+		{Feature: quarantiner.Feature{Kind: quarantiner.Request, ID: 19}, Since: clock.Now().Add(-800), Lifted: true},
+	}
+	first.settings.Quarantined = func() []quarantiner.Quarantine { return quarantined }
 	first.sendDigest()
 	Convey("every field arrives", t, func() {
 		digest := second.wait(t, 1)[0]
@@ -111,9 +115,9 @@
 		So(digest.LeaveAnnounced, ShouldResemble, []string{"planner-5@17"})
 		So(digest.Strikes, ShouldResemble, []Strike{{Request: 1 << 63, Replica: "planner-2"}})
 		So(digest.Crashes, ShouldResemble, []Crash{crash})
-		So(digest.SurvivedParts, ShouldResemble, PartFeatures([]uint64{7}))
-		So(digest.TriedParts, ShouldResemble, PartFeatures([]uint64{8}))
-		So(digest.Quarantined, ShouldResemble, []quarantiner.Quarantine{quarantined})
+		So(digest.Survived, ShouldResemble, survived)
+		So(digest.Tried, ShouldResemble, tried)
+		So(digest.Quarantined, ShouldResemble, quarantined)
 	})
 	Convey("the peer knows the sender and sends its own digest", t, func() {
 		So(second.LivePeers(), ShouldResemble, []string{first.address()})
--- a/internal/gossiper/outbox.go
+++ b/internal/gossiper/outbox.go
@@ -8,6 +8,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/reserver"
 	"github.com/trefoilseam/trefoilseam/internal/sequencer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
@@ -160,8 +161,8 @@
 	leaveAnnounced queue[string]
 	strikes        queue[Strike]
 	crashes        queue[Crash]
-	survivedParts  queue[uint64]
-	triedParts     queue[uint64]
+	survived       queue[quarantiner.Feature]
+	tried          queue[quarantiner.Feature]
 	changes        queue[ReplicaUpdate]
 	cold           queue[ColdNotice]
 	recentCold     recentNotices
@@ -178,8 +179,8 @@
 		leaveAnnounced: queue[string]{limit: maxUpdates},
 		strikes:        queue[Strike]{limit: maxUpdates},
 		crashes:        queue[Crash]{limit: maxUpdates},
-		survivedParts:  queue[uint64]{limit: maxUpdates},
-		triedParts:     queue[uint64]{limit: maxUpdates},
+		survived:       queue[quarantiner.Feature]{limit: maxUpdates},
+		tried:          queue[quarantiner.Feature]{limit: maxUpdates},
 		changes:        queue[ReplicaUpdate]{limit: maxListChanges},
 		cold:           queue[ColdNotice]{limit: maxUpdates},
 		reservations:   queue[reserver.Reservation]{limit: maxReservations},
@@ -190,7 +191,7 @@
 func (outbox *outbox) empty() bool {
 	return len(outbox.placements.items)+len(outbox.unreachable.items)+
 		len(outbox.leaves.items)+len(outbox.leaveAnnounced.items)+len(outbox.strikes.items)+len(outbox.changes.items)+len(outbox.cold.items)+
-		len(outbox.crashes.items)+len(outbox.survivedParts.items)+len(outbox.triedParts.items)+
+		len(outbox.crashes.items)+len(outbox.survived.items)+len(outbox.tried.items)+
 		len(outbox.reservations.items) == 0
 }
 
@@ -223,7 +224,9 @@
 			Incarnation: crash.Incarnation, Parts: crash.Parts, TriedParts: crash.TriedParts,
 		})
 	}
-	digest.SurvivedParts, digest.TriedParts = outbox.survivedParts.take(), outbox.triedParts.take()
+	survived, tried := outbox.survived.take(), outbox.tried.take()
+	digest.SurvivedParts, digest.SurvivedRequests = idsOf(quarantiner.Part, survived), idsOf(quarantiner.Request, survived)
+	digest.TriedParts, digest.TriedRequests = idsOf(quarantiner.Part, tried), idsOf(quarantiner.Request, tried)
 	for _, changes := range outbox.changes.take() {
 		digest.Listed = append(digest.Listed, encodeUpdate(changes, now))
 	}
--- a/internal/gossiper/settings.go
+++ b/internal/gossiper/settings.go
@@ -55,7 +55,8 @@
 	// ChecksHealth reports whether this entry checks the health of replicas if it is selected.
 	// Nil means that it never does.
 	ChecksHealth func() bool
-	// Quarantined returns the parts of prompts that are quarantined at this entry. Nil means none.
+	// Quarantined returns the parts of prompts and the requests that are quarantined at this entry. Nil
+	// means none.
 	Quarantined func() []quarantiner.Quarantine
 	// Demands returns what callers of this entry ask of contended services, for digests to a number
 	// of peers. Nil means nothing.
--- a/internal/gossiper/state.go
+++ b/internal/gossiper/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/encoder"
+	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 )
 
 // State returns what this entry knows that a restored store may lack, for an entry that starts:
@@ -14,10 +15,12 @@
 func (gossiper *Gossiper) State() ([]byte, error) {
 	era, _ := gossiper.settings.StoreEras()
 	evacuations, _ := gossiper.settings.Evacuations()
+	quarantined, now := gossiper.settings.Quarantined(), gossiper.settings.Clock.Now()
 	text, err := proto.Marshal(&encoder.PeerDigest{
 		Incarnation: gossiper.settings.Incarnation, Configuration: gossiper.settings.Version(), StoreEra: era,
 		Retention: encodeRetention(gossiper.settings.Retention()), Evacuations: encodeEvacuations(evacuations),
-		Quarantined: encodeQuarantined(gossiper.settings.Quarantined(), gossiper.settings.Clock.Now()),
+		Quarantined:         encodeQuarantined(quarantiner.Part, quarantined, now),
+		QuarantinedRequests: encodeQuarantined(quarantiner.Request, quarantined, now),
 	})
 	return text, eris.Wrap(err, "state for a peer")
 }
--- a/internal/quarantiner/fleet_test.go
+++ b/internal/quarantiner/fleet_test.go
@@ -30,7 +30,9 @@
 	// allowedLate is how many requests may reach engines later than contactSpan after the fifth crash.
 	allowedLate = 3
 	fifth       = 5
-	contactSpan = 3 * timekeeper.Second
+	// countedCrashes is the number of crashes of one request after which only allowedLate more may follow.
+	countedCrashes = 3
+	contactSpan    = 3 * timekeeper.Second
 )
 
 // modelRequest is a request at an engine.
--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -13,6 +13,10 @@
 	// trials.
 	firstLifetime  = timekeeper.Hour
 	lifetimeGrowth = 4
+	// requestLifetime is how long a request is quarantined for the first time, after crashes that may have
+	// had another cause. Once a trial has failed, its quarantines last as long as those of a part, so
+	// a request crashes at most three more replicas a day.
+	requestLifetime = timekeeper.Minute
 	// maxLapses bounds the growth.
 	maxLapses = 3
 	// mergeSlack is how much later one of two statements about a part must be to replace the other. Their
@@ -20,11 +24,13 @@
 	mergeSlack = timekeeper.Second
 	// liftMemory is how long it is remembered that an operator lifted a quarantine.
 	liftMemory = 24 * timekeeper.Hour
-	// MaxQuarantined bounds the quarantined parts. Beyond it the oldest one is released.
+	// MaxQuarantined bounds the quarantined features of each kind. Beyond it the oldest one is released.
 	MaxQuarantined = 64
+	// lapsedMemory is how long a request whose quarantine has lapsed is remembered.
+	lapsedMemory = 24 * timekeeper.Hour
 )
 
-// Quarantine is a part of prompts that crashes replicas: no request with it is sent.
+// Quarantine is a part of prompts, or a request, that crashes replicas: it isn't sent.
 type Quarantine struct {
 	Feature Feature
 	// Since is when it was quarantined, by the clock of this entry.
@@ -39,21 +45,31 @@
 
 // ends returns when the quarantine lapses.
 func (quarantine Quarantine) ends() timekeeper.Instant {
-	span := firstLifetime
-	for range min(quarantine.Lapses, maxLapses) {
+	span, lapses := firstLifetime, quarantine.Lapses
+	if quarantine.Feature.Kind == Request {
+		if lapses == 0 {
+			return quarantine.Since.Add(requestLifetime)
+		}
+		lapses--
+	}
+	for range min(lapses, maxLapses) {
 		span *= lifetimeGrowth
 	}
 	return quarantine.Since.Add(span)
 }
 
-// Quarantine quarantines a part, or lifts its quarantine, and reports whether that was not known.
+// Quarantine quarantines a feature, or lifts its quarantine, and reports whether that was not known.
 func (table *Table) Quarantine(quarantine Quarantine, now timekeeper.Instant) bool {
 	part := quarantine.Feature
 	if known, found := table.quarantined[part]; found && !known.replacedBy(quarantine, now) {
 		return false
 	}
-	if all := table.Quarantined(now); len(all) >= MaxQuarantined {
-		delete(table.quarantined, all[0].Feature)
+	if quarantine.isOutdated(now) {
+		return false
+	}
+	same := slices.DeleteFunc(table.Quarantined(now), func(other Quarantine) bool { return other.Feature.Kind != part.Kind })
+	if len(same) >= MaxQuarantined {
+		delete(table.quarantined, same[0].Feature)
 	}
 	table.quarantined[part] = quarantine
 	known, found := table.records[part]
@@ -64,6 +80,14 @@
 	return true
 }
 
+// isOutdated reports whether a quarantine need not be remembered any longer.
+func (quarantine Quarantine) isOutdated(now timekeeper.Instant) bool {
+	if quarantine.Lifted {
+		return now.Since(quarantine.Since) > liftMemory
+	}
+	return quarantine.Feature.Kind == Request && now.Since(quarantine.ends()) > lapsedMemory
+}
+
 // replacedBy reports whether another statement about the same part is a later one.
 func (quarantine Quarantine) replacedBy(other Quarantine, now timekeeper.Instant) bool {
 	if quarantine.Lifted != other.Lifted {
@@ -85,12 +109,12 @@
 	return false
 }
 
-// Quarantined returns the quarantined parts, those whose quarantine has lapsed, and those of which it was
+// Quarantined returns the quarantined features, those whose quarantine has lapsed, and those of which it was
 // lifted, the oldest one first.
 func (table *Table) Quarantined(now timekeeper.Instant) []Quarantine {
 	all := make([]Quarantine, 0, len(table.quarantined))
 	for part, quarantine := range table.quarantined {
-		if quarantine.Lifted && now.Since(quarantine.Since) > liftMemory {
+		if quarantine.isOutdated(now) {
 			delete(table.quarantined, part)
 			continue
 		}
--- a/internal/quarantiner/table_test.go
+++ b/internal/quarantiner/table_test.go
@@ -65,6 +65,57 @@
 		history.wait(requestLifetime + 1)
 		So(history.check(badRequest).Allowed(), ShouldBeTrue)
 	})
+	Convey("a request is quarantined for its crashes, and at most three times more within a day", t, func() {
+		history, crashes := newHistory(), 0
+		began := history.now
+		for history.now < began.Add(24*timekeeper.Hour) {
+			if decision := history.Admit([]Feature{badRequest}, rankOf(0), history.now); decision.Allowed() {
+				crashes++
+				history.crash(1, badRequest)
+				history.ConcludeCrash(fmt.Sprint("replica-", history.crashes), history.now)
+			}
+			history.wait(10 * timekeeper.Second)
+		}
+		So(crashes, ShouldEqual, countedCrashes+allowedLate)
+	})
+	Convey("a crash that comes with others doesn't quarantine a request", t, func() {
+		history := newHistory()
+		for rack := range 3 {
+			for number := range 3 {
+				history.Crash(fmt.Sprint("rack-", rack, "-", number), []Feature{{Kind: Request, ID: uint64(10 + number)}}, history.now)
+			}
+			for number := range 3 {
+				So(history.ConcludeCrash(fmt.Sprint("rack-", rack, "-", number), history.now), ShouldBeEmpty)
+			}
+			history.wait(timekeeper.Minute)
+		}
+		So(history.check(Feature{Kind: Request, ID: 10}).Allowed(), ShouldBeTrue)
+	})
+	Convey("a request that replicas outlive is free at all entries, whatever older statements say", t, func() {
+		history, peer := newHistory(), newHistory()
+		history.crash(2, badRequest)
+		convicted := history.ConcludeCrash("replica-2", history.now)
+		So(convicted, ShouldHaveLength, 1)
+		So(peer.Quarantine(convicted[0], history.now), ShouldBeTrue)
+		history.wait(requestLifetime)
+		So(history.Admit([]Feature{badRequest}, rankOf(0), history.now).Trial, ShouldResemble, []Feature{badRequest})
+		So(history.check(badRequest).Allowed(), ShouldBeFalse)
+		cleared, urgent := history.Survive([]Feature{badRequest}, history.now)
+		So(cleared, ShouldResemble, []Feature{badRequest})
+		So(urgent, ShouldBeTrue)
+		peer.Survive(cleared, history.now)
+		So(peer.Quarantine(convicted[0], history.now), ShouldBeFalse)
+		So(peer.check(badRequest).Allowed(), ShouldBeTrue)
+	})
+	Convey("a request that replicas have outlived needs more crashes", t, func() {
+		history := newHistory()
+		history.survive(badRequest)
+		history.crash(refuseKnown-1, badRequest)
+		So(history.ConcludeCrash("replica-4", history.now), ShouldBeEmpty)
+		So(history.check(badRequest).Allowed(), ShouldBeTrue)
+		history.crash(1, badRequest)
+		So(history.ConcludeCrash("replica-5", history.now), ShouldHaveLength, 1)
+	})
 	Convey("one crash counts once", t, func() {
 		history := newHistory()
 		for range 9 {
--- a/internal/quarantiner/trial.go
+++ b/internal/quarantiner/trial.go
@@ -12,8 +12,10 @@
 	trialSpacing = 300 * timekeeper.Millisecond
 	// trialPatience is how long a trial waits for the survival of another answer.
 	trialPatience = timekeeper.Second
-	// trialTimeout is after how long a trial without a known result counts as ended.
-	trialTimeout = 3 * timekeeper.Second
+	// trialTimeout is after how long a trial without a known result counts as ended, and
+	// requestTrialTimeout that of a request, whose result may take as long as its run and settleTime.
+	trialTimeout        = 3 * timekeeper.Second
+	requestTrialTimeout = timekeeper.Minute
 	// trialsIfAmbiguous is the number of trials that must fail before a part is quarantined that has survived
 	// in survivalMemory, or that the crashes don't tell from another one: the second trial may be of a
 	// request that has only one of them. Otherwise one is enough.
@@ -64,7 +66,7 @@
 // the result of its trial tell something. Parts that all share do not wait for each other.
 func (table *Table) trialOpens(part Feature, since timekeeper.Instant) timekeeper.Instant {
 	opens := since
-	if table.survivals.latest <= since && !table.hasSurvived(part) {
+	if part.Kind == Part && table.survivals.latest <= since && !table.hasSurvived(part) {
 		opens = since.Add(trialPatience)
 	}
 	if known, found := table.records[part]; found {
@@ -84,7 +86,11 @@
 // BeginTrial records that a trial of parts begins, at this entry or another one.
 func (table *Table) BeginTrial(parts []Feature, now timekeeper.Instant) {
 	for _, part := range parts {
-		table.recordOf(part, now).trialEnds = now.Add(trialTimeout)
+		timeout := trialTimeout
+		if part.Kind == Request {
+			timeout = requestTrialTimeout
+		}
+		table.recordOf(part, now).trialEnds = now.Add(timeout)
 	}
 }
 
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -293,13 +293,13 @@
 		task.survive()
 	}
 	if result.verdict == answered && !result.replicaFailed {
-		task.endTrial()
+		task.endTrial(true)
 		return
 	}
 	task.countFaultyAnswer(result.cause)
 	task.logAttempt(result)
 	if cancelled || !task.probeReplica(result) {
-		task.endTrial()
+		task.endTrial(result.verdict == answered || result.verdict == broken)
 	}
 }
 
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -141,7 +141,7 @@
 		startedAt:  settings.Clock.Now(),
 		random:     rand.New(rand.NewPCG(settings.Seed, 17)),
 		budgets:    map[string]*retrier.Window{},
-		quarantine: &quarantine{table: quarantiner.New(), runs: quarantiner.NewRuns[balancer.Replica]()},
+		quarantine: &quarantine{table: quarantiner.New(), runs: quarantiner.NewRuns[balancer.Replica](), concluding: map[string]bool{}},
 		bodies:     receiver.NewMemory(settings.BodyMemory),
 		answers:    receiver.NewMemory(settings.AnswerMemory),
 		queue:      newQueue(settings.Fleet, settings.Clock),
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -78,8 +78,10 @@
 	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("strikes").Inc(1)
 }
 
-// countQuarantine counts a part of prompts that is quarantined.
-func (meters *meters) countQuarantine() { meters.scope.Counter("quarantines").Inc(1) }
+// countQuarantine counts a part of prompts, or a request, that is quarantined.
+func (meters *meters) countQuarantine(kind quarantiner.Kind) {
+	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("quarantines").Inc(1)
+}
 
 // countKept counts a request that is kept from replicas for one of its features.
 func (meters *meters) countKept(decision quarantiner.Decision) {
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -17,6 +17,9 @@
 const (
 	// tellTime is how long after a crash the other entries have told what was in flight there.
 	tellTime = 150 * timekeeper.Millisecond
+	// concludeTime is how long after a crash others with the same cause are known too. A probe of a replica
+	// without power takes up to probeTimeout.
+	concludeTime = 600 * timekeeper.Millisecond
 	// quarantinedRetryAfter is the Retry-After for requests that are refused for long.
 	quarantinedRetryAfter = timekeeper.Minute
 	// maxTrialWait bounds how much later callers come back for a suspected part. Another entry may try it
@@ -32,14 +35,14 @@
 	// OnCrash is called when a replica crashed while a request with the features was in flight, with
 	// those for which that was not known.
 	OnCrash func(incarnation string, inFlight []quarantiner.Feature)
-	// OnSurvival is called for parts whose crashes no longer count, since an answer survived; urgent
+	// OnSurvival is called for features whose crashes no longer count, since an answer survived; urgent
 	// reports whether requests may wait for that.
-	OnSurvival func(parts []quarantiner.Feature, urgent bool)
-	// OnTrial is called when a trial of suspected parts begins.
-	OnTrial func(parts []quarantiner.Feature)
+	OnSurvival func(features []quarantiner.Feature, urgent bool)
+	// OnTrial is called when a trial of suspected features begins.
+	OnTrial func(features []quarantiner.Feature)
 	// OnFailedTrial is called when an incarnation crashed at a trial of parts with an ambiguous result.
 	OnFailedTrial func(incarnation string, parts []quarantiner.Feature)
-	// OnQuarantine is called when this entry quarantines a part.
+	// OnQuarantine is called when this entry quarantines a feature, unless peers that saw the crash do.
 	OnQuarantine func(quarantine quarantiner.Quarantine)
 	// Rank returns how many entries may try a suspected part before this one.
 	Rank func(part quarantiner.Feature) int
@@ -63,6 +66,8 @@
 	mu    sync.Mutex
 	table *quarantiner.Table
 	runs  *quarantiner.Runs[balancer.Replica]
+	// concluding are the incarnations whose crashes are concluded soon, and whether this entry saw the crash.
+	concluding map[string]bool
 }
 
 // with calls work with the table while holding the lock.
@@ -85,7 +90,11 @@
 	if len(ended) > 0 {
 		entry.settings.Crashes.OnCrash(incarnation, ended)
 	}
-	for _, feature := range slices.Concat(struck, ended) {
+	all := slices.Concat(struck, ended)
+	if slices.ContainsFunc(all, func(feature quarantiner.Feature) bool { return feature.Kind == quarantiner.Request }) {
+		entry.concludeSoon(incarnation, peer == "" || len(ended) > 0)
+	}
+	for _, feature := range all {
 		entry.meters.countStrike(feature.Kind)
 		fields := logrus.Fields{labelReplica: balancer.IDOf(incarnation), "incarnation": incarnation}
 		if peer != "" {
@@ -96,16 +105,47 @@
 	return struck
 }
 
-// RecordSurvival records that answers on the parts survived at a peer.
-func (entry *Entry) RecordSurvival(parts []quarantiner.Feature) {
+// concludeSoon concludes a crash once it is known which others came with it; own reports whether this entry saw
+// the crash, or had run a request there.
+func (entry *Entry) concludeSoon(incarnation string, own bool) {
+	quarantine := entry.quarantine
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	_, soon := quarantine.concluding[incarnation]
+	quarantine.concluding[incarnation] = own || quarantine.concluding[incarnation]
+	if !soon {
+		go entry.concludeCrash(incarnation)
+	}
+}
+
+// concludeCrash quarantines the requests that have crashed enough replicas, this one among them.
+func (entry *Entry) concludeCrash(incarnation string) {
+	_ = entry.settings.Clock.Sleep(context.Background(), concludeTime)
+	var convicted []quarantiner.Quarantine
+	own, now := false, entry.settings.Clock.Now()
+	entry.quarantine.with(func(table *quarantiner.Table) {
+		own = entry.quarantine.concluding[incarnation]
+		delete(entry.quarantine.concluding, incarnation)
+		convicted = table.ConcludeCrash(incarnation, now)
+	})
+	for _, quarantine := range convicted {
+		entry.applyQuarantine(quarantine, "crashes")
+		if own {
+			entry.settings.Crashes.OnQuarantine(quarantine)
+		}
+	}
+}
+
+// RecordSurvival records that answers on the features survived at a peer.
+func (entry *Entry) RecordSurvival(features []quarantiner.Feature) {
 	now := entry.settings.Clock.Now()
-	entry.quarantine.with(func(table *quarantiner.Table) { table.Survive(parts, now) })
+	entry.quarantine.with(func(table *quarantiner.Table) { table.Survive(features, now) })
 }
 
-// RecordTrial records that a peer has begun a trial of parts.
-func (entry *Entry) RecordTrial(parts []quarantiner.Feature) {
+// RecordTrial records that a peer has begun a trial of features.
+func (entry *Entry) RecordTrial(features []quarantiner.Feature) {
 	now := entry.settings.Clock.Now()
-	entry.quarantine.with(func(table *quarantiner.Table) { table.BeginTrial(parts, now) })
+	entry.quarantine.with(func(table *quarantiner.Table) { table.BeginTrial(features, now) })
 }
 
 // RecordFailedTrial records that an incarnation crashed at a peer's trial of parts with an ambiguous result.
@@ -114,7 +154,7 @@
 	entry.quarantine.with(func(table *quarantiner.Table) { table.FailTrial(parts, incarnation, now) })
 }
 
-// Quarantine quarantines a part that a peer or the store knows of, which from names, and reports
+// Quarantine quarantines a feature that a peer or the store knows of, which from names, and reports
 // whether that was not known.
 func (entry *Entry) Quarantine(quarantine quarantiner.Quarantine, from string) (changed bool) {
 	now := entry.settings.Clock.Now()
@@ -125,32 +165,32 @@
 	return changed
 }
 
-// Lift ends the quarantine of a part, and reports whether there was one, or a suspicion.
-func (entry *Entry) Lift(part quarantiner.Feature, from string) (lifted bool) {
+// Lift ends the quarantine of a feature, and reports whether there was one, or a suspicion.
+func (entry *Entry) Lift(feature quarantiner.Feature, from string) (lifted bool) {
 	now := entry.settings.Clock.Now()
-	entry.quarantine.with(func(table *quarantiner.Table) { lifted = table.Lift(part, now) })
+	entry.quarantine.with(func(table *quarantiner.Table) { lifted = table.Lift(feature, now) })
 	if lifted {
-		entry.applyQuarantine(quarantiner.Quarantine{Feature: part, Since: now, Lifted: true}, from)
+		entry.applyQuarantine(quarantiner.Quarantine{Feature: feature, Since: now, Lifted: true}, from)
 	}
 	return lifted
 }
 
 // applyQuarantine refuses the requests that wait, and logs a quarantine or its end.
 func (entry *Entry) applyQuarantine(quarantine quarantiner.Quarantine, from string) {
-	part := quarantine.Feature
+	feature := quarantine.Feature
 	if quarantine.Lifted {
-		entry.logFeature(part, logrus.Fields{"from": from}).Warn("quarantine lifted")
+		entry.logFeature(feature, logrus.Fields{"from": from}).Warn("quarantine lifted")
 		return
 	}
-	entry.queue.withdraw(func(waiter *balancer.Waiter) bool { return hasPart(waiter.Request.Parts, part) })
-	entry.meters.countQuarantine()
-	entry.logFeature(part, logrus.Fields{
+	entry.queue.withdraw(func(waiter *balancer.Waiter) bool { return hasFeature(waiter, feature) })
+	entry.meters.countQuarantine(feature.Kind)
+	entry.logFeature(feature, logrus.Fields{
 		"from": from, "incarnations": quarantine.Incarnations, "lapses": quarantine.Lapses,
 		"age-ms": int64(entry.settings.Clock.Now().Since(quarantine.Since)),
-	}).Error("part quarantined, it crashes replicas")
+	}).Error(feature.Kind.String() + " quarantined, it crashes replicas")
 }
 
-// Quarantined returns the parts that are quarantined at this entry: see quarantiner.Table.
+// Quarantined returns what is quarantined at this entry: see quarantiner.Table.
 func (entry *Entry) Quarantined() (quarantined []quarantiner.Quarantine) {
 	now := entry.settings.Clock.Now()
 	entry.quarantine.with(func(table *quarantiner.Table) { quarantined = table.Quarantined(now) })
@@ -174,9 +214,12 @@
 	return features
 }
 
-// hasPart reports whether a part is one that requests may share.
-func hasPart(parts []balancer.Part, feature quarantiner.Feature) bool {
-	for _, part := range balancer.SharedParts(parts) {
+// hasFeature reports whether a waiting request has a feature.
+func hasFeature(waiter *balancer.Waiter, feature quarantiner.Feature) bool {
+	if feature.Kind == quarantiner.Request {
+		return waiter.Fingerprint == feature.ID
+	}
+	for _, part := range balancer.SharedParts(waiter.Request.Parts) {
 		if part.ID == feature.ID {
 			return true
 		}
@@ -185,7 +228,7 @@
 }
 
 // errQuarantined is returned for a request that is kept from replicas for one of its features.
-var errQuarantined = eris.New("the request has a part that crashed replicas")
+var errQuarantined = eris.New("the request, or a part of its prompt, crashed replicas")
 
 // checkFeatures returns the failure of a request that is kept from replicas, and whether it may be
 // sent.
@@ -204,7 +247,7 @@
 // refusalFor returns the failure for a request that is kept from replicas.
 func (task *task) refusalFor(decision quarantiner.Decision) classifier.Failure {
 	task.refused = decision
-	detail := "a suspected part is on trial"
+	detail := "a suspected " + decision.Refused.Kind.String() + " is on trial"
 	wait := task.retryAfter() + min(decision.Wait, maxTrialWait)
 	switch {
 	case !decision.Final:
@@ -234,8 +277,9 @@
 	}
 	if task.trial = decision.Trial; len(task.trial) > 0 {
 		task.entry.settings.Crashes.OnTrial(task.trial)
-		for _, part := range task.trial {
-			task.entry.logFeature(part, logrus.Fields{"request-id": task.call.ID, labelReplica: task.replica}).Info("trial of a suspected part begins")
+		for _, feature := range task.trial {
+			task.entry.logFeature(feature, logrus.Fields{"request-id": task.call.ID, labelReplica: task.replica}).
+				Info("trial of a suspected " + feature.Kind.String() + " begins")
 		}
 	}
 	return true
@@ -267,14 +311,24 @@
 	}
 }
 
-// endTrial ends a trial that has shown nothing.
-func (task *task) endTrial() {
-	if len(task.trial) == 0 {
+// endTrial ends a trial that has shown nothing. The trial of a request that may have run goes on until it is known
+// whether the replica outlives it.
+func (task *task) endTrial(ran bool) {
+	trial := task.trial
+	task.trial = nil
+	if ran {
+		trial = partsOf(trial)
+	}
+	if len(trial) == 0 {
 		return
 	}
 	now := task.entry.settings.Clock.Now()
-	task.entry.quarantine.with(func(table *quarantiner.Table) { table.EndTrial(task.trial, now) })
-	task.trial = nil
+	task.entry.quarantine.with(func(table *quarantiner.Table) { table.EndTrial(trial, now) })
+}
+
+// partsOf returns the features that are parts of prompts.
+func partsOf(features []quarantiner.Feature) []quarantiner.Feature {
+	return slices.DeleteFunc(slices.Clone(features), func(feature quarantiner.Feature) bool { return feature.Kind != quarantiner.Part })
 }
 
 // recordCrash records that a replica crashed while a request was in flight, and tells the peers. The planned end
@@ -292,6 +346,7 @@
 // concludeTrial ends a trial at whose replica an answer broke off. If the replica has crashed, parts
 // are quarantined once the peers have told what they had in flight there.
 func (entry *Entry) concludeTrial(trial []quarantiner.Feature, incarnation string, crashed bool) {
+	trial = partsOf(trial)
 	if len(trial) == 0 {
 		return
 	}
--- a/internal/relayer/runs.go
+++ b/internal/relayer/runs.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
 	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
@@ -99,7 +100,18 @@
 // surviveRequest records that a request has ended and its replica has outlived it.
 func (entry *Entry) surviveRequest(request quarantiner.Feature) {
 	now := entry.settings.Clock.Now()
-	entry.quarantine.with(func(table *quarantiner.Table) { table.Survive([]quarantiner.Feature{request}, now) })
+	var cleared []quarantiner.Feature
+	var urgent bool
+	entry.quarantine.with(func(table *quarantiner.Table) {
+		cleared, urgent = table.Survive([]quarantiner.Feature{request}, now)
+	})
+	if len(cleared) == 0 {
+		return
+	}
+	entry.settings.Crashes.OnSurvival(cleared, urgent)
+	if urgent {
+		entry.logFeature(request, logrus.Fields{}).Info("suspected request cleared")
+	}
 }
 
 // leaves reports whether a replica is known to leave, so that its end is no crash.
