validator: an answer of HTTP/1.0 has no chunks

Cause: net/http drops the field in HTTP/1.0, so the body seems to end with the connection. RFC 9112, section 6.1: such a message has faulty framing.

Change: validator.Conn scans heads for the field, twelve bytes of each answer of HTTP/1.1 and the whole head of HTTP/1.0; reading such a head fails with an Error of the part framing.

Why it works: the head is read before net/http drops the field.

--- a/internal/relayer/broken_answer_test.go
+++ b/internal/relayer/broken_answer_test.go
@@ -38,6 +38,9 @@
 	}
 }
 
+// chunksOfOld is an answer of HTTP/1.0 in chunks, which that version doesn't have.
+const chunksOfOld = "HTTP/1.0 200 OK\r\nId: {id}\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+
 // brokenAnswers returns how many answers were counted as broken, by part.
 func brokenAnswers(scope tally.TestScope) map[string]int64 {
 	counts := map[string]int64{}
@@ -76,6 +79,11 @@
 		{"a blank in a name, safe", safe, reply(plainHead + "Content Type: x\r\nContent-Length: 4\r\n\r\nbody"), 200, "sound", false, "field-name"},
 		{"a length behind a blank", once, reply(plainHead + "Content-Length : 4\r\n\r\nbodymore"), 502, "", false, "field-name"},
 		{"chunks behind a blank", once, reply(plainHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"), 502, "", false, "field-name"},
+		{"chunks in HTTP/1.0, once only", once, reply(chunksOfOld), 502, "", false, "framing"},
+		{"chunks in HTTP/1.0, safe", safe, reply(chunksOfOld), 200, "sound", false, "framing"},
+		{"chunks in HTTP/1.0 after an interim answer", once, reply("HTTP/1.1 103 Early\r\nA: b\r\n\r\n" + chunksOfOld), 502, "", false, "framing"},
+		{"chunks in a stream of HTTP/1.0", stream, reply(strings.Replace(chunksOfOld, "\r\n\r\n4\r\nbody", "\r\nContent-Type: text/event-stream\r\n\r\n5\r\na\n\nbc", 1)), 502, "", false, "framing"},
+		{"a whole answer of HTTP/1.0", once, reply("HTTP/1.0 200 OK\r\nId: {id}\r\nSigned: 1\r\n\r\nTransfer-Encoding: none\r\n"), 200, "Transfer-Encoding: none\r\n", false, ""},
 		{"a control byte in a name", once, reply(plainHead + "Content\x01Type: x\r\nContent-Length: 4\r\n\r\nbody"), 502, "", false, ""},
 		{"a blank in a name of a stream", stream, reply(streamHead + "Content Type: x\r\n\r\n" + twoEvents), 502, "", false, "field-name"},
 		{"a blank in a name of a refusal", once, reply(refusal + "Content Type: x\r\nContent-Length: 0\r\n\r\n"), 502, "", false, "field-name"},
--- a/internal/validator/conn.go
+++ b/internal/validator/conn.go
@@ -5,18 +5,25 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rotisserie/eris"
 )
 
-// Conn is the client's side of a connection on which a reset never looks like an orderly close.
+// Conn is the client's side of a connection on which a reset never looks like an orderly close, nor chunks
+// like a body of HTTP/1.0.
 //
 // The kernel reports a reset once. If a write meets it, reads return what has arrived and then io.EOF,
 // as after an orderly close. A Conn returns an Error instead.
 type Conn struct {
 	net.Conn
 
+	// isAsked reports whether something was written since the last read, so that a head may follow.
+	isAsked atomic.Bool
+	// scanner belongs to the goroutine that reads.
+	scanner headScanner
+
 	// writing is held during a write, and guards failed.
 	writing sync.Mutex
 	// failed is the error of the first write that failed.
@@ -41,6 +48,7 @@
 
 // Write writes to the connection.
 func (conn *Conn) Write(text []byte) (int, error) {
+	conn.isAsked.Store(true)
 	conn.writing.Lock()
 	defer conn.writing.Unlock()
 	count, err := conn.Conn.Write(text)
@@ -51,9 +59,15 @@
 }
 
 // Read reads from the connection. It returns io.EOF only if the other side has closed the connection
-// in order, and an Error at its End if it may have been reset.
+// in order, and an Error at its End if it may have been reset, or for the Framing of a head.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
+	if conn.isAsked.Swap(false) {
+		conn.scanner.begin()
+	}
+	if conn.scanner.scan(buffer[:count]) {
+		return 0, Error{Part: Framing, Text: fieldTransferEncoding + " in an answer of HTTP/1.0"}
+	}
 	switch {
 	case err == io.EOF:
 		err = conn.end()
