--- a/internal/relayer/broken_answer_test.go
+++ b/internal/relayer/broken_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,31 @@
 	return counts
 }
 
+func TestCallersOfHeadsThatEndInTheMiddle(t *testing.T) {
+	// Guards against a head that its replica didn't end and that a caller gets as a whole answer.
+	heads := []struct {
+		kind router.Kind
+		text string
+	}{
+		{router.Once, plainHead + "Content-Length: 4\r\n\r\n"},
+		{router.Once, plainHead + "Transfer-Encoding: chunked\r\n\r\n"},
+		{router.Once, "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + plainHead + "A: b\r\n\r\n"},
+		{router.Stream, streamHead + "\r\n"},
+	}
+	for _, head := range heads {
+		Convey(fmt.Sprintf("%q", head.text), t, func() {
+			for cut := 1; cut < len(head.text); cut += 3 {
+				entry, _ := endlessEntry(t, twoReplicas(t, reply(head.text[:cut]), reply("")), router.Route{Kind: head.kind}, Call{Deadline: 10 * timekeeper.Second})
+				request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://kitchen.example/", http.NoBody)
+				request.Header.Set("Id", "r-1")
+				answer := httptest.NewRecorder()
+				entry.ServeHTTP(answer, request)
+				So(answer.Code, ShouldEqual, http.StatusBadGateway)
+			}
+		})
+	}
+}
+
 func TestCallersOfBrokenAnswers(t *testing.T) {
 	// Guards against part of an answer, or bytes that are none, that a caller gets as a whole answer.
 	const upload = 4 << 20
--- a/internal/validator/transport_test.go
+++ b/internal/validator/transport_test.go
@@ -38,17 +38,7 @@
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, test.answer)
-				if test.reset {
-					_ = conn.(*net.TCPConn).SetLinger(0)
-				}
-				_ = conn.Close()
-			}))
+			server := closingServer(func() string { return test.answer }, test.reset)
 			defer server.Close()
 			transport := NewTransport(&http.Transport{})
 			defer transport.CloseIdleConnections()
@@ -71,6 +61,47 @@
 	}
 }
 
+// closingServer answers with a text and closes or resets the connection.
+func closingServer(answer func() string, reset bool) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer())
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	}))
+}
+
+func TestHeadsThatEndInTheMiddle(t *testing.T) {
+	// Guards against a head that its sender didn't end and that a client of net/http takes for an answer.
+	heads := []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+	}
+	for _, head := range heads {
+		for _, reset := range []bool{false, true} {
+			Convey(fmt.Sprintf("reset: %v, %q", reset, head), t, func() {
+				cut := 0
+				server := closingServer(func() string { return head[:cut] }, reset)
+				defer server.Close()
+				transport := NewTransport(&http.Transport{})
+				defer transport.CloseIdleConnections()
+				for cut = range len(head) {
+					request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, http.NoBody)
+					So(err, ShouldBeNil)
+					_, err = roundTrip(transport, request)
+					So(err, ShouldNotBeNil)
+				}
+			})
+		}
+	}
+}
+
 func TestAnswersOverTLS(t *testing.T) {
 	// Guards against sound answers of another version of the protocol that are rejected.
 	for _, http2 := range []bool{false, true} {
