--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -301,7 +301,7 @@
 func (entry *Entry) refuseEarly(w http.ResponseWriter, r *http.Request, call Call, failure classifier.Failure) {
 	entry.meters.countRefusal(failure.Kind)
 	entry.settings.Log.WithFields(logrus.Fields{
-		"request-id": call.ID, "kind": failure.Kind.String(), "detail": failure.Detail,
+		"request-id": call.ID, labelKind: failure.Kind.String(), "detail": failure.Detail,
 	}).Info("request refused")
 	entry.refuse(w, r, failure, call.ID)
 }
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -23,6 +23,8 @@
 	labelService = "service"
 	// labelReplica is the key for a replica in logs.
 	labelReplica = "replica"
+	// labelKind is the key for the kind of a failure, a feature or a route in metrics and logs.
+	labelKind = "kind"
 )
 
 const (
@@ -66,7 +68,7 @@
 
 // countRefusal counts a request that was refused before it became a task.
 func (meters *meters) countRefusal(kind classifier.Kind) {
-	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("refused").Inc(1)
+	meters.scope.Tagged(map[string]string{labelKind: kind.String()}).Counter("refused").Inc(1)
 }
 
 // countShedConnection counts a connection that is closed before anything of it was read.
@@ -75,12 +77,12 @@
 // countStrike counts a strike: a request, or a part of prompts, that was in flight at a replica when
 // it crashed.
 func (meters *meters) countStrike(kind quarantiner.Kind) {
-	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("strikes").Inc(1)
+	meters.scope.Tagged(map[string]string{labelKind: kind.String()}).Counter("strikes").Inc(1)
 }
 
 // countQuarantine counts a part of prompts, or a request, that is quarantined.
 func (meters *meters) countQuarantine(kind quarantiner.Kind) {
-	meters.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("quarantines").Inc(1)
+	meters.scope.Tagged(map[string]string{labelKind: kind.String()}).Counter("quarantines").Inc(1)
 }
 
 // countKept counts a request that is kept from replicas for one of its features.
@@ -172,7 +174,7 @@
 		outcome = failure.Kind.String()
 	}
 	scope := meters.scope.Tagged(map[string]string{
-		labelService: meters.service(task.service), "kind": task.route.Kind.String(), "outcome": outcome,
+		labelService: meters.service(task.service), labelKind: task.route.Kind.String(), "outcome": outcome,
 	})
 	scope.Counter("requests").Inc(1)
 	meters.countReturn(task, outcome)
--- a/internal/relayer/task_log.go
+++ b/internal/relayer/task_log.go
@@ -36,7 +36,7 @@
 		task.entry.settings.Log.WithFields(fields).Info("request answered")
 		return
 	}
-	fields["kind"], fields["detail"] = failure.Kind.String(), failure.Detail
+	fields[labelKind], fields["detail"] = failure.Kind.String(), failure.Detail
 	if failure.RetryAfter > 0 {
 		fields["retry-after-ms"] = int64(failure.RetryAfter)
 	}
--- a/internal/validator/scanner.go
+++ b/internal/validator/scanner.go
@@ -22,8 +22,8 @@
 	line    [len(fieldTransferEncoding) + 1]byte
 	length  int
 	interim bool
-	// unversioned reports whether the head is of HTTP/1.0.
-	unversioned bool
+	// isHTTP10 reports whether the head is of HTTP/1.0.
+	isHTTP10 bool
 }
 
 // scanState is what a headScanner reads.
@@ -71,9 +71,9 @@
 // readStatus reads a status line of which enough has come.
 func (scanner *headScanner) readStatus() {
 	version, status, _ := strings.Cut(string(scanner.line[:statusBytes]), " ")
-	scanner.unversioned, scanner.interim = version == "HTTP/1.0", status == "1"
+	scanner.isHTTP10, scanner.interim = version == "HTTP/1.0", status == "1"
 	scanner.state = scanFields
-	if !scanner.unversioned && !scanner.interim {
+	if !scanner.isHTTP10 && !scanner.interim {
 		scanner.state = scanNothing
 	}
 }
@@ -92,7 +92,7 @@
 		scanner.state = scanNothing
 	default:
 		name, _, isField := bytes.Cut(line, []byte(":"))
-		return isField && scanner.unversioned && strings.EqualFold(string(name), fieldTransferEncoding)
+		return isField && scanner.isHTTP10 && strings.EqualFold(string(name), fieldTransferEncoding)
 	}
 	return false
 }
