relayer, assembler: one probe of a replica at a time, and rows that were just read aren't removed

Found while the change was read again. Each digest that reports a replica as unreachable began a probe; at 380 entries that makes hundreds of one crash. And recall marked rows of quarantined requests as written before it applied them, so that a primary could remove them in between.

--- a/internal/assembler/direct_quarantine.go
+++ b/internal/assembler/direct_quarantine.go
@@ -124,12 +124,15 @@
 // recall applies what earlier entries wrote into the store.
 func (quarantines *quarantines) recall(registry platform.Registry) {
 	now := quarantines.direct.clock.Now()
-	quarantines.mu.Lock()
-	quarantines.enterEra(registry.Era)
-	for _, row := range registry.Quarantined {
-		quarantines.written[featureOf(row)] = writtenQuarantine{lapses: row.Lapses, lifted: row.Lifted}
-	}
-	quarantines.mu.Unlock()
+	// They are applied first: a written row of which this entry knows nothing is removed.
+	defer func() {
+		quarantines.mu.Lock()
+		defer quarantines.mu.Unlock()
+		quarantines.enterEra(registry.Era)
+		for _, row := range registry.Quarantined {
+			quarantines.written[featureOf(row)] = writtenQuarantine{lapses: row.Lapses, lifted: row.Lifted}
+		}
+	}()
 	for _, row := range registry.Quarantined {
 		quarantines.direct.frontend.Quarantine(quarantiner.Quarantine{
 			Feature: featureOf(row), Since: now.Add(-row.For), Lapses: row.Lapses, Lifted: row.Lifted,
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -16,6 +16,9 @@
 //   - A quarantined feature explains all crashes that it was in flight at. Features that only came
 //     along lose them.
 //
+// A whole request that comes again is quarantined for its crashes at once, for a short while, and a trial
+// follows. A crash also counts against requests whose runs at the replica have just ended: Runs holds those.
+//
 // Table does no I/O and has no clock. Its callers tell the other entries what it returns.
 //
 // This is group testing with one defective item, where a test is expensive and most are already
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -16,7 +16,6 @@
 	"github.com/trefoilseam/trefoilseam/internal/classifier"
 	"github.com/trefoilseam/trefoilseam/internal/connector"
 	"github.com/trefoilseam/trefoilseam/internal/follower"
-	"github.com/trefoilseam/trefoilseam/internal/quarantiner"
 	"github.com/trefoilseam/trefoilseam/internal/receiver"
 	"github.com/trefoilseam/trefoilseam/internal/resumer"
 	"github.com/trefoilseam/trefoilseam/internal/retrier"
@@ -141,7 +140,7 @@
 		startedAt:  settings.Clock.Now(),
 		random:     rand.New(rand.NewPCG(settings.Seed, 17)),
 		budgets:    map[string]*retrier.Window{},
-		quarantine: &quarantine{table: quarantiner.New(), runs: quarantiner.NewRuns[balancer.Replica](), concluding: map[string]bool{}},
+		quarantine: newQuarantine(),
 		bodies:     receiver.NewMemory(settings.BodyMemory),
 		answers:    receiver.NewMemory(settings.AnswerMemory),
 		queue:      newQueue(settings.Fleet, settings.Clock),
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -60,14 +60,22 @@
 	return sharing
 }
 
-// quarantine guards a table and the runs that have just ended. Its lock is held while CrashSharing.Rank is called, which takes that of the
-// gossiper; no other lock is taken after it.
+// quarantine guards a table and the runs that have just ended. Its lock is held while CrashSharing.Rank is
+// called, which takes that of the gossiper; no other lock is taken after it.
 type quarantine struct {
 	mu    sync.Mutex
 	table *quarantiner.Table
 	runs  *quarantiner.Runs[balancer.Replica]
 	// concluding are the incarnations whose crashes are concluded soon, and whether this entry saw the crash.
 	concluding map[string]bool
+	// probing are the incarnations that findCrash probes.
+	probing map[string]bool
+}
+
+func newQuarantine() *quarantine {
+	return &quarantine{
+		table: quarantiner.New(), runs: quarantiner.NewRuns[balancer.Replica](), concluding: map[string]bool{}, probing: map[string]bool{},
+	}
 }
 
 // with calls work with the table while holding the lock.
--- a/internal/relayer/runs.go
+++ b/internal/relayer/runs.go
@@ -50,16 +50,31 @@
 	}
 }
 
+// beginProbe reports whether to probe a replica: requests have just run there, and it isn't probed already.
+func (quarantine *quarantine) beginProbe(incarnation string) bool {
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	if quarantine.probing[incarnation] || !quarantine.runs.Watches(incarnation) {
+		return false
+	}
+	quarantine.probing[incarnation] = true
+	return true
+}
+
+func (quarantine *quarantine) endProbe(incarnation string) {
+	quarantine.mu.Lock()
+	defer quarantine.mu.Unlock()
+	delete(quarantine.probing, incarnation)
+}
+
 // findCrash records the crash of a replica if it refuses connections and requests have just run there.
 func (entry *Entry) findCrash(replica balancer.Replica) {
+	if !entry.quarantine.beginProbe(replica.Incarnation()) {
+		return
+	}
+	defer entry.quarantine.endProbe(replica.Incarnation())
 	for _, pause := range append([]timekeeper.Span{0}, probePauses...) {
 		_ = entry.settings.Clock.Sleep(context.Background(), pause)
-		entry.quarantine.mu.Lock()
-		watched := entry.quarantine.runs.Watches(replica.Incarnation())
-		entry.quarantine.mu.Unlock()
-		if !watched {
-			return
-		}
 		if entry.refusesConnections(replica) {
 			entry.markUnreachable(replica, "no connection after it closed one")
 			entry.recordCrash(replica, nil)
