--- a/internal/quarantiner/runs.go
+++ b/internal/quarantiner/runs.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// settleTime is how long after the end of a run a crash of its replica still counts against the
+	// suspectTime is how long after the end of a run a crash of its replica still counts against the
 	// request. A replica writes into the list once a second and is removed after three silent intervals,
 	// so by then a crash that no connection showed is known.
-	settleTime = 3 * timekeeper.Second
+	suspectTime = 3 * timekeeper.Second
 	// maxAbandonedTime bounds the time for which a replica may go on with a request that was given up.
 	maxAbandonedTime = 15 * timekeeper.Second
 	// maxRuns bounds the runs of an entry, some 80 bytes each.
@@ -20,7 +20,7 @@
 )
 
 // Runs are the requests that an entry has sent to replicas and whose runs have ended, or were given up, too
-// short a while ago to tell whether the replica survives them. R is what the entry knows of a replica.
+// short a while ago to tell whether the replica outlives them. R is what the entry knows of a replica.
 //
 // Runs does no I/O and has no clock.
 type Runs[R any] struct {
@@ -43,8 +43,8 @@
 	whole bool
 }
 
-// Settled is a request that a replica has answered completely, and that it outlived as far as is known.
-type Settled[R any] struct {
+// Outlived is a request that a replica has answered completely, and that it outlived as far as is known.
+type Outlived[R any] struct {
 	Request Feature
 	Replica R
 }
@@ -54,13 +54,13 @@
 
 // End records that an incarnation of a replica has answered a request completely.
 func (runs *Runs[R]) End(incarnation string, replica R, request Feature, now timekeeper.Instant) {
-	runs.add(incarnation, replica, run{request: request, until: now.Add(settleTime), whole: true})
+	runs.add(incarnation, replica, run{request: request, until: now.Add(suspectTime), whole: true})
 }
 
 // Abandon records that a request was given up that an incarnation of a replica may run until a deadline.
 func (runs *Runs[R]) Abandon(incarnation string, replica R, request Feature, deadline, now timekeeper.Instant) {
 	end := max(now, min(deadline, now.Add(maxAbandonedTime)))
-	runs.add(incarnation, replica, run{request: request, until: end.Add(settleTime)})
+	runs.add(incarnation, replica, run{request: request, until: end.Add(suspectTime)})
 }
 
 func (runs *Runs[R]) add(incarnation string, replica R, added run) {
@@ -102,8 +102,8 @@
 	return suspects[max(0, len(suspects)-maxSuspects):]
 }
 
-// Settle forgets the runs that a crash no longer counts against, and returns those with a complete answer.
-func (runs *Runs[R]) Settle(now timekeeper.Instant) (settled []Settled[R]) {
+// Expire forgets the runs that a crash no longer counts against, and returns those with a complete answer.
+func (runs *Runs[R]) Expire(now timekeeper.Instant) (outlived []Outlived[R]) {
 	for incarnation, known := range runs.byIncarnation {
 		before := len(known.runs)
 		known.runs = slices.DeleteFunc(known.runs, func(run run) bool {
@@ -111,7 +111,7 @@
 				return false
 			}
 			if run.whole {
-				settled = append(settled, Settled[R]{Request: run.request, Replica: known.replica})
+				outlived = append(outlived, Outlived[R]{Request: run.request, Replica: known.replica})
 			}
 			return true
 		})
@@ -120,7 +120,7 @@
 			delete(runs.byIncarnation, incarnation)
 		}
 	}
-	return settled
+	return outlived
 }
 
 // Watched returns the replicas whose crash would count against a request.
--- a/internal/quarantiner/runs_test.go
+++ b/internal/quarantiner/runs_test.go
@@ -46,13 +46,13 @@
 			So(runs.Watches("a"), ShouldBeFalse)
 		})
 	}
-	Convey("whole answers settle, requests that were given up don't", t, func() {
+	Convey("replicas outlive requests with whole answers, not those that were given up", t, func() {
 		runs := NewRuns[int]()
 		runs.End("a", 1, badRequest, now)
 		runs.Abandon("a", 1, other, now, now)
-		So(runs.Settle(now+2999), ShouldBeEmpty)
+		So(runs.Expire(now+2999), ShouldBeEmpty)
 		So(runs.Watched(), ShouldResemble, []int{1})
-		So(runs.Settle(now+3000), ShouldResemble, []Settled[int]{{Request: badRequest, Replica: 1}})
+		So(runs.Expire(now+3000), ShouldResemble, []Outlived[int]{{Request: badRequest, Replica: 1}})
 		So(runs.Watched(), ShouldBeEmpty)
 	})
 	Convey("runs and suspects are bounded", t, func() {
--- a/internal/quarantiner/trial.go
+++ b/internal/quarantiner/trial.go
@@ -13,7 +13,7 @@
 	// trialPatience is how long a trial waits for the survival of another answer.
 	trialPatience = timekeeper.Second
 	// trialTimeout is after how long a trial without a known result counts as ended, and
-	// requestTrialTimeout that of a request, whose result may take as long as its run and settleTime.
+	// requestTrialTimeout that of a request, whose result may take as long as its run and suspectTime.
 	trialTimeout        = 3 * timekeeper.Second
 	requestTrialTimeout = timekeeper.Minute
 	// trialsIfAmbiguous is the number of trials that must fail before a part is quarantined that has survived
--- a/internal/relayer/runs.go
+++ b/internal/relayer/runs.go
@@ -22,8 +22,8 @@
 				go entry.findCrash(replica)
 			}
 		}
-		for _, settled := range entry.settleRuns() {
-			entry.settle(settled)
+		for _, outlived := range entry.outlivedRuns() {
+			entry.recordOutlived(outlived)
 		}
 	})
 }
@@ -34,11 +34,11 @@
 	return entry.quarantine.runs.Watched()
 }
 
-func (entry *Entry) settleRuns() []quarantiner.Settled[balancer.Replica] {
+func (entry *Entry) outlivedRuns() []quarantiner.Outlived[balancer.Replica] {
 	now := entry.settings.Clock.Now()
 	entry.quarantine.mu.Lock()
 	defer entry.quarantine.mu.Unlock()
-	return entry.quarantine.runs.Settle(now)
+	return entry.quarantine.runs.Expire(now)
 }
 
 // CheckUnreachable looks for a crash of a replica that accepts no connections, by the word of a peer.
@@ -91,23 +91,23 @@
 	return entry.settings.Pool.IsRefused(ctx, replica.Address)
 }
 
-// settle records that a replica has outlived a request. Without a connection to the replica that is only
+// recordOutlived records that a replica has outlived a request. Without a connection to the replica that is only
 // known after a probe, which is made for requests that were in flight at crashes.
-func (entry *Entry) settle(settled quarantiner.Settled[balancer.Replica]) {
-	if entry.settings.Pool.IsConnected(settled.Replica.ID) {
-		entry.surviveRequest(settled.Request)
+func (entry *Entry) recordOutlived(outlived quarantiner.Outlived[balancer.Replica]) {
+	if entry.settings.Pool.IsConnected(outlived.Replica.ID) {
+		entry.surviveRequest(outlived.Request)
 		return
 	}
 	var suspected bool
-	entry.quarantine.with(func(table *quarantiner.Table) { suspected = table.HasCrashed(settled.Request) })
+	entry.quarantine.with(func(table *quarantiner.Table) { suspected = table.HasCrashed(outlived.Request) })
 	if !suspected {
 		return
 	}
 	go func() {
-		if entry.refusesConnections(settled.Replica) {
-			entry.recordCrash(settled.Replica, []quarantiner.Feature{settled.Request})
-		} else if !entry.leaves(settled.Replica) && entry.acceptsConnection(settled.Replica) {
-			entry.surviveRequest(settled.Request)
+		if entry.refusesConnections(outlived.Replica) {
+			entry.recordCrash(outlived.Replica, []quarantiner.Feature{outlived.Request})
+		} else if !entry.leaves(outlived.Replica) && entry.acceptsConnection(outlived.Replica) {
+			entry.surviveRequest(outlived.Request)
 		}
 	}()
 }
