--- a/internal/validator/transport_test.go
+++ b/internal/validator/transport_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 
 	"github.com/rotisserie/eris"
@@ -38,7 +39,7 @@
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			server := closingServer(func() string { return test.answer }, test.reset)
+			server := closingServer(func(*http.Request) string { return test.answer }, test.reset)
 			defer server.Close()
 			transport := NewTransport(&http.Transport{})
 			defer transport.CloseIdleConnections()
@@ -62,13 +63,13 @@
 }
 
 // closingServer answers with a text and closes or resets the connection.
-func closingServer(answer func() string, reset bool) *httptest.Server {
-	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+func closingServer(answer func(r *http.Request) string, reset bool) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
-		_, _ = io.WriteString(conn, answer())
+		_, _ = io.WriteString(conn, answer(r))
 		if reset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
@@ -86,13 +87,15 @@
 	for _, head := range heads {
 		for _, reset := range []bool{false, true} {
 			Convey(fmt.Sprintf("reset: %v, %q", reset, head), t, func() {
-				cut := 0
-				server := closingServer(func() string { return head[:cut] }, reset)
+				server := closingServer(func(r *http.Request) string {
+					cut, _ := strconv.Atoi(r.URL.Path[1:])
+					return head[:cut]
+				}, reset)
 				defer server.Close()
 				transport := NewTransport(&http.Transport{})
 				defer transport.CloseIdleConnections()
-				for cut = range len(head) {
-					request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, http.NoBody)
+				for cut := range len(head) {
+					request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("%s/%d", server.URL, cut), http.NoBody)
 					So(err, ShouldBeNil)
 					_, err = roundTrip(transport, request)
 					So(err, ShouldNotBeNil)
