balancer: what is in flight at a replica is counted for its incarnation, listed or not

Cause: SetReplicas dropped the counts with the row and began anew with zero when the same incarnation was listed again; requests that were in flight were then subtracted from that.

Change: ownLoad has the counts of one incarnation. Placements hold it, and it is kept while something is in flight there, so a listing that returns finds it. Counts of an earlier incarnation stay with that.

Why it works: a request is subtracted where it was added.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -154,7 +154,7 @@
 	placement := &Placement{
 		Replica: fleet.knownRow(chosen.replica), Uncached: chosen.uncached, Expected: timekeeper.Span(chosen.expected),
 		Load: chosen.load, Candidates: count, Access: chosen.access, ListVersion: fleet.version,
-		FirstPrefill: firstPrefill, chosenAt: now, priority: request.Priority,
+		FirstPrefill: firstPrefill, chosenAt: now, priority: request.Priority, load: chosen.ownLoad,
 	}
 	if guessed != nil {
 		placement.Source = guessed.Address
--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -49,11 +49,13 @@
 	leaveVersions map[string]sequencer.Version
 	// unlisted holds the statements of incarnations that aren't in the list.
 	unlisted archive
-	services map[string][]*replica
-	engines  map[string]Engine
-	warmUps  map[string]WarmUp
-	entries  entries
-	peers    map[string]peerDigest
+	// unlistedLoads holds what this entry has in flight at incarnations that aren't in the list any more.
+	unlistedLoads map[string]*ownLoad
+	services      map[string][]*replica
+	engines       map[string]Engine
+	warmUps       map[string]WarmUp
+	entries       entries
+	peers         map[string]peerDigest
 	// peerDemands is what peers said of contended services.
 	peerDemands map[string]peerDemands
 	// peersInFlight is what all peers together have in flight, by replica.
@@ -110,6 +112,7 @@
 		keys:            map[Key]*replica{},
 		leaveVersions:   map[string]sequencer.Version{},
 		unlisted:        archive{},
+		unlistedLoads:   map[string]*ownLoad{},
 		services:        map[string][]*replica{},
 		engines:         map[string]Engine{},
 		warmUps:         map[string]WarmUp{},
@@ -167,6 +170,10 @@
 		}
 		added := newReplica(row, fleet.leaveVersions[row.ID])
 		added.statements = fleet.unlisted.take(row.Incarnation())
+		if load, found := fleet.unlistedLoads[row.Incarnation()]; found {
+			added.ownLoad = load
+			delete(fleet.unlistedLoads, row.Incarnation())
+		}
 		fleet.replicas[row.ID] = added
 		fleet.departed.remove(row.ID)
 	}
@@ -174,6 +181,9 @@
 		if !listed[id] {
 			changes = append(changes, Change{Replica: member.Replica, Removed: true})
 			fleet.unlisted.put(member.Incarnation(), member.statements)
+			if member.running > 0 {
+				fleet.unlistedLoads[member.Incarnation()] = member.ownLoad
+			}
 			fleet.departed.add(member.Replica)
 			delete(fleet.replicas, id)
 		}
@@ -285,6 +295,8 @@
 	prefillEnded bool
 	// source is the replica that Fetched tokens are fetched from.
 	source *replica
+	// load is where the placement is counted.
+	load *ownLoad
 }
 
 // AnswerStarted records the first part of an answer: the prefill is complete.
@@ -309,10 +321,8 @@
 		return false
 	}
 	placement.prefillEnded = true
-	if member, found := fleet.replicaOf(placement); found {
-		member.pendingTokens[placement.priority] -= placement.Uncached
-		delete(member.unanswered, placement)
-	}
+	placement.load.pendingTokens[placement.priority] -= placement.Uncached
+	delete(placement.load.unanswered, placement)
 	return true
 }
 
@@ -350,11 +360,14 @@
 func (fleet *Fleet) End(placement *Placement, outcome Outcome, now timekeeper.Instant) {
 	wasOverdue := !placement.prefillEnded && placement.isOverdue(now)
 	fleet.endPrefill(placement)
+	placement.load.running--
+	if placement.load.running == 0 {
+		delete(fleet.unlistedLoads, placement.Replica.Incarnation())
+	}
 	member, found := fleet.replicaOf(placement)
 	if !found {
 		return
 	}
-	member.running--
 	fleet.queue(member.Service).completions.add(1, rateHalfLife, now)
 	if wasOverdue {
 		placement.recordSourceExcess(maxExcess, now)
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -80,7 +80,7 @@
 
 // newReplica returns a replica with no state but its row.
 func newReplica(row Replica, leaveVersion sequencer.Version) *replica {
-	member := &replica{Replica: row, leaveVersion: leaveVersion, key: row.Key(), unanswered: map[*Placement]struct{}{}}
+	member := &replica{Replica: row, leaveVersion: leaveVersion, key: row.Key(), ownLoad: newOwnLoad()}
 	member.markCold(row.WarmAt)
 	return member
 }
@@ -100,9 +100,23 @@
 	return parts[:max(0, len(parts)-1)]
 }
 
+// ownLoad is what an entry has in flight at one incarnation of a replica, whether or not it is listed.
+type ownLoad struct {
+	// running is the number of this entry's requests at the replica.
+	running int
+	// pendingTokens are the uncached prompt tokens of this entry's requests whose answer has
+	// not started, by priority.
+	pendingTokens [Priorities]int
+	// unanswered are this entry's requests at the replica whose answer has not started.
+	unanswered map[*Placement]struct{}
+}
+
+func newOwnLoad() *ownLoad { return &ownLoad{unanswered: map[*Placement]struct{}{}} }
+
 // replica is an entry's state for one replica.
 type replica struct {
 	Replica
+	*ownLoad
 	cold coldAllowance
 	// leaveVersion is the newest version of the list at which a peer saw the replica leave.
 	leaveVersion sequencer.Version
@@ -111,18 +125,13 @@
 	logged Eligibility
 	key    Key
 	cache  *prefixCache
-	// running is the number of this entry's requests at the replica.
-	running int
 	// arrivals are this entry's recent requests to the replica; see ownRate.
 	arrivals decaying
 	// usedTurn is the last turn in which this entry sent the replica a request; see dropOthersTurns.
 	usedTurn timekeeper.Span
 	// checked reports whether this entry checks the replica; see StartHealthChecks.
 	checked bool
-	// pendingTokens are the uncached prompt tokens of this entry's requests whose answer has
-	// not started, by priority.
-	pendingTokens [Priorities]int
-	health        health
+	health  health
 	// unreachableAt is when the replica last accepted no connection; zero means never.
 	unreachableAt timekeeper.Instant
 	excessLatency excessLatency
@@ -130,8 +139,6 @@
 	// fetchExcess the excess latency of requests that fetch from this replica.
 	linkFreeAt  timekeeper.Instant
 	fetchExcess excessLatency
-	// unanswered are this entry's requests at the replica whose answer has not started.
-	unanswered map[*Placement]struct{}
 	// report is the load that the replica reported at reportedAt; zero means never.
 	report           LoadReport
 	reportedAt       timekeeper.Instant
