--- a/internal/balancer/fleet.go
+++ b/internal/balancer/fleet.go
@@ -168,24 +168,12 @@
 			member.updateRow(row)
 			continue
 		}
-		added := newReplica(row, fleet.leaveVersions[row.ID])
-		added.statements = fleet.unlisted.take(row.Incarnation())
-		if load, found := fleet.unlistedLoads[row.Incarnation()]; found {
-			added.ownLoad = load
-			delete(fleet.unlistedLoads, row.Incarnation())
-		}
-		fleet.replicas[row.ID] = added
-		fleet.departed.remove(row.ID)
+		fleet.add(row)
 	}
 	for id, member := range fleet.replicas {
 		if !listed[id] {
 			changes = append(changes, Change{Replica: member.Replica, Removed: true})
-			fleet.unlisted.put(member.Incarnation(), member.statements)
-			if member.running > 0 {
-				fleet.unlistedLoads[member.Incarnation()] = member.ownLoad
-			}
-			fleet.departed.add(member.Replica)
-			delete(fleet.replicas, id)
+			fleet.remove(member)
 		}
 	}
 	if len(changes) > 0 {
@@ -194,6 +182,29 @@
 	return changes
 }
 
+// add adds a replica that was not listed, with what is kept of its incarnation.
+func (fleet *Fleet) add(row Replica) {
+	added, incarnation := newReplica(row, fleet.leaveVersions[row.ID]), row.Incarnation()
+	added.statements = fleet.unlisted.take(incarnation)
+	if load, found := fleet.unlistedLoads[incarnation]; found {
+		added.ownLoad = load
+		delete(fleet.unlistedLoads, incarnation)
+	}
+	fleet.replicas[row.ID] = added
+	fleet.departed.remove(row.ID)
+}
+
+// remove removes a replica that isn't listed any more, and keeps what may be needed if its incarnation is
+// listed again.
+func (fleet *Fleet) remove(member *replica) {
+	fleet.unlisted.put(member.Incarnation(), member.statements)
+	if member.running > 0 {
+		fleet.unlistedLoads[member.Incarnation()] = member.ownLoad
+	}
+	fleet.departed.add(member.Replica)
+	delete(fleet.replicas, member.ID)
+}
+
 // updateRow applies a changed row of the same incarnation. If the start of the incarnation
 // isn't known, a changed address means a later incarnation.
 func (member *replica) updateRow(row Replica) {
