quarantiner: a quarantined request leaves the parts of its prompt their crashes

Cause: each such request came twice, crashed two replicas and was quarantined since. Its quarantine explained both crashes to all features, so the part never had three.

Change: a request explains crashes to other requests alone.

Evidence: TestTable, 'a quarantined request leaves its parts their crashes': the part isn't suspected before. Why it works: what shares a part may be guilty by the part.

--- a/internal/quarantiner/quarantine.go
+++ b/internal/quarantiner/quarantine.go
@@ -75,7 +75,7 @@
 	known, found := table.records[part]
 	delete(table.records, part)
 	if found && !quarantine.Lifted {
-		table.explain(known.incarnations, now)
+		table.explain(part.Kind, known.incarnations, now)
 	}
 	return true
 }
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -59,13 +59,20 @@
 // due, and returns the features for which that was not known.
 func (table *Table) Crash(incarnation string, inFlight []Feature, now timekeeper.Instant) (struck []Feature) {
 	table.recordTime(incarnation, now)
-	if slices.ContainsFunc(inFlight, func(feature Feature) bool { return table.isQuarantined(feature, now) }) {
-		table.explain([]string{incarnation}, now)
+	explained := map[Kind]bool{}
+	for _, feature := range inFlight {
+		if table.isQuarantined(feature, now) {
+			table.explain(feature.Kind, []string{incarnation}, now)
+			explained[feature.Kind] = true
+		}
 	}
 	if _, explained := table.explained[incarnation]; explained {
 		return nil
 	}
 	for _, feature := range inFlight {
+		if feature.Kind == Request && explained[Request] {
+			continue
+		}
 		known := table.recordOf(feature, now)
 		if known.strike(incarnation, now) {
 			struck = append(struck, feature)
@@ -280,17 +287,16 @@
 	})
 }
 
-// explain records that crashes have a known cause.
-func (table *Table) explain(incarnations []string, now timekeeper.Instant) {
-	for incarnation, at := range table.explained {
-		if now.Since(at) > explainedLifetime || len(table.explained) >= maxExplained {
-			delete(table.explained, incarnation)
-		}
-	}
-	for _, incarnation := range incarnations {
-		table.explained[incarnation] = now
+// explain records that crashes have a known cause of a kind. A request explains them to other requests, but
+// not to parts: one of its own may be what crashes replicas.
+func (table *Table) explain(cause Kind, incarnations []string, now timekeeper.Instant) {
+	if cause == Part {
+		table.recordExplained(incarnations, now)
 	}
 	for feature, known := range table.records {
+		if cause == Request && feature.Kind == Part {
+			continue
+		}
 		known.remove(incarnations)
 		known.suspect(table.isSuspicious(feature), now)
 		if len(known.incarnations) == 0 {
@@ -298,3 +304,14 @@
 		}
 	}
 }
+
+func (table *Table) recordExplained(incarnations []string, now timekeeper.Instant) {
+	for incarnation, at := range table.explained {
+		if now.Since(at) > explainedLifetime || len(table.explained) >= maxExplained {
+			delete(table.explained, incarnation)
+		}
+	}
+	for _, incarnation := range incarnations {
+		table.explained[incarnation] = now
+	}
+}
--- a/internal/quarantiner/table_test.go
+++ b/internal/quarantiner/table_test.go
@@ -107,6 +107,19 @@
 		So(peer.Quarantine(convicted[0], history.now), ShouldBeFalse)
 		So(peer.check(badRequest).Allowed(), ShouldBeTrue)
 	})
+	Convey("a quarantined request leaves its parts their crashes, and takes them from other requests", t, func() {
+		history, sound := newHistory(), Feature{Kind: Request, ID: 9}
+		for number := range uint64(2) {
+			request := Feature{Kind: Request, ID: 100 + number}
+			history.crash(1, request, badPart, sound)
+			history.crash(1, request, badPart)
+			So(history.ConcludeCrash(fmt.Sprint("replica-", history.crashes), history.now), ShouldHaveLength, 1)
+			history.wait(timekeeper.Second)
+		}
+		history.wait(trialPatience)
+		So(history.check(badPart).Trial, ShouldResemble, []Feature{badPart})
+		So(history.records[sound], ShouldBeNil)
+	})
 	Convey("a request that replicas have outlived needs more crashes", t, func() {
 		history := newHistory()
 		history.survive(badRequest)
