relayer: a request gets its final answer before its caller leaves

What callers saw: a caller that waits exactly as long as its deadline says got no answer where a replica was silent or stopped in the middle of an answer. It couldn't tell a request that may have run from a connection that was lost.

Cause: a request ended at its deadline, and the entry's own answer followed up to 150 ms later, when such a caller has left.

--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -175,7 +175,7 @@
 	if !entry.closing.Load() || !entry.draining.Load() && task.route.Idempotent() {
 		return false
 	}
-	return task.until.Add(answerGrace) > timekeeper.Instant(entry.endsAt.Load())
+	return task.endsAt > timekeeper.Instant(entry.endsAt.Load())
 }
 
 // HeldBytes returns how many bytes of request bodies and of answers are held in memory.
