cmd/trefoilseam, logger: an entry outlives the reader of its log

What callers saw: when the process that reads an entry's log ends, as at a restart of a log collector, the entry ends at its next line, and all requests in flight are cut off.

Cause: by default the Go runtime ends a process by SIGPIPE when it writes to a standard output or error whose reader has ended.

Change: entries and agents ignore that signal, so that such writes fail. A line that can't be written counts as dropped, in the gauge log-lines-dropped and in the next line that can be written.

TestLinesThatCannotBeWritten fails without the count.

The commands that print a result and end keep the default.

--- a/cmd/trefoilseam/direct.go
+++ b/cmd/trefoilseam/direct.go
@@ -31,6 +31,7 @@
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(reloadSignals)
+	ignoreBrokenPipes()
 	settings, faults := loader.ReadDirect(file)
 	if len(faults) > 0 {
 		return faults
--- a/cmd/trefoilseam/process.go
+++ b/cmd/trefoilseam/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"os"
+	"os/signal"
 	"syscall"
 
 	"github.com/oklog/run"
@@ -54,6 +55,10 @@
 	return assembler.Environment{Clock: timekeeper.SinceBoot(), Log: log, Platform: platform}, closePlatform, nil
 }
 
+// ignoreBrokenPipes makes writes to standard output and standard error fail when their reader has ended.
+// By default they end the process.
+func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // runGroup runs a group until an actor returns or SIGINT or SIGTERM arrives.
 func runGroup(group *run.Group) error {
 	group.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
@@ -159,6 +164,7 @@
 	if file == "" {
 		return eris.Wrapf(errUsage, "name the settings: trefoilseam %s -settings FILE", kind.name)
 	}
+	ignoreBrokenPipes()
 	settings, faults := kind.read(file)
 	if len(faults) > 0 {
 		return faults
--- a/internal/logger/queue.go
+++ b/internal/logger/queue.go
@@ -40,12 +40,16 @@
 	select {
 	case queue.lines <- copied:
 	default:
-		queue.unreported.Add(1)
-		queue.droppedTotal.Add(1)
+		queue.countDropped(1)
 	}
 	return len(line), nil
 }
 
+func (queue *Queue) countDropped(lines int64) {
+	queue.unreported.Add(lines)
+	queue.droppedTotal.Add(lines)
+}
+
 // Dropped returns the number of lines dropped since the start.
 func (queue *Queue) Dropped() int64 { return queue.droppedTotal.Load() }
 
@@ -62,11 +66,17 @@
 	}
 }
 
+// write writes a line, after one on the lines that were dropped. A line that can't be written counts as
+// dropped.
 func (queue *Queue) write(line []byte) {
 	if unreported := queue.unreported.Swap(0); unreported > 0 {
-		_, _ = queue.out.Write(queue.formatDropped(unreported))
+		if _, err := queue.out.Write(queue.formatDropped(unreported)); err != nil {
+			queue.unreported.Add(unreported)
+		}
+	}
+	if _, err := queue.out.Write(line); err != nil {
+		queue.countDropped(1)
 	}
-	_, _ = queue.out.Write(line)
 }
 
 func (queue *Queue) drain() {
--- a/internal/logger/queue_test.go
+++ b/internal/logger/queue_test.go
@@ -64,3 +64,34 @@
 	close(giveUp)
 	release(giveUp)
 }
+
+// brokenFor fails the first writes and passes on the others.
+type brokenFor struct {
+	writes int
+	to     io.Writer
+}
+
+// Write writes text unless it is one of the writes that fail.
+func (broken *brokenFor) Write(text []byte) (int, error) {
+	if broken.writes > 0 {
+		broken.writes--
+		return 0, io.ErrClosedPipe
+	}
+	return broken.to.Write(text)
+}
+
+func TestLinesThatCannotBeWritten(t *testing.T) {
+	// Guards against lines that are lost without being counted while the output has no reader.
+	const lines, failing = 10, 5
+	var out bytes.Buffer
+	queue, release := NewQueue(&brokenFor{writes: failing, to: &out}, formatDropped)
+	for range lines {
+		_, _ = queue.Write([]byte("{}\n"))
+	}
+	release(nil)
+	Convey("they are counted, and reported once the output can be written", t, func() {
+		So(queue.Dropped(), ShouldBeGreaterThan, 0)
+		So(countReported(out.String()), ShouldEqual, queue.Dropped())
+		So(strings.Count(out.String(), "{}"), ShouldEqual, lines-queue.Dropped())
+	})
+}
