assembler: an entry outlives failed accepts

What callers saw: an entry ends when the system fails to accept one connection, of a caller, a peer, a probe or a reader of metrics, for lack of memory or buffers, or for an error of the network. All requests in flight are cut off.

Cause: http.Server.Serve returns at each error of its listener that isn't temporary by package net, which knows EMFILE, ENFILE and resets only. The actor of that server ended, and with it the entry; an actor that has returned doesn't wait for its server's shutdown.

Change: a listener of an entry without agents goes on until it is closed, with a pause of 5 to 100 ms after an error (accept(2) asks for that). Errors are counted by listener, and in the log rather than on standard error.

Evidence: of the seven cases of TestAnEntryOutlivesFailedAccepts, the six others than EMFILE ended the entry before; none does now.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -262,10 +262,10 @@
 	addLoop(rest, direct.quarantines.run)
 	addLoop(rest, direct.peers.gossiper.Run)
 	rest.Add(direct.peers.gossiper.Receive, func(error) { _ = direct.listeners.datagrams.Close() })
-	addServer(rest, direct.listeners.peer, direct.peers, 0)
-	addServer(rest, direct.listeners.ready, http.HandlerFunc(direct.serveReady), 0)
+	addServer(rest, direct.retryAccepts(direct.listeners.peer, "peers"), direct.peers, 0)
+	addServer(rest, direct.retryAccepts(direct.listeners.ready, "readiness"), http.HandlerFunc(direct.serveReady), 0)
 	if direct.listeners.metrics != nil {
-		addServer(rest, direct.listeners.metrics, direct.metrics, 0)
+		addServer(rest, direct.retryAccepts(direct.listeners.metrics, "metrics"), direct.metrics, 0)
 	}
 	stopOrder.addTo(group)
 }
@@ -325,11 +325,12 @@
 	}
 }
 
-// callerListener wraps a listener for the server for callers: it limits the number of
-// connections, sheds some under overload, and returns each as a callerConn.
+// callerListener wraps a listener for the server for callers: it goes on after errors, limits the number
+// of connections, sheds some under overload, and returns each as a callerConn.
 func (direct *Direct) callerListener(listener net.Listener) net.Listener {
+	accepted := direct.retryAccepts(listener, "callers")
 	return callerListener{
-		Listener: limitListener{Listener: listener, tracker: direct.connTracker, sheds: direct.frontend.ShedsConnection},
+		Listener: limitListener{Listener: accepted, tracker: direct.connTracker, sheds: direct.frontend.ShedsConnection},
 		stopping: &direct.readiness.stopping,
 	}
 }
