relayer: a late entry doesn't send a request whose answer would come too late

What callers saw: an entry that gets the processor only for moments sends a request to a replica although its caller leaves before the entry will read the answer. A request that may run once only has run then, and its caller knows nothing of it.

Cause: the load shedder passes one request in twenty however late the entry is, and an attempt began with any time left.

Change: before it is sent, a request is refused (deadline-passed, not run, with Retry-After) where the time left is shorter than the expected time and twice the lateness of the entry's timers: what the entry reads has waited that long, the request before it was read and the answer after it has come.

Evidence: TestARequestThatALateEntryCantAnswerInTime, where each of the refusals was an answer of 200 before.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -70,6 +71,10 @@
 		result.verdict, result.cause = unsent, ctx.Err()
 		return result
 	}
+	if task.isTooLate(placement) {
+		result.verdict, result.cause = unsent, errTooLate
+		return result
+	}
 	ctx, stopTimer := task.withSilenceTimeout(ctx, placement)
 	defer stopTimer()
 	answer, err := task.entry.settings.Pool.Do(ctx, task.target(placement.Replica), task.request(placement))
@@ -83,6 +88,20 @@
 	return task.handleAnswer(ctx, result, answer, head)
 }
 
+// errTooLate is returned for a request whose answer the entry would hardly pass on in time.
+var errTooLate = eris.New("the entry is too far behind to pass on an answer in time")
+
+// isTooLate reports whether the entry lags so far behind that the answer would reach the caller after
+// its time is over. What the entry reads has waited for as long as its timers are late: the request may
+// have before it arrived, and the answer will.
+func (task *task) isTooLate(placement *balancer.Placement) bool {
+	late := task.entry.shedder.lateness()
+	if late < minShedLateness || task.headCopied {
+		return false
+	}
+	return task.until.Since(task.entry.settings.Clock.Now()) <= 2*late+placement.Expected
+}
+
 const (
 	// silenceShare is the share of the caller's timeout by which an answer may be
 	// later than expected before an idempotent request is retried at another
@@ -187,9 +206,11 @@
 	return eris.Wrap(errClosed, string(current.Cause))
 }
 
+var notAdmittedCauses = []error{errClosed, errTurnedCold, errRetryDenied, errQuarantined, errTooLate}
+
 // notAdmitted reports whether an attempt failed since the entry itself did not send it.
 func notAdmitted(cause error) bool {
-	return eris.Is(cause, errClosed) || eris.Is(cause, errTurnedCold) || eris.Is(cause, errRetryDenied) || eris.Is(cause, errQuarantined)
+	return slices.ContainsFunc(notAdmittedCauses, func(known error) bool { return eris.Is(cause, known) })
 }
 
 // classifyError returns the result of an attempt that failed before the head of an answer.
--- a/internal/relayer/deadline_test.go
+++ b/internal/relayer/deadline_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -52,3 +53,48 @@
 		})
 	}
 }
+
+func TestARequestThatALateEntryCantAnswerInTime(t *testing.T) {
+	// Guards against a request that runs although its entry lags too far behind to pass the answer on in time.
+	const deadline = 2500 * timekeeper.Millisecond
+	tests := []struct {
+		name       string
+		late       timekeeper.Span
+		route      router.Route
+		wantStatus int
+		wantRuns   int32
+	}{
+		{"on time", 0, router.Route{Kind: router.Once}, http.StatusOK, 1},
+		{"late, with time left", deadline / 3, router.Route{Kind: router.Once}, http.StatusOK, 1},
+		{"later than the time left, before and after the request", deadline / 2, router.Route{Kind: router.Once}, http.StatusServiceUnavailable, 0},
+		{"later than the time left", deadline, router.Route{Kind: router.Once}, http.StatusServiceUnavailable, 0},
+		{"later than the time left, safe", deadline, router.Route{Kind: router.Safe}, http.StatusServiceUnavailable, 0},
+		{"later than the time left, a stream", deadline, router.Route{Kind: router.Stream}, http.StatusServiceUnavailable, 0},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			var runs atomic.Int32
+			answer := func(conn net.Conn, id string) {
+				runs.Add(1)
+				_, _ = io.WriteString(conn, strings.ReplaceAll(plainHead, "{id}", id)+"Connection: close\r\nContent-Length: 5\r\n\r\nsound")
+			}
+			entry, _ := endlessEntry(t, twoReplicas(t, answer, answer), test.route, Call{Deadline: deadline})
+			recorder := httptest.NewRecorder()
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://kitchen.example/", http.NoBody)
+			request.Header.Set("Id", "r-1")
+			// The load shedder lets some requests of a late entry pass; this one has passed.
+			task := &task{entry: entry, w: recorder, r: request, releaseBody: func() {}, call: Call{ID: "r-1", Deadline: deadline}}
+			task.config = entry.settings.Config()
+			task.route, _ = task.config.Route(request.Host, request.URL.Path)
+			task.arrived = entry.settings.Clock.Now()
+			entry.shedder.record(test.late)
+			task.run()
+			So(recorder.Code, ShouldEqual, test.wantStatus)
+			So(runs.Load(), ShouldEqual, test.wantRuns)
+			if test.wantRuns == 0 {
+				So(recorder.Body.String(), ShouldContainSubstring, `"ran":"no"`)
+				So(recorder.Header().Get("Retry-After"), ShouldNotBeEmpty)
+			}
+		})
+	}
+}
--- a/internal/relayer/shedder.go
+++ b/internal/relayer/shedder.go
@@ -48,9 +48,12 @@
 	shedder.late.Store(int64(max(late, decayed)))
 }
 
+// lateness returns how late timers have fired recently.
+func (shedder *shedder) lateness() timekeeper.Span { return timekeeper.Span(shedder.late.Load()) }
+
 // sheds reports whether to shed a request; draw is a random number in [0, 1).
 func (shedder *shedder) sheds(draw float64) bool {
-	late := timekeeper.Span(shedder.late.Load())
+	late := shedder.lateness()
 	share := float64(late-minShedLateness) / float64(maxShedLateness-minShedLateness)
 	return draw < min(share, 1)*maxShedShare
 }
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -275,7 +275,8 @@
 	switch result.verdict {
 	case unsent:
 		task.unsent++
-		return task.unsent <= maxUnsent && !eris.Is(result.cause, errRetryDenied) && !eris.Is(result.cause, errQuarantined)
+		final := eris.Is(result.cause, errRetryDenied) || eris.Is(result.cause, errQuarantined) || eris.Is(result.cause, errTooLate)
+		return task.unsent <= maxUnsent && !final
 	case refused:
 		task.refusals++
 		return task.refusals <= maxRefusals && task.reserveRetry()
@@ -358,6 +359,8 @@
 	switch {
 	case !ran && eris.Is(result.cause, errQuarantined):
 		return task.refusalFor(task.refused)
+	case !ran && eris.Is(result.cause, errTooLate):
+		return classifier.New(classifier.DeadlinePassed, result.causeText()).WithRetryAfter(task.retryAfter())
 	case !ran && eris.Is(result.cause, errNotRun) && task.findReturn(task.refusedWaiter()):
 		return classifier.New(classifier.Overloaded, result.causeText()).WithRetryAfter(task.returning.After)
 	case !ran:
