relayer: why a caller's connection is closed with a request on it

A request that was cut off could be one whose caller left, one whose answer broke off, or one that ended too late for its caller, and no metric told which; a log line had to be found first. relay_cut counts closed connections by cause, relay_late the requests that ended after their caller's deadline, with late-ms in the line of each.

--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -74,6 +74,21 @@
 // countShedConnection counts a connection that is closed before anything of it was read.
 func (meters *meters) countShedConnection() { meters.scope.Counter("connections-shed").Inc(1) }
 
+// cutCause is why a caller's connection is closed with a request on it that has no whole answer.
+type cutCause string
+
+const (
+	// cutCallerLeft means that the caller has closed the connection, cutBrokenAnswer that a part of an
+	// answer was passed on whose rest can't be had.
+	cutCallerLeft   cutCause = "caller-left"
+	cutBrokenAnswer cutCause = "broken-answer"
+)
+
+// countCut counts a caller's connection that is closed with a request on it.
+func (meters *meters) countCut(cause cutCause) {
+	meters.scope.Tagged(map[string]string{"cause": string(cause)}).Counter("cut").Inc(1)
+}
+
 // countStrike counts a strike: a request, or a part of prompts, that was in flight at a replica when
 // it crashed.
 func (meters *meters) countStrike(kind quarantiner.Kind) {
@@ -177,6 +192,9 @@
 		labelService: meters.service(task.service), labelKind: task.route.Kind.String(), "outcome": outcome,
 	})
 	scope.Counter("requests").Inc(1)
+	if task.lateness(now) > 0 {
+		scope.Counter("late").Inc(1)
+	}
 	meters.countReturn(task, outcome)
 	scope.Histogram("total", buckets).RecordDuration(now.Since(task.arrived).Duration())
 	if task.firstPartAt != 0 {
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -392,9 +392,14 @@
 	if failure.Kind == 0 {
 		return
 	}
-	if task.headCopied || failure.Kind == classifier.CallerGone {
+	switch {
+	case failure.Kind == classifier.CallerGone:
+		task.entry.meters.countCut(cutCallerLeft)
+		panic(http.ErrAbortHandler)
+	case task.headCopied:
 		// Abort the connection, so that the caller does not mistake a truncated answer
 		// for a complete one.
+		task.entry.meters.countCut(cutBrokenAnswer)
 		panic(http.ErrAbortHandler)
 	}
 	if failure.Kind == classifier.SlowCaller {
--- a/internal/relayer/task_log.go
+++ b/internal/relayer/task_log.go
@@ -31,6 +31,9 @@
 	if task.refusals > 0 || task.unsent > 0 {
 		fields["refusals"], fields["unsent"] = task.refusals, task.unsent
 	}
+	if late := task.lateness(now); late > 0 {
+		fields["late-ms"] = int64(late)
+	}
 	task.addStanding(fields)
 	if failure.Kind == 0 {
 		task.entry.settings.Log.WithFields(fields).Info("request answered")
@@ -46,6 +49,15 @@
 	task.entry.settings.Log.WithFields(fields).Warn("request failed")
 }
 
+// lateness returns for how long the time has been over that the caller said it would wait; zero if it
+// isn't over.
+func (task *task) lateness(now timekeeper.Instant) timekeeper.Span {
+	if task.call.Deadline == 0 {
+		return 0
+	}
+	return max(0, now.Since(task.arrived.Add(task.call.Deadline)))
+}
+
 // addStanding adds the class of a request to a contended service, and its standing if it returns on a
 // reservation.
 func (task *task) addStanding(fields logrus.Fields) {
