relayer: a caller gets an answer when the handling of its request panics

What callers saw: a fault of the entry that one request meets (a panic) closes its connection without an answer. The replica that it was sent to counts as busy with it for good at this entry.

Cause: net/http recovers a panic of a handler, writes it to standard error and closes the connection.

Change: the caller gets 500, whose ran is unknown, unless a part of an answer has been passed on. The request's place at its replica is given back.

Evidence: in each of the three cases of TestAPanicWhileARequestIsHandled the caller had no answer before (EOF), and 500 now. No way is known to bring about such a panic from outside.

--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -307,6 +307,7 @@
 	}
 	now := task.entry.settings.Clock.Now()
 	task.entry.settings.Fleet.With(func(fleet *balancer.Fleet) { fleet.End(placement, outcome, now) })
+	task.running = nil
 	task.entry.queue.placeFreed()
 	task.entry.meters.countAttempt(task.service, result)
 	task.recordRun(placement.Replica, result)
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -193,8 +193,10 @@
 	if entry.closing.Load() || entry.settings.TooManyConnections() {
 		w.Header().Set("Connection", "close")
 	}
-	arrived := entry.settings.Clock.Now()
+	task := &task{entry: entry, w: w, r: r, releaseBody: func() {}, arrived: entry.settings.Clock.Now()}
+	defer entry.recoverPanic(w, r, task)
 	call, err := entry.settings.Dialect.ReadCall(r)
+	task.call = call
 	if err != nil {
 		entry.refuseEarly(w, r, call, classifier.New(classifier.BadRequest, err.Error()))
 		return
@@ -223,9 +225,7 @@
 		entry.refuseEarly(w, r, call, classifier.New(classifier.Unauthorized, "version "+formatVersion(config.Version())))
 		return
 	}
-	task := &task{
-		entry: entry, w: w, r: r, releaseBody: func() {}, call: call, route: route, team: access.Team, config: config, arrived: arrived,
-	}
+	task.route, task.team, task.config = route, access.Team, config
 	task.run()
 }
 
--- a/internal/relayer/meters.go
+++ b/internal/relayer/meters.go
@@ -79,9 +79,10 @@
 
 const (
 	// cutCallerLeft means that the caller has closed the connection, cutBrokenAnswer that a part of an
-	// answer was passed on whose rest can't be had.
+	// answer was passed on whose rest can't be had, and cutPanic the same after a panic.
 	cutCallerLeft   cutCause = "caller-left"
 	cutBrokenAnswer cutCause = "broken-answer"
+	cutPanic        cutCause = "panic"
 )
 
 // countCut counts a caller's connection that is closed with a request on it.
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -85,6 +85,8 @@
 	// firstPartAt is when the first part of the first answer arrived, or zero.
 	firstPartAt timekeeper.Instant
 	placement   *balancer.Placement
+	// running is the placement of an attempt that has not ended.
+	running *balancer.Placement
 	// startedPlacement is the placement that last had the first part of its answer
 	// recorded.
 	startedPlacement *balancer.Placement
@@ -182,6 +184,7 @@
 			return task.placementFailure(ctx, waiter)
 		}
 		placement := waiter.Placement
+		task.running = placement
 		task.logPlacement(placement)
 		result := task.attempt(ctx, placement)
 		task.recordOutcome(placement, result)
