assembler, gossiper, follower, relayer: a panic in the background doesn't cut off requests

What callers saw: a panic in a loop of an entry, or in one of the goroutines that its follower of the list and its relayer start, ends the process at once. All requests in flight are cut off.

Cause: only net/http recovers panics, those of handlers.

Change: an entry without agents starts its loops and goroutines by a guard. After a panic it logs the stack and stops in the order of a planned stop: not ready, callers get their answers while the other loops go on, and the process ends with an error, to be started again. A datagram that panics is dropped, since anyone may send one again and again.

A datagram or a row that panics isn't known. What no code can recover stays: concurrent map writes, memory, threads, SIGKILL.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -79,6 +79,7 @@
 	scope         tally.Scope
 	metrics       http.Handler
 
+	guard    *guard
 	fleet    *balancer.Guarded
 	pool     *connector.Pool
 	frontend *relayer.Entry
@@ -126,6 +127,7 @@
 	var release func()
 	direct.scope, direct.metrics, release = measurer.New(settings.Name, direct.log)
 	direct.onRelease(release)
+	direct.guard = newGuard(direct.log, direct.scope)
 	if err := direct.listen(ctx); err != nil {
 		direct.release()
 		return nil, nil, err
@@ -183,7 +185,7 @@
 		megabytes = defaultMegabytes
 	}
 	return relayer.Settings{
-		Clock: direct.clock, Log: direct.log, Scope: direct.scope, Fleet: direct.fleet, Pool: direct.pool,
+		Clock: direct.clock, Log: direct.log, Scope: direct.scope, Fleet: direct.fleet, Pool: direct.pool, Go: direct.guard.start,
 		Dialect: platform.Dialect(), Config: direct.config,
 		RetryBudget: relayer.RetryBudget{
 			Window: direct.settings.Retry.Window, Ratio: direct.settings.Retry.Ratio, Extra: direct.settings.Retry.Extra,
@@ -249,25 +251,33 @@
 	var stopOrder stages
 	frontend, rest := stopOrder.add(), stopOrder.add()
 	direct.addFrontend(frontend)
-	addLoop(rest, direct.operatorTable.Run)
-	addLoop(rest, direct.replicas.Run)
-	addLoop(rest, direct.sweep)
-	addLoop(rest, direct.frontend.Run)
-	addLoop(rest, direct.frontend.MeasureLateness)
-	addLoop(rest, direct.frontend.CheckHealth)
-	addLoop(rest, direct.frontend.WatchReplicas)
-	addLoop(rest, direct.watchSettings)
-	addLoop(rest, direct.peers.register)
-	addLoop(rest, direct.versions.run)
-	addLoop(rest, direct.quarantines.run)
-	addLoop(rest, direct.peers.gossiper.Run)
-	rest.Add(direct.peers.gossiper.Receive, func(error) { _ = direct.listeners.datagrams.Close() })
+	direct.guard.addLoop(rest, "read the operator's table", direct.operatorTable.Run)
+	direct.guard.addLoop(rest, "read the list of replicas", direct.replicas.Run)
+	direct.guard.addLoop(rest, "sweep", direct.sweep)
+	direct.guard.addLoop(rest, "dispatch", direct.frontend.Run)
+	direct.guard.addLoop(rest, "measure the lateness", direct.frontend.MeasureLateness)
+	direct.guard.addLoop(rest, "check health", direct.frontend.CheckHealth)
+	direct.guard.addLoop(rest, "watch replicas", direct.frontend.WatchReplicas)
+	direct.guard.addLoop(rest, "watch the settings", direct.watchSettings)
+	direct.guard.addLoop(rest, "register", direct.peers.register)
+	direct.guard.addLoop(rest, "write versions", direct.versions.run)
+	direct.guard.addLoop(rest, "write quarantines", direct.quarantines.run)
+	direct.guard.addLoop(rest, "send digests", direct.peers.gossiper.Run)
+	direct.guard.addLoop(rest, "receive digests", direct.receiveDigests)
 	addServer(rest, direct.retryAccepts(direct.listeners.peer, "peers"), direct.peers, 0)
 	addServer(rest, direct.retryAccepts(direct.listeners.ready, "readiness"), http.HandlerFunc(direct.serveReady), 0)
 	if direct.listeners.metrics != nil {
 		addServer(rest, direct.retryAccepts(direct.listeners.metrics, "metrics"), direct.metrics, 0)
 	}
 	stopOrder.addTo(group)
+	direct.guard.addTo(group)
+}
+
+// receiveDigests handles the digests of peers until ctx ends.
+func (direct *Direct) receiveDigests(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = direct.listeners.datagrams.Close() })
+	defer stop()
+	direct.peers.gossiper.Receive()
 }
 
 func (direct *Direct) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/internal/assembler/direct_offers.go
+++ b/internal/assembler/direct_offers.go
@@ -73,7 +73,7 @@
 	peers.newestOffered = max(peers.newestOffered, received.version)
 	if !peers.fetching {
 		peers.fetching, peers.fetchFrom = true, received
-		go peers.fetchOffered(delay)
+		peers.direct.guard.start("fetch a configuration", func() { peers.fetchOffered(delay) })
 		return
 	}
 	if received.sameDataCentre && !peers.fetchFrom.sameDataCentre {
--- a/internal/assembler/direct_store.go
+++ b/internal/assembler/direct_store.go
@@ -45,6 +45,7 @@
 	peers := direct.peers
 	direct.operatorTable = follower.New(follower.Settings[platform.OperatorRow]{
 		Name: "configuration", Clock: direct.clock, Log: direct.log, Source: platform.OperatorRows(store), Seed: newIncarnation(),
+		Go:           direct.guard.start,
 		ReadInterval: follower.FixedInterval(configurationInterval), Wait: configurationWait,
 		Readers: peers.activeReaders, Processes: peers.recentEntries, IsReader: peers.readsConfiguration,
 		Apply: direct.applyOperatorTable, Confirm: direct.confirmOperatorTable,
@@ -54,6 +55,7 @@
 	})
 	direct.replicas = follower.New(follower.Settings[balancer.Replica]{
 		Name: "replicas", Clock: direct.clock, Log: direct.log, Source: platform.Replicas(store, direct.clock), Seed: newIncarnation(),
+		Go:           direct.guard.start,
 		ReadInterval: replicaInterval, Wait: follower.FixedInterval(direct.listWait()), Lapse: replicaLapse,
 		Bound:   direct.listBound(),
 		Readers: peers.activeReaders, Processes: peers.recentEntries, IsReader: peers.isReader, IsPrimary: peers.isPrimary,
--- a/internal/follower/freshness.go
+++ b/internal/follower/freshness.go
@@ -48,9 +48,11 @@
 		return
 	}
 	if follower.settings.FetchCopy != nil {
-		go follower.attempt(ctx, way{wake: follower.becameStale, due: follower.peerDue, refresh: follower.refreshFromPeer})
+		peers := way{wake: follower.becameStale, due: follower.peerDue, refresh: follower.refreshFromPeer}
+		follower.settings.Go("refresh a copy from peers", func() { follower.attempt(ctx, peers) })
 	}
-	go follower.attempt(ctx, way{due: follower.storeDue, refresh: follower.refreshFromStore})
+	store := way{due: follower.storeDue, refresh: follower.refreshFromStore}
+	follower.settings.Go("refresh a copy from the store", func() { follower.attempt(ctx, store) })
 }
 
 // way is a way to refresh the copy.
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -66,6 +66,8 @@
 	// Bound is the time within which changes must be known here.
 	Bound Bound
 	Seed  uint64
+	// Go runs a goroutine; nil means a go statement. The name says what it does.
+	Go func(name string, work func())
 }
 
 // New returns a follower without a copy.
@@ -97,6 +99,9 @@
 	if settings.FailingElsewhere == nil {
 		settings.FailingElsewhere = func() bool { return false }
 	}
+	if settings.Go == nil {
+		settings.Go = func(_ string, work func()) { go work() }
+	}
 	return &Follower[T]{
 		settings:       settings,
 		random:         rand.New(rand.NewPCG(settings.Seed, 23)),
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/trefoilseam/trefoilseam/internal/balancer"
@@ -328,12 +331,12 @@
 }
 
 // Receive handles digests until the connection is closed.
-func (gossiper *Gossiper) Receive() error {
+func (gossiper *Gossiper) Receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
 		size, from, err := gossiper.settings.Conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
 			// The network may report that one peer is unreachable; others can still send.
@@ -341,10 +344,24 @@
 			_ = gossiper.settings.Clock.Sleep(context.Background(), urgentInterval)
 			continue
 		}
-		gossiper.handleDatagram(buffer[:size], from)
+		gossiper.handleRecovered(buffer[:size], from)
 	}
 }
 
+// handleRecovered handles a datagram. One that meets a fault of this process is dropped, and doesn't end
+// the process: anyone may send datagrams.
+func (gossiper *Gossiper) handleRecovered(datagram []byte, from net.Addr) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			gossiper.settings.Scope.Counter("peer-digests-panicked").Inc(1)
+			gossiper.settings.Log.WithFields(logrus.Fields{
+				"peer": from.String(), "cause": fmt.Sprint(cause), "stack": string(debug.Stack()),
+			}).Error("digest panicked")
+		}
+	}()
+	gossiper.handleDatagram(datagram, from)
+}
+
 func (gossiper *Gossiper) handleDatagram(datagram []byte, from net.Addr) {
 	message := &encoder.PeerDigest{}
 	err := proto.Unmarshal(datagram, message)
@@ -358,8 +375,20 @@
 	}
 	now := gossiper.settings.Clock.Now()
 	address := from.String()
+	if gossiper.recordSender(message, address, now) {
+		_, firstEra := gossiper.settings.StoreEras()
+		digest := decodeDigest(message, address, firstEra, now)
+		digest.SameDataCentre = message.DataCentre == DataCentreKey(gossiper.settings.DataCentre)
+		gossiper.settings.OnDigest(digest)
+	}
+}
+
+// recordSender records the sender of a digest and the peers that it introduces, and reports whether the
+// digest is newer than those before.
+func (gossiper *Gossiper) recordSender(message *encoder.PeerDigest, address string, now timekeeper.Instant) (newer bool) {
 	gossiper.mu.Lock()
-	newer := gossiper.peers.receive(address, message.Incarnation, message.Sequence, now)
+	defer gossiper.mu.Unlock()
+	newer = gossiper.peers.receive(address, message.Incarnation, message.Sequence, now)
 	if newer {
 		gossiper.peers.setMember(elector.Member{
 			Address: address, DataCentre: message.DataCentre, Failing: message.StoreFailing, Stopping: message.Stopping,
@@ -370,11 +399,5 @@
 			gossiper.peers.add(introduced, now)
 		}
 	}
-	gossiper.mu.Unlock()
-	if newer {
-		_, firstEra := gossiper.settings.StoreEras()
-		digest := decodeDigest(message, address, firstEra, now)
-		digest.SameDataCentre = message.DataCentre == DataCentreKey(gossiper.settings.DataCentre)
-		gossiper.settings.OnDigest(digest)
-	}
+	return newer
 }
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -340,7 +340,7 @@
 		return false
 	}
 	if isTimeout(result.cause) {
-		go task.entry.confirmDown(result.replica)
+		task.entry.settings.Go("probe a replica", func() { task.entry.confirmDown(result.replica) })
 		return false
 	}
 	entry, features, trial := task.entry, task.features, task.trial
@@ -349,13 +349,13 @@
 	if down {
 		entry.recordCrash(result.replica, features)
 	}
-	go func() {
+	entry.settings.Go("conclude a trial", func() {
 		if !down && entry.confirmDown(result.replica) {
 			entry.recordCrash(result.replica, features)
 			down = true
 		}
 		entry.concludeTrial(trial, result.replica.Incarnation(), down)
-	}()
+	})
 	return true
 }
 
--- a/internal/relayer/entry.go
+++ b/internal/relayer/entry.go
@@ -23,7 +23,7 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
-// Settings set up an entry. All fields but OnPlacement, OnUnreachable, Crashes,
+// Settings set up an entry. All fields but Go, OnPlacement, OnUnreachable, Crashes,
 // OnLeaveAnnounced, OnCold, OnStreamBegun, FindOrigin, ListConfirmation and TooManyConnections must be
 // set. Without FindOrigin, streams that callers take up are refused.
 type Settings struct {
@@ -33,6 +33,8 @@
 	Fleet   *balancer.Guarded
 	Pool    *connector.Pool
 	Dialect Dialect
+	// Go runs a goroutine; nil means a go statement. The name says what it does.
+	Go func(name string, work func())
 	// Config returns the configuration in force, or nil while none is known.
 	Config      func() *router.Configuration
 	RetryBudget RetryBudget
@@ -107,6 +109,9 @@
 
 // New returns an entry.
 func New(settings Settings) *Entry {
+	if settings.Go == nil {
+		settings.Go = func(_ string, work func()) { go work() }
+	}
 	if settings.OnPlacement == nil {
 		settings.OnPlacement = func(balancer.Key, []balancer.Part, bool) {}
 	}
--- a/internal/relayer/health_check.go
+++ b/internal/relayer/health_check.go
@@ -31,7 +31,11 @@
 		now := entry.settings.Clock.Now()
 		entry.settings.Fleet.With(func(fleet *balancer.Fleet) { started = fleet.StartHealthChecks(now) })
 		for _, check := range started {
-			checks.Go(func() { entry.checkRepeatedly(ctx, check) })
+			checks.Add(1)
+			entry.settings.Go("check health", func() {
+				defer checks.Done()
+				entry.checkRepeatedly(ctx, check)
+			})
 		}
 	})
 }
--- a/internal/relayer/quarantine.go
+++ b/internal/relayer/quarantine.go
@@ -122,7 +122,7 @@
 	_, soon := quarantine.concluding[incarnation]
 	quarantine.concluding[incarnation] = own || quarantine.concluding[incarnation]
 	if !soon {
-		go entry.concludeCrash(incarnation)
+		entry.settings.Go("conclude a crash", func() { entry.concludeCrash(incarnation) })
 	}
 }
 
--- a/internal/relayer/runs.go
+++ b/internal/relayer/runs.go
@@ -19,7 +19,7 @@
 	entry.settings.Clock.Every(ctx, func() timekeeper.Span { return watchInterval }, func(context.Context) {
 		for _, replica := range entry.watchedReplicas() {
 			if entry.settings.Pool.HasClosedIdle(replica.ID) {
-				go entry.findCrash(replica)
+				entry.settings.Go("find a crash", func() { entry.findCrash(replica) })
 			}
 		}
 		for _, outlived := range entry.outlivedRuns() {
@@ -45,7 +45,7 @@
 func (entry *Entry) CheckUnreachable(id string) {
 	for _, replica := range entry.watchedReplicas() {
 		if replica.ID == id {
-			go entry.findCrash(replica)
+			entry.settings.Go("find a crash", func() { entry.findCrash(replica) })
 		}
 	}
 }
@@ -103,13 +103,13 @@
 	if !suspected {
 		return
 	}
-	go func() {
+	entry.settings.Go("probe a replica", func() {
 		if entry.refusesConnections(outlived.Replica) {
 			entry.recordCrash(outlived.Replica, []quarantiner.Feature{outlived.Request})
 		} else if !entry.leaves(outlived.Replica) && entry.acceptsConnection(outlived.Replica) {
 			entry.surviveRequest(outlived.Request)
 		}
-	}()
+	})
 }
 
 // surviveRequest records that a request has ended and its replica has outlived it.
