assembler: entries beside a store that falls silent, many in one process

This one runs eight whole entries in one process, with a short bound on the age of the list, so that regular reads and those of the bound wait for the store together and are answered at once.

--- /dev/null
+++ b/internal/assembler/direct_silence_test.go
@@ -0,0 +1,89 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/oklog/run"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
+	"github.com/trefoilseam/trefoilseam/platform/emulator"
+)
+
+// otherWritersRows are rows of another writer, by key, which name no replica.
+var otherWritersRows = map[string]string{
+	"i-another-1": `{"service":"planner","address":"127.0.0.1:9","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"sequence":1}`,
+	"i-another-2": `{"service":"planner","address":"127.0.0.1:9","zone":"bole","version":"v1","slots":"many","state":"ready","coldRemainingMs":0,"sequence":1}`,
+	"i-another-3": `{"service":"planner","address":"127.0.0.1:9","zone":"bole","version":"v1","slots":64,"state":"parked","coldRemainingMs":0,"sequence":1}`,
+	"i-another-4": "\x00\x01 bytes that can't be read, \"sequence\":1",
+}
+
+func TestEntriesBesideAStoreThatFallsSilent(t *testing.T) {
+	// Guards against an entry that ends, or loses its list, when all of its waiting reads are answered at once: some
+	// rows are invalid, and all are written again and again.
+	const (
+		entries, replicas, turns = 8, 40, 8
+		heartbeat                = 60 * timekeeper.Millisecond
+		drainTime                = 400 * timekeeper.Millisecond
+	)
+	store := emulator.NewStore(timekeeper.Steady())
+	store.Configure(emulator.Configuration(1, emulator.Routes(host)))
+	rows := map[string]string{}
+	for number := range replicas {
+		row := emulator.Row{Service: "planner", Address: fmt.Sprintf("127.0.0.1:%d", 100+number), DataCentre: "bole", State: "ready", Slots: 64, StartedAt: 1}
+		rows[fmt.Sprintf("i-%d", number)] = string(row.Encode())
+	}
+	beat := func(sequence int) {
+		for _, written := range []map[string]string{rows, otherWritersRows} {
+			for key, row := range written {
+				store.Put("servers", key, []byte(strings.Replace(row, `"sequence":1`, fmt.Sprintf(`"sequence":%d`, sequence), 1)))
+			}
+		}
+	}
+	beat(1)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	running := make([]*Direct, entries)
+	ended := make(chan error, entries)
+	for number := range running {
+		direct, release := directWithStore(t, store)
+		t.Cleanup(release)
+		direct.settings.Name, direct.settings.DrainTime, direct.settings.StopDelay = fmt.Sprintf("entry-%d", number), drainTime, 1
+		direct.followStore(direct.peers.store)
+		running[number] = direct
+		var group run.Group
+		direct.AddTo(&group)
+		group.Add(func() error { <-ctx.Done(); return nil }, func(error) {})
+		go func() { ended <- group.Run() }()
+	}
+	var beating sync.WaitGroup
+	beating.Go(func() {
+		for sequence := 2; timekeeper.Steady().Sleep(ctx, heartbeat) == nil; sequence++ {
+			beat(sequence)
+		}
+	})
+	clock := timekeeper.Steady()
+	for turn := range turns {
+		store.SetOutage(emulator.Unresponsive)
+		_ = clock.Sleep(ctx, drainTime*timekeeper.Span(2+turn%4)/4)
+		store.SetOutage(emulator.NoOutage)
+		_ = clock.Sleep(ctx, drainTime)
+	}
+	Convey("all run, and know all replicas", t, func() {
+		So(len(ended), ShouldEqual, 0)
+		for _, direct := range running {
+			known, _, _ := direct.replicas.Rows()
+			So(len(known), ShouldEqual, replicas)
+			So(direct.serving(), ShouldBeTrue)
+		}
+	})
+	stop()
+	beating.Wait()
+	for range running {
+		<-ended
+	}
+}
