--- a/internal/assembler/accept_test.go
+++ b/internal/assembler/accept_test.go
@@ -71,15 +71,9 @@
 			for _, address := range addresses {
 				So(statusAt(t, address), ShouldNotEqual, 0)
 			}
-			ongoing := false
-			select {
-			case <-ended:
-			default:
-				ongoing = true
-				stop()
-				<-ended
-			}
-			So(ongoing, ShouldBeTrue)
+			So(len(ended), ShouldEqual, 0)
+			stop()
+			So(<-ended, ShouldBeNil)
 		})
 	}
 }
--- a/internal/assembler/direct_silence_test.go
+++ b/internal/assembler/direct_silence_test.go
@@ -80,10 +80,10 @@
 			So(len(known), ShouldEqual, replicas)
 			So(direct.serving(), ShouldBeTrue)
 		}
+		stop()
+		beating.Wait()
+		for range running {
+			So(<-ended, ShouldBeNil)
+		}
 	})
-	stop()
-	beating.Wait()
-	for range running {
-		<-ended
-	}
 }
