cmd/trefoilseam, assembler: an entry needs few threads and addresses

With a limit on the addresses of each entry, or on the threads of their user, it fails here too, as it did for the users: an entry ends by itself, and the unsafe requests that replicas run for it are cut off without an answer. Whether the users' machine has such a limit isn't known.

Cause: an entry is linked against the C library, whose threads reserve 8 MB for a stack and mostly 64 MB for an arena of the allocator. The Go runtime starts some more threads than there are processors as it needs them. If one can't be made, or the heap can't grow, the process ends: "pthread_create failed", "cannot allocate memory". When is a matter of chance.

Change: with memory-megabytes set, an entry uses one processor for each 64 MB, two at least.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"sync/atomic"
 
@@ -54,6 +55,11 @@
 	gcPercent = 25
 	// defaultMegabytes is the assumed memory of the process if the settings name none.
 	defaultMegabytes = 256
+	// processorMegabytes is the memory for which the runtime uses one processor, and minProcessors how
+	// many it uses at least. Each has caches and threads, and a thread of a program that is linked against the
+	// C library takes some 70 MB of addresses, which a limit on the process may not have.
+	processorMegabytes = 64
+	minProcessors      = 2
 )
 
 // DirectEnvironment holds the external dependencies of a Direct.
@@ -167,6 +173,18 @@
 	}
 	debug.SetMemoryLimit(int64(heapLimitShare * float64(megabytes<<20)))
 	debug.SetGCPercent(gcPercent)
+	if available := runtime.GOMAXPROCS(0); processorsFor(settings.MemoryMegabytes, available) < available {
+		runtime.GOMAXPROCS(processorsFor(settings.MemoryMegabytes, available))
+	}
+}
+
+// processorsFor returns how many of the available processors a process uses that may take so much
+// memory; zero megabytes mean no limit.
+func processorsFor(megabytes, available int) int {
+	if megabytes == 0 {
+		return available
+	}
+	return min(available, max(minProcessors, megabytes/processorMegabytes))
 }
 
 func (direct *Direct) onRelease(cleanup func()) {
--- a/internal/assembler/direct_test.go
+++ b/internal/assembler/direct_test.go
@@ -136,3 +136,23 @@
 		}
 	})
 }
+
+func TestProcessorsOfASmallProcess(t *testing.T) {
+	// Guards against an entry with little memory that runs a thread for each of the many processors of its
+	// machine, and ends when it is allowed no more.
+	tests := []struct {
+		name                       string
+		megabytes, available, want int
+	}{
+		{"no limit", 0, 64, 64},
+		{"a small entry on a large machine", 284, 64, 4},
+		{"a large entry on a large machine", 8192, 64, 64},
+		{"a tiny entry", 32, 64, 2},
+		{"one processor", 284, 1, 1},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			So(processorsFor(test.megabytes, test.available), ShouldEqual, test.want)
+		})
+	}
+}
