assembler: errors of the server for callers are in the log

net/http writes panics of handlers and answers that don't fit their heads to standard error, while it holds the connection; where what reads standard error stops, the connection hangs. They go through the queue of the log, and are counted.

--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -350,6 +350,7 @@
 		ReadHeaderTimeout: callerHeaderTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
 		MaxHeaderBytes: callerMaxHeaderBytes, ConnState: direct.connTracker.trackState, ConnContext: withConn,
 		BaseContext: func(net.Listener) context.Context { return direct.requests },
+		ErrorLog:    newServerLog(direct.log, direct.scope),
 	}
 }
 
