--- a/internal/assembler/direct_silence_test.go
+++ b/internal/assembler/direct_silence_test.go
@@ -14,12 +14,13 @@
 	"github.com/trefoilseam/trefoilseam/platform/emulator"
 )
 
-// otherWritersRows are rows of another writer, by key, which name no replica.
-var otherWritersRows = map[string]string{
-	"i-another-1": `{"service":"planner","address":"127.0.0.1:9","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"sequence":1}`,
-	"i-another-2": `{"service":"planner","address":"127.0.0.1:9","zone":"bole","version":"v1","slots":"many","state":"ready","coldRemainingMs":0,"sequence":1}`,
-	"i-another-3": `{"service":"planner","address":"127.0.0.1:9","zone":"bole","version":"v1","slots":64,"state":"parked","coldRemainingMs":0,"sequence":1}`,
-	"i-another-4": "\x00\x01 bytes that can't be read, \"sequence\":1",
+// invalidRows returns rows of another writer, by key, which name no replica; like is one that does.
+func invalidRows(like string) map[string]string {
+	rows := map[string]string{"i-another": "\x00\x01 bytes that can't be read, \"sequence\":1"}
+	for _, change := range [][2]string{{`"zone":"bole",`, ""}, {`"slots":64`, `"slots":"many"`}, {`"ready"`, `"parked"`}} {
+		rows["i-another "+change[0]] = strings.Replace(like, change[0], change[1], 1)
+	}
+	return rows
 }
 
 func TestEntriesBesideAStoreThatFallsSilent(t *testing.T) {
@@ -32,16 +33,14 @@
 	)
 	store := emulator.NewStore(timekeeper.Steady())
 	store.Configure(emulator.Configuration(1, emulator.Routes(host)))
-	rows := map[string]string{}
+	row := emulator.Row{Service: "planner", Address: "127.0.0.1:9", DataCentre: "bole", State: "ready", Slots: 64, StartedAt: 1}
+	rows := invalidRows(string(row.Encode()))
 	for number := range replicas {
-		row := emulator.Row{Service: "planner", Address: fmt.Sprintf("127.0.0.1:%d", 100+number), DataCentre: "bole", State: "ready", Slots: 64, StartedAt: 1}
 		rows[fmt.Sprintf("i-%d", number)] = string(row.Encode())
 	}
 	beat := func(sequence int) {
-		for _, written := range []map[string]string{rows, otherWritersRows} {
-			for key, row := range written {
-				store.Put("servers", key, []byte(strings.Replace(row, `"sequence":1`, fmt.Sprintf(`"sequence":%d`, sequence), 1)))
-			}
+		for key, row := range rows {
+			store.Put("servers", key, []byte(strings.Replace(row, `"sequence":1`, fmt.Sprintf(`"sequence":%d`, sequence), 1)))
 		}
 	}
 	beat(1)
--- a/internal/relayer/attempt.go
+++ b/internal/relayer/attempt.go
@@ -88,20 +88,6 @@
 	return task.handleAnswer(ctx, result, answer, head)
 }
 
-// errTooLate is returned for a request whose answer the entry would hardly pass on in time.
-var errTooLate = eris.New("the entry is too far behind to pass on an answer in time")
-
-// isTooLate reports whether the entry lags so far behind that the answer would reach the caller after
-// its time is over. What the entry reads has waited for as long as its timers are late: the request may
-// have before it arrived, and the answer will.
-func (task *task) isTooLate(placement *balancer.Placement) bool {
-	late := task.entry.shedder.lateness()
-	if late < minShedLateness || task.headCopied {
-		return false
-	}
-	return task.until.Since(task.entry.settings.Clock.Now()) <= 2*late+placement.Expected
-}
-
 const (
 	// silenceShare is the share of the caller's timeout by which an answer may be
 	// later than expected before an idempotent request is retried at another
--- a/internal/relayer/cut_test.go
+++ b/internal/relayer/cut_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -57,16 +56,8 @@
 			entry.settings.Log = log
 			front := httptest.NewServer(entry)
 			defer front.Close()
-			client := &http.Client{Timeout: test.leaves.Duration()}
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL, strings.NewReader("lunch"))
-			So(err, ShouldBeNil)
-			request.Host = "kitchen.example"
-			request.Header.Set("Id", "r-1")
-			if response, err := client.Do(request); err == nil {
-				_, err = io.ReadAll(response.Body)
-				_ = response.Body.Close()
-				So(err, ShouldNotBeNil)
-			}
+			_, _, err := post(t, front, test.leaves)
+			So(err, ShouldNotBeNil)
 			clock := timekeeper.Steady()
 			for began := clock.Now(); entry.Active() > 0 && clock.Now().Since(began) < 5*timekeeper.Second; {
 				_ = clock.Sleep(t.Context(), 5)
--- a/internal/relayer/deadline_test.go
+++ b/internal/relayer/deadline_test.go
@@ -15,6 +15,24 @@
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
+// post sends a request to a server and returns the answer, or an error if it isn't whole within the patience.
+func post(t *testing.T, server *httptest.Server, patience timekeeper.Span) (status int, body string, err error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader("lunch"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "kitchen.example"
+	request.Header.Set("Id", "r-1")
+	response, err := (&http.Client{Timeout: patience.Duration()}).Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), err
+}
+
 func TestAnAnswerBeforeTheCallerLeaves(t *testing.T) {
 	// Guards against a caller that leaves at its deadline without an answer, since the failure would follow later.
 	const deadline = 600 * timekeeper.Millisecond
@@ -38,18 +56,10 @@
 			entry, _ := endlessEntry(t, twoReplicas(t, test.replica, test.replica), test.route, Call{Deadline: deadline})
 			front := httptest.NewServer(entry)
 			defer front.Close()
-			client := &http.Client{Timeout: deadline.Duration()}
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL, strings.NewReader("lunch"))
-			So(err, ShouldBeNil)
-			request.Host = "kitchen.example"
-			request.Header.Set("Id", "r-1")
-			response, err := client.Do(request)
-			So(err, ShouldBeNil)
-			body, err := io.ReadAll(response.Body)
-			_ = response.Body.Close()
+			status, body, err := post(t, front, deadline)
 			So(err, ShouldBeNil)
-			So(response.StatusCode, ShouldEqual, http.StatusBadGateway)
-			So(string(body), ShouldContainSubstring, `"ran":"unknown"`)
+			So(status, ShouldEqual, http.StatusBadGateway)
+			So(body, ShouldContainSubstring, `"ran":"unknown"`)
 		})
 	}
 }
--- a/internal/relayer/recover_test.go
+++ b/internal/relayer/recover_test.go
@@ -21,33 +21,28 @@
 	sound := func(conn net.Conn, id string) {
 		_, _ = io.WriteString(conn, strings.ReplaceAll(plainHead, "{id}", id)+"Connection: close\r\nContent-Length: 5\r\n\r\nsound")
 	}
-	panics := func(entry *Entry) map[string]func() {
-		dialect := &entry.settings.Dialect
-		return map[string]func(){
-			"while the head of the request is read": func() { dialect.ReadCall = func(*http.Request) (Call, error) { panic("odd request") } },
-			"while the request is prepared":         func() { dialect.Dispatch = func(*http.Request, Dispatch) http.Header { panic("odd request") } },
-			"while the answer is passed on":         func() { dialect.CopyAnswer = func(_, _ http.Header) { panic("odd answer") } },
-		}
+	tests := []struct {
+		name  string
+		panic func(dialect *Dialect)
+	}{
+		{"while the head of the request is read", func(dialect *Dialect) { dialect.ReadCall = func(*http.Request) (Call, error) { panic("odd request") } }},
+		{"while the request is prepared", func(dialect *Dialect) {
+			dialect.Dispatch = func(*http.Request, Dispatch) http.Header { panic("odd request") }
+		}},
+		{"while the answer is passed on", func(dialect *Dialect) { dialect.CopyAnswer = func(_, _ http.Header) { panic("odd answer") } }},
 	}
-	for _, name := range []string{"while the head of the request is read", "while the request is prepared", "while the answer is passed on"} {
-		Convey(name, t, func() {
+	for _, test := range tests {
+		Convey(test.name, t, func() {
 			entry, scope := endlessEntry(t, twoReplicas(t, sound, sound), router.Route{Kind: router.Once}, Call{Deadline: timekeeper.Minute})
 			log, lines := logtest.NewNullLogger()
 			entry.settings.Log = log
-			panics(entry)[name]()
+			test.panic(&entry.settings.Dialect)
 			front := httptest.NewServer(entry)
 			defer front.Close()
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL, strings.NewReader("lunch"))
+			status, body, err := post(t, front, timekeeper.Minute)
 			So(err, ShouldBeNil)
-			request.Host = "kitchen.example"
-			request.Header.Set("Id", "r-1")
-			response, err := http.DefaultClient.Do(request)
-			So(err, ShouldBeNil)
-			body, err := io.ReadAll(response.Body)
-			_ = response.Body.Close()
-			So(err, ShouldBeNil)
-			So(response.StatusCode, ShouldEqual, http.StatusInternalServerError)
-			So(string(body), ShouldContainSubstring, `"ran":"unknown"`)
+			So(status, ShouldEqual, http.StatusInternalServerError)
+			So(body, ShouldContainSubstring, `"ran":"unknown"`)
 			So(counted(scope, "relay.panics", ""), ShouldResemble, map[string]int64{"": 1})
 			So(lines.LastEntry().Message, ShouldEqual, "request panicked")
 			So(lines.LastEntry().Data["stack"], ShouldContainSubstring, "recover_test.go")
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -16,17 +16,6 @@
 )
 
 const (
-	// answerGrace extends the deadline of a request, so that an answer that the
-	// replica itself gives at the deadline still arrives. Callers must be answered
-	// half a second after the deadline at the latest.
-	answerGrace = 150 * timekeeper.Millisecond
-	// answerMargin is how long before the time that its caller waits a request ends at
-	// replicas, and maxMarginShare bounds it by a share of that time. The final answer
-	// follows within half of it: a caller that leaves first gets none.
-	answerMargin   = 100 * timekeeper.Millisecond
-	maxMarginShare = 0.1
-	// defaultTimeout bounds a request when neither caller nor route sets a timeout.
-	defaultTimeout = timekeeper.Minute
 	// maxUnsent bounds the retries of a request that was not sent. It did not run, so
 	// a retry costs only time.
 	maxUnsent = 8
@@ -105,33 +94,6 @@
 // rank returns the urgency of the request.
 func (task *task) rank() router.Rank { return task.route.RankFor(task.team) }
 
-// timeout returns the time in which replicas may answer the request.
-func (task *task) timeout() timekeeper.Span {
-	span := defaultTimeout
-	if task.route.Timeout > 0 {
-		span = min(span, task.route.Timeout)
-	}
-	if task.call.Deadline > 0 {
-		span = min(span, task.call.Deadline-task.answerMargin())
-	}
-	return span
-}
-
-// answerMargin returns answerMargin, or less if the caller's deadline is short.
-func (task *task) answerMargin() timekeeper.Span {
-	return min(answerMargin, timekeeper.Span(maxMarginShare*float64(task.call.Deadline)))
-}
-
-// setDeadlines sets until and endsAt. The time starts at the request's head, so a slow body uses up
-// part of it.
-func (task *task) setDeadlines() {
-	task.until = task.arrived.Add(task.timeout())
-	task.endsAt = task.until.Add(answerGrace)
-	if task.call.Deadline > 0 {
-		task.endsAt = min(task.endsAt, task.arrived.Add(task.call.Deadline-task.answerMargin()/2))
-	}
-}
-
 // run reads the request's body, relays the request and answers the caller.
 func (task *task) run() {
 	task.setDeadlines()
@@ -171,9 +133,6 @@
 	return ctx.Err() != nil && context.Cause(ctx) != ErrStopping
 }
 
-// remaining returns the time left until the final answer.
-func (task *task) remaining(now timekeeper.Instant) timekeeper.Span { return task.endsAt.Since(now) }
-
 // serve tries replicas until one answers, none can be had, no retry is allowed or ctx
 // ends.
 func (task *task) serve(ctx context.Context) classifier.Failure {
