assembler: entries with agents, and agents, outlive failed accepts

Callers saw: an agent whose process had no descriptor left for a moment ended, and the requests that it ran were cut off; so did an entry with agents that met another error of accept(2), such as a lack of buffers.

An agent accepts sessions in a loop that returned at any error, which ended the process; the server for callers and the admin server returned at most errors.

Change: their listeners go on until they are closed, with a pause after an error, and count and log it.

Evidence: TestEntriesAndAgentsOutliveFailedAccepts, an entry and an agent in one process with four failed accepts of one listener. Why it works: an accept that fails takes no connection, so the next one is as good; only a closed listener has no more.

--- a/internal/assembler/accept.go
+++ b/internal/assembler/accept.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
@@ -37,12 +39,20 @@
 	}
 }
 
-// retryAccepts returns a listener that accepts connections until it is closed. name is what the
-// listener is for.
-func (direct *Direct) retryAccepts(listener net.Listener, name string) net.Listener {
-	errors := direct.scope.Tagged(map[string]string{"listener": name}).Counter("accept-errors")
-	return retryingListener{Listener: listener, clock: direct.clock, onError: func(err error, pause timekeeper.Span) {
+// retryAccepts returns a listener that accepts connections until it is closed, and counts and logs failed
+// accepts. name is what the listener is for.
+func retryAccepts(listener net.Listener, name string, clock timekeeper.Clock, log logrus.FieldLogger, scope tally.Scope) net.Listener {
+	errors := scope.Tagged(map[string]string{"listener": name}).Counter("accept-errors")
+	return retryingListener{Listener: listener, clock: clock, onError: func(err error, pause timekeeper.Span) {
 		errors.Inc(1)
-		direct.log.WithField(labelCause, err.Error()).WithField("listener", name).WithField("pause-ms", int64(pause)).Error("connection not accepted")
+		log.WithField(labelCause, err.Error()).WithField("listener", name).WithField("pause-ms", int64(pause)).Error("connection not accepted")
 	}}
 }
+
+func (direct *Direct) retryAccepts(listener net.Listener, name string) net.Listener {
+	return retryAccepts(listener, name, direct.clock, direct.log, direct.scope)
+}
+
+func (base *base) retryAccepts(listener net.Listener, name string) net.Listener {
+	return retryAccepts(listener, name, base.env.Clock, base.env.Log, base.scope)
+}
--- a/internal/assembler/accept_test.go
+++ b/internal/assembler/accept_test.go
@@ -6,14 +6,20 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
 
 	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/trefoilseam/trefoilseam/internal/imitator"
+	"github.com/trefoilseam/trefoilseam/internal/loader"
+	"github.com/trefoilseam/trefoilseam/internal/publisher"
+	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -32,14 +38,16 @@
 	return listener.Listener.Accept()
 }
 
+// failing makes the next accepts of a listener fail.
+func failing(listener *net.Listener, failure syscall.Errno) {
+	const failures = 4
+	wrapped := &failingListener{Listener: *listener, failure: failure}
+	wrapped.left.Store(failures)
+	*listener = wrapped
+}
+
 func TestAnEntryOutlivesFailedAccepts(t *testing.T) {
 	// Guards against an entry that ends, with the requests in flight, when the system fails to accept a connection.
-	const failures = 4
-	failing := func(listener *net.Listener, failure syscall.Errno) {
-		wrapped := &failingListener{Listener: *listener, failure: failure}
-		wrapped.left.Store(failures)
-		*listener = wrapped
-	}
 	tests := []struct {
 		name string
 		fail func(listeners *directListeners)
@@ -78,6 +86,58 @@
 	}
 }
 
+func TestEntriesAndAgentsOutliveFailedAccepts(t *testing.T) {
+	// Guards against an entry with agents, or an agent, that ends when the system fails to accept a connection.
+	tests := []struct {
+		name string
+		fail func(entry, agent *base)
+	}{
+		{"callers of the entry, no memory", func(entry, _ *base) { failing(&entry.listener, syscall.ENOMEM) }},
+		{"admin address of the entry, no buffers", func(entry, _ *base) { failing(&entry.admin, syscall.ENOBUFS) }},
+		{"sessions of the agent, no descriptors", func(_, agent *base) { failing(&agent.listener, syscall.EMFILE) }},
+		{"sessions of the agent, a connection that was aborted", func(_, agent *base) { failing(&agent.listener, syscall.ECONNABORTED) }},
+		{"admin address of the agent, an error of the network", func(_, agent *base) { failing(&agent.admin, syscall.ENETDOWN) }},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			defer upstream.Close()
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			platform := imitator.NewPlatform(timekeeper.Wall())
+			env := Environment{Clock: timekeeper.Wall(), Log: log, Platform: platform.InProcess()}
+			_, err := publisher.Accept(t.Context(), env.Platform, devConfig(), 0, "test")
+			So(err, ShouldBeNil)
+			process := loader.Process{Name: "orders-1", Site: "bole", Listen: loopback, AdminListen: loopback}
+			agent, releaseAgent, err := NewAgent(t.Context(), loader.Agent{Service: "orders", Upstream: upstream.URL, Process: process}, env)
+			So(err, ShouldBeNil)
+			defer releaseAgent()
+			platform.SetInstances([]storekeeper.Instance{{Name: process.Name, Service: "orders", Address: agent.Address(), Site: process.Site}})
+			process.Name = "entry-1"
+			entry, releaseEntry, err := NewEntry(t.Context(), loader.Entry{Process: process}, env)
+			So(err, ShouldBeNil)
+			defer releaseEntry()
+			test.fail(entry.base, agent.base)
+			var group run.Group
+			var stopOrder stages
+			entry.AddTo(stopOrder.add())
+			agent.AddTo(stopOrder.add())
+			stopOrder.addTo(&group)
+			stopping, stop := context.WithCancel(t.Context())
+			group.Add(func() error { <-stopping.Done(); return nil }, func(error) { stop() })
+			ended := make(chan error, 1)
+			go func() { ended <- group.Run() }()
+			status, _, _ := call(t, http.MethodGet, "http://"+entry.Address()+"/orders", "", "Authorization", "Bearer "+DevKey)
+			So(status, ShouldEqual, http.StatusOK)
+			So(statusAt(t, addressOf(entry.admin)), ShouldNotEqual, 0)
+			So(statusAt(t, addressOf(agent.admin)), ShouldNotEqual, 0)
+			So(len(ended), ShouldEqual, 0)
+			stop()
+			So(<-ended, ShouldBeNil)
+		})
+	}
+}
+
 // statusAt returns the status of an answer of a server, or zero if it doesn't answer.
 func statusAt(t *testing.T, address string) int {
 	ctx, cancel := context.WithTimeout(t.Context(), (2 * timekeeper.Second).Duration())
--- a/internal/assembler/agent.go
+++ b/internal/assembler/agent.go
@@ -124,7 +124,7 @@
 		// drain would never end; rows that were being written would name an agent
 		// that has left.
 		go agent.callRunner.Maintain(ctx)
-		go func() { failed <- agent.callRunner.Serve(ctx, agent.listener) }()
+		go func() { failed <- agent.callRunner.Serve(ctx, agent.retryAccepts(agent.listener, "sessions")) }()
 		select {
 		case err := <-failed:
 			return err
--- a/internal/assembler/base.go
+++ b/internal/assembler/base.go
@@ -141,6 +141,6 @@
 	mux.HandleFunc("GET /config", handler.Show(base.watcher.Status))
 	mux.HandleFunc("GET /status", status)
 	mux.Handle("GET /ready", &base.readiness)
-	addServer(group, base.admin, mux, headerTimeout)
+	addServer(group, base.retryAccepts(base.admin, "admin"), mux, headerTimeout)
 	base.env.Log.WithField("address", base.admin.Addr().String()).Info("admin listening")
 }
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -109,7 +109,7 @@
 	var stopOrder stages
 	frontend, rest := stopOrder.add(), stopOrder.add()
 	entry.readiness.addFrontend(
-		frontend, entry.listener, entry.frontend, entry.env.Clock, entry.stopDelay, resolver.DefaultCallTimeout,
+		frontend, entry.retryAccepts(entry.listener, "callers"), entry.frontend, entry.env.Clock, entry.stopDelay, resolver.DefaultCallTimeout,
 	)
 	addLoop(rest, entry.watcher.Run)
 	addLoop(rest, entry.planners.run)
