assembler: a stopping entry answers the requests that arrive as it closes

Callers saw: a connection that was closed without an answer when they sent a request in the moment in which a stopping entry closed its connections. The request hadn't run, but they couldn't know.

Cause: http.Server.Shutdown. A server that has been told to shut down closes a connection after it has read the next request on it (conn.serve in net/http), though callerConn had kept the connection open for that request. A connection that was accepted, and that the server hadn't begun to track, was lost in the same way.

Change: the entry closes its listener, waits until Serve has returned, so that all accepted connections are tracked, and closes each connection on which no request is served or arriving, until none is open. The server isn't told.

Why it works: a connection is closed only while the tracker has it as idle, under the lock that a change of its state takes, and with no byte of a request read or unread. Answers say that the connection closes since the stop began.

--- a/internal/assembler/caller_conn.go
+++ b/internal/assembler/caller_conn.go
@@ -27,10 +27,11 @@
 	stopping *atomic.Bool
 
 	mu sync.Mutex
-	// arriving is set from the first byte of a request until its handler begins.
+	// used is set from the first byte of the first request, arriving from the first byte of each until its
+	// handler begins.
 	// lastAnswer is set if the latest request began while the entry was stopping: its
 	// answer announces the end of the connection.
-	arriving, serving, closed, lastAnswer bool
+	used, arriving, serving, closed, lastAnswer bool
 }
 
 // Read reads from the connection and records that a request is arriving.
@@ -38,7 +39,7 @@
 	count, err := conn.Conn.Read(buffer)
 	if count > 0 {
 		conn.mu.Lock()
-		conn.arriving = conn.arriving || !conn.serving
+		conn.used, conn.arriving = true, conn.arriving || !conn.serving
 		conn.mu.Unlock()
 	}
 	return count, err
@@ -84,6 +85,13 @@
 	return conn.closeUnless(conn.serving || conn.receiving())
 }
 
+// closeUnused closes the connection if no request has ever begun to arrive.
+func (conn *callerConn) closeUnused() error {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.closeUnless(conn.used || conn.receiving())
+}
+
 // receiving reports whether a request is arriving; the lock must be held.
 func (conn *callerConn) receiving() bool { return conn.arriving || hasUnreadBytes(conn.Conn) }
 
--- a/internal/assembler/direct_callers.go
+++ b/internal/assembler/direct_callers.go
@@ -102,6 +102,23 @@
 	}
 }
 
+// closeIdle closes the idle connections, and with unused set also those on which no request has ever begun to
+// arrive.
+func (tracker *connTracker) closeIdle(unused bool) {
+	// The lock keeps their states: an answer that is still being written must not be cut off.
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	for conn, since := range tracker.open {
+		caller, ok := conn.(*callerConn)
+		switch {
+		case ok && since != busy:
+			_ = caller.closeIdle()
+		case ok && unused:
+			_ = caller.closeUnused()
+		}
+	}
+}
+
 // count returns how many connections are open.
 func (tracker *connTracker) count() int {
 	tracker.mu.Lock()
--- a/internal/assembler/direct_stop_test.go
+++ b/internal/assembler/direct_stop_test.go
@@ -21,7 +21,7 @@
 // stoppingEntry is an entry whose server for callers a test starts and stops.
 type stoppingEntry struct {
 	*Direct
-	server  *http.Server
+	server  callerServer
 	stopped chan struct{}
 }
 
@@ -161,6 +161,49 @@
 	})
 }
 
+func TestRequestsThatArriveAsTheListenerCloses(t *testing.T) {
+	// Guards against a planned stop that closes a caller's connection without an answer to the request that is arriving
+	// on it.
+	const first = 12
+	head := emulator.RequestHead(http.MethodGet, host, unknownPath, "arriving", 0)
+	tests := []struct {
+		name string
+		// before is sent on the connection, and answered, before the request.
+		before string
+	}{
+		{"on a new connection", ""},
+		{"on a connection with an earlier request", head},
+	}
+	for _, test := range tests {
+		Convey(test.name, t, func() {
+			entry := newStoppingEntry(t, testTimeout)
+			entry.serve()
+			conn, err := entry.call(t, test.before)
+			So(err, ShouldBeNil)
+			if test.before != "" {
+				So(answered(conn), ShouldEqual, http.StatusNotFound)
+			}
+			_, err = io.WriteString(conn, head[:first])
+			So(err, ShouldBeNil)
+			for entry.connTracker.count() == 0 {
+				_ = entry.clock.Sleep(t.Context(), 1)
+			}
+			entry.stop()
+			for err == nil {
+				var other net.Conn
+				if other, err = entry.call(t, ""); err == nil {
+					_ = other.Close()
+				}
+			}
+			So(entry.runs(t, 2*stopPollInterval), ShouldBeTrue)
+			_, err = io.WriteString(conn, head[first:])
+			So(err, ShouldBeNil)
+			So(answered(conn), ShouldEqual, http.StatusNotFound)
+			<-entry.stopped
+		})
+	}
+}
+
 func TestStopWaitsForOpenConnections(t *testing.T) {
 	// Guards against an exit before a request is answered that arrived as the server
 	// closed its connection: the connection was kept open, but the server no longer
@@ -177,6 +220,24 @@
 	})
 }
 
+func TestStopDoesNotWaitForUnusedConnections(t *testing.T) {
+	// Guards against a stop that lasts as long as its grace allows since a caller has opened a connection and sent nothing.
+	entry := newStoppingEntry(t, testTimeout)
+	entry.serve()
+	conn, err := entry.call(t, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for entry.connTracker.count() == 0 {
+		_ = entry.clock.Sleep(t.Context(), 1)
+	}
+	Convey("the connection is closed, and the entry ends long before", t, func() {
+		entry.stop()
+		So(entry.runs(t, testTimeout/2), ShouldBeFalse)
+		So(answered(conn), ShouldEqual, 0)
+	})
+}
+
 // silentReplica accepts requests and never answers. It returns its address and the count of requests.
 func silentReplica(t *testing.T) (address string, requests *atomic.Int32) {
 	t.Helper()
