assembler: a stopping entry with agents answers the requests that arrive as it closes

Callers saw: what callers of an entry without agents saw before, a connection that was closed without an answer to a request that arrived as the entry closed. Their answers didn't say that the connection closes, so callers in a conversation kept theirs until that moment.

Connections that had not been accepted yet were reset.

While an entry with agents stops, its answers close their connections, and it waits until no connection is left to accept. addServer keeps Shutdown, for servers whose clients may send again.

--- a/internal/assembler/accept_test.go
+++ b/internal/assembler/accept_test.go
@@ -6,20 +6,14 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
 
 	"github.com/oklog/run"
-	"github.com/sirupsen/logrus"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/trefoilseam/trefoilseam/internal/imitator"
-	"github.com/trefoilseam/trefoilseam/internal/loader"
-	"github.com/trefoilseam/trefoilseam/internal/publisher"
-	"github.com/trefoilseam/trefoilseam/internal/storekeeper"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
@@ -100,33 +94,9 @@
 	}
 	for _, test := range tests {
 		Convey(test.name, t, func() {
-			upstream := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-			defer upstream.Close()
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			platform := imitator.NewPlatform(timekeeper.Wall())
-			env := Environment{Clock: timekeeper.Wall(), Log: log, Platform: platform.InProcess()}
-			_, err := publisher.Accept(t.Context(), env.Platform, devConfig(), 0, "test")
-			So(err, ShouldBeNil)
-			process := loader.Process{Name: "orders-1", Site: "bole", Listen: loopback, AdminListen: loopback}
-			agent, releaseAgent, err := NewAgent(t.Context(), loader.Agent{Service: "orders", Upstream: upstream.URL, Process: process}, env)
-			So(err, ShouldBeNil)
-			defer releaseAgent()
-			platform.SetInstances([]storekeeper.Instance{{Name: process.Name, Service: "orders", Address: agent.Address(), Site: process.Site}})
-			process.Name = "entry-1"
-			entry, releaseEntry, err := NewEntry(t.Context(), loader.Entry{Process: process}, env)
-			So(err, ShouldBeNil)
-			defer releaseEntry()
+			entry, agent := newPair(t)
 			test.fail(entry.base, agent.base)
-			var group run.Group
-			var stopOrder stages
-			entry.AddTo(stopOrder.add())
-			agent.AddTo(stopOrder.add())
-			stopOrder.addTo(&group)
-			stopping, stop := context.WithCancel(t.Context())
-			group.Add(func() error { <-stopping.Done(); return nil }, func(error) { stop() })
-			ended := make(chan error, 1)
-			go func() { ended <- group.Run() }()
+			stop, ended := runPair(entry, agent)
 			status, _, _ := call(t, http.MethodGet, "http://"+entry.Address()+"/orders", "", "Authorization", "Bearer "+DevKey)
 			So(status, ShouldEqual, http.StatusOK)
 			So(statusAt(t, addressOf(entry.admin)), ShouldNotEqual, 0)
--- a/internal/assembler/direct.go
+++ b/internal/assembler/direct.go
@@ -345,13 +345,16 @@
 
 // callerServer returns the server that passes callers' requests to a handler.
 func (direct *Direct) callerServer(handler http.Handler) callerServer {
-	return callerServer{served: make(chan struct{}), Server: &http.Server{
+	server := &http.Server{
 		Handler:           serveUnlessClosed(resetAborted(handler), func() { direct.scope.Counter("requests-on-closed-connections").Inc(1) }),
 		ReadHeaderTimeout: callerHeaderTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
 		MaxHeaderBytes: callerMaxHeaderBytes, ConnState: direct.connTracker.trackState, ConnContext: withConn,
 		BaseContext: func(net.Listener) context.Context { return direct.requests },
 		ErrorLog:    newServerLog(direct.log, direct.scope),
-	}}
+	}
+	return callerServer{
+		Server: server, listener: direct.listeners.frontend, tracker: direct.connTracker, clock: direct.clock, served: make(chan struct{}),
+	}
 }
 
 // callerListener wraps a listener for the server for callers: it goes on after errors, limits the number
--- a/internal/assembler/direct_stop.go
+++ b/internal/assembler/direct_stop.go
@@ -2,18 +2,12 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-
-	"github.com/rotisserie/eris"
 
 	"github.com/trefoilseam/trefoilseam/internal/relayer"
 	"github.com/trefoilseam/trefoilseam/pkg/timekeeper"
 )
 
 const (
-	// stopPollInterval is how often a stopping entry checks whether its last call ended.
-	stopPollInterval = 30 * timekeeper.Millisecond
 	// exitMargin is how long before the end of the stop grace period, at which the platform
 	// kills the process, a stopping entry exits.
 	exitMargin = 300 * timekeeper.Millisecond
@@ -24,29 +18,8 @@
 	// answerMargin is how long before its exit a stopping entry ends the requests in flight, so that
 	// their callers get an answer.
 	answerMargin = 300 * timekeeper.Millisecond
-	// maxFirstRequestWait is how long a stopping entry that accepts no more connections waits for the first
-	// request on one.
-	maxFirstRequestWait = timekeeper.Second
 )
 
-// callerServer is the server for callers.
-type callerServer struct {
-	*http.Server
-	// served is closed once Serve has returned. All accepted connections are tracked by then.
-	served chan struct{}
-}
-
-// Serve serves connections until the listener is closed, and then returns http.ErrServerClosed. It must be
-// called once.
-func (server callerServer) Serve(listener net.Listener) error {
-	defer close(server.served)
-	err := server.Server.Serve(listener)
-	if eris.Is(err, net.ErrClosed) {
-		return http.ErrServerClosed
-	}
-	return err
-}
-
 // beginStop makes the entry not ready, and returns the instant at which it exits at the latest: shortly
 // before the process would be killed.
 func (direct *Direct) beginStop() (exitAt timekeeper.Instant) {
@@ -88,7 +61,7 @@
 			break
 		}
 	}
-	whole := direct.closeConnections(ctx, server)
+	whole := server.closeConnections(ctx)
 	select {
 	case <-unregistered:
 	case <-ctx.Done():
@@ -97,27 +70,6 @@
 	return nil
 }
 
-// closeConnections closes the listener and each connection on which no request is served or arriving, until
-// all are closed or ctx ends. It reports whether all are. The server isn't told: http.Server.Shutdown would
-// close a connection without an answer whose request is read after its call.
-func (direct *Direct) closeConnections(ctx context.Context, server callerServer) (whole bool) {
-	_ = direct.listeners.frontend.Close()
-	select {
-	case <-server.served:
-	case <-ctx.Done():
-	}
-	unusedUntil := direct.clock.Now().Add(maxFirstRequestWait)
-	for {
-		direct.connTracker.closeIdle(direct.clock.Now() >= unusedUntil)
-		if direct.connTracker.count() == 0 {
-			return true
-		}
-		if direct.clock.Sleep(ctx, stopPollInterval) != nil {
-			return false
-		}
-	}
-}
-
 // endRequestsAt ends the requests that are in flight at an instant.
 func (direct *Direct) endRequestsAt(ctx context.Context, at timekeeper.Instant) {
 	if direct.clock.Sleep(ctx, at.Since(direct.clock.Now())) != nil {
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 
 	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
 
 	"github.com/trefoilseam/trefoilseam/internal/budgeter"
 	"github.com/trefoilseam/trefoilseam/internal/claimer"
@@ -108,9 +111,7 @@
 func (entry *Entry) AddTo(group *run.Group) {
 	var stopOrder stages
 	frontend, rest := stopOrder.add(), stopOrder.add()
-	entry.readiness.addFrontend(
-		frontend, entry.retryAccepts(entry.listener, "callers"), entry.frontend, entry.env.Clock, entry.stopDelay, resolver.DefaultCallTimeout,
-	)
+	entry.addFrontend(frontend)
 	addLoop(rest, entry.watcher.Run)
 	addLoop(rest, entry.planners.run)
 	addLoop(rest, entry.claims.run)
@@ -119,3 +120,54 @@
 	entry.addAdmin(rest, handler.Show(entry.Status))
 	stopOrder.addTo(group)
 }
+
+// addFrontend adds the server for callers. It stops in three steps: it reports not
+// ready, closes its listener after a delay, then waits for all calls to end.
+//
+// The delay is there because a load balancer checks readiness only every few seconds: if
+// the listener closed at once, callers sent meanwhile would be rejected by a planned stop.
+// With a delay longer than the check interval, the load balancer sends them elsewhere first.
+func (entry *Entry) addFrontend(group *run.Group) {
+	stopping := &entry.readiness.stopping
+	onClosed := func() { entry.scope.Counter("requests-on-closed-connections").Inc(1) }
+	tracker := newConnTracker(entry.env.Clock, 0)
+	server := newServer(serveUnlessClosed(closeWhileStopping(entry.frontend, stopping), onClosed))
+	server.ConnState = tracker.trackState
+	callers := callerServer{Server: server, listener: entry.listener, tracker: tracker, clock: entry.env.Clock, served: make(chan struct{})}
+	accepted := callerListener{Listener: entry.retryAccepts(entry.listener, "callers"), stopping: stopping}
+	stopped := make(chan error, 1)
+	group.Add(func() error {
+		if err := callers.Serve(accepted); !eris.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+		return <-stopped
+	}, func(error) {
+		stopping.Store(true)
+		go func() { stopped <- entry.shutDown(callers) }()
+	})
+}
+
+// shutDown ends the server after the delay, once all connections that have been made are accepted and all calls have
+// ended.
+func (entry *Entry) shutDown(callers callerServer) error {
+	_ = entry.env.Clock.Sleep(context.Background(), entry.stopDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), resolver.DefaultCallTimeout.Duration())
+	defer cancel()
+	for hasPendingConnections(entry.listener) && entry.env.Clock.Sleep(ctx, stopPollInterval) == nil {
+		continue
+	}
+	if !callers.closeConnections(ctx) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// closeWhileStopping passes requests to a handler. From when stopping is set, answers close their connections.
+func closeWhileStopping(handler http.Handler, stopping *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -61,8 +61,20 @@
 // addServer adds an HTTP server. When it stops, it waits for calls in flight, at most
 // for drainTimeout.
 func addServer(group *run.Group, listener net.Listener, handler http.Handler, drainTimeout time.Duration) {
-	// No load balancer checks this server's readiness, so it stops without delay.
-	new(readiness).addFrontend(group, listener, handler, timekeeper.SinceBoot(), 0, timekeeper.Span(drainTimeout/time.Millisecond))
+	server := newServer(handler)
+	stopped := make(chan error, 1)
+	group.Add(func() error {
+		if err := server.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+			return eris.Wrap(err, "serve")
+		}
+		return <-stopped
+	}, func(error) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+			defer cancel()
+			stopped <- server.Shutdown(ctx)
+		}()
+	})
 }
 
 // newServer returns a server with the limits that all servers here share.
